--- /dev/null
+++ b/cmd/commands/doc.go
@@ -0,0 +1,2 @@
+// Package commands holds the commands of the gorseline binary, a file each.
+package commands
--- /dev/null
+++ b/cmd/commands/version.go
@@ -0,0 +1,23 @@
+package commands
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+)
+
+type versionCommand struct{}
+
+func init() {
+	register("version", "Print the version", "Prints the module version and the Go version of the build.", &versionCommand{})
+}
+
+// Execute prints the build's version.
+func (*versionCommand) Execute([]string) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return failure{fmt.Errorf("the binary holds no build information")}
+	}
+	fmt.Fprintf(os.Stdout, "gorseline %s %s\n", info.Main.Version, info.GoVersion)
+	return nil
+}
--- /dev/null
+++ b/core/engine.go
@@ -0,0 +1,141 @@
+package core
+
+import "context"
+
+// CompletionRequest asks an engine for a completion.
+type CompletionRequest struct {
+	Request RequestID
+	Attempt AttemptID
+	Model   Model
+	// Prompt is the prompt text; stand-in engines count one token per word.
+	Prompt    string
+	MaxTokens int
+	Priority  int
+	// ImportFrom is the address of an engine to import the prompt's KV cache from.
+	ImportFrom string
+	// PrefillOnly computes the prompt and keeps its KV cache for export.
+	PrefillOnly bool
+}
+
+// Piece is a part of a streamed answer.
+type Piece struct {
+	// Stream names the engine's stream; it is needed to resume it.
+	Stream string
+	// Attempt is echoed by the engine, for matching late pieces.
+	Attempt AttemptID
+	// Offset is the index of the first token of Text in the answer.
+	Offset int
+	Text   string
+	// Tokens is the number of tokens in Text.
+	Tokens int
+	// Final marks the terminal piece; Total is then the number of tokens of the
+	// whole answer.
+	Final bool
+	Total int
+	// Heartbeat pieces carry no text.
+	Heartbeat bool
+}
+
+// PieceReader reads the pieces of one stream in order.
+type PieceReader interface {
+	// Next returns the next piece. It returns io.EOF after the terminal piece and
+	// ErrStreamCut when the stream ended before it.
+	Next(ctx context.Context) (Piece, error)
+	Close() error
+}
+
+// Order tells an engine what to be. It is absolute and idempotent.
+type Order struct {
+	Target         TargetID
+	Role           Role
+	Model          Model
+	Adapter        string
+	WeightsVersion string
+	Fence          Fence
+	Sequence       uint64
+	Attempt        AttemptID
+}
+
+// OrderResult is a target's answer to an order.
+type OrderResult uint8
+
+// Results of an order.
+const (
+	// OrderUnknown means that the order may or may not have arrived.
+	OrderUnknown OrderResult = iota
+	OrderAccepted
+	// OrderStale means that the target refused an old fence or sequence.
+	OrderStale
+	// OrderRejected means that the target can't carry out the order.
+	OrderRejected
+)
+
+// CacheEvent tells that an engine added or dropped a prompt block. Events are
+// late and may be missing; a gap in Sequence shows it.
+type CacheEvent struct {
+	Sequence uint64
+	Block    uint64
+	Evicted  bool
+}
+
+// Completer starts, resumes and cancels completions on an engine.
+type Completer interface {
+	Complete(ctx context.Context, address string, req CompletionRequest) (PieceReader, error)
+	// Resume continues a stream from the given token offset.
+	Resume(ctx context.Context, address, stream string, offset int) (PieceReader, error)
+	Cancel(ctx context.Context, address, stream string) error
+}
+
+// LoadReporter asks a target for its load.
+type LoadReporter interface {
+	Load(ctx context.Context, address string) (LoadReport, error)
+}
+
+// Orderer sends an order to an engine. It must not start sending after ctx's
+// deadline and sets the connection's write deadline to it.
+type Orderer interface {
+	Order(ctx context.Context, address string, order Order) OrderResult
+}
+
+// CacheEventReader reads cache events that follow a sequence number.
+type CacheEventReader interface {
+	CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error)
+}
+
+// EngineClient is everything the system asks of model engines.
+type EngineClient interface {
+	Completer
+	LoadReporter
+	Orderer
+	CacheEventReader
+}
+
+// ServiceCall is a call of a plain service.
+type ServiceCall struct {
+	Request RequestID
+	Attempt AttemptID
+	Method  string
+	Path    string
+	Key     OperationKey
+	Body    []byte
+}
+
+// ServiceAnswer is a plain service's answer.
+type ServiceAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// ServiceResult is the outcome of a call: with OutcomeDone Answer is set, with
+// OutcomeNotRun no byte reached the target.
+type ServiceResult struct {
+	Outcome OutcomeKind
+	Answer  ServiceAnswer
+	Err     error
+}
+
+// ServiceClient calls plain services.
+type ServiceClient interface {
+	Call(ctx context.Context, address string, call ServiceCall) ServiceResult
+}
--- /dev/null
+++ b/core/table.go
@@ -0,0 +1,96 @@
+package core
+
+import "context"
+
+// Row is one row of the table service. Version 0 means that the row is absent.
+type Row struct {
+	Key     string
+	Version uint64
+	Value   []byte
+}
+
+// AnyVersion in Write.Expected makes a write unconditional.
+const AnyVersion = ^uint64(0)
+
+// Write is one write of a transaction. The transaction commits only if each row
+// has the expected version; Expected 0 requires that the row is absent.
+type Write struct {
+	Key      string
+	Value    []byte
+	Expected uint64
+	// CheckOnly checks the version without writing.
+	CheckOnly bool
+	Delete    bool
+}
+
+// TransactKind classifies the outcome of a transaction.
+type TransactKind uint8
+
+// Outcomes of a transaction.
+const (
+	// TransactUnknown means that the reply was lost; the writes may have taken effect.
+	TransactUnknown TransactKind = iota
+	TransactCommitted
+	TransactConflict
+	// TransactUnavailable means that the service refused the call before running it.
+	TransactUnavailable
+)
+
+// TransactResult is the outcome of a transaction.
+type TransactResult struct {
+	Kind TransactKind
+	// Versions are the new versions in the order of the writes, when committed.
+	Versions []uint64
+	// Conflicts are the current rows that did not match, on a conflict.
+	Conflicts []Row
+	// Err describes an Unknown or Unavailable outcome for logs.
+	Err error
+}
+
+// Reader reads rows by key. Absent rows come back with version 0. An error means
+// that the service could not be read.
+type Reader interface {
+	Read(ctx context.Context, keys ...string) ([]Row, error)
+}
+
+// Scanner lists rows in key order.
+type Scanner interface {
+	// Scan returns up to limit rows whose keys start with prefix and follow after.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+}
+
+// Transactor applies conditional writes atomically.
+type Transactor interface {
+	// Transact applies writes in one transaction. The service remembers attempt for
+	// as long as it keeps the rows, and repeating an attempt that committed returns
+	// its first result.
+	Transact(ctx context.Context, attempt AttemptID, writes []Write) TransactResult
+}
+
+// Table is the platform's transactional table service. Row versions only grow,
+// also when a row is deleted and created again.
+type Table interface {
+	Reader
+	Scanner
+	Transactor
+}
+
+// ObjectStore is the platform's object store.
+type ObjectStore interface {
+	Put(ctx context.Context, key string, value []byte) error
+	Get(ctx context.Context, key string) ([]byte, error)
+	List(ctx context.Context, prefix string, limit int) ([]string, error)
+}
+
+// ListedInstance is one entry of the platform's instance list, which lags.
+type ListedInstance struct {
+	ID         InstanceID
+	Address    string
+	DataCentre DataCentre
+	Leaving    bool
+}
+
+// InstanceLister reads the platform's list of instances.
+type InstanceLister interface {
+	Instances(ctx context.Context) ([]ListedInstance, error)
+}
