--- /dev/null
+++ b/core/timeline/timeline.go
@@ -0,0 +1,100 @@
+package timeline
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"gorseline/core"
+	"gorseline/core/common/ring"
+)
+
+// Timeline holds the latest events of one process in a bounded ring. It is safe
+// for concurrent use.
+type Timeline struct {
+	instance core.InstanceID
+	clock    *Clock
+
+	mu     sync.Mutex
+	events *ring.Ring[core.Event]
+	// pending holds the events that were not yet written to the object store.
+	pending *ring.Ring[core.Event]
+}
+
+var _ core.Recorder = (*Timeline)(nil)
+
+// New returns a time line that keeps the latest capacity events.
+func New(instance core.InstanceID, clock *Clock, capacity int) *Timeline {
+	return &Timeline{
+		instance: instance,
+		clock:    clock,
+		events:   ring.New[core.Event](capacity),
+		pending:  ring.New[core.Event](capacity),
+	}
+}
+
+// Record stamps e and adds it. The oldest event gives way when the ring is full.
+func (t *Timeline) Record(e core.Event) {
+	e.At = t.clock.Now()
+	e.Instance = t.instance
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.events.Push(e)
+	t.pending.Push(e)
+}
+
+// Filter selects events; empty fields match everything.
+type Filter struct {
+	Request  core.RequestID
+	Target   core.TargetID
+	Instance core.InstanceID
+	Kind     core.EventKind
+}
+
+// Matches reports whether e passes the filter.
+func (f Filter) Matches(e core.Event) bool {
+	return (f.Request == "" || f.Request == e.Request) &&
+		(f.Target == "" || f.Target == e.Target) &&
+		(f.Instance == "" || f.Instance == e.Instance) &&
+		(f.Kind == "" || f.Kind == e.Kind)
+}
+
+// Events returns the held events that pass the filter, oldest first.
+func (t *Timeline) Events(f Filter) []core.Event {
+	t.mu.Lock()
+	all := t.events.Snapshot()
+	t.mu.Unlock()
+	return slices.DeleteFunc(all, func(e core.Event) bool { return !f.Matches(e) })
+}
+
+// Unflushed removes and returns up to limit events that were not yet written to
+// the object store.
+func (t *Timeline) Unflushed(limit int) []core.Event {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pending.Drain(limit)
+}
+
+// Lost returns how many events gave way before they were written to the object
+// store.
+func (t *Timeline) Lost() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pending.Dropped()
+}
+
+// Merge orders the events of several processes by time stamp, then instance, and
+// drops events that occur in more than one list.
+func Merge(lists ...[]core.Event) []core.Event {
+	all := slices.Concat(lists...)
+	slices.SortStableFunc(all, compare)
+	return slices.Compact(all)
+}
+
+func compare(a, b core.Event) int {
+	return cmp.Or(
+		cmp.Compare(a.At.Wall, b.At.Wall),
+		cmp.Compare(a.At.Logical, b.At.Logical),
+		cmp.Compare(a.Instance, b.Instance),
+	)
+}
