Add the callers' HTTP API

Cause: callers need the usual completion protocol, calls of plain services and the addresses to use, with typed refusals for bad input.

--- a/core/configuration.go
+++ b/core/configuration.go
@@ -14,6 +14,8 @@
 	Presets       map[string]Preset
 	Policies      map[string]PolicyDocument
 	Kinds         map[KindName]Kind
+	// DefaultKind names the kind of model requests that state none.
+	DefaultKind   KindName
 	Targets       []Target
 	Organisations map[Organisation]OrganisationDocument
 	// Drained lists targets that receive no new work.
--- /dev/null
+++ b/io/caller/handler.go
@@ -0,0 +1,292 @@
+// Package caller serves the callers' API: the usual HTTP protocol of language
+// model serving, calls of plain services, and the addresses to use.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"gorseline/core"
+	"gorseline/core/prompt"
+)
+
+// Sink takes the events of one streamed answer.
+type Sink interface {
+	// Write sends a piece under the given event id, which resumes after it.
+	Write(id string, piece core.Piece) error
+	// Heartbeat tells the caller that the stream is alive.
+	Heartbeat() error
+}
+
+// CompletionDispatcher runs completions. A refusal means that no piece was written.
+type CompletionDispatcher interface {
+	Complete(ctx context.Context, req *core.Request, completion core.CompletionRequest, sink Sink) *core.Refusal
+	// Resume continues the stream that an event id names.
+	Resume(ctx context.Context, req *core.Request, completion core.CompletionRequest, id string, sink Sink) *core.Refusal
+}
+
+// ServiceDispatcher runs calls of plain services.
+type ServiceDispatcher interface {
+	Call(ctx context.Context, req *core.Request, call core.ServiceCall) (core.ServiceAnswer, *core.Refusal)
+}
+
+// Dispatcher runs callers' requests.
+type Dispatcher interface {
+	CompletionDispatcher
+	ServiceDispatcher
+}
+
+// Address is one address that callers may use.
+type Address struct {
+	Instance   core.InstanceID
+	Address    string
+	DataCentre core.DataCentre
+}
+
+// AddressProvider chooses addresses for a caller in a data centre.
+type AddressProvider interface {
+	Addresses(from core.DataCentre) (addresses []Address, keep time.Duration)
+}
+
+// AdmissionGate tells whether this instance takes new work.
+type AdmissionGate interface {
+	// Gate returns nil when new work is welcome, or why it is refused.
+	Gate() *core.Refusal
+}
+
+// Options configure a Handler. All fields are required.
+type Options struct {
+	Configuration core.ConfigurationProvider
+	Dispatcher    Dispatcher
+	Addresses     AddressProvider
+	Gate          AdmissionGate
+	Clock         core.ClockProvider
+	// MaxBody bounds a request body, in bytes.
+	MaxBody int64
+}
+
+// Handler serves the callers' API.
+type Handler struct {
+	Options
+	router *mux.Router
+}
+
+// NewHandler returns the handler of the callers' port.
+func NewHandler(options Options) *Handler {
+	h := &Handler{Options: options, router: mux.NewRouter()}
+	h.router.HandleFunc("/v1/completions", h.textCompletion).Methods(http.MethodPost)
+	h.router.HandleFunc("/v1/chat/completions", h.chatCompletion).Methods(http.MethodPost)
+	h.router.HandleFunc("/v1/models", h.models).Methods(http.MethodGet)
+	h.router.HandleFunc("/addresses", h.addresses).Methods(http.MethodGet)
+	h.router.PathPrefix("/services/{service}").HandlerFunc(h.service)
+	h.router.NotFoundHandler = http.HandlerFunc(notFound)
+	h.router.MethodNotAllowedHandler = http.HandlerFunc(methodNotAllowed)
+	return h
+}
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
+
+func (h *Handler) textCompletion(w http.ResponseWriter, r *http.Request) { h.completion(w, r, false) }
+
+func (h *Handler) chatCompletion(w http.ResponseWriter, r *http.Request) { h.completion(w, r, true) }
+
+func (h *Handler) completion(w http.ResponseWriter, r *http.Request, chat bool) {
+	cfg := h.Configuration.Configuration()
+	req, completion, body, refusal := h.decode(w, r, cfg, chat)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	w.Header().Set(HeaderRequest, string(req.ID))
+	ctx, cancel := context.WithTimeout(r.Context(), req.Remaining(h.Clock.Now()))
+	defer cancel()
+	answer := newAnswer(w, req, chat, body)
+	if id := r.Header.Get(headerLastEvent); id != "" {
+		refusal = h.Dispatcher.Resume(ctx, req, completion, id, answer)
+	} else {
+		refusal = h.Dispatcher.Complete(ctx, req, completion, answer)
+	}
+	answer.finish(refusal)
+}
+
+func (h *Handler) decode(
+	w http.ResponseWriter, r *http.Request, cfg core.Configuration, chat bool,
+) (*core.Request, core.CompletionRequest, completionBody, *core.Refusal) {
+	var completion core.CompletionRequest
+	req, refusal := h.newRequest(r, cfg)
+	if refusal != nil {
+		return nil, completion, completionBody{}, refusal
+	}
+	data, refusal := readBody(w, r, h.MaxBody)
+	if refusal != nil {
+		return nil, completion, completionBody{}, refusal
+	}
+	body, text, refusal := decodeCompletion(data, chat)
+	if refusal != nil {
+		return nil, completion, body, refusal
+	}
+	if refusal = checkModel(cfg, core.Model(body.Model)); refusal != nil {
+		return nil, completion, body, refusal
+	}
+	if refusal = h.gate(r); refusal != nil {
+		return nil, completion, body, refusal
+	}
+	req.Model = core.Model(body.Model)
+	req.PromptTokens, req.PrefixBlocks = prompt.Measure(text)
+	if body.MaxTokens > 0 {
+		req.OutputTokens = body.MaxTokens
+	}
+	completion = core.CompletionRequest{
+		Request: req.ID, Model: req.Model, Prompt: text, MaxTokens: req.OutputTokens, Priority: req.Kind.Priority,
+	}
+	return req, completion, body, nil
+}
+
+// gate refuses new work while the instance takes none; a stream that is resumed
+// isn't new work.
+func (h *Handler) gate(r *http.Request) *core.Refusal {
+	if r.Header.Get(headerLastEvent) != "" {
+		return nil
+	}
+	return h.Gate.Gate()
+}
+
+func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
+	cfg := h.Configuration.Configuration()
+	answer, refusal := h.callService(w, r, cfg)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	w.Header().Set("Content-Type", answer.ContentType)
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body) // a caller that went away can't be told
+}
+
+func (h *Handler) callService(
+	w http.ResponseWriter, r *http.Request, cfg core.Configuration,
+) (core.ServiceAnswer, *core.Refusal) {
+	service := core.Service(mux.Vars(r)["service"])
+	if !hasService(cfg, service) {
+		return core.ServiceAnswer{}, &core.Refusal{
+			Kind: "UnknownService", Message: "no such service: " + string(service), NotRun: true, Status: http.StatusNotFound,
+		}
+	}
+	// A call that may change something must state its kind, since only the kind
+	// tells whether it may be repeated.
+	if !isSafeMethod(r.Method) && r.Header.Get(HeaderKind) == "" {
+		return core.ServiceAnswer{}, badRequest("MissingKind", "a %s of a service needs the header %s", r.Method, HeaderKind)
+	}
+	req, refusal := h.newRequest(r, cfg)
+	if refusal != nil {
+		return core.ServiceAnswer{}, refusal
+	}
+	body, refusal := readBody(w, r, h.MaxBody)
+	if refusal != nil {
+		return core.ServiceAnswer{}, refusal
+	}
+	if refusal = h.Gate.Gate(); refusal != nil {
+		return core.ServiceAnswer{}, refusal
+	}
+	req.Service = service
+	ctx, cancel := context.WithTimeout(r.Context(), req.Remaining(h.Clock.Now()))
+	defer cancel()
+	w.Header().Set(HeaderRequest, string(req.ID))
+	return h.Dispatcher.Call(ctx, req, core.ServiceCall{
+		Request: req.ID,
+		Method:  r.Method,
+		Path:    servicePath(r, service),
+		Key:     req.Key,
+		Body:    body,
+	})
+}
+
+func servicePath(r *http.Request, service core.Service) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+string(service))
+	if path == "" {
+		path = "/"
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+func isSafeMethod(method string) bool { return method == http.MethodGet || method == http.MethodHead }
+
+func hasService(cfg core.Configuration, service core.Service) bool {
+	return slices.ContainsFunc(cfg.Targets, func(t core.Target) bool { return t.Service == service && !t.IsEngine() })
+}
+
+func modelsOf(cfg core.Configuration) []core.Model {
+	var models []core.Model
+	for _, t := range cfg.Targets {
+		models = append(models, t.Models...)
+	}
+	slices.Sort(models)
+	return slices.Compact(models)
+}
+
+func checkModel(cfg core.Configuration, model core.Model) *core.Refusal {
+	models := modelsOf(cfg)
+	if slices.Contains(models, model) {
+		return nil
+	}
+	names := make([]string, len(models))
+	for i, m := range models {
+		names[i] = string(m)
+	}
+	return &core.Refusal{
+		Kind: "UnknownModel", Message: "no such model: " + string(model) + ", accepted: " + strings.Join(names, ", "),
+		NotRun: true, Status: http.StatusNotFound,
+	}
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (h *Handler) models(w http.ResponseWriter, _ *http.Request) {
+	var list struct {
+		Object string       `json:"object"`
+		Data   []modelEntry `json:"data"`
+	}
+	list.Object = "list"
+	list.Data = []modelEntry{}
+	for _, m := range modelsOf(h.Configuration.Configuration()) {
+		list.Data = append(list.Data, modelEntry{string(m), "model", "gorseline"})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+type addressesBody struct {
+	Addresses []Address
+	// KeepMs is how long the caller may keep the answer, in milliseconds.
+	KeepMs int64
+}
+
+func (h *Handler) addresses(w http.ResponseWriter, r *http.Request) {
+	list, keep := h.Addresses.Addresses(core.DataCentre(r.URL.Query().Get("dataCentre")))
+	writeJSON(w, http.StatusOK, addressesBody{list, keep.Milliseconds()})
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeRefusal(w, &core.Refusal{
+		Kind: "UnknownPath", Message: "no such path: " + r.URL.Path, NotRun: true, Status: http.StatusNotFound,
+	})
+}
+
+func methodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	writeRefusal(w, &core.Refusal{
+		Kind: "MethodNotAllowed", Message: r.Method + " is not accepted on " + r.URL.Path,
+		NotRun: true, Status: http.StatusMethodNotAllowed,
+	})
+}
