--- a/core/decision.go
+++ b/core/decision.go
@@ -6,6 +6,8 @@
 type Estimate struct {
 	// FirstToken is the delay until the first token, including queueing.
 	FirstToken time.Duration
+	// Queue is the part of FirstToken spent waiting for other requests.
+	Queue time.Duration
 	// BetweenTokens is the time between two tokens.
 	BetweenTokens time.Duration
 	// Total is the delay until the whole answer.
--- /dev/null
+++ b/core/estimate/estimate.go
@@ -0,0 +1,177 @@
+package estimate
+
+import (
+	"time"
+
+	"gorseline/core"
+)
+
+// Rates used for a target before its first observed answer. They describe a middling
+// engine, so that a new target is neither flooded nor avoided.
+const (
+	DefaultPrefillRate     = 8000.0 // prompt tokens per second
+	DefaultStepBase        = 12 * time.Millisecond
+	DefaultStepPerSequence = 300 * time.Microsecond
+)
+
+// Never is the delay of a request that a target can't serve at all.
+const Never = time.Hour
+
+// Load is a target's load at one moment, corrected for the age of its report.
+type Load struct {
+	// Sequences counts requests that are queued or running.
+	Sequences int
+	// Backlog is the prompt work not yet computed, in tokens.
+	Backlog float64
+	// Queued estimates how many requests the backlog consists of.
+	Queued int
+	// KVUsed is the memory held by requests, in tokens.
+	KVUsed int
+}
+
+// PrefillRate returns the prompt rate of a target in tokens per second.
+func PrefillRate(state *core.TargetState) float64 {
+	if state.PrefillRate > 0 {
+		return state.PrefillRate
+	}
+	return DefaultPrefillRate
+}
+
+// Step returns the time between two tokens when n sequences run.
+func Step(state *core.TargetState, n int) time.Duration {
+	base, per := state.StepBase, state.StepPerSequence
+	if base <= 0 {
+		base = DefaultStepBase
+	}
+	if per <= 0 {
+		per = DefaultStepPerSequence
+	}
+	return base + per*time.Duration(n)
+}
+
+// Age returns how old the target's load report is.
+func Age(now core.Instant, state *core.TargetState) time.Duration {
+	return max(0, now.Sub(state.ReportedAt)+state.Report.Age)
+}
+
+// LoadAt returns the target's load now.
+func LoadAt(now core.Instant, state *core.TargetState) Load {
+	report := &state.Report
+	pending := float64(report.QueuedPromptTokens + state.SentPromptTokens + state.IdlePromptTokens)
+	backlog := pending - PrefillRate(state)*Age(now, state).Seconds()
+	queued := report.QueuedRequests + state.SentRequests
+	if backlog <= 0 {
+		backlog, queued = 0, 0
+	} else if work := report.QueuedPromptTokens + state.SentPromptTokens; work > 0 {
+		queued = max(1, int(float64(queued)*min(1, backlog/float64(work))))
+	}
+	sequences := report.Running + report.QueuedRequests + state.SentRequests - state.FinishedRequests
+	return Load{
+		Sequences: max(sequences, state.InFlight, 0),
+		Backlog:   backlog,
+		Queued:    queued,
+		KVUsed:    report.KVUsed + state.SentPromptTokens,
+	}
+}
+
+// PrefillWait returns how long the request waits before its prompt is computed. An
+// urgent request goes to the head of the engine's queue and waits for one prompt only.
+func PrefillWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
+	backlog := load.Backlog
+	if req.Kind.Urgent && load.Queued > 1 {
+		backlog /= float64(load.Queued)
+	}
+	return seconds(backlog / PrefillRate(state))
+}
+
+// Compute returns the time that the target takes for the given number of prompt tokens.
+func Compute(state *core.TargetState, tokens int) time.Duration {
+	return seconds(float64(max(0, tokens)) / PrefillRate(state))
+}
+
+// Prefill predicts the delay until the prompt's KV cache is computed on the target.
+func Prefill(req *core.Request, state *core.TargetState, load Load, prefixTokens int) (queue, total time.Duration) {
+	queue = PrefillWait(req, state, load)
+	return queue, queue + Compute(state, req.PromptTokens-prefixTokens)
+}
+
+// MemoryWait returns how long the request waits for KV memory. Held memory is released
+// as answers end, so all of it turns over in about the duration of one answer.
+func MemoryWait(req *core.Request, state *core.TargetState, load Load, prefixTokens int) time.Duration {
+	capacity := state.Report.KVCapacity
+	if capacity <= 0 {
+		return 0
+	}
+	need := req.PromptTokens + req.OutputTokens
+	if need > capacity {
+		return Never
+	}
+	deficit := load.KVUsed + need - prefixTokens - capacity
+	if deficit <= 0 || load.KVUsed <= 0 {
+		return 0
+	}
+	answer := Step(state, load.Sequences) * time.Duration(max(1, req.OutputTokens))
+	return time.Duration(float64(answer) * float64(deficit) / float64(load.KVUsed))
+}
+
+// Engine predicts the service of a request by one engine that holds prefixTokens of its
+// prompt in cache.
+func Engine(req *core.Request, state *core.TargetState, load Load, prefixTokens int) core.Estimate {
+	queue, prefill := Prefill(req, state, load, prefixTokens)
+	wait := MemoryWait(req, state, load, prefixTokens)
+	result := Decode(req, state, load, prefill+wait)
+	result.Queue = queue + wait
+	result.PrefixTokens = prefixTokens
+	return result
+}
+
+// Decode predicts the generation of an answer whose prompt is ready on the target after
+// the given delay.
+func Decode(req *core.Request, state *core.TargetState, load Load, ready time.Duration) core.Estimate {
+	step := Step(state, load.Sequences+1)
+	result := core.Estimate{FirstToken: ready + step, BetweenTokens: step}
+	result.Total = result.FirstToken + step*time.Duration(max(0, req.OutputTokens-1))
+	return result
+}
+
+// Service predicts a call of a plain service from its load: every call ahead adds the
+// learned time per call.
+func Service(state *core.TargetState, load Load) core.Estimate {
+	total := Step(state, load.Sequences+1)
+	return core.Estimate{
+		FirstToken: total,
+		Queue:      total - Step(state, 1),
+		Total:      total,
+	}
+}
+
+// Target predicts the service of a request by a plain service or an engine.
+func Target(now core.Instant, req *core.Request, state *core.TargetState, prefixTokens int) core.Estimate {
+	load := LoadAt(now, state)
+	if req.Service != "" {
+		return Service(state, load)
+	}
+	return Engine(req, state, load, prefixTokens)
+}
+
+// Feasible reports whether the estimate keeps the deadline and the kind's limits on the
+// first token and the time between tokens.
+func Feasible(now core.Instant, req *core.Request, expected *core.Estimate) bool {
+	if expected.Total > req.Remaining(now) {
+		return false
+	}
+	kind := &req.Kind
+	if kind.FirstToken > 0 && now.Sub(req.Arrived)+expected.FirstToken > kind.FirstToken {
+		return false
+	}
+	return kind.BetweenTokens <= 0 || expected.BetweenTokens <= kind.BetweenTokens
+}
+
+// seconds converts to a duration and stays within Never, which also covers division by
+// a rate close to zero.
+func seconds(s float64) time.Duration {
+	if s >= Never.Seconds() {
+		return Never
+	}
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/core/routing/candidates.go
@@ -0,0 +1,86 @@
+package routing
+
+import (
+	"sync"
+
+	"gorseline/core"
+	"gorseline/core/estimate"
+)
+
+// DefaultSubset is the largest number of targets that a decision looks at. With 64 of
+// 4,500 targets a candidate set still spans all data centres and roles.
+const DefaultSubset = 64
+
+// DefaultProbe is the number of targets that a decision looks at first. More are looked
+// at only if none of these is suitable, which keeps the cost of a decision the same for
+// a fleet of 14 and of 4,500 targets.
+const DefaultProbe = 16
+
+// PrefixFleet is a fleet that also knows which candidates hold a request's prompt prefix.
+type PrefixFleet interface {
+	core.Fleet
+	// PrefixHits sets hits[i] to the number of prompt tokens of req that candidates[i]
+	// is expected to hold. Both slices have the same length.
+	PrefixHits(req *core.Request, candidates []*core.TargetState, hits []int)
+}
+
+// scratch is the working memory of one decision.
+type scratch struct {
+	states    [DefaultSubset]*core.TargetState
+	hits      [DefaultSubset]int
+	loads     [DefaultSubset]estimate.Load
+	estimates [DefaultSubset]core.Estimate
+	imports   [DefaultSubset]int8
+	feasible  [DefaultSubset]bool
+	set       pool
+}
+
+var scratches = sync.Pool{New: func() any { return new(scratch) }}
+
+// release drops the references to target states and returns the memory to the pool.
+func (s *scratch) release() {
+	clear(s.states[:])
+	scratches.Put(s)
+}
+
+// usable reports whether new work of the request may go to the target at all.
+func usable(state *core.TargetState, req *core.Request) bool {
+	if !state.AcceptsWork() {
+		return false
+	}
+	return req.Service != "" || state.Report.Model == "" || state.Report.Model == req.Model
+}
+
+// role returns the role that the target last reported, or the configured one.
+func role(state *core.TargetState) core.Role {
+	if state.Report.Role != core.RoleNone {
+		return state.Report.Role
+	}
+	return state.Role
+}
+
+// generates reports whether the target alone can produce an answer to the request.
+func generates(state *core.TargetState, req *core.Request) bool {
+	return req.Service != "" || role(state) == core.RoleMixed
+}
+
+// look fills the scratch with at most limit usable candidates and their loads.
+func (s *scratch) look(now core.Instant, req *core.Request, fleet core.Fleet, limit int) int {
+	found := fleet.Candidates(req, s.states[:0:limit])
+	n := 0
+	for _, state := range found {
+		if usable(state, req) {
+			s.states[n] = state
+			s.loads[n] = estimate.LoadAt(now, state)
+			n++
+		}
+	}
+	return n
+}
+
+func clampSubset(n, otherwise int) int {
+	if n <= 0 {
+		return otherwise
+	}
+	return min(n, DefaultSubset)
+}
--- /dev/null
+++ b/core/routing/pick.go
@@ -0,0 +1,125 @@
+package routing
+
+import (
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/estimate"
+)
+
+// pool is the set of candidates that can produce an answer: the indices of the scratch
+// that are members, in ring order.
+type pool struct {
+	members [DefaultSubset]int8
+	count   int
+	// feasible counts the members that keep the deadline.
+	feasible int
+}
+
+// pool collects the candidates that can produce an answer.
+func (r *full) pool(req *core.Request, s *scratch, n, prefill int) *pool {
+	set := &s.set
+	set.count, set.feasible = 0, 0
+	for i, state := range s.states[:n] {
+		if generates(state, req) || prefill >= 0 && role(state) == core.RoleDecode {
+			set.members[set.count] = int8(i)
+			set.count++
+			if s.feasible[i] {
+				set.feasible++
+			}
+		}
+	}
+	return set
+}
+
+// keep drops the members for which wanted is false.
+func (p *pool) keep(wanted func(i int) bool) {
+	kept := 0
+	for _, i := range p.members[:p.count] {
+		if wanted(int(i)) {
+			p.members[kept] = i
+			kept++
+		}
+	}
+	p.count = kept
+}
+
+// pick chooses a member of a pool that isn't empty.
+func (r *full) pick(now core.Instant, req *core.Request, s *scratch, set *pool) (int, core.Reason) {
+	reason := core.ReasonLeastDelay
+	if set.feasible > 0 {
+		set.keep(func(i int) bool { return s.feasible[i] })
+	} else {
+		reason = core.ReasonDeadline
+	}
+	if reason != core.ReasonDeadline && r.keepHolders(req, s, set) {
+		return r.nearBest(now, s, set, set.count), core.ReasonPrefixHit
+	}
+	spread := DefaultSubset
+	if len(req.PrefixBlocks) > 0 {
+		spread = max(1, r.options.Spread)
+	}
+	return r.nearBest(now, s, set, spread), reason
+}
+
+// keepHolders keeps the members that hold nearly the longest prefix and are within the
+// load bound. It reports false, and changes nothing, if there are none.
+func (r *full) keepHolders(req *core.Request, s *scratch, set *pool) bool {
+	least := max(1, int(r.options.MinimumPrefixShare*float64(req.PromptTokens)))
+	sequences, backlog, longest := 1.0, 0.0, 0
+	for _, i := range set.members[:set.count] {
+		sequences += float64(s.loads[i].Sequences)
+		backlog += s.loads[i].Backlog
+		longest = max(longest, s.hits[i])
+	}
+	if longest < least {
+		return false
+	}
+	scale := r.options.LoadBound / float64(set.count)
+	sequences, backlog = sequences*scale+1, backlog*scale+float64(req.PromptTokens)
+	eligible := func(i int) bool {
+		load := &s.loads[i]
+		return s.hits[i] >= least && float64(load.Sequences) <= sequences && load.Backlog <= backlog
+	}
+	longest = 0
+	for _, i := range set.members[:set.count] {
+		if eligible(int(i)) {
+			longest = max(longest, s.hits[i])
+		}
+	}
+	if longest == 0 {
+		return false
+	}
+	// Hits that differ by less than a tenth save about the same work.
+	set.keep(func(i int) bool { return eligible(i) && s.hits[i] >= longest-longest/10 })
+	return true
+}
+
+// nearBest returns a random one of the first spread members whose delay is close to the
+// least. Older reports widen what counts as close.
+func (r *full) nearBest(now core.Instant, s *scratch, set *pool, spread int) int {
+	best := s.estimates[set.members[0]].Total
+	for _, i := range set.members[1:set.count] {
+		best = min(best, s.estimates[i].Total)
+	}
+	share := time.Duration(r.options.NearBest * float64(best))
+	chosen, equals := int(set.members[0]), 0
+	for _, i := range set.members[:set.count] {
+		aged := time.Duration(r.options.NearBestPerAge * float64(min(estimate.Age(now, s.states[i]), maximumAge)))
+		if s.estimates[i].Total > best+share+aged {
+			continue
+		}
+		equals++
+		if r.random.Below(equals) == 0 {
+			chosen = int(i)
+		}
+		if equals == spread {
+			break
+		}
+	}
+	return chosen
+}
+
+// maximumAge bounds the age that widens the near-best set: load is polled every 2 s, so
+// a report older than a few polls says that polling failed, not that loads differ more.
+const maximumAge = 10 * time.Second
--- a/core/target.go
+++ b/core/target.go
@@ -108,6 +108,12 @@
 	// SentRequests and SentPromptTokens were sent from here after the report.
 	SentRequests     int
 	SentPromptTokens int
+	// IdlePromptTokens is the prompt work that the target had time for, but had not
+	// been given, between the report and the last send. It keeps a long idle time
+	// from hiding a burst that was sent at its end.
+	IdlePromptTokens int
+	// FinishedRequests were sent from here and have finished after the report.
+	FinishedRequests int
 	// InFlight counts requests from this instance that are not finished.
 	InFlight int
 	// PrefillRate is the learned prompt rate in tokens per second.
