--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -111,11 +111,8 @@
 	if float64(g.inFlight+1) > max(1, limit) {
 		return core.ReasonConcurrency
 	}
-	if options.EarlyRefusal {
-		allowed := c.allowance(req, g)
-		if !estimate.Feasible(now, req, expected) || float64(expected.Queue) > allowed*float64(budget) {
-			return core.ReasonDeadline
-		}
+	if options.EarlyRefusal && c.isTooLate(now, req, expected, g, budget) {
+		return core.ReasonDeadline
 	}
 	contended := float64(g.inFlight) > options.Contention*limit ||
 		float64(expected.Queue) > options.Contention*float64(budget)
@@ -125,11 +122,23 @@
 	return ""
 }
 
+// isTooLate reports whether the request should be refused for its deadline. Urgent kinds
+// are short, so taking one on in vain costs less than refusing one that would have made
+// it: they are refused only when even an idle target would be too slow.
+func (c *Controller) isTooLate(
+	now core.Instant, req *core.Request, expected *core.Estimate, g *group, budget time.Duration,
+) bool {
+	if req.Kind.Urgent {
+		return budget < 0
+	}
+	return !estimate.Feasible(now, req, expected) || float64(expected.Queue) > c.allowance(req, g)*float64(budget)
+}
+
 // allowance returns the part of the affordable waiting time that the request may use.
 // It is smaller for lower weights, so that these are refused first as queues grow.
 func (c *Controller) allowance(req *core.Request, g *group) float64 {
 	greatest := g.greatestWeight()
-	if req.Kind.Urgent || greatest <= 0 {
+	if greatest <= 0 {
 		return 1
 	}
 	return 1 - c.options.WeightMargin*(1-min(1, req.Kind.Weight/greatest))
--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -75,11 +75,12 @@
 }
 
 // PrefillWait returns how long the request waits before its prompt is computed. An
-// urgent request goes to the head of the engine's queue and waits for one prompt only.
+// urgent request goes to the head of the engine's queue and waits only for the prompt
+// under way, of which half is left on average.
 func PrefillWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
 	backlog := load.Backlog
-	if req.Kind.Urgent && load.Queued > 1 {
-		backlog /= float64(load.Queued)
+	if req.Kind.Urgent && load.Queued > 0 {
+		backlog /= 2 * float64(load.Queued)
 	}
 	return seconds(backlog / PrefillRate(state))
 }
--- /dev/null
+++ b/core/routing/ring.go
@@ -0,0 +1,79 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+)
+
+// permutations is the number of independent orders of a ring's targets. Every target has
+// one place in each, so that a walk meets it once, and the key chooses the order, so that
+// the load of a lost target falls to several others.
+const permutations = 8
+
+// ring orders the targets of one model or service. It is immutable.
+type ring struct {
+	orders [permutations]order
+}
+
+// order is one circle of targets, sorted by the place that their hash gives them.
+type order struct {
+	places []uint64
+	nodes  []*node
+}
+
+func newRing(members []*node) *ring {
+	r := &ring{}
+	for p := range r.orders {
+		r.orders[p] = newOrder(members, uint64(p))
+	}
+	return r
+}
+
+func newOrder(members []*node, permutation uint64) order {
+	nodes := slices.Clone(members)
+	place := func(n *node) uint64 { return random.Mix(n.hash + permutation) }
+	slices.SortFunc(nodes, func(a, b *node) int {
+		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.id, b.id))
+	})
+	o := order{nodes: nodes, places: make([]uint64, len(nodes))}
+	for i, n := range nodes {
+		o.places[i] = place(n)
+	}
+	return o
+}
+
+// placeOf returns the hash of the organisation and first prompt block.
+func placeOf(req *core.Request) uint64 {
+	return random.Mix(xxhash.Sum64String(string(req.Organisation)) ^ random.Mix(req.AffinityKey()))
+}
+
+// skipFactor bounds a walk to this many targets per place in the result, once one usable
+// target was found, so that a fleet with many drained targets doesn't slow decisions.
+const skipFactor = 4
+
+// walk appends the usable targets that follow the request's place, in order, while the
+// slice has room.
+func (r *ring) walk(req *core.Request, into []*core.TargetState) []*core.TargetState {
+	place := placeOf(req)
+	o := &r.orders[place%permutations]
+	at, _ := slices.BinarySearch(o.places, place)
+	before, room := len(into), cap(into)
+	for step := range len(o.nodes) {
+		if len(into) == room || len(into) > before && step >= skipFactor*(room-before) {
+			break
+		}
+		if at == len(o.nodes) {
+			at = 0
+		}
+		if state := o.nodes[at].state.Load(); usable(state, req) {
+			into = append(into, state)
+		}
+		at++
+	}
+	return into
+}
--- /dev/null
+++ b/core/routing/store.go
@@ -0,0 +1,250 @@
+package routing
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"gorseline/core"
+	"gorseline/core/estimate"
+)
+
+// Store is what an instance knows about its targets. It is safe for concurrent use;
+// lookups take no lock on it and allocate nothing.
+type Store struct {
+	table atomic.Pointer[table]
+	hints *Hints
+	// mutex serialises changes of the table.
+	mutex    sync.Mutex
+	nextSlot uint32
+	free     []uint32
+}
+
+var _ PrefixFleet = (*Store)(nil)
+
+// table is an immutable view of the known targets.
+type table struct {
+	nodes    map[core.TargetID]*node
+	models   map[core.Model]*ring
+	services map[core.Service]*ring
+}
+
+// StoreOptions are the settings of a store.
+type StoreOptions struct {
+	// HintBlocks bounds the remembered prompt blocks, counted once per target that holds
+	// them; 0 means DefaultHintBlocks.
+	HintBlocks int
+}
+
+// NewStore returns a store that knows no targets.
+func NewStore(options StoreOptions) *Store {
+	s := &Store{hints: NewHints(options.HintBlocks)}
+	s.table.Store(&table{nodes: map[core.TargetID]*node{}})
+	return s
+}
+
+// Candidates implements core.Fleet.
+func (s *Store) Candidates(req *core.Request, into []*core.TargetState) []*core.TargetState {
+	known := s.table.Load()
+	var r *ring
+	if req.Service != "" {
+		r = known.services[req.Service]
+	} else {
+		r = known.models[req.Model]
+	}
+	if r == nil {
+		return into
+	}
+	return r.walk(req, into)
+}
+
+// PrefixHits implements PrefixFleet.
+func (s *Store) PrefixHits(req *core.Request, candidates []*core.TargetState, hits []int) {
+	s.hints.Hits(req, candidates, hits)
+}
+
+// SetTargets replaces the known targets. What is known about a target that stays is kept.
+func (s *Store) SetTargets(targets []core.Target) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known := s.table.Load().nodes
+	nodes := make(map[core.TargetID]*node, len(targets))
+	for _, target := range targets {
+		n, ok := known[target.ID]
+		if !ok {
+			n = newNode(target, s.takeSlot())
+		} else {
+			n.update(func(state *core.TargetState) { state.Target = target })
+		}
+		nodes[target.ID] = n
+	}
+	for id, n := range known {
+		if _, kept := nodes[id]; !kept {
+			slot := n.state.Load().Slot
+			s.hints.Forget(slot)
+			s.free = append(s.free, slot)
+		}
+	}
+	s.table.Store(newTable(nodes))
+}
+
+func (s *Store) takeSlot() uint32 {
+	if last := len(s.free) - 1; last >= 0 {
+		slot := s.free[last]
+		s.free = s.free[:last]
+		return slot
+	}
+	s.nextSlot++
+	return s.nextSlot - 1
+}
+
+func newTable(nodes map[core.TargetID]*node) *table {
+	models := map[core.Model][]*node{}
+	services := map[core.Service][]*node{}
+	for _, n := range nodes {
+		state := n.state.Load()
+		for _, model := range servedModels(state) {
+			models[model] = append(models[model], n)
+		}
+		if !state.IsEngine() {
+			services[state.Service] = append(services[state.Service], n)
+		}
+	}
+	t := &table{nodes: nodes, models: map[core.Model]*ring{}, services: map[core.Service]*ring{}}
+	for model, members := range models {
+		t.models[model] = newRing(members)
+	}
+	for service, members := range services {
+		t.services[service] = newRing(members)
+	}
+	return t
+}
+
+// servedModels returns the model that the engine runs, or all that it may load while it
+// has not reported one.
+func servedModels(state *core.TargetState) []core.Model {
+	if state.Report.Model != "" {
+		return []core.Model{state.Report.Model}
+	}
+	return state.Models
+}
+
+// Report takes over a target's load report that arrives now. Reports may arrive late and
+// out of order. It returns false for an unknown target.
+func (s *Store) Report(now core.Instant, id core.TargetID, report core.LoadReport) bool {
+	n, ok := s.table.Load().nodes[id]
+	if !ok {
+		return false
+	}
+	before, after := n.report(now, report)
+	if before.Report.Model != after.Report.Model && after.IsEngine() {
+		s.moveModel(before, after)
+	}
+	return true
+}
+
+// moveModel rebuilds the rings of the models that an engine left and joined.
+func (s *Store) moveModel(before, after *core.TargetState) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	current := s.table.Load()
+	next := &table{nodes: current.nodes, models: maps.Clone(current.models), services: current.services}
+	affected := append(append([]core.Model{}, servedModels(before)...), servedModels(after)...)
+	for _, model := range affected {
+		var members []*node
+		for _, n := range current.nodes {
+			for _, served := range servedModels(n.state.Load()) {
+				if served == model {
+					members = append(members, n)
+				}
+			}
+		}
+		next.models[model] = newRing(members)
+	}
+	s.table.Store(next)
+}
+
+// Sent notes that the request was sent as decided. The prompt is expected in the caches
+// of the engines that compute it.
+func (s *Store) Sent(now core.Instant, req *core.Request, decision core.Decision) {
+	tokens := max(0, req.PromptTokens-decision.Estimate.PrefixTokens)
+	if decision.Prefill != "" {
+		s.sendTo(now, decision.Prefill, req, tokens, 0)
+		tokens = 0
+	}
+	s.sendTo(now, decision.Target, req, tokens, 1)
+}
+
+func (s *Store) sendTo(now core.Instant, id core.TargetID, req *core.Request, tokens, inFlight int) {
+	n, ok := s.table.Load().nodes[id]
+	if !ok {
+		return
+	}
+	n.sent(now, tokens, inFlight)
+	if req.Service == "" {
+		s.hints.Sent(n.state.Load().Slot, req.PrefixBlocks)
+	}
+}
+
+// Finished notes the end of a request, once per call of Sent, in whatever way it ended.
+func (s *Store) Finished(now core.Instant, decision core.Decision) {
+	if n, ok := s.table.Load().nodes[decision.Target]; ok {
+		n.finished(now)
+	}
+}
+
+// Observe learns the target's rates from an answer.
+func (s *Store) Observe(id core.TargetID, observed estimate.Observation) {
+	if n, ok := s.table.Load().nodes[id]; ok {
+		n.update(func(state *core.TargetState) { estimate.Learn(state, observed) })
+	}
+}
+
+// SetCircuit notes whether the circuit towards the target is open.
+func (s *Store) SetCircuit(id core.TargetID, open bool) {
+	if n, ok := s.table.Load().nodes[id]; ok {
+		n.update(func(state *core.TargetState) { state.Circuit = open })
+	}
+}
+
+// SetDrained sets which targets receive no new work; all others receive some again.
+func (s *Store) SetDrained(drained map[core.TargetID]bool) {
+	for id, n := range s.table.Load().nodes {
+		if n.state.Load().Drained != drained[id] {
+			n.update(func(state *core.TargetState) { state.Drained = drained[id] })
+		}
+	}
+}
+
+// CacheEvents takes over cache events of an engine, in the order of their sequence.
+func (s *Store) CacheEvents(id core.TargetID, events []core.CacheEvent) {
+	if n, ok := s.table.Load().nodes[id]; ok {
+		s.hints.Events(n.state.Load().Slot, events)
+	}
+}
+
+// ForgetPrefixes drops what is known about an engine's cache, as after its restart.
+func (s *Store) ForgetPrefixes(id core.TargetID) {
+	if n, ok := s.table.Load().nodes[id]; ok {
+		s.hints.Forget(n.state.Load().Slot)
+	}
+}
+
+// State returns what is known about a target.
+func (s *Store) State(id core.TargetID) (core.TargetState, bool) {
+	n, ok := s.table.Load().nodes[id]
+	if !ok {
+		return core.TargetState{}, false
+	}
+	return *n.state.Load(), true
+}
+
+// States returns what is known about all targets, in no particular order.
+func (s *Store) States() []core.TargetState {
+	nodes := s.table.Load().nodes
+	result := make([]core.TargetState, 0, len(nodes))
+	for _, n := range nodes {
+		result = append(result, *n.state.Load())
+	}
+	return result
+}
--- a/core/target.go
+++ b/core/target.go
@@ -103,6 +103,9 @@
 // TargetState is what an instance knows about one target.
 type TargetState struct {
 	Target
+	// Slot is a small number that the fleet gives the target, for use as an index. It
+	// is unique among the targets that the fleet knows.
+	Slot       uint32
 	Report     LoadReport
 	ReportedAt Instant
 	// SentRequests and SentPromptTokens were sent from here after the report.
