--- /dev/null
+++ b/standin/table/table.go
@@ -0,0 +1,201 @@
+// Package table is a stand-in of the platform's transactional table service: an
+// in-memory table with fault controls, and an HTTP handler that serves it.
+package table
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+)
+
+// ErrReplyLost describes a transaction whose reply was lost on purpose.
+var ErrReplyLost = errors.New("table stand-in: reply lost")
+
+// Table is an in-memory transactional table. Reads are never stale. It is safe for
+// concurrent use and waits only on timers, so that it works under testing/synctest.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[string]core.Row
+	keys    []string // sorted
+	version uint64   // version of the last write; versions are unique in the table
+	// committed remembers the versions that each committed attempt produced.
+	committed map[core.AttemptID][]uint64
+	faults    Faults
+	counts    Counts
+	trust     bool
+}
+
+var _ core.Table = (*Table)(nil)
+
+// New returns an empty table without faults.
+func New() *Table {
+	return &Table{rows: map[string]core.Row{}, committed: map[core.AttemptID][]uint64{}}
+}
+
+// Read returns the rows of the keys, in their order.
+func (t *Table) Read(ctx context.Context, keys ...string) ([]core.Row, error) {
+	if err := t.begin(ctx, false); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	rows := make([]core.Row, 0, len(keys))
+	for _, key := range keys {
+		rows = append(rows, t.row(key))
+	}
+	t.counts.RowsRead += len(rows)
+	t.mu.Unlock()
+	return rows, t.reply(ctx)
+}
+
+// Scan returns up to limit rows that start with prefix and follow after.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]core.Row, error) {
+	if err := t.begin(ctx, false); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	from := sort.SearchStrings(t.keys, max(prefix, after))
+	var rows []core.Row
+	for _, key := range t.keys[from:] {
+		if len(rows) == limit || !strings.HasPrefix(key, prefix) {
+			break
+		}
+		if key > after {
+			rows = append(rows, t.row(key))
+		}
+	}
+	t.counts.RowsRead += len(rows)
+	t.mu.Unlock()
+	return rows, t.reply(ctx)
+}
+
+// Transact applies the writes if every row has its expected version. Repeating an
+// attempt that committed returns its first result.
+func (t *Table) Transact(ctx context.Context, attempt core.AttemptID, writes []core.Write) core.TransactResult {
+	if err := t.begin(ctx, true); err != nil {
+		if errors.Is(err, core.ErrUnavailable) {
+			return core.TransactResult{Kind: core.TransactUnavailable, Err: err}
+		}
+		return core.TransactResult{Kind: core.TransactUnknown, Err: err}
+	}
+	t.mu.Lock()
+	result := t.apply(attempt, writes)
+	lost := t.faults.take(&t.faults.LoseReplies)
+	if lost {
+		t.counts.RepliesLost++
+	}
+	t.mu.Unlock()
+	if err := t.reply(ctx); err != nil {
+		return core.TransactResult{Kind: core.TransactUnknown, Err: err}
+	}
+	if lost {
+		return core.TransactResult{Kind: core.TransactUnknown, Err: ErrReplyLost}
+	}
+	return result
+}
+
+func (t *Table) row(key string) core.Row {
+	row, found := t.rows[key]
+	if !found {
+		return core.Row{Key: key}
+	}
+	row.Value = append([]byte(nil), row.Value...)
+	return row
+}
+
+func (t *Table) apply(attempt core.AttemptID, writes []core.Write) core.TransactResult {
+	if versions, done := t.committed[attempt]; done {
+		return core.TransactResult{Kind: core.TransactCommitted, Versions: append([]uint64(nil), versions...)}
+	}
+	var conflicts []core.Row
+	for _, w := range writes {
+		row := t.row(w.Key)
+		if w.Expected != core.AnyVersion && w.Expected != row.Version && !t.trust {
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		t.counts.Conflicts++
+		return core.TransactResult{Kind: core.TransactConflict, Conflicts: conflicts}
+	}
+	versions := make([]uint64, len(writes))
+	for i, w := range writes {
+		versions[i] = t.write(w)
+	}
+	t.counts.Transactions++
+	t.committed[attempt] = versions
+	return core.TransactResult{Kind: core.TransactCommitted, Versions: append([]uint64(nil), versions...)}
+}
+
+func (t *Table) write(w core.Write) uint64 {
+	row, found := t.rows[w.Key]
+	if w.CheckOnly {
+		return row.Version
+	}
+	t.counts.RowsWritten++
+	t.version++
+	if w.Delete {
+		if found {
+			delete(t.rows, w.Key)
+			at := sort.SearchStrings(t.keys, w.Key)
+			t.keys = append(t.keys[:at], t.keys[at+1:]...)
+		}
+		return 0
+	}
+	if !found {
+		at := sort.SearchStrings(t.keys, w.Key)
+		t.keys = append(t.keys, "")
+		copy(t.keys[at+1:], t.keys[at:])
+		t.keys[at] = w.Key
+	}
+	t.rows[w.Key] = core.Row{Key: w.Key, Version: t.version, Value: append([]byte(nil), w.Value...)}
+	return t.version
+}
+
+// begin waits for the latency and decides whether the call is refused.
+func (t *Table) begin(ctx context.Context, write bool) error {
+	t.mu.Lock()
+	latency := t.faults.Latency
+	t.mu.Unlock()
+	if err := wait(ctx, latency); err != nil {
+		return errors.Wrap(err, "table stand-in: before the call")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Calls++
+	switch {
+	case t.faults.Outage, write && t.faults.take(&t.faults.RefuseWrites):
+		t.counts.Refused++
+		return errors.Wrap(core.ErrUnavailable, "table stand-in: refused")
+	case write && t.faults.take(&t.faults.LoseRequests):
+		t.counts.RequestsLost++
+		return ErrReplyLost
+	}
+	return nil
+}
+
+func (t *Table) reply(ctx context.Context) error {
+	t.mu.Lock()
+	latency := t.faults.ReplyLatency
+	t.mu.Unlock()
+	return errors.Wrap(wait(ctx, latency), "table stand-in: reply")
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
