Add stand-ins of engine, plain service and network, and their clients

Cause: the relay, routing and authority need targets to be tested against, and net/http repeats a request with an Idempotency-Key after a connection error. Change: standin/engine (batching, prefix cache, orders, faults), standin/service (effects per key), standin/network (connections in memory that can go silent); io/engine and io/service over io/target, which knows whether a request's first byte was written and repeats nothing that may have run. Result: tests pass with -race. Without the guard against the repeat the test of a lost reply sees 2 effects, with it 1.

--- /dev/null
+++ b/core/prefix.go
@@ -0,0 +1,24 @@
+package core
+
+import "strings"
+
+// CountTokens returns the number of tokens of a text: one per word.
+func CountTokens(text string) int { return len(strings.Fields(text)) }
+
+// AppendPrefixBlocks appends the cumulative hashes of the prompt's full blocks of
+// PrefixBlockTokens tokens to into. Engines name blocks in cache events by the
+// same hashes. The hash is FNV-1a over the words, each ended by a space.
+func AppendPrefixBlocks(into []uint64, prompt string) []uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	hash, count := uint64(offset), 0
+	for word := range strings.FieldsSeq(prompt) {
+		for i := range len(word) {
+			hash = (hash ^ uint64(word[i])) * prime
+		}
+		hash = (hash ^ ' ') * prime
+		if count++; count%PrefixBlockTokens == 0 {
+			into = append(into, hash)
+		}
+	}
+	return into
+}
--- /dev/null
+++ b/io/engine/client.go
@@ -0,0 +1,213 @@
+// Package engine speaks to model engines over HTTP with server-sent events.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+	"gorseline/io/target"
+)
+
+// Options configures a client. Zero fields get defaults.
+type Options struct {
+	Connections target.Options
+	// Name tells engines which client reads a stream.
+	Name string
+	// HeartbeatInterval is the time between heartbeats to engines with open
+	// streams; the default is 1 s.
+	HeartbeatInterval time.Duration
+	// CallTimeout bounds calls without a deadline of their own that are not
+	// streams; the default is 2 s.
+	CallTimeout time.Duration
+}
+
+// Client speaks to all engines.
+type Client struct {
+	options Options
+	streams *target.Transport
+	orders  *target.Transport
+	done    chan struct{}
+
+	mu   sync.Mutex
+	open map[string]int // streams per address
+}
+
+var _ core.EngineClient = (*Client)(nil)
+
+// NewClient returns a client without connections. Run sends its heartbeats.
+func NewClient(o Options) *Client {
+	if o.HeartbeatInterval == 0 {
+		o.HeartbeatInterval = time.Second
+	}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = 2 * time.Second
+	}
+	single := o.Connections
+	single.SingleUse = true
+	return &Client{
+		options: o,
+		streams: target.NewTransport(o.Connections),
+		orders:  target.NewTransport(single),
+		done:    make(chan struct{}),
+		open:    map[string]int{},
+	}
+}
+
+// Close closes the pooled connections.
+func (c *Client) Close() {
+	c.streams.Close()
+	c.orders.Close()
+}
+
+// completionBody is the body of POST /v1/completions.
+type completionBody struct {
+	Model       core.Model     `json:"model"`
+	Prompt      string         `json:"prompt"`
+	MaxTokens   int            `json:"max_tokens,omitempty"`
+	Stream      bool           `json:"stream"`
+	Priority    int            `json:"priority,omitempty"`
+	Request     core.RequestID `json:"request_id"`
+	Attempt     core.AttemptID `json:"attempt_id"`
+	ImportFrom  string         `json:"import_from,omitempty"`
+	PrefillOnly bool           `json:"prefill_only,omitempty"`
+}
+
+// Complete starts a completion. The error is core.ErrNotRun if the engine has
+// not run and will not run it. ctx bounds the whole stream.
+func (c *Client) Complete(ctx context.Context, address string, r core.CompletionRequest) (core.PieceReader, error) {
+	body, err := json.Marshal(completionBody{
+		Model: r.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens, Stream: true, Priority: r.Priority,
+		Request: r.Request, Attempt: r.Attempt, ImportFrom: r.ImportFrom, PrefillOnly: r.PrefillOnly,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode completion")
+	}
+	return c.openStream(ctx, new(target.Attempt), http.MethodPost, address, "/v1/completions", body)
+}
+
+// Resume continues a stream from a token offset. The error is
+// core.ErrUnknownStream if the engine can't.
+func (c *Client) Resume(ctx context.Context, address, stream string, offset int) (core.PieceReader, error) {
+	path := "/v1/streams/" + url.PathEscape(stream) + "?offset=" + strconv.Itoa(offset)
+	return c.openStream(ctx, new(target.Attempt).Repeatable(), http.MethodGet, address, path, nil)
+}
+
+func (c *Client) openStream(ctx context.Context, attempt *target.Attempt, method, address, path string, body []byte) (core.PieceReader, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	resp, err := c.do(ctx, c.streams, attempt, method, address, path, body)
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		err := refusal(resp)
+		cancel(nil)
+		return nil, err
+	}
+	c.count(address, 1)
+	return newPieceReader(ctx, cancel, c, address, resp), nil
+}
+
+// Cancel stops a stream. Cancelling a stream that has ended is no error.
+func (c *Client) Cancel(ctx context.Context, address, stream string) error {
+	err := c.call(ctx, http.MethodDelete, address, "/v1/streams/"+url.PathEscape(stream), nil)
+	if errors.Is(err, core.ErrUnknownStream) {
+		return nil
+	}
+	return err
+}
+
+// call makes one repeatable request and decodes its answer into result.
+func (c *Client) call(ctx context.Context, method, address, path string, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	resp, err := c.do(ctx, c.streams, new(target.Attempt).Repeatable(), method, address, path, nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return refusal(resp)
+	}
+	if result == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(result); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
+
+func (c *Client) do(ctx context.Context, t *target.Transport, attempt *target.Attempt, method, address, path string, body []byte) (*http.Response, error) {
+	var content io.Reader
+	if body != nil {
+		content = bytes.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, content)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	req.Header.Set("X-Client", c.options.Name)
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := t.Do(attempt, req)
+	if err == nil {
+		return resp, nil
+	}
+	c.suspect(ctx, address)
+	if attempt.NotSent() {
+		return nil, errors.Wrapf(core.ErrNotRun, "engine %s: %v", address, err)
+	}
+	return nil, errors.Wrapf(err, "engine %s", address)
+}
+
+// suspect discards the pooled connections to an address if a request there got
+// no sign of life within its time.
+func (c *Client) suspect(ctx context.Context, address string) {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, core.ErrSilent) || errors.Is(cause, context.DeadlineExceeded) {
+		c.streams.DiscardIdle(address)
+	}
+}
+
+// refusal turns an engine's error answer into an error. Engines refuse before
+// they run anything, except that a status of 500 says nothing.
+func refusal(resp *http.Response) error {
+	defer resp.Body.Close()
+	var body struct {
+		Error struct {
+			Type    string `json:"type"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	// A body that can't be read leaves only the status for the message.
+	_ = json.NewDecoder(io.LimitReader(resp.Body, 4<<10)).Decode(&body)
+	kind := body.Error.Type
+	switch {
+	case kind == "unknown_stream":
+		return core.ErrUnknownStream
+	case kind != "" && resp.StatusCode != http.StatusInternalServerError:
+		return errors.Wrapf(core.ErrNotRun, "engine refused: %s (%s)", kind, body.Error.Message)
+	default:
+		return errors.Errorf("engine answered status %d", resp.StatusCode)
+	}
+}
+
+func (c *Client) count(address string, change int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[address] += change; c.open[address] == 0 {
+		delete(c.open, address)
+	}
+}
--- /dev/null
+++ b/io/engine/pieces.go
@@ -0,0 +1,160 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+	"gorseline/io/sse"
+)
+
+// maxEvent bounds one event of an engine, in bytes.
+const maxEvent = 64 << 10
+
+// wirePiece is the data of one event.
+type wirePiece struct {
+	ID      string         `json:"id"`
+	Attempt core.AttemptID `json:"attempt_id"`
+	Offset  int            `json:"offset"`
+	Tokens  int            `json:"tokens"`
+	Choices []wireChoice   `json:"choices"`
+	Usage   *wireUsage     `json:"usage"`
+	Error   *wireError     `json:"error"`
+}
+
+type wireChoice struct {
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason"`
+}
+
+type wireUsage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+type wireError struct {
+	Type    string `json:"type"`
+	Message string `json:"message"`
+}
+
+// pieceReader reads one stream. Closing it before the end closes the connection,
+// so that the pool can't reuse it.
+type pieceReader struct {
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	client  *Client
+	address string
+	body    io.Closer
+	events  *sse.Decoder
+	ended   bool
+
+	// watched is the context of the last call of Next; its end ends the stream.
+	watched context.Context
+	unwatch func() bool
+	once    sync.Once
+}
+
+var _ core.ReadyReader = (*pieceReader)(nil)
+
+func newPieceReader(ctx context.Context, cancel context.CancelCauseFunc, c *Client, address string, resp *http.Response) *pieceReader {
+	return &pieceReader{
+		ctx: ctx, cancel: cancel, client: c, address: address,
+		body: resp.Body, events: sse.NewDecoder(resp.Body, maxEvent),
+	}
+}
+
+// Ready reports that the next piece has arrived.
+func (r *pieceReader) Ready() bool { return r.events.Ready() }
+
+// Next returns the next piece or heartbeat.
+func (r *pieceReader) Next(ctx context.Context) (core.Piece, error) {
+	if r.ended {
+		return core.Piece{}, io.EOF
+	}
+	r.watch(ctx)
+	var event sse.Event
+	if err := r.events.Next(&event); err != nil {
+		return core.Piece{}, r.failed(err)
+	}
+	if event.Comment {
+		return core.Piece{Heartbeat: true}, nil
+	}
+	return r.decode(event.Data)
+}
+
+// watch makes the end of ctx end a blocked read. Callers pass the same context
+// each time, so that this costs one comparison per piece.
+func (r *pieceReader) watch(ctx context.Context) {
+	if ctx == r.watched {
+		return
+	}
+	if r.unwatch != nil {
+		r.unwatch()
+	}
+	r.watched = ctx
+	r.unwatch = context.AfterFunc(ctx, func() { r.cancel(context.Cause(ctx)) })
+}
+
+func (r *pieceReader) decode(data []byte) (core.Piece, error) {
+	if string(data) == "[DONE]" {
+		// The terminal piece came before; an engine that skips it cut its stream.
+		return core.Piece{}, core.ErrStreamCut
+	}
+	var wire wirePiece
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return core.Piece{}, errors.Wrapf(core.ErrStreamCut, "undecodable event: %v", err)
+	}
+	if wire.Error != nil {
+		return core.Piece{}, errors.Wrapf(core.ErrUnknownStream, "engine ended the stream: %s", wire.Error.Type)
+	}
+	piece := core.Piece{Stream: wire.ID, Attempt: wire.Attempt, Offset: wire.Offset, Tokens: wire.Tokens}
+	if len(wire.Choices) > 0 {
+		piece.Text = wire.Choices[0].Text
+		piece.Final = wire.Choices[0].FinishReason != ""
+	}
+	if piece.Final && wire.Usage != nil {
+		piece.Total = wire.Usage.CompletionTokens
+		r.ended = true
+	}
+	return piece, nil
+}
+
+// failed turns a read error into the error of the stream.
+func (r *pieceReader) failed(err error) error {
+	if cause := context.Cause(r.ctx); cause != nil {
+		r.client.suspect(r.ctx, r.address)
+		return errors.Wrapf(cause, "read from engine %s", r.address)
+	}
+	return errors.Wrapf(core.ErrStreamCut, "engine %s: %v", r.address, err)
+}
+
+// Close ends the stream. After the terminal piece it reads the rest, so that the
+// connection can be used again.
+func (r *pieceReader) Close() error {
+	r.once.Do(func() {
+		if r.ended {
+			r.drain()
+		}
+		if r.unwatch != nil {
+			r.unwatch()
+		}
+		r.cancel(nil)
+		r.body.Close()
+		r.client.count(r.address, -1)
+	})
+	return nil
+}
+
+// drain reads "[DONE]" and the end of the body.
+func (r *pieceReader) drain() {
+	var event sse.Event
+	for range 2 {
+		if r.events.Next(&event) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/service/client.go
@@ -0,0 +1,85 @@
+// Package service calls plain services over HTTP.
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+	"gorseline/io/target"
+)
+
+// maxAnswer bounds the body of an answer, in bytes.
+const maxAnswer = 8 << 20
+
+// Options configures a client.
+type Options struct {
+	Connections target.Options
+}
+
+// Client calls plain services. Each call is sent at most once.
+type Client struct{ transport *target.Transport }
+
+var _ core.ServiceClient = (*Client)(nil)
+
+// NewClient returns a client without connections.
+func NewClient(o Options) *Client { return &Client{target.NewTransport(o.Connections)} }
+
+// Close closes the pooled connections.
+func (c *Client) Close() { c.transport.Close() }
+
+// Call sends call once. The outcome is NotRun only if no byte of it was written;
+// any answer of the service, also an error status, is Done.
+func (c *Client) Call(ctx context.Context, address string, call core.ServiceCall) core.ServiceResult {
+	req, err := newRequest(ctx, address, call)
+	if err != nil {
+		return core.ServiceResult{Outcome: core.OutcomeNotRun, Err: err}
+	}
+	var attempt target.Attempt
+	resp, err := c.transport.Do(&attempt, req)
+	if err != nil {
+		return c.failed(ctx, address, &attempt, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return core.ServiceResult{Outcome: core.OutcomeUnknown, Err: errors.Wrap(err, "read answer")}
+	}
+	if len(body) > maxAnswer {
+		return core.ServiceResult{Outcome: core.OutcomeUnknown, Err: errors.New("answer exceeds 8 MB")}
+	}
+	return core.ServiceResult{Outcome: core.OutcomeDone, Answer: core.ServiceAnswer{
+		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body,
+	}}
+}
+
+func newRequest(ctx context.Context, address string, call core.ServiceCall) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	req.Header.Set("X-Request", string(call.Request))
+	req.Header.Set("X-Attempt", string(call.Attempt))
+	if call.Key != "" {
+		req.Header.Set("Idempotency-Key", string(call.Key))
+	}
+	if len(call.Body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return req, nil
+}
+
+func (c *Client) failed(ctx context.Context, address string, attempt *target.Attempt, err error) core.ServiceResult {
+	if attempt.NotSent() {
+		return core.ServiceResult{Outcome: core.OutcomeNotRun, Err: err}
+	}
+	if ctx.Err() != nil {
+		// The call may have met a silent connection; the pooled ones are suspect.
+		c.transport.DiscardIdle(address)
+	}
+	return core.ServiceResult{Outcome: core.OutcomeUnknown, Err: err}
+}
--- /dev/null
+++ b/io/target/transport.go
@@ -0,0 +1,196 @@
+// Package target holds what the clients of all targets share: connections that
+// know whether a request's first byte was written, and a pool that discards
+// silent connections.
+package target
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"time"
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options configures a transport. Zero fields get defaults.
+type Options struct {
+	// Dial opens connections; nil uses TCP.
+	Dial DialFunc
+	// DialTimeout bounds one dial; the default is 2 s.
+	DialTimeout time.Duration
+	// MaxIdlePerTarget bounds the pooled connections per target; the default is 16.
+	MaxIdlePerTarget int
+	// SingleUse disables the pool.
+	SingleUse bool
+}
+
+// bufferSize is the size of a connection's read and of its write buffer, in
+// bytes. Each open stream holds one connection, so it counts against the 32 KB
+// that a stream may use.
+const bufferSize = 2 << 10
+
+// Transport is an HTTP transport to targets that tracks its connections.
+type Transport struct {
+	http *http.Transport
+	dial DialFunc
+
+	mu    sync.Mutex
+	conns map[string]map[*conn]struct{} // by address
+}
+
+// NewTransport returns a transport without connections.
+func NewTransport(o Options) *Transport {
+	t := &Transport{dial: o.Dial, conns: map[string]map[*conn]struct{}{}}
+	if t.dial == nil {
+		t.dial = (&net.Dialer{}).DialContext
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = 2 * time.Second
+	}
+	if o.MaxIdlePerTarget == 0 {
+		o.MaxIdlePerTarget = 16
+	}
+	t.http = &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
+			defer cancel()
+			return t.open(ctx, network, address)
+		},
+		MaxIdleConnsPerHost: o.MaxIdlePerTarget,
+		IdleConnTimeout:     30 * time.Second,
+		ReadBufferSize:      bufferSize,
+		WriteBufferSize:     bufferSize,
+		DisableCompression:  true,
+		DisableKeepAlives:   o.SingleUse,
+	}
+	return t
+}
+
+func (t *Transport) open(ctx context.Context, network, address string) (net.Conn, error) {
+	raw, err := t.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, transport: t, address: address}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns[address] == nil {
+		t.conns[address] = map[*conn]struct{}{}
+	}
+	t.conns[address][c] = struct{}{}
+	return c, nil
+}
+
+func (t *Transport) forget(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns[c.address], c)
+	if len(t.conns[c.address]) == 0 {
+		delete(t.conns, c.address)
+	}
+}
+
+// DiscardIdle closes the pooled connections to an address. It is called when one
+// of its connections was silent: those that were open at the time are suspect.
+func (t *Transport) DiscardIdle(address string) {
+	t.mu.Lock()
+	var idle []*conn
+	for c := range t.conns[address] {
+		if c.isIdle() {
+			idle = append(idle, c)
+		}
+	}
+	t.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close() // the peer sees the end in any case
+	}
+}
+
+// Close closes the pooled connections.
+func (t *Transport) Close() { t.http.CloseIdleConnections() }
+
+// Connections returns the number of open connections to an address.
+func (t *Transport) Connections(address string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns[address])
+}
+
+// Attempt follows one request through the transport.
+type Attempt struct {
+	writeDeadline time.Time
+	repeatable    bool
+	mu            sync.Mutex
+	conns         []*conn
+}
+
+// Repeatable allows the transport to send the request again on a new connection.
+func (a *Attempt) Repeatable() *Attempt {
+	a.repeatable = true
+	return a
+}
+
+// WithWriteDeadline makes the connection refuse to write the request after
+// deadline, also when the process was paused in between. It needs a transport
+// for single use, because the deadline stays on the connection.
+func (a *Attempt) WithWriteDeadline(deadline time.Time) *Attempt {
+	a.writeDeadline = deadline
+	return a
+}
+
+// Do sends req once, or possibly again after a connection error if the attempt
+// is repeatable.
+func (t *Transport) Do(a *Attempt, req *http.Request) (*http.Response, error) {
+	var current *conn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			c, ok := info.Conn.(*conn)
+			if !ok {
+				return
+			}
+			c.begin(a.writeDeadline)
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.conns = append(a.conns, c)
+			current = c
+		},
+		PutIdleConn: func(err error) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if err == nil && current != nil {
+				current.setIdle()
+			}
+		},
+	}
+	if !a.repeatable {
+		// net/http repeats a request without a body, or with a body that it can
+		// rewind, after a connection error if the method is GET or the request has an
+		// Idempotency-Key, even if the target may have run it. A body that can't be
+		// rewound turns this off.
+		req.GetBody = nil
+		if req.Body == nil || req.Body == http.NoBody {
+			req.Body = io.NopCloser(strings.NewReader(""))
+		}
+	}
+	return t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+}
+
+// NotSent reports whether it is certain that no byte of the request was handed to
+// the network. It closes the connections of the attempt that had written nothing,
+// so that nothing can be written later.
+func (a *Attempt) NotSent() bool {
+	a.mu.Lock()
+	conns := a.conns
+	a.mu.Unlock()
+	for _, c := range conns {
+		if !c.seal() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,200 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gorseline/core"
+	client "gorseline/io/engine"
+	"gorseline/io/target"
+	"gorseline/standin/engine"
+	"gorseline/standin/network"
+)
+
+const address = "10.0.0.1:8000"
+
+// fixture is an engine and a client of it in virtual time.
+type fixture struct {
+	network *network.Network
+	engine  *engine.Engine
+	client  *client.Client
+}
+
+// inBubble runs body against an engine in virtual time and stops everything.
+func inBubble(t *testing.T, options engine.Options, body func(t *testing.T, f fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		f := fixture{network: network.New(), engine: engine.New(options)}
+		server := &http.Server{Handler: f.engine}
+		go server.Serve(f.network.Listen(address))
+		go f.engine.Run(ctx)
+		f.client = client.NewClient(client.Options{Connections: target.Options{Dial: f.network.Dial}, Name: "test"})
+		go f.client.Run(ctx)
+		body(t, f)
+		stop()
+		<-f.engine.Done()
+		<-f.client.Done()
+		f.client.Close()
+		server.Close()
+	})
+}
+
+func completion(prompt string, tokens int) core.CompletionRequest {
+	return core.CompletionRequest{Request: "r1", Attempt: "a1", Model: "ledger-7b", Prompt: prompt, MaxTokens: tokens}
+}
+
+// readAll reads a stream and fails on a piece out of order.
+func readAll(ctx context.Context, t *testing.T, pieces core.PieceReader, from int) (string, error) {
+	t.Helper()
+	var text strings.Builder
+	next := from
+	for {
+		piece, err := pieces.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return text.String(), nil
+		}
+		if err != nil {
+			return text.String(), err
+		}
+		if piece.Heartbeat {
+			continue
+		}
+		if piece.Offset != next {
+			t.Fatalf("piece at %d, want %d", piece.Offset, next)
+		}
+		next += piece.Tokens
+		text.WriteString(piece.Text)
+		if piece.Final && piece.Total != next {
+			t.Fatalf("total %d after %d tokens", piece.Total, next)
+		}
+	}
+}
+
+// Guards against an answer that can't be checked: the streamed text must be the
+// published function of model and prompt, also in two parts after a cut.
+func TestCompleteAndResume(t *testing.T) {
+	inBubble(t, engine.Options{}, func(t *testing.T, f fixture) {
+		ctx := t.Context()
+		prompt := engine.Prompt("shared", 64, 200, 1)
+		want, _ := engine.Answer("ledger-7b", prompt, 40)
+		f.engine.CutStreams(1, 10)
+		pieces, err := f.client.Complete(ctx, address, completion(prompt, 40))
+		if err != nil {
+			t.Fatal(err)
+		}
+		first, err := readAll(ctx, t, pieces, 0)
+		if !errors.Is(err, core.ErrStreamCut) || len(strings.Fields(first)) != 10 {
+			t.Fatalf("got %d tokens and %v, want a cut after 10", len(strings.Fields(first)), err)
+		}
+		pieces.Close()
+		pieces, err = f.client.Resume(ctx, address, "engine-0-1", 10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := readAll(ctx, t, pieces, 10)
+		pieces.Close()
+		if err != nil || first+second != want {
+			t.Fatalf("%v: got %q, want %q", err, first+second, want)
+		}
+		if c := f.engine.Counters(); c.Started != 1 || c.Finished != 1 || c.Resumed != 1 {
+			t.Errorf("counters %+v", c)
+		}
+	})
+}
+
+// Guards against an old order that takes effect: with the fence check on it is
+// refused; with it off it is carried out and counted.
+func TestOrders(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		inBubble(t, engine.Options{ChecksFence: checks}, func(t *testing.T, f fixture) {
+			ctx := t.Context()
+			order := core.Order{Role: core.RoleDecode, Model: "ledger-7b", WeightsVersion: "v1", Fence: 7, Sequence: 1}
+			if got := f.client.Order(ctx, address, order); got != core.OrderAccepted {
+				t.Fatalf("order: %v", got)
+			}
+			_, err := f.client.Complete(ctx, address, completion("p", 4))
+			if !errors.Is(err, core.ErrNotRun) {
+				t.Errorf("during a role change: %v, want not run", err)
+			}
+			time.Sleep(6 * time.Second)
+			report, err := f.client.Load(ctx, address)
+			if err != nil || report.Role != core.RoleDecode || report.Changing || report.AppliedFence != 7 {
+				t.Errorf("after the change: %+v, %v", report, err)
+			}
+			old := core.Order{Role: core.RolePrefill, Model: "ledger-7b", WeightsVersion: "v1", Fence: 6, Sequence: 9}
+			want := core.OrderStale
+			if !checks {
+				want = core.OrderAccepted
+			}
+			if got := f.client.Order(ctx, address, old); got != want {
+				t.Errorf("old order: %v, want %v", got, want)
+			}
+			if taken := f.engine.Counters().OldOrdersTaken; (taken == 1) == checks {
+				t.Errorf("%d old orders taken, checks %v", taken, checks)
+			}
+		})
+	}
+}
+
+// Guards against a prefix that is computed twice: the second prompt with the same
+// prefix must skip the cached blocks, and cache events must be late.
+func TestPrefixCacheAndEvents(t *testing.T) {
+	inBubble(t, engine.Options{}, func(t *testing.T, f fixture) {
+		ctx := t.Context()
+		for variant := range uint64(2) {
+			prompt := engine.Prompt("shared", 640, 650, variant)
+			pieces, err := f.client.Complete(ctx, address, completion(prompt, 4))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := readAll(ctx, t, pieces, 0); err != nil {
+				t.Fatal(err)
+			}
+			pieces.Close()
+		}
+		if got := f.engine.Counters().PromptTokens; got != 650+10 {
+			t.Errorf("computed %d prompt tokens, want 660", got)
+		}
+		if events, err := f.client.CacheEvents(ctx, address, 0); err != nil || len(events) != 0 {
+			t.Errorf("%d events at once, %v", len(events), err)
+		}
+		time.Sleep(time.Second)
+		if events, err := f.client.CacheEvents(ctx, address, 2); err != nil || len(events) != 8 {
+			t.Errorf("%d events after 1 s, %v; want 8", len(events), err)
+		}
+	})
+}
+
+// Guards against work that goes on for nobody: an explicit cancel and a vanished
+// reader both end a stream.
+func TestCancelAndOrphan(t *testing.T) {
+	inBubble(t, engine.Options{OrphanAfter: 5 * time.Second}, func(t *testing.T, f fixture) {
+		ctx := t.Context()
+		first, err := f.client.Complete(ctx, address, completion("one", 10_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := f.client.Cancel(ctx, address, "engine-0-1"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := readAll(ctx, t, first, 0); !errors.Is(err, core.ErrUnknownStream) {
+			t.Errorf("cancelled stream: %v", err)
+		}
+		first.Close()
+		second, err := f.client.Complete(ctx, address, completion("two", 10_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		second.Close()
+		time.Sleep(10 * time.Second)
+		if c := f.engine.Counters(); c.Cancelled != 1 || c.Orphaned != 1 {
+			t.Errorf("counters %+v", c)
+		}
+	})
+}
--- /dev/null
+++ b/standin/engine/transfer.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"gorseline/core"
+)
+
+// wireExport is the body of POST /v1/kv/export; the answer lists the exported
+// blocks.
+type wireExport struct {
+	Model  core.Model `json:"model"`
+	Prompt string     `json:"prompt"`
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var body wireExport
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		writeError(w, http.StatusBadRequest, "invalid_request", err.Error())
+		return
+	}
+	blocks := core.AppendPrefixBlocks(nil, body.Prompt)
+	e.mu.Lock()
+	if body.Model != e.applied.model {
+		blocks = blocks[:0]
+	}
+	blocks = blocks[:e.cache.match(blocks)]
+	e.mu.Unlock()
+	seconds := float64(len(blocks)*core.PrefixBlockTokens) / e.options.TransferRate
+	timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		writeJSON(w, http.StatusOK, append([]uint64{}, blocks...))
+	case <-r.Context().Done():
+	}
+}
+
+// importKV fetches a prompt's KV cache from another engine. On any failure the
+// prompt is computed here instead.
+func (e *Engine) importKV(ctx context.Context, address string, model core.Model, prompt string, want []uint64) {
+	e.mu.Lock()
+	cached := e.cache.match(want)
+	e.mu.Unlock()
+	if cached == len(want) {
+		return
+	}
+	body, err := json.Marshal(wireExport{model, prompt})
+	if err != nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/kv/export", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	var blocks []uint64
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&blocks) != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.add(time.Now(), blocks)
+	e.counters.ImportedTokens += max(0, len(blocks)-cached) * core.PrefixBlockTokens
+}
+
+// wireLoad is the answer of GET /v1/load.
+type wireLoad struct {
+	QueuedRequests     int        `json:"queued_requests"`
+	Running            int        `json:"running"`
+	QueuedPromptTokens int        `json:"queued_prompt_tokens"`
+	KVUsed             int        `json:"kv_used"`
+	KVCapacity         int        `json:"kv_capacity"`
+	Role               core.Role  `json:"role"`
+	Model              core.Model `json:"model"`
+	WeightsVersion     string     `json:"weights_version"`
+	Changing           bool       `json:"changing"`
+	Leaving            bool       `json:"leaving"`
+	AppliedFence       core.Fence `json:"applied_fence"`
+	AppliedSequence    uint64     `json:"applied_sequence"`
+	AgeMs              int64      `json:"age_ms"`
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	s, age := e.snapshot, time.Since(e.takenAt)
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, wireLoad{
+		QueuedRequests: s.QueuedRequests, Running: s.Running, QueuedPromptTokens: s.QueuedPromptTokens,
+		KVUsed: s.KVUsed, KVCapacity: s.KVCapacity, Role: s.Role, Model: s.Model,
+		WeightsVersion: s.WeightsVersion, Changing: s.Changing, Leaving: s.Leaving,
+		AppliedFence: s.AppliedFence, AppliedSequence: s.AppliedSequence, AgeMs: age.Milliseconds(),
+	})
+}
