--- /dev/null
+++ b/core/configuration/isolation.go
@@ -0,0 +1,51 @@
+package configuration
+
+import (
+	"sync/atomic"
+	"time"
+
+	"gorseline/core"
+)
+
+// IsolationLimit is how long an instance keeps taking new work without hearing
+// from the store or a peer. It equals the time in which an accepted change must
+// be in force everywhere.
+const IsolationLimit = 9 * time.Second
+
+// Readiness says whether an instance may take new work, and why not.
+type Readiness struct {
+	Ready  bool
+	Reason string
+}
+
+// Isolation decides whether the revision in force may be relied on. It is safe
+// for concurrent use; Ready reads two atomic values.
+type Isolation struct {
+	applier *Applier
+	// confirmed is the last contact at which no newer revision was known, plus
+	// one; 0 means never.
+	confirmed atomic.Int64
+}
+
+// NewIsolation returns the rule for an applier.
+func NewIsolation(a *Applier) *Isolation { return &Isolation{applier: a} }
+
+// Heard notes a contact with the store or a peer that knows the given revision.
+// A contact that knows a newer revision than is in force does not confirm it.
+func (i *Isolation) Heard(now core.Instant, known core.Revision) {
+	if known <= i.applier.Revision() {
+		i.confirmed.Store(int64(now) + 1)
+	}
+}
+
+// Ready reports whether new work may be taken at now.
+func (i *Isolation) Ready(now core.Instant) Readiness {
+	if i.applier.Revision() == 0 {
+		return Readiness{Reason: "no configuration yet: neither the store nor a peer has given one"}
+	}
+	last := i.confirmed.Load()
+	if last == 0 || now.Sub(core.Instant(last-1)) > IsolationLimit {
+		return Readiness{Reason: "the revision in force is not confirmed: no current word from the store or a peer for 9s"}
+	}
+	return Readiness{Ready: true}
+}
--- /dev/null
+++ b/core/configuration/propose.go
@@ -0,0 +1,236 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+)
+
+// Change is an operation with the name and the note of the operator.
+type Change struct {
+	Operation Operation
+	Operator  string
+	Note      string
+	// At is the operator's wall clock time, for the history only.
+	At time.Time
+}
+
+// ProposalKind classifies the outcome of a proposal.
+type ProposalKind uint8
+
+// Outcomes of a proposal.
+const (
+	// ProposalUnknown means that the change may or may not have been accepted.
+	// Settle with the attempt and the revision tells later.
+	ProposalUnknown ProposalKind = iota
+	ProposalAccepted
+	// ProposalConflict means that another change came first; Head shows it.
+	ProposalConflict
+	// ProposalInvalid means that the change would give an invalid configuration.
+	ProposalInvalid
+	// ProposalUnavailable means that the change was not accepted and won't be.
+	ProposalUnavailable
+)
+
+var proposalNames = [...]string{"Unknown", "Accepted", "Conflict", "Invalid", "Unavailable"}
+
+// String returns the name of the outcome.
+func (k ProposalKind) String() string { return proposalNames[k] }
+
+// MarshalText encodes the outcome as its name.
+func (k ProposalKind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// Proposal is the outcome of a proposed change.
+type Proposal struct {
+	Kind ProposalKind
+	// Revision is the accepted revision, or the revision that an unknown outcome
+	// may have made. A change that changes nothing gives the revision it saw.
+	Revision core.Revision
+	// Head is what is accepted instead, on a conflict.
+	Head Head
+	// Problems say what is invalid.
+	Problems Problems `json:",omitempty"`
+	Attempt  core.AttemptID
+	// Err describes an Unknown or Unavailable outcome for logs.
+	Err error `json:"-"`
+}
+
+// Propose applies a change to the revision that the operator saw. It is accepted
+// only when that revision is still the newest.
+func (s *Store) Propose(ctx context.Context, seen core.Revision, change Change) Proposal {
+	head, version, err := s.head(ctx)
+	if err != nil {
+		return Proposal{Kind: ProposalUnavailable, Err: err}
+	}
+	if head.Revision != seen {
+		return Proposal{Kind: ProposalConflict, Head: head}
+	}
+	before, err := s.base(ctx, head)
+	if err != nil {
+		return Proposal{Kind: ProposalUnavailable, Err: err}
+	}
+	if before.Revision != seen {
+		// Another change was accepted while the documents were read.
+		if head, err = s.Head(ctx); err != nil {
+			return Proposal{Kind: ProposalUnavailable, Err: err}
+		}
+		return Proposal{Kind: ProposalConflict, Head: head}
+	}
+	e, problems, err := s.prepare(ctx, before, change)
+	switch {
+	case err != nil:
+		return Proposal{Kind: ProposalUnavailable, Err: err}
+	case len(problems) > 0:
+		return Proposal{Kind: ProposalInvalid, Problems: problems}
+	case len(e.Documents) == 0 && e.PresetInForce == e.PresetBefore:
+		return Proposal{Kind: ProposalAccepted, Revision: seen}
+	}
+	writes, err := writesOf(e, version)
+	if err != nil {
+		return Proposal{Kind: ProposalUnavailable, Err: err}
+	}
+	return s.commit(ctx, e, writes)
+}
+
+// base returns the configuration at the head, from memory where possible.
+func (s *Store) base(ctx context.Context, head Head) (core.Configuration, error) {
+	if s.options.InForce != nil {
+		if c := s.options.InForce.Configuration(); c.Revision == head.Revision {
+			return c, nil
+		}
+	}
+	return s.Load(ctx)
+}
+
+// prepare returns the history entry of a change, or what is wrong with it.
+func (s *Store) prepare(ctx context.Context, before core.Configuration, change Change) (entry, Problems, error) {
+	var problems Problems
+	if change.Operator == "" {
+		problems.add("Operator", "", "the operator's name")
+		return entry{}, problems, nil
+	}
+	after, err := s.apply(ctx, change.Operation, before)
+	if errors.As(err, &problems) {
+		return entry{}, problems, nil
+	}
+	if err != nil {
+		return entry{}, nil, err
+	}
+	if errors.As(Validate(after, s.options.Policies), &problems) {
+		return entry{}, problems, nil
+	}
+	documents, err := difference(before, after)
+	if err != nil {
+		return entry{}, nil, err
+	}
+	head := Head{
+		Revision: before.Revision + 1, PresetInForce: after.PresetInForce, Operator: change.Operator,
+		Note: change.Note, Change: change.Operation.String(), At: change.At, Attempt: s.options.Attempts(),
+	}
+	return entry{Head: head, PresetBefore: before.PresetInForce, Documents: documents}, nil, nil
+}
+
+// writesOf returns the writes of one revision. Only the head is conditional:
+// every writer of the other rows changes the head in the same transaction.
+func writesOf(e entry, headVersion uint64) ([]core.Write, error) {
+	head, err := json.Marshal(e.Head)
+	if err != nil {
+		return nil, errors.Wrap(err, HeadKey)
+	}
+	row, err := json.Marshal(e)
+	if err != nil {
+		return nil, errors.Wrap(err, revisionKey(e.Revision))
+	}
+	writes := []core.Write{
+		{Key: HeadKey, Value: head, Expected: headVersion},
+		{Key: revisionKey(e.Revision), Value: row, Expected: core.AnyVersion},
+	}
+	for _, d := range e.Documents {
+		w := core.Write{Key: documentRowKey(d.Section, d.Name), Expected: core.AnyVersion, Delete: len(d.After) == 0}
+		if !w.Delete {
+			if w.Value, err = json.Marshal(Document{d.Section, d.Name, d.After}); err != nil {
+				return nil, errors.Wrap(err, w.Key)
+			}
+		}
+		writes = append(writes, w)
+	}
+	return writes, nil
+}
+
+// commit writes a revision. A lost reply is settled by repeating the attempt,
+// which the table service runs at most once.
+func (s *Store) commit(ctx context.Context, e entry, writes []core.Write) Proposal {
+	lost := false
+	p := Proposal{Revision: e.Revision, Attempt: e.Attempt}
+	for range s.options.SettleTries {
+		result := s.options.Table.Transact(ctx, e.Attempt, writes)
+		p.Err = result.Err
+		switch result.Kind {
+		case core.TransactCommitted:
+			p.Kind = ProposalAccepted
+			return p
+		case core.TransactConflict:
+			return s.conflict(ctx, e, result.Conflicts)
+		case core.TransactUnavailable:
+			// Only a first call proves that nothing was written: an earlier call
+			// with a lost reply may have been.
+			if !lost {
+				p.Kind = ProposalUnavailable
+				return p
+			}
+		case core.TransactUnknown:
+			lost = true
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return s.Settle(ctx, e.Attempt, e.Revision)
+}
+
+// conflict shows what won. The rows of the conflict are enough when the store
+// can't be read: an attempt that committed never gets a conflict.
+func (s *Store) conflict(ctx context.Context, e entry, rows []core.Row) Proposal {
+	p := s.Settle(ctx, e.Attempt, e.Revision)
+	if p.Kind != ProposalUnknown {
+		return p
+	}
+	p.Kind = ProposalConflict
+	for _, row := range rows {
+		if row.Key == HeadKey && row.Version != 0 {
+			p.Err = errors.Wrap(json.Unmarshal(row.Value, &p.Head), HeadKey)
+		}
+	}
+	return p
+}
+
+// Settle tells the outcome of an attempt to make a revision. It stays unknown
+// while the store is unreadable or nobody has made that revision.
+func (s *Store) Settle(ctx context.Context, attempt core.AttemptID, revision core.Revision) Proposal {
+	unknown := Proposal{Kind: ProposalUnknown, Revision: revision, Attempt: attempt}
+	rows, err := s.options.Table.Read(ctx, HeadKey, revisionKey(revision))
+	if err != nil {
+		unknown.Err = errors.Wrap(err, "settle a proposal")
+		return unknown
+	}
+	if rows[1].Version == 0 {
+		return unknown
+	}
+	var head, made Head
+	if err := json.Unmarshal(rows[0].Value, &head); err != nil {
+		unknown.Err = errors.Wrap(err, HeadKey)
+		return unknown
+	}
+	if err := json.Unmarshal(rows[1].Value, &made); err != nil {
+		unknown.Err = errors.Wrap(err, revisionKey(revision))
+		return unknown
+	}
+	if made.Attempt == attempt {
+		return Proposal{Kind: ProposalAccepted, Revision: revision, Attempt: attempt}
+	}
+	return Proposal{Kind: ProposalConflict, Head: head, Attempt: attempt}
+}
