Add the object store client and its stand-in

Cause: the time line and large recorded answers outlive an instance only in the object store. The prompt package repeated what the root package now has.

--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -12,7 +12,6 @@
 	"github.com/gorilla/mux"
 
 	"gorseline/core"
-	"gorseline/core/prompt"
 )
 
 // Sink takes the events of one streamed answer.
@@ -138,7 +137,8 @@
 		return nil, completion, body, refusal
 	}
 	req.Model = core.Model(body.Model)
-	req.PromptTokens, req.PrefixBlocks = prompt.Measure(text)
+	req.PromptTokens = core.CountTokens(text)
+	req.PrefixBlocks = core.AppendPrefixBlocks(nil, text)
 	if body.MaxTokens > 0 {
 		req.OutputTokens = body.MaxTokens
 	}
--- /dev/null
+++ b/io/object/client.go
@@ -0,0 +1,84 @@
+// Package object speaks to the platform's object store over HTTP.
+package object
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+)
+
+// DefaultTimeout bounds one call. Event chunks and answers are below 1 MB.
+const DefaultTimeout = 5 * time.Second
+
+const maxObject = 8 << 20
+
+// Client is an object store client. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ core.ObjectStore = (*Client)(nil)
+
+// NewClient returns a client of the store at base, such as "http://10.0.0.9:9000".
+func NewClient(base string, transport http.RoundTripper) *Client {
+	return &Client{strings.TrimSuffix(base, "/"), &http.Client{Transport: transport, Timeout: DefaultTimeout}}
+}
+
+// Put stores value under key, replacing an earlier value.
+func (c *Client) Put(ctx context.Context, key string, value []byte) error {
+	_, err := c.do(ctx, http.MethodPut, c.path(key), value)
+	return err
+}
+
+// Get returns the value of key, or core.ErrNoObject.
+func (c *Client) Get(ctx context.Context, key string) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, c.path(key), nil)
+}
+
+// List returns up to limit keys that start with prefix, in order.
+func (c *Client) List(ctx context.Context, prefix string, limit int) ([]string, error) {
+	query := url.Values{"prefix": {prefix}, "limit": {strconv.Itoa(limit)}}
+	data, err := c.do(ctx, http.MethodGet, c.base+"/objects?"+query.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	var keys []string
+	return keys, errors.Wrap(json.Unmarshal(data, &keys), "decode object list")
+}
+
+func (c *Client) path(key string) string {
+	return c.base + "/objects/" + (&url.URL{Path: key}).EscapedPath()
+}
+
+func (c *Client) do(ctx context.Context, method, target string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build object request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "call object store")
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxObject))
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(err, "read object")
+	case resp.StatusCode == http.StatusNotFound:
+		return nil, core.ErrNoObject
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		return nil, errors.Errorf("object store answered %s", resp.Status)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/standin/object/object.go
@@ -0,0 +1,125 @@
+// Package object is a stand-in of the platform's object store.
+package object
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/gorilla/mux"
+
+	"gorseline/core"
+)
+
+const maxObject = 8 << 20
+
+// Store keeps objects in memory. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+	outage  bool
+}
+
+var _ core.ObjectStore = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store { return &Store{objects: map[string][]byte{}} }
+
+// SetOutage makes all calls fail, or work again.
+func (s *Store) SetOutage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = on
+}
+
+// Put stores a copy of value.
+func (s *Store) Put(_ context.Context, key string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage {
+		return core.ErrUnavailable
+	}
+	s.objects[key] = slices.Clone(value)
+	return nil
+}
+
+// Get returns a copy of the value, or core.ErrNoObject.
+func (s *Store) Get(_ context.Context, key string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage {
+		return nil, core.ErrUnavailable
+	}
+	value, ok := s.objects[key]
+	if !ok {
+		return nil, core.ErrNoObject
+	}
+	return slices.Clone(value), nil
+}
+
+// List returns keys in order.
+func (s *Store) List(_ context.Context, prefix string, limit int) ([]string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage {
+		return nil, core.ErrUnavailable
+	}
+	keys := slices.Sorted(maps.Keys(s.objects))
+	keys = slices.DeleteFunc(keys, func(k string) bool { return !strings.HasPrefix(k, prefix) })
+	return keys[:min(limit, len(keys))], nil
+}
+
+// Handler serves the store over HTTP.
+func (s *Store) Handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	r.HandleFunc("/objects", s.serveList).Methods(http.MethodGet)
+	r.HandleFunc("/objects/{key:.+}", s.servePut).Methods(http.MethodPut)
+	r.HandleFunc("/objects/{key:.+}", s.serveGet).Methods(http.MethodGet)
+	return r
+}
+
+func key(r *http.Request) string { return strings.TrimPrefix(r.URL.Path, "/objects/") }
+
+func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit < 0 {
+		http.Error(w, "limit: accepted: a number", http.StatusBadRequest)
+		return
+	}
+	keys, err := s.List(r.Context(), r.URL.Query().Get("prefix"), limit)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(keys) // a client that went away can't be told
+}
+
+func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := s.Put(r.Context(), key(r), value); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
+	value, err := s.Get(r.Context(), key(r))
+	switch {
+	case err == nil:
+		_, _ = w.Write(value)
+	case errors.Is(err, core.ErrNoObject):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
