--- /dev/null
+++ b/core/stream/relay_test.go
@@ -0,0 +1,183 @@
+package stream
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"gorseline/core"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newTestRelay(completer core.Completer) *Relay {
+	return NewRelay(Options{Completer: completer, Clock: core.NewProcessClock(), Sealer: newSealer()})
+}
+
+// Guards against repeated or mixed text after a rerun: a rerun with other text is
+// a typed error, one with other piece boundaries is not.
+func TestRerunMustRepeatTheDeliveredText(t *testing.T) {
+	first, text := words("s1", "x/1", 6)
+	same := []core.Piece{
+		{Stream: "s2", Attempt: "x/2", Text: text[:5], Tokens: 2},
+		{Stream: "s2", Attempt: "x/2", Offset: 2, Text: text[5:], Tokens: 4},
+		{Stream: "s2", Attempt: "x/2", Offset: 6, Final: true, Total: 6},
+	}
+	other, _ := words("s2", "x/2", 6)
+	other[1].Text = "no "
+	short := []core.Piece{same[0], {Stream: "s2", Attempt: "x/2", Offset: 2, Final: true, Total: 2}}
+	tests := []struct {
+		name   string
+		rerun  []core.Piece
+		reason core.Reason
+		text   string
+	}{
+		{"same text in other pieces", same, EndComplete, text},
+		{"other text", other, EndDiverged, text[:9]},
+		{"shorter text", short, EndDiverged, text[:9]},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := &script{cut: core.ErrStreamCut}
+				engine.complete = func(address string, _ core.CompletionRequest) ([]core.Piece, error) {
+					if address == "a" {
+						return first[:3], nil
+					}
+					return test.rerun, nil
+				}
+				engine.resume = func(string, string, int) ([]core.Piece, error) { return nil, errors.New("refused") }
+				out := newSink()
+				result := newTestRelay(engine).Serve(t.Context(), call(), out)
+				if result.Reason != test.reason || out.text.String() != test.text {
+					t.Errorf("reason %s, text %q; want %s, %q", result.Reason, out.text.String(), test.reason, test.text)
+				}
+				if (out.refusal == nil) != (test.reason == EndComplete) {
+					t.Errorf("refusal %v", out.refusal)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an answer that is called complete although tokens are missing or
+// its count is wrong.
+func TestCompleteAnswers(t *testing.T) {
+	whole, text := words("s", "x/1", 5)
+	wrong := append(append([]core.Piece{}, whole[:5]...), core.Piece{Stream: "s", Attempt: "x/1", Offset: 5, Final: true, Total: 4})
+	foreign := append([]core.Piece{{Stream: "s9", Attempt: "y/1", Text: "late "}}, whole...)
+	tests := []struct {
+		name    string
+		pieces  []core.Piece
+		outcome core.OutcomeKind
+		resumes int
+		late    int64
+	}{
+		{"whole", whole, core.OutcomeDone, 0, 0},
+		{"late piece of another attempt", foreign, core.OutcomeDone, 0, 1},
+		{"missing piece", append(append([]core.Piece{}, whole[:2]...), whole[3:]...), core.OutcomeDone, 1, 0},
+		{"wrong count", wrong, core.OutcomeCut, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := &script{}
+				engine.complete = func(string, core.CompletionRequest) ([]core.Piece, error) { return test.pieces, nil }
+				engine.resume = func(_, _ string, offset int) ([]core.Piece, error) { return whole[offset:], nil }
+				out := newSink()
+				relay := newTestRelay(engine)
+				result := relay.Serve(t.Context(), call(), out)
+				if result.Outcome != test.outcome || result.Resumes != test.resumes {
+					t.Errorf("result %+v", result)
+				}
+				if test.outcome == core.OutcomeDone && (out.text.String() != text || out.finished != 5) {
+					t.Errorf("text %q, finished %d", out.text.String(), out.finished)
+				}
+				if test.outcome != core.OutcomeDone && (out.finished >= 0 || out.refusal == nil) {
+					t.Errorf("finished %d, refusal %v", out.finished, out.refusal)
+				}
+				if got := relay.Counters(); got.Late != test.late || got.Open != 0 {
+					t.Errorf("counters %+v", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a false "not run": only refusals and failed dials count, and such
+// requests go to the next target even when they are not repeatable.
+func TestNotRun(t *testing.T) {
+	tests := []struct {
+		name     string
+		err      error
+		calls    int
+		outcome  core.OutcomeKind
+		deadline time.Duration
+	}{
+		{"refused everywhere", core.ErrNotRun, 3, core.OutcomeNotRun, 0},
+		{"lost after sending", errors.New("reset"), 1, core.OutcomeCut, 0},
+		{"refused until the deadline", core.ErrNotRun, 1, core.OutcomeNotRun, time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := &script{complete: func(string, core.CompletionRequest) ([]core.Piece, error) {
+					time.Sleep(2 * test.deadline)
+					return nil, test.err
+				}}
+				request := call()
+				request.Request.Kind.Repeatable = false
+				request.Request.Deadline = core.Instant(test.deadline)
+				out := newSink()
+				result := newTestRelay(engine).Serve(t.Context(), request, out)
+				if result.Outcome != test.outcome || len(engine.calls) != test.calls {
+					t.Errorf("result %+v after %v", result, engine.calls)
+				}
+				if out.refusal == nil || out.refusal.NotRun != (test.outcome == core.OutcomeNotRun) {
+					t.Errorf("refusal %v", out.refusal)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a caller that waits without a sign of life, and against one that
+// is held back after its deadline: it gets heartbeats and then its final answer.
+func TestHeartbeatsAndDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &script{complete: func(string, core.CompletionRequest) ([]core.Piece, error) { return nil, nil }}
+		relay := NewRelay(Options{Completer: engine, Clock: core.NewProcessClock(), Sealer: newSealer(), MissedHeartbeats: 100})
+		request := call()
+		request.Request.Deadline = core.Instant(5 * time.Second)
+		out := newSink()
+		started := time.Now()
+		result := relay.Serve(t.Context(), request, out)
+		if result.Reason != EndDeadline || time.Since(started) > 5*time.Second {
+			t.Errorf("%s after %v", result.Reason, time.Since(started))
+		}
+		if out.heartbeats < 4 {
+			t.Errorf("%d heartbeats in 5 s", out.heartbeats)
+		}
+	})
+}
+
+// Guards against a blocked write that holds its goroutine for ever.
+func TestBlockedSinkIsInterrupted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pieces, _ := words("s", "x/1", 5)
+		engine := &script{complete: func(string, core.CompletionRequest) ([]core.Piece, error) { return pieces, nil }}
+		out := newSink()
+		out.block = make(chan struct{})
+		started := time.Now()
+		result := newTestRelay(engine).Serve(t.Context(), call(), out)
+		if result.Reason != EndStalled || time.Since(started) > 17*time.Second {
+			t.Errorf("%s after %v", result.Reason, time.Since(started))
+		}
+		if len(engine.cancelled) != 0 {
+			t.Error("the stream of a stalled caller was cancelled")
+		}
+	})
+}
--- a/core/targeterror.go
+++ b/core/targeterror.go
@@ -13,11 +13,3 @@
 // ErrSilent is the cancellation cause of a stream whose connection is open but
 // gave no sign of life. Clients of targets discard such a connection.
 var ErrSilent = errors.New("connection is silent")
-
-// ReadyReader is a PieceReader that knows whether its next piece has already
-// arrived. Relays flush when it has not.
-type ReadyReader interface {
-	PieceReader
-	// Ready reports that Next will not block.
-	Ready() bool
-}
--- a/io/engine/pieces.go
+++ b/io/engine/pieces.go
@@ -48,6 +48,7 @@
 	cancel  context.CancelCauseFunc
 	client  *Client
 	address string
+	stream  string
 	body    io.Closer
 	events  *sse.Decoder
 	ended   bool
@@ -58,11 +59,14 @@
 	once    sync.Once
 }
 
-var _ core.ReadyReader = (*pieceReader)(nil)
+var (
+	_ core.ReadyReader = (*pieceReader)(nil)
+	_ core.NamedReader = (*pieceReader)(nil)
+)
 
 func newPieceReader(ctx context.Context, cancel context.CancelCauseFunc, c *Client, address string, resp *http.Response) *pieceReader {
 	return &pieceReader{
-		ctx: ctx, cancel: cancel, client: c, address: address,
+		ctx: ctx, cancel: cancel, client: c, address: address, stream: resp.Header.Get("X-Stream"),
 		body: resp.Body, events: sse.NewDecoder(resp.Body, maxEvent),
 	}
 }
@@ -70,6 +74,9 @@
 // Ready reports that the next piece has arrived.
 func (r *pieceReader) Ready() bool { return r.events.Ready() }
 
+// Stream returns the name that the engine gave the stream.
+func (r *pieceReader) Stream() string { return r.stream }
+
 // Next returns the next piece or heartbeat.
 func (r *pieceReader) Next(ctx context.Context) (core.Piece, error) {
 	if r.ended {
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -42,7 +44,13 @@
 // ServeHTTP answers unless a fault is in force: a crashed engine breaks the
 // connection, a paused or half-open one reads the request and stays silent.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+	// The server notices a broken connection only after the body has been read.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, "invalid_request", "the body is too long")
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	if !e.pass(r.Context()) {
 		return
 	}
--- /dev/null
+++ b/standin/engine/relay_test.go
@@ -0,0 +1,369 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+	"gorseline/core/stream"
+	client "gorseline/io/engine"
+	"gorseline/io/sse"
+	"gorseline/io/target"
+	"gorseline/standin/engine"
+	"gorseline/standin/network"
+)
+
+var relayKey = []byte("0123456789abcdef0123456789abcdef")
+
+// cluster is some engines behind instances that relay, in virtual time.
+type cluster struct {
+	network   *network.Network
+	engines   []*engine.Engine
+	instances []*instance
+	callers   *http.Transport
+	stops     []func()
+}
+
+// instance is a minimal instance: one relay behind an HTTP server.
+type instance struct {
+	address    string
+	repeatable bool
+	deadline   time.Duration
+	clock      core.ClockProvider
+	relay      *stream.Relay
+	sealer     *stream.Sealer
+	engines    int
+	results    chan stream.Result
+}
+
+func engineAddress(i int) string { return fmt.Sprintf("10.1.0.%d:8000", i+1) }
+
+func inCluster(t *testing.T, engines, instances int, body func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		c := &cluster{network: network.New()}
+		for i := range engines {
+			e := engine.New(engine.Options{ID: core.TargetID(fmt.Sprintf("e%d", i))})
+			server := &http.Server{Handler: e}
+			go server.Serve(c.network.Listen(engineAddress(i)))
+			go e.Run(ctx)
+			c.engines = append(c.engines, e)
+			c.stops = append(c.stops, func() { server.Close(); <-e.Done() })
+		}
+		for i := range instances {
+			c.addInstance(t, ctx, fmt.Sprintf("10.2.0.%d:80", i+1))
+		}
+		c.callers = &http.Transport{DialContext: c.network.Dial, DisableKeepAlives: true}
+		body(t, c)
+		stop()
+		for _, s := range c.stops {
+			s()
+		}
+	})
+}
+
+func (c *cluster) addInstance(t *testing.T, ctx context.Context, address string) *instance {
+	sealer, err := stream.NewSealer(relayKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	engines := client.NewClient(client.Options{Connections: target.Options{Dial: c.network.Dial}, Name: address})
+	in := &instance{
+		address: address, repeatable: true, deadline: time.Minute, clock: core.NewProcessClock(),
+		sealer: sealer, engines: len(c.engines), results: make(chan stream.Result, 100),
+	}
+	in.relay = stream.NewRelay(stream.Options{Completer: engines, Clock: in.clock, Sealer: sealer})
+	server := &http.Server{Handler: in}
+	go server.Serve(c.network.Listen(address))
+	go engines.Run(ctx)
+	c.instances = append(c.instances, in)
+	c.stops = append(c.stops, func() { server.Close(); <-engines.Done(); engines.Close() })
+	return in
+}
+
+func (in *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Prompt string `json:"prompt"`
+		Tokens int    `json:"max_tokens"`
+	}
+	json.NewDecoder(r.Body).Decode(&body)
+	now := in.clock.Now()
+	call := stream.Call{
+		Request: &core.Request{
+			Organisation: core.Organisation(r.Header.Get("X-Organisation")),
+			Kind:         core.Kind{Repeatable: in.repeatable}, Deadline: now.Add(in.deadline),
+		},
+		Completion: core.CompletionRequest{
+			Request: "r", Attempt: core.AttemptID(in.address), Model: "ledger-7b", Prompt: body.Prompt, MaxTokens: body.Tokens,
+		},
+		Targets: func(exclude []core.TargetID) (stream.Candidate, bool) {
+			for i := range in.engines {
+				id := core.TargetID(fmt.Sprintf("e%d", i))
+				if !slices.Contains(exclude, id) {
+					return stream.Candidate{Target: id, Address: engineAddress(i)}, true
+				}
+			}
+			return stream.Candidate{}, false
+		},
+	}
+	sink := sse.NewWriter(w, sse.Format{ID: "r", Model: "ledger-7b"})
+	if token := r.Header.Get("Last-Event-ID"); token != "" {
+		position, err := in.sealer.Open(token, call.Request.Organisation)
+		if err != nil {
+			var refusal *core.Refusal
+			errors.As(err, &refusal)
+			sink.Fail(refusal, nil)
+			return
+		}
+		call.Resume = &position
+	}
+	in.results <- in.relay.Serve(r.Context(), call, sink)
+}
+
+// answer is what a caller has of one answer.
+type answer struct {
+	text    string
+	tokens  int
+	id      string
+	done    bool
+	refusal *core.Refusal
+}
+
+// ask reads an answer from an instance, or its continuation, until it ends.
+// onText runs after each event with text.
+func (c *cluster) ask(ctx context.Context, address, organisation, prompt string, tokens int, a *answer, onText func()) error {
+	body, _ := json.Marshal(map[string]any{"prompt": prompt, "max_tokens": tokens})
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(string(body)))
+	req.Header.Set("X-Organisation", organisation)
+	if a.id != "" {
+		req.Header.Set("Last-Event-ID", a.id)
+	}
+	resp, err := c.callers.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		a.refusal = &core.Refusal{}
+		return json.NewDecoder(resp.Body).Decode(a.refusal)
+	}
+	events := sse.NewDecoder(resp.Body, 1<<16)
+	var event sse.Event
+	for {
+		if err := events.Next(&event); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		if event.Comment {
+			continue
+		}
+		if len(event.ID) > 0 {
+			a.id = string(event.ID)
+		}
+		chunk, err := sse.ParseChunk(&event)
+		if err != nil {
+			return err
+		}
+		a.text += chunk.Text
+		a.done = a.done || chunk.Done
+		if chunk.Finished {
+			a.tokens = chunk.Tokens
+		}
+		a.refusal = chunk.Refusal
+		if chunk.Text != "" && onText != nil {
+			onText()
+		}
+	}
+}
+
+// check fails unless a is the whole answer.
+func (a *answer) check(t *testing.T, prompt string, tokens int) {
+	t.Helper()
+	want, n := engine.Answer("ledger-7b", prompt, tokens)
+	if a.text != want || a.tokens != n || !a.done || a.refusal != nil {
+		t.Errorf("got %d of %d bytes, %d of %d tokens, done %v, refusal %v; same text %v",
+			len(a.text), len(want), a.tokens, n, a.done, a.refusal, a.text == want)
+	}
+}
+
+// after returns a function that runs fault at the n-th call.
+func after(n int, fault func()) func() {
+	return func() {
+		if n--; n == 0 {
+			fault()
+		}
+	}
+}
+
+// Guards against lost, repeated or foreign text: whatever an engine or a
+// connection does in the middle of a stream, the caller gets the whole answer once.
+func TestFaultsInTheMiddleOfAStream(t *testing.T) {
+	tests := []struct {
+		name            string
+		before          func(c *cluster)
+		during          func(c *cluster)
+		limit           time.Duration // of the whole answer, 100 tokens of 12.3 ms
+		resumes, reruns int
+	}{
+		{name: "no fault", limit: 1500 * time.Millisecond},
+		{name: "half-open engine", before: func(c *cluster) { c.engines[0].HalfOpen(true) }, limit: 6 * time.Second, reruns: 1},
+		{name: "refused dial", before: func(c *cluster) { c.network.Refuse(engineAddress(0), true) }, limit: 2 * time.Second},
+		{name: "crashed engine", before: func(c *cluster) { c.engines[0].Crash() }, limit: 2 * time.Second, reruns: 1},
+		{name: "crash in the middle", during: func(c *cluster) { c.engines[0].Crash() }, limit: 5 * time.Second, resumes: 3, reruns: 1},
+		{name: "crash and restart", during: func(c *cluster) { c.engines[0].Crash(); c.engines[0].Restart() }, limit: 3 * time.Second, resumes: 1, reruns: 1},
+		{name: "silent connection", during: func(c *cluster) { c.network.Silence(engineAddress(0)) }, limit: 6 * time.Second, resumes: 1},
+		{name: "pause of the engine", during: func(c *cluster) {
+			c.engines[0].Pause(true)
+			time.AfterFunc(5*time.Second, func() { c.engines[0].Pause(false) })
+		}, limit: 9 * time.Second, resumes: 1},
+		{name: "half-open in the middle", during: func(c *cluster) { c.engines[0].HalfOpen(true) }, limit: 9 * time.Second, resumes: 1, reruns: 1},
+		{name: "cut three times", before: func(c *cluster) { c.engines[0].CutStreams(3, 10) }, limit: 3 * time.Second, resumes: 3},
+		{name: "doubled pieces", before: func(c *cluster) { c.engines[0].DoublePieces(true) }, limit: 2 * time.Second},
+		{name: "reordered pieces", before: func(c *cluster) { c.engines[0].ReorderPieces(true) }, limit: 2 * time.Second},
+		{name: "delayed pieces", before: func(c *cluster) { c.engines[0].DelayPieces(50 * time.Millisecond) }, limit: 6 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inCluster(t, 2, 1, func(t *testing.T, c *cluster) {
+				if test.before != nil {
+					test.before(c)
+				}
+				during := func() {}
+				if test.during != nil {
+					during = func() { test.during(c) }
+				}
+				var a answer
+				started := time.Now()
+				if err := c.ask(t.Context(), c.instances[0].address, "club", "some prompt", 100, &a, after(40, during)); err != nil {
+					t.Fatal(err)
+				}
+				a.check(t, "some prompt", 100)
+				if took := time.Since(started); took > test.limit {
+					t.Errorf("took %v, want at most %v", took, test.limit)
+				}
+				result := <-c.instances[0].results
+				if result.Outcome != core.OutcomeDone || result.Resumes != test.resumes || result.Reruns != test.reruns {
+					t.Errorf("result %+v", result)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a second run of work that must not be repeated: after a crash in
+// the middle the caller gets a typed error.
+func TestCrashOfUnrepeatableWork(t *testing.T) {
+	inCluster(t, 2, 1, func(t *testing.T, c *cluster) {
+		c.instances[0].repeatable = false
+		c.instances[0].deadline = 5 * time.Second
+		var a answer
+		crash := after(10, func() { c.engines[0].Crash() })
+		if err := c.ask(t.Context(), c.instances[0].address, "club", "p", 50, &a, crash); err != nil {
+			t.Fatal(err)
+		}
+		if a.refusal == nil || a.refusal.NotRun || a.done {
+			t.Errorf("refusal %+v", a.refusal)
+		}
+		if got := c.engines[1].Counters().Started; got != 0 {
+			t.Errorf("ran %d times on the other engine", got)
+		}
+		if result := <-c.instances[0].results; result.Outcome != core.OutcomeCut {
+			t.Errorf("result %+v", result)
+		}
+	})
+}
+
+// Guards against work for a caller that has gone, during the prompt and during
+// the answer.
+func TestCallerLeaves(t *testing.T) {
+	for _, prompt := range []string{"short", engine.Prompt("long", 0, 50_000, 1)} {
+		inCluster(t, 1, 1, func(t *testing.T, c *cluster) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			var a answer
+			if err := c.ask(ctx, c.instances[0].address, "club", prompt, 1000, &a, nil); err == nil {
+				t.Fatal("the answer ended early")
+			}
+			if result := <-c.instances[0].results; result.Reason != stream.EndCallerLeft {
+				t.Errorf("result %+v", result)
+			}
+			if got := c.engines[0].Counters(); got.Cancelled != 1 {
+				t.Errorf("counters %+v", got)
+			}
+		})
+	}
+}
+
+// Guards against a caller that stops reading and holds its stream for ever or
+// delays other streams; it may come back for the rest.
+func TestCallerStalls(t *testing.T) {
+	inCluster(t, 1, 1, func(t *testing.T, c *cluster) {
+		ctx, release := context.WithCancel(t.Context())
+		stalled := make(chan error)
+		var slow answer
+		go func() {
+			stalled <- c.ask(ctx, c.instances[0].address, "club", "slow", 1000, &slow, after(5, func() { <-ctx.Done() }))
+		}()
+		time.Sleep(time.Second)
+		var quick answer
+		started := time.Now()
+		if err := c.ask(t.Context(), c.instances[0].address, "club", "quick", 100, &quick, nil); err != nil {
+			t.Fatal(err)
+		}
+		quick.check(t, "quick", 100)
+		if took := time.Since(started); took > 2*time.Second {
+			t.Errorf("the other stream took %v", took)
+		}
+		<-c.instances[0].results
+		if result := <-c.instances[0].results; result.Reason != stream.EndStalled {
+			t.Errorf("result %+v", result)
+		}
+		release()
+		<-stalled
+		if err := c.ask(t.Context(), c.instances[0].address, "club", "slow", 1000, &slow, nil); err != nil {
+			t.Fatal(err)
+		}
+		slow.check(t, "slow", 1000)
+	})
+}
+
+// Guards against a stream that is lost with its instance: another instance goes
+// on from the last event, and no other organisation can.
+func TestResumeOnAnotherInstance(t *testing.T) {
+	inCluster(t, 1, 2, func(t *testing.T, c *cluster) {
+		var a answer
+		leave := after(20, func() { c.instances[0].relay.HandOver() })
+		if err := c.ask(t.Context(), c.instances[0].address, "club", "p", 100, &a, leave); err != nil {
+			t.Fatal(err)
+		}
+		if a.refusal == nil || a.refusal.Kind != "StreamMoved" {
+			t.Fatalf("refusal %v", a.refusal)
+		}
+		foreign := a
+		if err := c.ask(t.Context(), c.instances[1].address, "rival", "p", 100, &foreign, nil); err != nil {
+			t.Fatal(err)
+		}
+		if foreign.refusal == nil || foreign.refusal.Kind != "ForeignResumeToken" || foreign.text != a.text {
+			t.Errorf("another organisation got %+v", foreign)
+		}
+		if err := c.ask(t.Context(), c.instances[1].address, "club", "p", 100, &a, nil); err != nil {
+			t.Fatal(err)
+		}
+		a.check(t, "p", 100)
+		if got := c.engines[0].Counters(); got.Started != 1 || got.Resumed != 1 {
+			t.Errorf("counters %+v", got)
+		}
+	})
+}
--- /dev/null
+++ b/standin/service/main_test.go
@@ -0,0 +1,11 @@
+package service_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain guards against goroutines that the service or its client
+// leave behind.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
