Add placement of engine roles with price, hysteresis and floors

Cause: engines of a fixed fleet have to follow the prompt-to-output ratio, and each role change takes seconds of service. Change: a planner that weighs goodput over a horizon against the price of a change, and the static and reactive baselines.

--- /dev/null
+++ b/core/placement/options.go
@@ -0,0 +1,91 @@
+// Package placement plans which engines compute prompts, which generate tokens
+// and which do both.
+//
+// Planner weighs the goodput that a role change earns against its price and the
+// seconds of service it takes away. Static and Reactive are the baselines that it
+// is compared with. All of them take time and observations as arguments.
+package placement
+
+import (
+	"time"
+
+	"gorseline/core"
+)
+
+// Reasons of role changes.
+const (
+	ReasonRatioShift     core.Reason = "RatioShift"
+	ReasonThreshold      core.Reason = "Threshold"
+	ReasonFloorViolation core.Reason = "FloorViolation"
+)
+
+// Options are the settings of a Planner. Zero values take the defaults that are
+// stated per field.
+type Options struct {
+	// RoleChangePrice is the goodput, in weight, that one change must earn on top
+	// of what it costs in service. It comes from the preset.
+	RoleChangePrice float64
+	// MinimumStay is the least time between two role changes of one engine; 60 s.
+	MinimumStay time.Duration
+	// Horizon is the time within which a change must pay; 120 s.
+	Horizon time.Duration
+	// ChangeTime is how long an idle engine is out of service for a change; 5 s.
+	ChangeTime time.Duration
+	// DrainTime is how long an engine needs to finish its work first; 15 s.
+	DrainTime time.Duration
+	// ChangeTimeout gives up waiting for a change that neither succeeded nor
+	// visibly failed, so that a lost engine doesn't block its model; 120 s.
+	ChangeTimeout time.Duration
+	// Short and Long are the time constants of the two averages; 10 s and 90 s.
+	Short, Long time.Duration
+	// ShortShare is the weight of the short average in the forecast, from 0 to 1; 0.7.
+	ShortShare float64
+	// FloorPrefill and FloorDecode are the least numbers of engines that accept
+	// prompts and token generation; mixed engines count for both; 1.
+	FloorPrefill, FloorDecode int
+	// Margin is the part of the goodput over the horizon by which a gain must
+	// exceed its costs; 0.01. It keeps noise in the ratio from moving engines.
+	Margin float64
+	// ReversalFactor multiplies price and margin of a change that undoes the
+	// direction of the previous one within the long time constant; 3.
+	ReversalFactor float64
+	// Reserve is the spare capacity above the demand that queueing needs; 0.15.
+	Reserve float64
+	// MixedOverhead is the factor by which a prompt costs more engine time on a
+	// mixed engine, because chunks of it alternate with decode steps; 1.1.
+	MixedOverhead float64
+	// BatchSize is the number of sequences that a busy engine decodes together; 48.
+	BatchSize int
+	// LoadInterval is the least time between two changes that load weights from
+	// the store, over all models of the planner; 30 s. The weight store limits
+	// the rate, and loads that queue there keep engines out of service.
+	LoadInterval time.Duration
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+func (o Options) withDefaults() Options {
+	o.MinimumStay = orDefault(o.MinimumStay, 60*time.Second)
+	o.Horizon = orDefault(o.Horizon, 120*time.Second)
+	o.ChangeTime = orDefault(o.ChangeTime, 5*time.Second)
+	o.DrainTime = orDefault(o.DrainTime, 15*time.Second)
+	o.ChangeTimeout = orDefault(o.ChangeTimeout, 120*time.Second)
+	o.Short = orDefault(o.Short, 10*time.Second)
+	o.Long = orDefault(o.Long, 90*time.Second)
+	o.ShortShare = orDefault(o.ShortShare, 0.7)
+	o.FloorPrefill = orDefault(o.FloorPrefill, 1)
+	o.FloorDecode = orDefault(o.FloorDecode, 1)
+	o.Margin = orDefault(o.Margin, 0.01)
+	o.ReversalFactor = orDefault(o.ReversalFactor, 3)
+	o.Reserve = orDefault(o.Reserve, 0.15)
+	o.MixedOverhead = orDefault(o.MixedOverhead, 1.1)
+	o.BatchSize = orDefault(o.BatchSize, 48)
+	o.LoadInterval = orDefault(o.LoadInterval, 30*time.Second)
+	return o
+}
--- /dev/null
+++ b/core/placement/planner.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"gorseline/core"
+)
+
+// Planner plans role changes that pay. It is safe for concurrent use.
+type Planner struct {
+	mu      sync.Mutex
+	options Options
+	models  map[core.Model]*modelState
+	loads   loadLimiter
+}
+
+var _ core.Placer = (*Planner)(nil)
+
+// New returns a planner with the given options.
+func New(options Options) *Planner {
+	options = options.withDefaults()
+	return &Planner{
+		options: options,
+		models:  map[core.Model]*modelState{},
+		loads:   loadLimiter{interval: options.LoadInterval},
+	}
+}
+
+// Plan returns at most one role change. It returns nil while an earlier change of
+// the model is under way and when no change pays within the horizon.
+func (p *Planner) Plan(now core.Instant, view *core.PlacementView) []core.RoleChange {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.models[view.Model]
+	if state == nil {
+		state = newModelState(&p.options)
+		p.models[view.Model] = state
+	}
+	work, known := demandOf(view, p.options.BatchSize)
+	if !known {
+		return nil
+	}
+	state.trend.observe(now, work)
+	if state.settle(now, view, p.options.ChangeTimeout) {
+		return nil
+	}
+	best := p.best(now, view, state)
+	if best == nil {
+		return nil
+	}
+	engine := find(view, best.Target)
+	if needsLoad(engine, view.Model) {
+		p.loads.taken(now)
+	}
+	state.begin(now, *best)
+	return []core.RoleChange{*best}
+}
+
+// best returns the change with the highest positive gain, or nil.
+func (p *Planner) best(now core.Instant, view *core.PlacementView, state *modelState) *core.RoleChange {
+	counts := inService(view)
+	var best *core.RoleChange
+	for _, from := range changeableRoles {
+		engine := p.candidate(now, view, state, from)
+		if engine == nil {
+			continue
+		}
+		for _, to := range changeableRoles {
+			if to == from {
+				continue
+			}
+			change := core.RoleChange{Target: engine.ID, From: from, To: to, Reason: ReasonRatioShift}
+			if !p.allowed(counts, &change) {
+				continue
+			}
+			change.Gain = p.gain(now, view, state, counts, engine, to)
+			if p.repairsFloor(counts, &change) {
+				change.Reason = ReasonFloorViolation
+			}
+			if change.Gain > 0 && (best == nil || change.Gain > best.Gain) {
+				best = &change
+			}
+		}
+	}
+	return best
+}
+
+var changeableRoles = []core.Role{core.RoleMixed, core.RolePrefill, core.RoleDecode}
+
+// candidate returns the engine in a role that has the least work to drain, among
+// those whose minimum stay has passed.
+func (p *Planner) candidate(
+	now core.Instant, view *core.PlacementView, state *modelState, role core.Role,
+) *core.TargetState {
+	var best *core.TargetState
+	for i := range view.Engines {
+		e := &view.Engines[i]
+		if e.Report.Role != role || !e.AcceptsWork() || !state.stayed(now, e.ID, p.options.MinimumStay) {
+			continue
+		}
+		if needsLoad(e, view.Model) && !p.loads.allows(now) {
+			continue
+		}
+		if best == nil || workLeft(e) < workLeft(best) {
+			best = e
+		}
+	}
+	return best
+}
+
+// workLeft orders engines by how long they need to drain, in sequences.
+func workLeft(e *core.TargetState) int {
+	return max(e.InFlight, e.Report.Running+e.Report.QueuedRequests+e.SentRequests)
+}
+
+// allowed reports whether the floors hold while the engine is out and afterwards.
+// A floor that is already violated doesn't block the change that repairs it.
+func (p *Planner) allowed(counts roleCounts, change *core.RoleChange) bool {
+	out := counts.with(change.From, -1)
+	after := out.with(change.To, 1)
+	return keepsFloor(counts.acceptsPrefill(), out.acceptsPrefill(), after.acceptsPrefill(), p.options.FloorPrefill) &&
+		keepsFloor(counts.acceptsDecode(), out.acceptsDecode(), after.acceptsDecode(), p.options.FloorDecode)
+}
+
+func keepsFloor(now, out, after, floor int) bool {
+	if now < floor {
+		return out >= now && after >= now
+	}
+	return out >= floor && after >= floor
+}
+
+func (p *Planner) repairsFloor(counts roleCounts, change *core.RoleChange) bool {
+	after := counts.with(change.From, -1).with(change.To, 1)
+	return counts.acceptsPrefill() < p.options.FloorPrefill && after.acceptsPrefill() > counts.acceptsPrefill() ||
+		counts.acceptsDecode() < p.options.FloorDecode && after.acceptsDecode() > counts.acceptsDecode()
+}
+
+// gain returns the expected weight over the horizon that the change adds, less
+// the service it takes away, its price and the margin of hysteresis.
+func (p *Planner) gain(
+	now core.Instant, view *core.PlacementView, state *modelState,
+	counts roleCounts, engine *core.TargetState, to core.Role,
+) float64 {
+	o := &p.options
+	away := o.timeAway(engine)
+	horizon := o.Horizon
+	if away >= horizon {
+		return 0
+	}
+	out := counts.with(engine.Report.Role, -1)
+	after := out.with(to, 1)
+	stay := o.forecast(counts, &state.trend) * horizon.Seconds()
+	move := o.forecast(out, &state.trend)*away.Seconds() + o.forecast(after, &state.trend)*(horizon-away).Seconds()
+	margin := o.Margin * view.Offered * horizon.Seconds()
+	cost := o.RoleChangePrice + margin
+	if state.reverses(now, engine.Report.Role, to, o.Long) {
+		cost *= o.ReversalFactor
+	}
+	return (move-stay)*view.Offered - cost
+}
+
+// timeAway is how long a change keeps the engine from serving; an idle engine
+// needs no drain.
+func (o *Options) timeAway(engine *core.TargetState) time.Duration {
+	if workLeft(engine) == 0 {
+		return o.ChangeTime
+	}
+	return o.DrainTime + o.ChangeTime
+}
+
+func inService(view *core.PlacementView) roleCounts {
+	var counts roleCounts
+	for i := range view.Engines {
+		if e := &view.Engines[i]; e.AcceptsWork() {
+			counts.add(e.Report.Role, 1)
+		}
+	}
+	return counts
+}
+
+func find(view *core.PlacementView, id core.TargetID) *core.TargetState {
+	for i := range view.Engines {
+		if view.Engines[i].ID == id {
+			return &view.Engines[i]
+		}
+	}
+	return nil
+}
+
+func needsLoad(e *core.TargetState, model core.Model) bool {
+	return e.Report.Model != model
+}
--- /dev/null
+++ b/core/placement/ratio.go
@@ -0,0 +1,69 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"gorseline/core"
+)
+
+// demand is the work that a model's requests bring, in engine-seconds per second.
+type demand struct {
+	prefill float64
+	decode  float64
+}
+
+// average is an exponential average of the demand over one time scale.
+type average struct {
+	constant time.Duration
+	value    demand
+	filled   bool
+}
+
+func (a *average) observe(elapsed time.Duration, d demand) {
+	if !a.filled {
+		a.value, a.filled = d, true
+		return
+	}
+	keep := math.Exp(-elapsed.Seconds() / a.constant.Seconds())
+	a.value.prefill = keep*a.value.prefill + (1-keep)*d.prefill
+	a.value.decode = keep*a.value.decode + (1-keep)*d.decode
+}
+
+// trend watches the demand, and with it the prompt-to-output ratio, on two time
+// scales. The short one follows a swing; the long one is what a short burst falls
+// back to.
+type trend struct {
+	short, long average
+	observed    core.Instant
+}
+
+func (t *trend) observe(now core.Instant, d demand) {
+	elapsed := now.Sub(t.observed)
+	t.observed = now
+	t.short.observe(elapsed, d)
+	t.long.observe(elapsed, d)
+}
+
+// demandOf converts offered token rates to engine time with the learned speeds of
+// the engines. It reports false when no engine has learned speeds.
+func demandOf(view *core.PlacementView, batch int) (demand, bool) {
+	var prefillRate, tokenTime float64
+	known := 0
+	for i := range view.Engines {
+		e := &view.Engines[i]
+		if e.PrefillRate <= 0 || e.StepBase+e.StepPerSequence <= 0 {
+			continue
+		}
+		known++
+		prefillRate += e.PrefillRate
+		tokenTime += e.StepBase.Seconds()/float64(batch) + e.StepPerSequence.Seconds()
+	}
+	if known == 0 {
+		return demand{}, false
+	}
+	return demand{
+		prefill: view.PromptRate * float64(known) / prefillRate,
+		decode:  view.OutputRate * tokenTime / float64(known),
+	}, true
+}
--- /dev/null
+++ b/core/placement/rules_test.go
@@ -0,0 +1,152 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"gorseline/core"
+)
+
+// planAt feeds the same view every two seconds until the planner acts or the time is
+// over, and returns when it acted.
+func planAt(p *Planner, view *core.PlacementView, from, to core.Instant) (core.Instant, *core.RoleChange) {
+	for now := from; now < to; now = now.Add(2 * time.Second) {
+		if plan := p.Plan(now, view); len(plan) > 0 {
+			return now, &plan[0]
+		}
+	}
+	return to, nil
+}
+
+// A shortage of prompt capacity that is worth about 30 weight per second must be
+// repaired at a low price and left alone at a price that it can't earn back.
+func TestPriceDecides(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		price  float64
+		change bool
+	}{
+		{"Free", 0, true},
+		{"Low", 100, true},
+		{"Prohibitive", 100_000, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			planner := New(Options{RoleChangePrice: tc.price})
+			view := fleetOf(0, 2, 8)
+			demandFor(view, 48, 3.5, 3)
+			_, change := planAt(planner, view, 0, core.Instant(time.Minute))
+			if (change != nil) != tc.change {
+				t.Fatalf("change %+v, want one: %v", change, tc.change)
+			}
+			if change != nil && (change.From != core.RoleDecode || !change.To.AcceptsPrefill() || change.Gain <= 0) {
+				t.Fatalf("unexpected change %+v", change)
+			}
+		})
+	}
+}
+
+// A ratio that alternates every 10 s must not move engines back and forth: that is
+// what the reactive baseline does, and each change costs seconds of service.
+func TestAlternatingRatioDoesNotMoveEngines(t *testing.T) {
+	count := func(placer core.Placer) int {
+		view := fleetOf(0, 5, 5)
+		changes := 0
+		for now := core.Instant(0); now < core.Instant(5*time.Minute); now = now.Add(2 * time.Second) {
+			if now/core.Instant(10*time.Second)%2 == 0 {
+				demandFor(view, 48, 4.4, 3.2)
+			} else {
+				demandFor(view, 48, 3.2, 4.4)
+			}
+			for _, change := range placer.Plan(now, view) {
+				apply(view, change, now+1)
+				changes++
+			}
+		}
+		return changes
+	}
+	if n := count(New(Options{RoleChangePrice: 20})); n > 1 {
+		t.Errorf("planner changed roles %d times", n)
+	}
+	if n := count(Reactive{}); n < 10 {
+		t.Errorf("the reactive baseline changed roles %d times; it is meant to follow", n)
+	}
+}
+
+// An engine that crashes in the middle of its change must neither block the model for
+// ever nor be tried again at once.
+func TestCrashInTheMiddleOfAChange(t *testing.T) {
+	planner := New(Options{MinimumStay: time.Minute, ChangeTimeout: 90 * time.Second})
+	view := fleetOf(0, 2, 8)
+	demandFor(view, 48, 4, 3)
+	at, first := planAt(planner, view, 0, core.Instant(time.Minute))
+	if first == nil {
+		t.Fatal("no change")
+	}
+	engine := find(view, first.Target)
+	engine.Drained = true
+	if next, again := planAt(planner, view, at+2e9, at.Add(20*time.Second)); again != nil {
+		t.Fatalf("second change at %v while the first is under way", next)
+	}
+	engine.Circuit = true
+	if _, again := planAt(planner, view, at.Add(20*time.Second), at.Add(40*time.Second)); again != nil {
+		t.Fatal("change while the engine is down")
+	}
+	engine.Drained, engine.Circuit, engine.ReportedAt = false, false, at.Add(40*time.Second)
+	_, other := planAt(planner, view, at.Add(40*time.Second), at.Add(80*time.Second))
+	if other == nil || other.Target == first.Target {
+		t.Fatalf("expected a change of another engine, got %+v", other)
+	}
+}
+
+// An engine that never comes back from its change must release the model after the
+// timeout.
+func TestLostChangeTimesOut(t *testing.T) {
+	planner := New(Options{ChangeTimeout: 50 * time.Second})
+	view := fleetOf(0, 2, 8)
+	demandFor(view, 48, 4, 3)
+	at, first := planAt(planner, view, 0, core.Instant(time.Minute))
+	find(view, first.Target).Circuit = true
+	next, other := planAt(planner, view, at+2e9, at.Add(2*time.Minute))
+	if other == nil || next.Sub(at) < 50*time.Second {
+		t.Fatalf("next change %+v after %v", other, next.Sub(at))
+	}
+}
+
+// The weight store serves few loads at a time, so changes that load weights must keep
+// their distance over all models, while changes without a load must not wait.
+func TestWeightStoreLimitsLoads(t *testing.T) {
+	shortage := func(name, loaded core.Model) *core.PlacementView {
+		view := fleetOf(0, 2, 8)
+		demandFor(view, 48, 4, 3)
+		view.Model = name
+		for i := range view.Engines {
+			view.Engines[i].Report.Model = loaded
+		}
+		return view
+	}
+	planner := New(Options{LoadInterval: 40 * time.Second})
+	if len(planner.Plan(0, shortage("a", "other"))) == 0 {
+		t.Fatal("no change for the first model")
+	}
+	if len(planner.Plan(1e9, shortage("b", "other"))) != 0 {
+		t.Fatal("second load within the interval")
+	}
+	if len(planner.Plan(2e9, shortage("c", "c"))) == 0 {
+		t.Fatal("a change without a load was held back")
+	}
+	if len(planner.Plan(core.Instant(41*time.Second), shortage("b", "other"))) == 0 {
+		t.Fatal("no load after the interval")
+	}
+}
+
+// A fleet that lost its last engine for prompts must get one whatever the price is
+// meant to prevent, since nothing is served without it.
+func TestViolatedFloorIsRepaired(t *testing.T) {
+	planner := New(Options{})
+	view := fleetOf(0, 0, 6)
+	demandFor(view, 48, 1, 3)
+	_, change := planAt(planner, view, 0, core.Instant(time.Minute))
+	if change == nil || !change.To.AcceptsPrefill() || change.Reason != ReasonFloorViolation {
+		t.Fatalf("unexpected change %+v", change)
+	}
+}
