Add membership, propagation, peer traffic and a virtual fleet

Cause: every instance must know the live instances and put each accepted revision in force within seconds, without a load balancer or a coordination service. Change: state machines for probes, suspicion, digests, head polls and a push tree; a connect client and handler with a CBOR codec; the component that drives them; the instance list client and stand-in; a fleet in virtual time with faults.

--- a/core/configuration/applier.go
+++ b/core/configuration/applier.go
@@ -33,19 +33,15 @@
 	counts      Counts
 	subscribers map[int]chan core.Revision
 	nextID      int
-	// newer reports whether a revision may replace another. Only tests change
-	// it, to show that a missing comparison is detected.
-	newer func(core.Revision, core.Revision) bool
+	// trust skips the comparison of revisions.
+	trust bool
 }
 
 var _ core.ConfigurationProvider = (*Applier)(nil)
 
 // NewApplier returns an applier with no configuration, which has revision 0.
 func NewApplier() *Applier {
-	a := &Applier{
-		subscribers: make(map[int]chan core.Revision),
-		newer:       func(next, current core.Revision) bool { return next > current },
-	}
+	a := &Applier{subscribers: make(map[int]chan core.Revision)}
 	a.current.Store(&core.Configuration{})
 	return a
 }
@@ -68,7 +64,7 @@
 func (a *Applier) ApplyConfiguration(c core.Configuration) ApplyResult {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.newer(c.Revision, a.Revision()) {
+	if !a.newer(c.Revision) {
 		a.counts.Stale++
 		return ApplyStale
 	}
@@ -82,7 +78,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	current := *a.current.Load()
-	if !a.newer(u.Revision, current.Revision) {
+	if !a.newer(u.Revision) {
 		a.counts.Stale++
 		return ApplyStale
 	}
@@ -99,6 +95,16 @@
 	return ApplyDone
 }
 
+func (a *Applier) newer(r core.Revision) bool { return r > a.Revision() || a.trust }
+
+// IgnoreRevisions makes the applier put old revisions in force too. It exists for
+// mutation checks, which must report the revert.
+func (a *Applier) IgnoreRevisions() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.trust = true
+}
+
 func (a *Applier) put(c core.Configuration) {
 	a.counts.Applied++
 	a.current.Store(&c)
--- a/core/configuration/applier_test.go
+++ b/core/configuration/applier_test.go
@@ -40,7 +40,7 @@
 		t.Errorf("counts %+v", counts)
 	}
 	mutant := NewApplier()
-	mutant.newer = func(core.Revision, core.Revision) bool { return true }
+	mutant.IgnoreRevisions()
 	if deliver(mutant) == 0 {
 		t.Error("without the revision comparison no revert was seen")
 	}
--- /dev/null
+++ b/core/membership/addresses.go
@@ -0,0 +1,78 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gorseline/core"
+)
+
+const (
+	// addressCount bounds an answer. With half of the instances gone, all eight
+	// addresses fail in 1 answer of 256.
+	addressCount = 8
+	// localShare is the part of an answer in the caller's own data centre; the
+	// rest survives the loss of that data centre.
+	localShare = 5
+	// KeepFor is how long callers keep an answer. A leaving instance accepts
+	// requests for as long.
+	KeepFor = 10 * time.Second
+	// keepForInFlux applies while members are suspected or a data centre is lost.
+	keepForInFlux = 3 * time.Second
+)
+
+// Addresses is the answer to a caller that asks where to connect.
+type Addresses struct {
+	// Addresses come in the order to try them.
+	Addresses []string
+	KeepFor   time.Duration
+}
+
+// Addresses returns addresses for a caller in a data centre, which may be
+// unknown. Leaving, suspected and unreachable members are left out.
+func (p *Protocol) Addresses(rng *rand.Rand, caller core.DataCentre) Addresses {
+	answer := Addresses{KeepFor: KeepFor}
+	var near, far []Record
+	for h := range p.view.all {
+		switch {
+		case h.Status == StatusSuspect || p.view.isLost(h.DataCentre):
+			answer.KeepFor = keepForInFlux
+		case h.Status != StatusAlive:
+		case h.DataCentre == caller:
+			near = append(near, h.Record)
+		default:
+			far = append(far, h.Record)
+		}
+	}
+	shuffle(rng, near)
+	shuffle(rng, far)
+	// Each part fills what the other lacks.
+	nearCount := min(len(near), max(localShare, addressCount-len(far)))
+	for _, r := range near[:nearCount] {
+		answer.Addresses = append(answer.Addresses, r.Address)
+	}
+	for _, r := range far[:min(len(far), addressCount-nearCount)] {
+		answer.Addresses = append(answer.Addresses, r.Address)
+	}
+	return answer
+}
+
+func shuffle(rng *rand.Rand, list []Record) {
+	rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+// Members returns all members that are not dropped, in the order of their IDs.
+func (p *Protocol) Members() []Record {
+	return p.view.selected(func(r Record) bool { return r.Status != StatusDead })
+}
+
+// Peers returns the live members of the own data centre without this instance.
+func (p *Protocol) Peers() []Record {
+	return p.view.selected(func(r Record) bool { return p.isPeer(r) && r.Status != StatusLeaving })
+}
+
+// IsReachable reports whether a record's data centre answers digests.
+func (p *Protocol) IsReachable(r Record) bool { return !p.view.isLost(r.DataCentre) }
+
+// Version changes whenever the view changes.
+func (p *Protocol) Version() uint64 { return p.view.version }
--- /dev/null
+++ b/core/membership/message.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"time"
+
+	"gorseline/core"
+)
+
+// Status is what is believed about a member. Of two records with the same
+// incarnation the one with the greater status wins.
+type Status uint8
+
+// Statuses in the order in which they override each other.
+const (
+	StatusAlive Status = iota
+	StatusSuspect
+	// StatusLeaving is announced by the member itself.
+	StatusLeaving
+	StatusDead
+)
+
+var statusNames = [...]string{"Alive", "Suspect", "Leaving", "Dead"}
+
+// String returns the status's name.
+func (s Status) String() string { return statusNames[min(int(s), len(statusNames)-1)] }
+
+// MarshalText encodes the status as its name.
+func (s Status) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Record is what is known about one member. A record with an empty ID says
+// whether a whole data centre can be reached; it is not sent to other ones.
+type Record struct {
+	ID         core.InstanceID `cbor:"1,keyasint,omitempty"`
+	Address    string          `cbor:"2,keyasint,omitempty"`
+	DataCentre core.DataCentre `cbor:"3,keyasint,omitempty"`
+	Status     Status          `cbor:"4,keyasint,omitempty"`
+	// Incarnation is raised only by the member itself, to refute a suspicion or
+	// to return. For a data centre the delegates raise it.
+	Incarnation uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+func (r Record) isCentre() bool { return r.ID == "" }
+
+// overrides reports whether r replaces old.
+func (r Record) overrides(old Record) bool {
+	if r.Incarnation != old.Incarnation {
+		return r.Incarnation > old.Incarnation
+	}
+	return r.Status > old.Status
+}
+
+// Message is the body of probes, indirect probes and digests and of their
+// replies. Unused fields are not encoded.
+type Message struct {
+	From Record `cbor:"1,keyasint"`
+	// Applied is the configuration revision in force on the sender.
+	Applied core.Revision `cbor:"2,keyasint,omitempty"`
+	// Head is the newest accepted revision that the sender knows of, and HeadAgeMs
+	// how long ago a reader confirmed it, in milliseconds. A message without a
+	// confirmation has Head 0.
+	Head      core.Revision `cbor:"3,keyasint,omitempty"`
+	HeadAgeMs uint32        `cbor:"4,keyasint,omitempty"`
+	// View is a hash over the sender's records.
+	View    uint64   `cbor:"5,keyasint,omitempty"`
+	Updates []Record `cbor:"6,keyasint,omitempty"`
+	// Target and Address say whom an indirect probe is for; Reached answers it.
+	Target  core.InstanceID `cbor:"7,keyasint,omitempty"`
+	Address string          `cbor:"8,keyasint,omitempty"`
+	Reached bool            `cbor:"9,keyasint,omitempty"`
+	// Hashes holds a hash per data centre in digests. Want asks for the records of
+	// data centres with a different hash, which come back in Members.
+	Hashes  map[core.DataCentre]uint64 `cbor:"10,keyasint,omitempty"`
+	Want    bool                       `cbor:"11,keyasint,omitempty"`
+	Members []Record                   `cbor:"12,keyasint,omitempty"`
+	// Complete lists the data centres whose records are all in Members.
+	Complete []core.DataCentre `cbor:"13,keyasint,omitempty"`
+}
+
+// CallKind names a call between instances.
+type CallKind uint8
+
+// Kinds of calls of this package.
+const (
+	CallProbe CallKind = iota
+	CallIndirectProbe
+	CallDigest
+)
+
+// Call is a call that the caller of the state machine must make. It ends with
+// exactly one of Replied and Failed.
+type Call struct {
+	Kind    CallKind
+	To      Record
+	Message Message
+	Timeout time.Duration
+	// target is whom a probe is about, and epoch is compared after a pause.
+	target core.InstanceID
+	epoch  uint64
+	// isQuiet marks a call whose failure says nothing about its target.
+	isQuiet bool
+}
--- /dev/null
+++ b/core/membership/probe.go
@@ -0,0 +1,125 @@
+package membership
+
+import "gorseline/core"
+
+func (p *Protocol) probe(now core.Instant, to Record, isQuiet bool) Call {
+	return Call{
+		Kind: CallProbe, To: to, Message: p.message(now, to), Timeout: ProbeTimeout,
+		target: to.ID, epoch: p.epoch, isQuiet: isQuiet,
+	}
+}
+
+// Report returns a probe that tells a member the own applied revision. Its
+// failure does not lead to a suspicion.
+func (p *Protocol) Report(now core.Instant, to Record) Call { return p.probe(now, to, true) }
+
+// HandleProbe answers a probe.
+func (p *Protocol) HandleProbe(now core.Instant, m Message) Message {
+	p.receive(now, m)
+	p.compareViews(now, m)
+	return p.message(now, m.From)
+}
+
+// HandleIndirectProbe returns the probe to make for another member, whose
+// outcome goes into AnswerIndirectProbe.
+func (p *Protocol) HandleIndirectProbe(now core.Instant, m Message) Call {
+	p.receive(now, m)
+	target := Record{ID: m.Target, Address: m.Address, DataCentre: p.self.DataCentre}
+	return p.probe(now, target, true)
+}
+
+// AnswerIndirectProbe answers an indirect probe.
+func (p *Protocol) AnswerIndirectProbe(now core.Instant, m Message, reached bool) Message {
+	reply := p.message(now, m.From)
+	reply.Reached = reached
+	return reply
+}
+
+// Replied takes in the reply to a call.
+func (p *Protocol) Replied(now core.Instant, call Call, reply Message) {
+	p.receive(now, reply)
+	switch call.Kind {
+	case CallProbe:
+		p.compareViews(now, reply)
+	case CallIndirectProbe:
+		p.indirectDone(now, call, reply.Reached)
+	case CallDigest:
+		p.digestReplied(now, reply)
+	}
+}
+
+// Failed takes in that a call got no reply, and returns further calls.
+func (p *Protocol) Failed(now core.Instant, call Call) []Call {
+	if call.isQuiet || call.epoch != p.epoch || now.Sub(p.lastTick) > pauseLimit {
+		return nil
+	}
+	switch call.Kind {
+	case CallProbe:
+		return p.probeFailed(now, call)
+	case CallIndirectProbe:
+		p.indirectDone(now, call, false)
+	case CallDigest:
+		p.digestFailed(now, call)
+	}
+	return nil
+}
+
+func (p *Protocol) probeFailed(now core.Instant, call Call) []Call {
+	if p.pending[call.target] > 0 {
+		return nil
+	}
+	target, ok := p.view.get(call.To)
+	if !ok {
+		return nil
+	}
+	helpers := p.view.sample(p.rng, indirectProbes, func(r Record) bool {
+		return p.isPeer(r) && r.ID != call.target && r.Status == StatusAlive
+	})
+	var calls []Call
+	for _, helper := range helpers {
+		m := p.message(now, helper)
+		m.Target, m.Address = target.ID, target.Address
+		calls = append(calls, Call{
+			Kind: CallIndirectProbe, To: helper, Message: m, Timeout: IndirectTimeout,
+			target: target.ID, epoch: p.epoch,
+		})
+	}
+	p.pending[target.ID] = len(calls)
+	if len(calls) == 0 {
+		p.suspect(now, target)
+	}
+	return calls
+}
+
+func (p *Protocol) indirectDone(now core.Instant, call Call, reached bool) {
+	left, ok := p.pending[call.target]
+	if !ok {
+		return
+	}
+	if reached {
+		delete(p.pending, call.target)
+		return
+	}
+	if left > 1 {
+		p.pending[call.target] = left - 1
+		return
+	}
+	delete(p.pending, call.target)
+	if target, ok := p.view.get(Record{ID: call.target}); ok {
+		p.suspect(now, target)
+	}
+}
+
+// suspect marks a member that can't be reached. A leaving member has gone.
+func (p *Protocol) suspect(now core.Instant, r Record) {
+	switch r.Status {
+	case StatusAlive:
+		r.Status = StatusSuspect
+		p.urgent = append(p.urgent, r)
+	case StatusLeaving:
+		r.Status = StatusDead
+	case StatusSuspect, StatusDead:
+		return
+	}
+	p.learn(now, r)
+}
--- /dev/null
+++ b/io/instancelist/client.go
@@ -0,0 +1,59 @@
+// Package instancelist reads the platform's list of instances over HTTP.
+package instancelist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+)
+
+// Path of the list: GET answers a JSON array of core.ListedInstance.
+const Path = "/instances"
+
+// maxBody bounds the list: 680 entries have about 80 KB.
+const maxBody = 4 << 20
+
+// ClientOptions are the settings of a Client.
+type ClientOptions struct {
+	// URL is the base URL of the platform's service.
+	URL string
+	// HTTP replaces http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Client reads the list.
+type Client struct{ options ClientOptions }
+
+var _ core.InstanceLister = (*Client)(nil)
+
+// NewClient returns a client.
+func NewClient(o ClientOptions) *Client {
+	if o.HTTP == nil {
+		o.HTTP = http.DefaultClient
+	}
+	return &Client{o}
+}
+
+// Instances reads the list, which lags behind reality.
+func (c *Client) Instances(ctx context.Context) ([]core.ListedInstance, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.options.URL+Path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "instance list")
+	}
+	response, err := c.options.HTTP.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "instance list")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(core.ErrUnavailable, "instance list: status %d", response.StatusCode)
+	}
+	var list []core.ListedInstance
+	err = json.NewDecoder(io.LimitReader(response.Body, maxBody)).Decode(&list)
+	return list, errors.Wrap(err, "instance list")
+}
--- /dev/null
+++ b/io/peer/handler.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"gorseline/core/membership"
+	"gorseline/core/propagation"
+)
+
+// Server answers the calls of other instances.
+type Server interface {
+	Probe(ctx context.Context, m membership.Message) (membership.Message, error)
+	IndirectProbe(ctx context.Context, m membership.Message) (membership.Message, error)
+	Digest(ctx context.Context, m membership.Message) (membership.Message, error)
+	Push(ctx context.Context, p propagation.Push) (propagation.PushReply, error)
+	Pull(ctx context.Context, p propagation.Pull) (propagation.PullReply, error)
+	Status(ctx context.Context) (propagation.StatusReply, error)
+}
+
+// NewHandler returns the HTTP handler of a server. Mount it at "/gorseline.Peer/".
+func NewHandler(s Server) http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, pathProbe, s.Probe)
+	handle(mux, pathIndirectProbe, s.IndirectProbe)
+	handle(mux, pathDigest, s.Digest)
+	handle(mux, pathPush, s.Push)
+	handle(mux, pathPull, s.Pull)
+	handle(mux, pathStatus, func(ctx context.Context, _ StatusRequest) (propagation.StatusReply, error) {
+		return s.Status(ctx)
+	})
+	return mux
+}
+
+func handle[Request, Reply any](mux *http.ServeMux, path string, serve func(context.Context, Request) (Reply, error)) {
+	unary := func(ctx context.Context, request *connect.Request[Request]) (*connect.Response[Reply], error) {
+		reply, err := serve(ctx, *request.Msg)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		return connect.NewResponse(&reply), nil
+	}
+	mux.Handle(path, connect.NewUnaryHandler(path, unary,
+		connect.WithCodec(Codec{}), connect.WithReadMaxBytes(maxMessage)))
+}
+
+// NewHTTPServer returns a server for peers that speaks HTTP/2 without TLS, and
+// HTTP/1 for others.
+func NewHTTPServer(h http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP1(true)
+	return &http.Server{Handler: h, Protocols: &protocols}
+}
