Add shard leases, orders, non-repeatable calls and their history check

Cause: an engine must never get conflicting orders, an order of a process that lost its lease must have no effect, and a call that may not be repeated must run at most once, under pauses, kills, partitions and lost replies. Without the fencing check, the claim or the lease's version comparison the check reports violations.

--- /dev/null
+++ b/cmd/commands/check.go
@@ -0,0 +1,70 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+
+	"gorseline/cmd/check"
+)
+
+type checkCommand struct {
+	Histories int    `long:"histories" env:"HISTORIES" default:"10000" description:"number of histories"`
+	Seed      uint64 `long:"seed" env:"SEED" default:"1" description:"seed that determines all histories"`
+	Workers   int    `long:"workers" env:"WORKERS" default:"0" description:"histories that run at a time; 0 takes half of the processors"`
+	Format    string `long:"format" env:"FORMAT" choice:"text" choice:"json" default:"text" description:"format of the report"`
+}
+
+func init() {
+	register("check", "Check authority and claims under faults",
+		"Runs randomized histories of leases, orders and non-repeatable calls in virtual time, "+
+			"brings about faults, and reports violations of the invariants.", &checkCommand{})
+}
+
+// Execute runs the histories and prints the report. A violation is a failure.
+func (c *checkCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	report := check.Run(ctx, check.Options{Histories: c.Histories, Seed: c.Seed, Workers: c.Workers})
+	if err := c.print(os.Stdout, report); err != nil {
+		return failure{err}
+	}
+	switch {
+	case report.Violations > 0:
+		return failure{fmt.Errorf("check: %d violations in %d histories", report.Violations, report.Histories)}
+	case report.Histories < c.Histories:
+		return failure{fmt.Errorf("check: interrupted after %d of %d histories", report.Histories, c.Histories)}
+	}
+	return nil
+}
+
+func (c *checkCommand) print(out io.Writer, report check.Report) error {
+	if c.Format == "json" {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(report)
+	}
+	fmt.Fprintf(out, "%d histories, %d violations\n", report.Histories, report.Violations)
+	printCounts(out, "faults", report.Faults)
+	printCounts(out, "activity", report.Activity)
+	for _, v := range report.Examples {
+		fmt.Fprintf(out, "history %d: %s\n", v.History, v.Text)
+	}
+	return nil
+}
+
+func printCounts(out io.Writer, title string, counts map[string]int) {
+	fmt.Fprintln(out, title)
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(out, "  %-28s %d\n", name, counts[name])
+	}
+}
--- /dev/null
+++ b/core/authority/authority.go
@@ -0,0 +1,73 @@
+// Package authority decides which instance may give orders to a target, and gives
+// them: shard leases with fencing numbers, recorded intents, delivery within the
+// lease, adoption by a successor, and repair from the observed state.
+//
+// Keeper holds the leases; Commander writes intents and sends orders under them.
+package authority
+
+import (
+	"time"
+
+	"gorseline/core"
+)
+
+// Options configure a Keeper and a Commander.
+type Options struct {
+	// Self names this process. A restarted process may use the same name: leases
+	// that it does not hold in memory count as another's.
+	Self core.InstanceID
+	// Shards is the number of shards that targets are spread over.
+	Shards   int
+	Table    core.Table
+	Clock    core.DeadlineClock
+	Recorder core.Recorder
+	// Attempts returns a new ID that no process has used.
+	Attempts func() core.AttemptID
+	// Members returns the live instances, this one included. Views of two instances
+	// may differ: the table decides who holds a lease.
+	Members func() []core.InstanceID
+	// Orderer sends orders to targets.
+	Orderer core.Orderer
+	// Second delivers orders to targets that ignore fences through another instance;
+	// nil sends them directly. Forwarder is the receiving side.
+	Second core.Orderer
+	Timing
+}
+
+// Timing holds the durations of leases and orders.
+type Timing struct {
+	// Lease is how long a renewal lasts, Renew how often it is repeated. Two
+	// renewals may fail before the lease ends.
+	Lease time.Duration
+	Renew time.Duration
+	// OrderLifetime bounds the delivery of one order.
+	OrderLifetime time.Duration
+	// Margin covers the drift between two local clocks over one lease. 500 ms in 15 s
+	// is 3%, far above the 0.05% that clock discipline may slew.
+	Margin time.Duration
+	// MaxRepeats is how often an order that a target does not carry out is repeated.
+	MaxRepeats int
+}
+
+// DefaultTiming returns the durations of the design: 15 s leases renewed every 5 s.
+func DefaultTiming() Timing {
+	return Timing{
+		Lease: 15 * time.Second, Renew: 5 * time.Second, OrderLifetime: 2 * time.Second,
+		Margin: 500 * time.Millisecond, MaxRepeats: 5,
+	}
+}
+
+// Kinds of events that this package records.
+const (
+	EventShardAcquired  core.EventKind = "ShardAcquired"
+	EventShardLost      core.EventKind = "ShardLost"
+	EventShardReleased  core.EventKind = "ShardReleased"
+	EventOrderIntended  core.EventKind = "OrderIntended"
+	EventOrderAdopted   core.EventKind = "OrderAdopted"
+	EventOrderSent      core.EventKind = "OrderSent"
+	EventOrderApplied   core.EventKind = "OrderApplied"
+	EventOrderRejected  core.EventKind = "OrderRejected"
+	EventOrderStale     core.EventKind = "OrderStale"
+	EventOrderRepaired  core.EventKind = "OrderRepaired"
+	EventOrderAbandoned core.EventKind = "OrderAbandoned"
+)
--- /dev/null
+++ b/core/authority/lease.go
@@ -0,0 +1,107 @@
+package authority
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gorseline/core"
+)
+
+// leaseRow is the value of Shard/<n>.
+type leaseRow struct {
+	Holder core.InstanceID
+	// Fence is 0 in the row of the acquisition itself, whose version is the fence.
+	Fence    core.Fence `json:",omitempty"`
+	Attempt  core.AttemptID
+	Released bool `json:",omitempty"`
+}
+
+// ShardKey returns the key of a shard's lease row.
+func ShardKey(shard int) string { return "Shard/" + strconv.Itoa(shard) }
+
+// ShardOf returns the shard of a target.
+func ShardOf(target core.TargetID, shards int) int {
+	return int(xxhash.Sum64String(string(target)) % uint64(shards))
+}
+
+// decodeLease returns the lease in a row with its fence filled in. An absent or
+// unreadable row is a lease without holder.
+func decodeLease(row core.Row) leaseRow {
+	var lease leaseRow
+	if row.Version == 0 || json.Unmarshal(row.Value, &lease) != nil {
+		return leaseRow{}
+	}
+	if lease.Fence == 0 {
+		lease.Fence = core.Fence(row.Version)
+	}
+	return lease
+}
+
+// FenceOf returns the fence in force in a shard's row; 0 means that none is.
+func FenceOf(row core.Row) core.Fence {
+	lease := decodeLease(row)
+	if lease.Released {
+		return 0
+	}
+	return lease.Fence
+}
+
+// encode returns v as JSON. The package's rows hold no value that JSON can't encode.
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("authority: encode %T: %v", v, err))
+	}
+	return data
+}
+
+// Lease is the authority over one shard, as its holder knows it.
+type Lease struct {
+	Shard int
+	Fence core.Fence
+	// Until is when the lease ends unless it is renewed.
+	Until core.Instant
+	// ClearAt is when orders of an earlier holder can no longer arrive. Orders to
+	// targets that ignore fences start after it.
+	ClearAt core.Instant
+}
+
+// rankOf returns the position of self for a shard among the members by rendezvous
+// hashing, or -1 if self is not a member.
+func rankOf(shard int, self core.InstanceID, members []core.InstanceID) int {
+	rank, found := 0, false
+	own := weight(shard, self)
+	for _, m := range members {
+		if m == self {
+			found = true
+			continue
+		}
+		if w := weight(shard, m); w > own || w == own && m > self {
+			rank++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return rank
+}
+
+func weight(shard int, id core.InstanceID) uint64 {
+	var buffer [64]byte
+	key := strconv.AppendInt(buffer[:0], int64(shard), 10)
+	key = append(key, '/')
+	return xxhash.Sum64(append(key, id...))
+}
+
+func sortedShards[V any](m map[int]V) []int {
+	shards := make([]int, 0, len(m))
+	for shard := range m {
+		shards = append(shards, shard)
+	}
+	sort.Ints(shards)
+	return shards
+}
--- a/io/table/client.go
+++ b/io/table/client.go
@@ -82,8 +82,10 @@
 		return core.TransactResult{Kind: core.TransactUnavailable, Err: err}
 	case err != nil:
 		return core.TransactResult{Kind: core.TransactUnknown, Err: err}
-	case answer.Committed:
+	case answer.Committed && len(answer.Versions) == len(writes):
 		return core.TransactResult{Kind: core.TransactCommitted, Versions: answer.Versions}
+	case len(answer.Conflicts) == 0:
+		return core.TransactResult{Kind: core.TransactUnknown, Err: errors.New("table: conflict without rows")}
 	}
 	return core.TransactResult{Kind: core.TransactConflict, Conflicts: answer.Conflicts}
 }
--- /dev/null
+++ b/io/table/group.go
@@ -0,0 +1,286 @@
+package table
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+)
+
+// Bounds of a group: rows in one transaction, and the time that the first of them
+// waits for others.
+const (
+	GroupRows = 64
+	GroupWait = 5 * time.Millisecond
+)
+
+// ErrGroupFull reports a write that was not sent because too many wait.
+var ErrGroupFull = errors.Wrap(core.ErrUnavailable, "table: too many writes wait")
+
+// GroupOptions configure a Group.
+type GroupOptions struct {
+	Table core.Table
+	// Attempts returns a new ID that no process has used.
+	Attempts func() core.AttemptID
+	// Await is called before each transaction; more writes join a group meanwhile; nil sends at once. An error ends the group as not done.
+	Await func(context.Context) error
+	// Concurrent bounds the transactions in flight; 0 takes 4.
+	Concurrent int
+	// Queue bounds the writes that wait; 0 takes 1024. Beyond it they are refused.
+	Queue int
+	// Timeout bounds one group; 0 takes 10 s.
+	Timeout time.Duration
+}
+
+// Group commits independent transactions of many callers together. Rows that conflict
+// are answered as conflicts and the rest of their group is sent again, so a caller
+// never fails because of another.
+//
+// A member that repeats an attempt after an Unknown result may meet its own row as a
+// conflict, because the group ran under another attempt ID. Callers recognise their
+// rows by an ID in the value. Group is safe for concurrent use.
+type Group struct {
+	core.Reader
+	core.Scanner
+	opts  GroupOptions
+	queue chan *member
+	slots chan struct{}
+	done  chan struct{}
+}
+
+var _ core.Table = (*Group)(nil)
+
+// member is one caller's transaction.
+type member struct {
+	ctx     context.Context
+	attempt core.AttemptID
+	writes  []core.Write
+	result  chan core.TransactResult
+}
+
+// NewGroup returns a group. Writes wait until Run is called.
+func NewGroup(opts GroupOptions) *Group {
+	if opts.Concurrent == 0 {
+		opts.Concurrent = 4
+	}
+	if opts.Queue == 0 {
+		opts.Queue = 1024
+	}
+	if opts.Timeout == 0 {
+		opts.Timeout = 10 * time.Second
+	}
+	return &Group{
+		Reader: opts.Table, Scanner: opts.Table, opts: opts,
+		queue: make(chan *member, opts.Queue), slots: make(chan struct{}, opts.Concurrent),
+		done: make(chan struct{}),
+	}
+}
+
+// Transact queues the writes and waits for their result. When ctx ends first, the
+// result is Unknown, because the group may be on its way.
+func (g *Group) Transact(ctx context.Context, attempt core.AttemptID, writes []core.Write) core.TransactResult {
+	m := &member{ctx: ctx, attempt: attempt, writes: writes, result: make(chan core.TransactResult, 1)}
+	select {
+	case <-g.done:
+		return core.TransactResult{Kind: core.TransactUnavailable, Err: core.ErrUnavailable}
+	default:
+	}
+	select {
+	case g.queue <- m:
+	default:
+		return core.TransactResult{Kind: core.TransactUnavailable, Err: ErrGroupFull}
+	}
+	select {
+	case result := <-m.result:
+		return result
+	case <-ctx.Done():
+		return core.TransactResult{Kind: core.TransactUnknown, Err: ctx.Err()}
+	case <-g.done:
+		// Run has answered every member that it took.
+		select {
+		case result := <-m.result:
+			return result
+		default:
+			return core.TransactResult{Kind: core.TransactUnavailable, Err: core.ErrUnavailable}
+		}
+	}
+}
+
+// Run forms and sends groups until ctx ends, and then waits for those in flight.
+func (g *Group) Run(ctx context.Context) {
+	defer close(g.done)
+	var flying sync.WaitGroup
+	defer flying.Wait()
+	var held *member
+	for {
+		first := held
+		if first == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case first = <-g.queue:
+			}
+		}
+		var members []*member
+		members, held = g.collect(ctx, first)
+		select {
+		case <-ctx.Done():
+			answerAll(members, core.TransactResult{Kind: core.TransactUnavailable, Err: core.ErrUnavailable})
+			return
+		case g.slots <- struct{}{}:
+		}
+		flying.Go(func() {
+			defer func() { <-g.slots }()
+			g.commit(context.WithoutCancel(ctx), members)
+		})
+	}
+}
+
+// collect gathers a group. A member that doesn't fit, by its size or because a row is
+// already in the group, is returned for the next one.
+func (g *Group) collect(ctx context.Context, first *member) (members []*member, held *member) {
+	forming := gathering{keys: map[string]bool{}}
+	forming.add(first)
+	closed := make(chan error, 1)
+	go func() {
+		sleep(ctx, GroupWait)
+		closed <- g.await(ctx)
+	}()
+	for {
+		queue := g.queue
+		if held != nil {
+			queue = nil
+		}
+		select {
+		case err := <-closed:
+			if err != nil {
+				answerAll(forming.members, core.TransactResult{Kind: core.TransactUnavailable, Err: err})
+				return nil, held
+			}
+			return forming.members, held
+		case m := <-queue:
+			if !forming.add(m) {
+				held = m
+			}
+		}
+	}
+}
+
+func (g *Group) await(ctx context.Context) error {
+	if g.opts.Await == nil {
+		return nil
+	}
+	return g.opts.Await(ctx)
+}
+
+// gathering is a group that is being formed.
+type gathering struct {
+	members []*member
+	keys    map[string]bool
+}
+
+func (g *gathering) add(m *member) bool {
+	if len(g.members) > 0 && len(g.keys)+len(m.writes) > GroupRows {
+		return false
+	}
+	for _, w := range m.writes {
+		if g.keys[w.Key] {
+			return false
+		}
+	}
+	for _, w := range m.writes {
+		g.keys[w.Key] = true
+	}
+	g.members = append(g.members, m)
+	return true
+}
+
+// commit sends a group until every member has its answer. Each round without a clear
+// end removes at least the members that conflict.
+func (g *Group) commit(ctx context.Context, members []*member) {
+	ctx, cancel := context.WithTimeout(ctx, g.opts.Timeout)
+	defer cancel()
+	members = waiting(members)
+	for round := 0; len(members) > 0; round++ {
+		if round > 0 {
+			if err := g.await(ctx); err != nil {
+				answerAll(members, core.TransactResult{Kind: core.TransactUnavailable, Err: err})
+				return
+			}
+		}
+		attempt := members[0].attempt
+		if len(members) > 1 {
+			attempt = g.opts.Attempts()
+		}
+		var writes []core.Write
+		for _, m := range members {
+			writes = append(writes, m.writes...)
+		}
+		result := g.opts.Table.Transact(ctx, attempt, writes)
+		switch result.Kind {
+		case core.TransactCommitted:
+			for _, m := range members {
+				n := len(m.writes)
+				m.result <- core.TransactResult{Kind: core.TransactCommitted, Versions: result.Versions[:n:n]}
+				result.Versions = result.Versions[n:]
+			}
+			return
+		case core.TransactConflict:
+			members = answerConflicts(members, result.Conflicts)
+		default:
+			answerAll(members, result)
+			return
+		}
+	}
+}
+
+// answerConflicts answers the members with a conflicting row and returns the others.
+func answerConflicts(members []*member, conflicts []core.Row) []*member {
+	rows := map[string]core.Row{}
+	for _, row := range conflicts {
+		rows[row.Key] = row
+	}
+	var rest []*member
+	for _, m := range members {
+		var own []core.Row
+		for _, w := range m.writes {
+			if row, found := rows[w.Key]; found {
+				own = append(own, row)
+			}
+		}
+		if len(own) == 0 {
+			rest = append(rest, m)
+			continue
+		}
+		m.result <- core.TransactResult{Kind: core.TransactConflict, Conflicts: own}
+	}
+	if len(rest) == len(members) {
+		answerAll(members, core.TransactResult{
+			Kind: core.TransactUnknown, Err: errors.New("table: conflict names no row of the group"),
+		})
+		return nil
+	}
+	return rest
+}
+
+// waiting answers the members whose caller is gone and returns the others.
+func waiting(members []*member) []*member {
+	var rest []*member
+	for _, m := range members {
+		if err := m.ctx.Err(); err != nil {
+			m.result <- core.TransactResult{Kind: core.TransactUnavailable, Err: err}
+			continue
+		}
+		rest = append(rest, m)
+	}
+	return rest
+}
+
+func answerAll(members []*member, result core.TransactResult) {
+	for _, m := range members {
+		m.result <- result
+	}
+}
--- a/standin/table/faults.go
+++ b/standin/table/faults.go
@@ -1,6 +1,10 @@
 package table
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Faults are the failures that the table brings about. The zero value is a table
 // without failures.
@@ -62,10 +66,14 @@
 	return t.counts
 }
 
-// IgnoreVersions makes the table commit writes whatever their expected version. It
-// exists for mutation checks, which must report the damage.
-func (t *Table) IgnoreVersions() {
+// IgnoreVersions makes the table commit writes to keys with the prefix whatever their
+// expected version. It exists for mutation checks, which must report the damage.
+func (t *Table) IgnoreVersions(prefix string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.trust = true
+	t.ignore = append(t.ignore, prefix)
+}
+
+func (t *Table) ignoresVersion(key string) bool {
+	return slices.ContainsFunc(t.ignore, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
 }
--- a/standin/table/table.go
+++ b/standin/table/table.go
@@ -28,7 +28,7 @@
 	committed map[core.AttemptID][]uint64
 	faults    Faults
 	counts    Counts
-	trust     bool
+	ignore    []string // prefixes of keys whose versions are not compared
 }
 
 var _ core.Table = (*Table)(nil)
@@ -115,7 +115,7 @@
 	var conflicts []core.Row
 	for _, w := range writes {
 		row := t.row(w.Key)
-		if w.Expected != core.AnyVersion && w.Expected != row.Version && !t.trust {
+		if w.Expected != core.AnyVersion && w.Expected != row.Version && !t.ignoresVersion(w.Key) {
 			conflicts = append(conflicts, row)
 		}
 	}
