--- a/cmd/check/claims.go
+++ b/cmd/check/claims.go
@@ -175,7 +175,7 @@
 // isKeyNotRun reports whether a result says that the key was not run by anybody, as
 // opposed to this request only.
 func isKeyNotRun(r operation.Result) bool {
-	return r.Outcome == core.OutcomeNotRun && (r.Repeated || r.Reason == operation.ReasonTargetNotReached)
+	return r.Outcome == core.OutcomeNotRun && r.Final
 }
 
 // claimState is the state of an at-most-once register.
--- a/core/operation/execute.go
+++ b/core/operation/execute.go
@@ -48,7 +48,7 @@
 	case core.OutcomeDone:
 		done := e.withAnswer(ctx, key, claim, answer.Answer)
 		e.finish(ctx, entry{key: key, version: version, record: done}, 1)
-		return Result{Outcome: core.OutcomeDone, Answer: answer.Answer}
+		return Result{Outcome: core.OutcomeDone, Final: true, Answer: answer.Answer}
 	}
 	unknown := claim.ended(StateUnknown, ReasonConnectionFailed)
 	e.finish(ctx, entry{key: key, version: version, record: unknown}, 1)
@@ -71,7 +71,9 @@
 // version is 0 and the result is the answer to the caller.
 func (e *Executor) claim(ctx context.Context, key string, claim Record) (uint64, Result) {
 	if ctx.Err() != nil {
-		return 0, Result{Outcome: core.OutcomeNotRun, Reason: ReasonDeadlineBeforeSend}
+		return 0, Result{
+			Outcome: core.OutcomeNotRun, Reason: ReasonDeadlineBeforeSend, RetryAfter: e.opts.RetryAfter,
+		}
 	}
 	write := []core.Write{{Key: key, Value: claim.encode()}}
 	settling, cancel := e.settleContext(ctx)
@@ -140,7 +142,7 @@
 // settled.
 func (e *Executor) withdraw(ctx context.Context, key string, version uint64, claim Record, reason core.Reason) Result {
 	if e.finish(ctx, entry{key: key, version: version, record: claim.ended(StateNotRun, reason)}, maxTries) {
-		return Result{Outcome: core.OutcomeNotRun, Reason: reason}
+		return Result{Outcome: core.OutcomeNotRun, Final: true, Reason: reason}
 	}
 	return Result{Outcome: core.OutcomeUnknown, Reason: ReasonClaimUnsettled, RetryAfter: e.opts.RetryAfter}
 }
--- a/core/operation/operation.go
+++ b/core/operation/operation.go
@@ -28,7 +28,12 @@
 	// Outcome is OutcomeDone, OutcomeNotRun, OutcomeUnknown or OutcomeInProgress.
 	// NotRun means that this request has not run and never will.
 	Outcome core.OutcomeKind
-	Answer  core.ServiceAnswer
+	// Final says that the outcome speaks for the key and no request with it will bring
+	// another. NotRun without Final speaks for this request only: an earlier request
+	// with the key may have run, so the caller must repeat the same key and not take a
+	// new one.
+	Final  bool
+	Answer core.ServiceAnswer
 	// AnswerMissing says that the operation is done but its answer was not recorded,
 	// because it was too large and the object store did not take it.
 	AnswerMissing bool
--- a/core/operation/record.go
+++ b/core/operation/record.go
@@ -101,7 +101,7 @@
 	case StateDone:
 		return e.recorded(ctx, r)
 	case StateNotRun:
-		return Result{Outcome: core.OutcomeNotRun, Repeated: true, Reason: r.Reason}
+		return Result{Outcome: core.OutcomeNotRun, Final: true, Repeated: true, Reason: r.Reason}
 	case StateClaimed:
 		if e.isLive(r) {
 			return Result{Outcome: core.OutcomeInProgress, Repeated: true, RetryAfter: time.Second}
@@ -113,7 +113,7 @@
 
 func (e *Executor) recorded(ctx context.Context, r Record) Result {
 	result := Result{
-		Outcome: core.OutcomeDone, Repeated: true, AnswerMissing: r.AnswerMissing,
+		Outcome: core.OutcomeDone, Final: true, Repeated: true, AnswerMissing: r.AnswerMissing,
 		Answer: core.ServiceAnswer{Status: r.Status, ContentType: r.ContentType, Body: r.Body},
 	}
 	if r.Object == "" {
