Prefer engines that only generate for kinds with a limit between tokens

Cause: the full router sent short urgent requests to mixed engines, whose prompts delay the tokens beyond the limit; the adaptive concurrency limit then collapsed for the whole model and refused work that the fleet had room for. Change: among feasible targets, kinds with a limit between tokens drop mixed engines while an engine that only generates remains.

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -44,6 +44,19 @@
 	p.count = kept
 }
 
+// preferSteady drops the mixed engines when engines that only generate remain. A mixed
+// engine computes prompts between its decode steps, so a prompt that arrives during a
+// short answer can double the time between its tokens.
+func (p *pool) preferSteady(s *scratch) {
+	steady := func(i int) bool { return role(s.states[i]) == core.RoleDecode }
+	for _, i := range p.members[:p.count] {
+		if steady(int(i)) {
+			p.keep(steady)
+			return
+		}
+	}
+}
+
 // pick chooses a member of a pool that isn't empty.
 func (r *full) pick(now core.Instant, req *core.Request, s *scratch, set *pool) (int, core.Reason) {
 	reason := core.ReasonLeastDelay
@@ -52,6 +65,9 @@
 	} else {
 		reason = core.ReasonDeadline
 	}
+	if req.Kind.BetweenTokens > 0 {
+		set.preferSteady(s)
+	}
 	if reason != core.ReasonDeadline && r.keepHolders(req, s, set) {
 		return r.nearBest(now, s, set, set.count), core.ReasonPrefixHit
 	}
