Estimate the urgent prompts ahead of an urgent request

Cause: an urgent request was expected to wait for half of the mean queued prompt. An engine with many short urgent prompts therefore looked fastest and attracted all further ones, up to 70 of them. Change: targets report the urgent part of their prompt queue, the store adds what it sent, and the estimate waits for all of it.

--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -23,6 +23,8 @@
 	Sequences int
 	// Backlog is the prompt work not yet computed, in tokens.
 	Backlog float64
+	// Urgent is the part of it that belongs to urgent requests.
+	Urgent float64
 	// Queued estimates how many requests the backlog consists of.
 	Queued int
 	// KVUsed is the memory held by requests, in tokens.
@@ -69,18 +71,25 @@
 	return Load{
 		Sequences: max(sequences, state.InFlight, 0),
 		Backlog:   backlog,
+		Urgent:    min(backlog, UrgentAt(now, state)),
 		Queued:    queued,
 		KVUsed:    report.KVUsed + state.SentPromptTokens,
 	}
 }
 
+// UrgentAt returns the prompt work of urgent requests that is left at the given time.
+func UrgentAt(now core.Instant, state *core.TargetState) float64 {
+	return max(0, state.UrgentTokens-PrefillRate(state)*now.Sub(state.UrgentAt).Seconds())
+}
+
 // PrefillWait returns how long the request waits before its prompt is computed. An
-// urgent request goes to the head of the engine's queue and waits only for the prompt
-// under way, of which half is left on average.
+// urgent request passes the others and waits for the prompt under way, of which half is
+// left on average, and for the urgent ones ahead. Without the latter, all urgent requests
+// would go to the engine whose queue already consists of many short urgent prompts.
 func PrefillWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
 	backlog := load.Backlog
 	if req.Kind.Urgent && load.Queued > 0 {
-		backlog /= 2 * float64(load.Queued)
+		backlog = load.Urgent + (backlog-load.Urgent)/float64(2*load.Queued)
 	}
 	return seconds(backlog / PrefillRate(state))
 }
--- a/core/routing/node.go
+++ b/core/routing/node.go
@@ -29,6 +29,7 @@
 type recent struct {
 	at       core.Instant
 	tokens   int
+	urgent   bool
 	finished bool
 }
 
@@ -65,6 +66,7 @@
 		state.Report, state.ReportedAt = report, now
 		state.SentRequests, state.SentPromptTokens = 0, 0
 		state.IdlePromptTokens, state.FinishedRequests = 0, 0
+		state.UrgentTokens, state.UrgentAt = float64(report.QueuedUrgentTokens), made
 		kept := n.recent[:0]
 		for _, entry := range n.recent {
 			if entry.at > made {
@@ -76,10 +78,10 @@
 	})
 }
 
-func (n *node) sent(now core.Instant, tokens, inFlight int) {
+func (n *node) sent(now core.Instant, tokens, inFlight int, urgent bool) {
 	n.update(func(state *core.TargetState) {
 		state.InFlight += inFlight
-		n.remember(state, recent{at: now, tokens: tokens})
+		n.remember(state, recent{at: now, tokens: tokens, urgent: urgent})
 	})
 }
 
@@ -112,4 +114,8 @@
 	}
 	state.SentRequests++
 	state.SentPromptTokens += entry.tokens
+	if entry.urgent {
+		state.UrgentTokens = estimate.UrgentAt(entry.at, state) + float64(entry.tokens)
+		state.UrgentAt = entry.at
+	}
 }
--- a/core/routing/store.go
+++ b/core/routing/store.go
@@ -180,7 +180,7 @@
 	if !ok {
 		return
 	}
-	n.sent(now, tokens, inFlight)
+	n.sent(now, tokens, inFlight, req.Kind.Urgent)
 	if req.Service == "" {
 		s.hints.Sent(n.state.Load().Slot, req.PrefixBlocks)
 	}
--- a/core/target.go
+++ b/core/target.go
@@ -82,6 +82,8 @@
 	Running        int
 	// QueuedPromptTokens is the prompt work not yet computed, in tokens.
 	QueuedPromptTokens int
+	// QueuedUrgentTokens is the part of it that belongs to urgent requests.
+	QueuedUrgentTokens int
 	// KVUsed and KVCapacity are in tokens of KV cache.
 	KVUsed     int
 	KVCapacity int
@@ -115,6 +117,11 @@
 	// been given, between the report and the last send. It keeps a long idle time
 	// from hiding a burst that was sent at its end.
 	IdlePromptTokens int
+	// UrgentTokens is the prompt work of urgent requests that the target had at
+	// UrgentAt, by its report and by what was sent from here since. Engines compute
+	// it before other prompts.
+	UrgentTokens float64
+	UrgentAt     Instant
 	// FinishedRequests were sent from here and have finished after the report.
 	FinishedRequests int
 	// InFlight counts requests from this instance that are not finished.
--- a/standin/bench/engine.go
+++ b/standin/bench/engine.go
@@ -197,13 +197,17 @@
 
 // report is what the engine says about its load now.
 func (e *engine) report(model core.Model) core.LoadReport {
-	backlog := 0.0
+	backlog, urgent := 0.0, 0.0
 	for _, j := range e.prompts.jobs {
 		backlog += max(0, j.remaining)
+		if j.call.Kind.Urgent {
+			urgent += max(0, j.remaining)
+		}
 	}
 	return core.LoadReport{
 		QueuedRequests: e.prompts.Len() + e.waiting.Len(), Running: e.running.Len(),
-		QueuedPromptTokens: int(backlog), KVUsed: e.kvUsed, KVCapacity: e.model.KVTokens,
+		QueuedPromptTokens: int(backlog), QueuedUrgentTokens: int(urgent),
+		KVUsed: e.kvUsed, KVCapacity: e.model.KVTokens,
 		Role: e.role, Model: model, Changing: e.change,
 	}
 }
