Keep the adaptive limit and fair shares from refusing without need

Cause: one late answer per second lowered the concurrency limit, it was lowered again while answers to earlier requests were still late, and shares of a dozen requests each were enforced to 10 percent, which equal organisations exceed by chance. Change: a window may hold two late answers, the limit falls at most once per response time, shares have 60 percent of slack, and a request that takes all of its deadline itself no longer counts as contention.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -115,7 +115,7 @@
 		return core.ReasonDeadline
 	}
 	contended := float64(g.inFlight) > options.Contention*limit ||
-		float64(expected.Queue) > options.Contention*float64(budget)
+		float64(expected.Queue) > options.Contention*max(float64(budget), leastBudget*float64(req.Kind.Deadline))
 	if options.FairShares && contended && g.exceedsShare(req, member) {
 		return core.ReasonOrganisationLimit
 	}
--- a/core/admission/group.go
+++ b/core/admission/group.go
@@ -1,6 +1,10 @@
 package admission
 
-import "gorseline/core"
+import (
+	"time"
+
+	"gorseline/core"
+)
 
 // group is the state of one model or service.
 type group struct {
@@ -10,6 +14,11 @@
 	limit   float64
 	members map[core.Organisation]*member
 
+	// response is the mean time to answer. After the limit was lowered it stays until
+	// holdUntil, since earlier requests still answer late.
+	response  time.Duration
+	holdUntil core.Instant
+
 	// windowEnds is when the counts below are judged.
 	windowEnds   core.Instant
 	peak         int
@@ -65,6 +74,7 @@
 		g.held -= work(req)
 	}
 	g.answers++
+	g.response += time.Duration(responseRate * float64(now.Sub(req.Arrived)-g.response))
 	if req.Kind.Urgent {
 		g.urgent++
 	}
@@ -98,7 +108,7 @@
 	}
 	g.windowEnds = now.Add(window)
 	if options.Adaptive && g.answers >= minimumSamples {
-		g.adapt(options)
+		g.adapt(now, options)
 	}
 	if g.answers >= minimumSamples || g.inFlight == 0 {
 		g.peak, g.answers, g.late, g.urgent, g.urgentLate = g.inFlight, 0, 0, 0, 0
@@ -115,13 +125,15 @@
 	}
 }
 
-// adapt lowers the limit below the peak of a window with too many late answers, and
-// raises it when a window used most of it without.
-func (g *group) adapt(options *Options) {
-	tooLate := float64(g.late) > options.LateShare*float64(g.answers) ||
-		g.urgent > 0 && float64(g.urgentLate) > options.UrgentLateShare*float64(g.urgent)
+// adapt lowers the limit below the peak of a window with too many late answers, at most
+// once per response time, and raises it when a window used most of it without.
+func (g *group) adapt(now core.Instant, options *Options) {
+	tooLate := float64(g.late) > options.LateShare*float64(g.answers)+lateSlack ||
+		float64(g.urgentLate) > options.UrgentLateShare*float64(g.urgent)+lateSlack
 	switch {
+	case tooLate && now < g.holdUntil:
 	case tooLate:
+		g.holdUntil = now.Add(g.response)
 		g.limit = max(float64(options.MinConcurrent), min(g.limit, float64(g.peak))*decrease)
 	case float64(g.peak) > g.limit/2:
 		g.limit = min(float64(options.MaxConcurrent), g.limit+max(2, g.limit*increase))
--- a/core/admission/options.go
+++ b/core/admission/options.go
@@ -64,15 +64,23 @@
 	window = time.Second
 	// minimumSamples is the number of answers that a window needs to be judged.
 	minimumSamples = 10
+	// lateSlack is the number of late answers that a window may hold in any case. One
+	// late answer among the few of a second says nothing about the load.
+	lateSlack = 2
 	// decrease and increase change the limit once per window. Lowering faster than
 	// raising keeps the limit below the knee, as in TCP's congestion control.
 	decrease = 0.9
 	increase = 0.15
+	// responseRate is the weight of one answer in the mean time to answer.
+	responseRate = 0.05
 	// activeFor is how long an organisation without requests in flight keeps its share.
 	activeFor = 5 * time.Second
-	// shareSlack is how far an organisation may exceed its share, so that a single
-	// request more or less does not decide.
-	shareSlack = 0.1
+	// shareSlack is how far an organisation may exceed its share. With a dozen requests
+	// in flight each, equal organisations differ by 30% by chance alone.
+	shareSlack = 0.6
+	// leastBudget is the least part of the deadline that is compared with the queue. A
+	// request whose own answer takes all of its deadline doesn't make capacity scarce.
+	leastBudget = 0.1
 	// minimumRetry and maximumRetry bound the retry time of a refusal.
 	minimumRetry = 100 * time.Millisecond
 	maximumRetry = 10 * time.Second
