Estimate the wait for a batch slot and the interference on mixed engines

Cause: urgent requests were sent to engines whose batch was full, and to mixed engines whose time between tokens was estimated without their prompts. Change: targets report their slots; estimates add the wait for one and double the step of a mixed engine that has prompts to compute.

--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -124,11 +124,46 @@
 	return time.Duration(float64(answer) * float64(deficit) / float64(load.KVUsed))
 }
 
+// urgentSlots is the part of an engine's slots, one in urgentSlots, that only urgent
+// requests are expected to find free.
+const urgentSlots = 16
+
+// SlotWait returns how long the request waits for a place in the batch. Places become
+// free as answers end, all of them in about the duration of one answer.
+func SlotWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
+	slots := state.Report.Slots
+	if slots <= 0 {
+		return 0
+	}
+	free := slots
+	if !req.Kind.Urgent {
+		free -= slots / urgentSlots
+	}
+	excess := load.Sequences + 1 - free
+	if excess <= 0 {
+		return 0
+	}
+	answer := Step(state, slots) * time.Duration(max(1, req.OutputTokens))
+	return time.Duration(float64(answer) * float64(excess) / float64(slots))
+}
+
+// mixedFactor is how much longer the time between tokens is on an engine that computes
+// prompts as well: a chunk of a prompt takes about as long as the step of a large batch.
+const mixedFactor = 2
+
+// interference returns the factor on the time between tokens that prompts cause.
+func interference(state *core.TargetState) time.Duration {
+	if state.Report.Role == core.RoleMixed && state.Report.QueuedPromptTokens+state.SentPromptTokens > 0 {
+		return mixedFactor
+	}
+	return 1
+}
+
 // Engine predicts the service of a request by one engine that holds prefixTokens of its
 // prompt in cache.
 func Engine(req *core.Request, state *core.TargetState, load Load, prefixTokens int) core.Estimate {
 	queue, prefill := Prefill(req, state, load, prefixTokens)
-	wait := MemoryWait(req, state, load, prefixTokens)
+	wait := max(MemoryWait(req, state, load, prefixTokens), SlotWait(req, state, load))
 	result := Decode(req, state, load, prefill+wait)
 	result.Queue = queue + wait
 	result.PrefixTokens = prefixTokens
@@ -138,7 +173,7 @@
 // Decode predicts the generation of an answer whose prompt is ready on the target after
 // the given delay.
 func Decode(req *core.Request, state *core.TargetState, load Load, ready time.Duration) core.Estimate {
-	step := Step(state, load.Sequences+1)
+	step := Step(state, load.Sequences+1) * interference(state)
 	result := core.Estimate{FirstToken: ready + step, BetweenTokens: step}
 	result.Total = result.FirstToken + step*time.Duration(max(0, req.OutputTokens-1))
 	return result
--- a/core/routing/full.go
+++ b/core/routing/full.go
@@ -125,7 +125,7 @@
 			s.estimates[i] = r.withImport(req, s, i, holder)
 		case role(state) == core.RoleDecode && prefill >= 0:
 			missing := max(0, req.PromptTokens-s.hits[i])
-			wait := estimate.MemoryWait(req, state, s.loads[i], s.hits[i])
+			wait := max(estimate.MemoryWait(req, state, s.loads[i], s.hits[i]), estimate.SlotWait(req, state, s.loads[i]))
 			s.estimates[i] = estimate.Decode(req, state, s.loads[i], ready+r.transfer(missing)+wait)
 			s.estimates[i].Queue = queue + wait
 			s.estimates[i].PrefixTokens = s.hits[prefill]
--- a/core/target.go
+++ b/core/target.go
@@ -84,6 +84,8 @@
 	QueuedPromptTokens int
 	// QueuedUrgentTokens is the part of it that belongs to urgent requests.
 	QueuedUrgentTokens int
+	// Slots is the largest number of sequences that run at once; 0 if unknown.
+	Slots int
 	// KVUsed and KVCapacity are in tokens of KV cache.
 	KVUsed     int
 	KVCapacity int
--- a/standin/bench/engine.go
+++ b/standin/bench/engine.go
@@ -207,7 +207,7 @@
 	return core.LoadReport{
 		QueuedRequests: e.prompts.Len() + e.waiting.Len(), Running: e.running.Len(),
 		QueuedPromptTokens: int(backlog), QueuedUrgentTokens: int(urgent),
-		KVUsed: e.kvUsed, KVCapacity: e.model.KVTokens,
+		Slots: e.model.Slots, KVUsed: e.kvUsed, KVCapacity: e.model.KVTokens,
 		Role: e.role, Model: model, Changing: e.change,
 	}
 }
