Plan pure roles by default, watch the demand before the first change

Cause: urgent answers on mixed engines were late, a change planned from the first two seconds followed cold caches, and prefill engines were expected to drain as slowly as engines with running answers. Change: Options.Mixed allows the mixed role, WarmUp delays the first change, the time away of a prefill engine follows its queue.

--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -38,6 +38,8 @@
 	ChangeTimeout time.Duration
 	// Short and Long are the time constants of the two averages; 10 s and 90 s.
 	Short, Long time.Duration
+	// WarmUp is how long the demand is watched before the first change; 20 s.
+	WarmUp time.Duration
 	// ShortShare is the weight of the short average in the forecast, from 0 to 1; 0.7.
 	ShortShare float64
 	// FloorPrefill and FloorDecode are the least numbers of engines that accept
@@ -56,6 +58,10 @@
 	MixedOverhead float64
 	// BatchSize is the number of sequences that a busy engine decodes together; 48.
 	BatchSize int
+	// Mixed allows changes to the mixed role. A mixed engine delays the tokens of
+	// short urgent answers by the prompts that it computes between them, so that
+	// mixed engines pay only where no kind limits the time between tokens.
+	Mixed bool
 	// LoadInterval is the least time between two changes that load weights from
 	// the store, over all models of the planner; 30 s. The weight store limits
 	// the rate, and loads that queue there keep engines out of service.
@@ -78,6 +84,7 @@
 	o.ChangeTimeout = orDefault(o.ChangeTimeout, 120*time.Second)
 	o.Short = orDefault(o.Short, 10*time.Second)
 	o.Long = orDefault(o.Long, 90*time.Second)
+	o.WarmUp = orDefault(o.WarmUp, 20*time.Second)
 	o.ShortShare = orDefault(o.ShortShare, 0.7)
 	o.FloorPrefill = orDefault(o.FloorPrefill, 1)
 	o.FloorDecode = orDefault(o.FloorDecode, 1)
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -42,7 +42,7 @@
 		return nil
 	}
 	state.trend.observe(now, work)
-	if state.settle(now, view, p.options.ChangeTimeout) {
+	if state.settle(now, view, p.options.ChangeTimeout) || !state.trend.warm(now, p.options.WarmUp) {
 		return nil
 	}
 	best := p.best(now, view, state)
@@ -67,7 +67,7 @@
 			continue
 		}
 		for _, to := range changeableRoles {
-			if to == from {
+			if to == from || to == core.RoleMixed && !p.options.Mixed {
 				continue
 			}
 			change := core.RoleChange{Target: engine.ID, From: from, To: to, Reason: ReasonRatioShift}
@@ -88,8 +88,8 @@
 
 var changeableRoles = []core.Role{core.RoleMixed, core.RolePrefill, core.RoleDecode}
 
-// candidate returns the engine in a role that has the least work to drain, among
-// those whose minimum stay has passed.
+// candidate returns the engine in a role that drains the soonest, among those whose
+// minimum stay has passed.
 func (p *Planner) candidate(
 	now core.Instant, view *core.PlacementView, state *modelState, role core.Role,
 ) *core.TargetState {
@@ -102,13 +102,21 @@
 		if needsLoad(e, view.Model) && !p.loads.allows(now) {
 			continue
 		}
-		if best == nil || workLeft(e) < workLeft(best) {
+		if best == nil || p.options.quicker(e, best) {
 			best = e
 		}
 	}
 	return best
 }
 
+// quicker reports whether engine a is out of service for a shorter time than b.
+func (o *Options) quicker(a, b *core.TargetState) bool {
+	if x, y := o.timeAway(a), o.timeAway(b); x != y {
+		return x < y
+	}
+	return workLeft(a) < workLeft(b)
+}
+
 // workLeft orders engines by how long they need to drain, in sequences.
 func workLeft(e *core.TargetState) int {
 	return max(e.InFlight, e.Report.Running+e.Report.QueuedRequests+e.SentRequests)
@@ -160,11 +168,16 @@
 	return (move-stay)*view.Offered - cost
 }
 
-// timeAway is how long a change keeps the engine from serving; an idle engine
-// needs no drain.
+// timeAway is how long a change keeps the engine from serving. An idle engine needs no
+// drain, and one that only computes prompts drains as fast as it computes them.
 func (o *Options) timeAway(engine *core.TargetState) time.Duration {
-	if workLeft(engine) == 0 {
+	switch {
+	case workLeft(engine) == 0:
 		return o.ChangeTime
+	case engine.Report.Role == core.RolePrefill && engine.PrefillRate > 0:
+		tokens := float64(engine.Report.QueuedPromptTokens + engine.SentPromptTokens)
+		drain := time.Duration(tokens / engine.PrefillRate * float64(time.Second))
+		return o.ChangeTime + min(drain, o.DrainTime)
 	}
 	return o.DrainTime + o.ChangeTime
 }
--- a/core/placement/planner_test.go
+++ b/core/placement/planner_test.go
@@ -105,10 +105,17 @@
 		for _, to := range []core.Role{core.RoleMixed, core.RolePrefill, core.RoleDecode} {
 			from := e.Report.Role
 			out := count(from, core.RoleNone)
+			if to == core.RoleMixed && !o.Mixed {
+				continue
+			}
 			if to == from || out.acceptsPrefill() < o.FloorPrefill || out.acceptsDecode() < o.FloorDecode {
 				continue
 			}
 			away := (o.DrainTime + o.ChangeTime).Seconds()
+			if from == core.RolePrefill {
+				tokens := float64(e.Report.QueuedPromptTokens + e.SentPromptTokens)
+				away = o.ChangeTime.Seconds() + min(o.DrainTime.Seconds(), tokens/e.PrefillRate)
+			}
 			if max(e.InFlight, e.Report.Running+e.Report.QueuedRequests+e.SentRequests) == 0 {
 				away = o.ChangeTime.Seconds()
 			}
@@ -128,12 +135,14 @@
 		view := fleetOf(count.Draw(t, "mixed"), 1+count.Draw(t, "prefill"), 1+count.Draw(t, "decode"))
 		for i := range view.Engines {
 			e := &view.Engines[i]
+			e.Report.QueuedPromptTokens = rapid.SampledFrom([]int{0, 3000, 300_000}).Draw(t, "queued")
 			e.Report.Running = rapid.IntRange(0, 2).Draw(t, "running")
 			e.Drained = rapid.IntRange(0, 9).Draw(t, "drained") == 0
 		}
 		options := Options{
 			RoleChangePrice: rapid.Float64Range(0, 200).Draw(t, "price"),
 			FloorPrefill:    rapid.IntRange(1, 2).Draw(t, "floor"),
+			Mixed:           rapid.Bool().Draw(t, "allowMixed"),
 		}.withDefaults()
 		inService := inService(view)
 		if inService.acceptsPrefill() < options.FloorPrefill || inService.acceptsDecode() < options.FloorDecode {
@@ -144,6 +153,9 @@
 		planner := New(options)
 		now := core.Instant(10 * time.Minute)
 		planner.models[model] = newModelState(&planner.options)
+		if d, known := demandOf(view, options.BatchSize); known {
+			planner.models[model].trend.observe(0, d)
+		}
 		stayed := planner.models[model].changedAt
 		for i := range view.Engines {
 			if rapid.Bool().Draw(t, "moved") {
@@ -165,7 +177,7 @@
 // minimum stay, floors and one change at a time per model.
 func TestPlansKeepTheRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		options := Options{MinimumStay: 40 * time.Second, FloorPrefill: 2, FloorDecode: 2, Margin: 1e-9}.withDefaults()
+		options := Options{MinimumStay: 40 * time.Second, FloorPrefill: 2, FloorDecode: 2, Margin: 1e-9, Mixed: true}.withDefaults()
 		planner := New(options)
 		view := fleetOf(1, 3, 3)
 		last := map[core.TargetID]core.Instant{}
--- a/core/placement/ratio.go
+++ b/core/placement/ratio.go
@@ -36,9 +36,17 @@
 type trend struct {
 	short, long average
 	observed    core.Instant
+	began       core.Instant
 }
 
+// warm reports whether the demand was watched for long enough to act on. The first
+// seconds after a start show cold caches and few arrivals.
+func (t *trend) warm(now core.Instant, after time.Duration) bool { return now.Sub(t.began) >= after }
+
 func (t *trend) observe(now core.Instant, d demand) {
+	if !t.short.filled {
+		t.began = now
+	}
 	elapsed := now.Sub(t.observed)
 	t.observed = now
 	t.short.observe(elapsed, d)
--- a/core/placement/rules_test.go
+++ b/core/placement/rules_test.go
@@ -124,7 +124,10 @@
 		}
 		return view
 	}
-	planner := New(Options{LoadInterval: 40 * time.Second})
+	planner := New(Options{LoadInterval: 40 * time.Second, WarmUp: time.Second})
+	for _, name := range []core.Model{"a", "b", "c"} {
+		planner.Plan(-1e9, shortage(name, "other"))
+	}
 	if len(planner.Plan(0, shortage("a", "other"))) == 0 {
 		t.Fatal("no change for the first model")
 	}
