Choose the prefill engine that holds the prefix among the near-best

Cause: with queues of 30 s a tenth of the delay counted as equal, so the prefix of 0.25 s no longer decided and each engine recomputed all prefixes. Change: among near-best prefill engines the one with most of the prompt cached is taken, one at random among equals.

--- a/core/routing/full.go
+++ b/core/routing/full.go
@@ -138,8 +138,10 @@
 	return prefill
 }
 
-// prefillPartner returns the prefill engine that has the prompt ready first, chosen at
-// random among the near-best, with its queueing delay and the delay until ready.
+// prefillPartner returns the prefill engine that has the prompt ready first, with its
+// queueing delay and the delay until ready. Among the near-best it takes the one that
+// holds most of the prompt, and one at random among equals: with long queues the prefix
+// saves little of the delay but all of its share of the work.
 func (r *full) prefillPartner(req *core.Request, s *scratch, n int) (int, time.Duration, time.Duration) {
 	best := estimate.Never + 1
 	for i, state := range s.states[:n] {
@@ -152,7 +154,13 @@
 	chosen, equals := -1, 0
 	limit := best + time.Duration(r.options.NearBest*float64(best))
 	for i, state := range s.states[:n] {
-		if role(state) == core.RolePrefill && s.estimates[i].Total <= limit {
+		if role(state) != core.RolePrefill || s.estimates[i].Total > limit {
+			continue
+		}
+		switch {
+		case chosen < 0 || s.hits[i] > s.hits[chosen]:
+			chosen, equals = i, 1
+		case s.hits[i] == s.hits[chosen]:
 			equals++
 			if r.random.Below(equals) == 0 {
 				chosen = i
