Limit the estimated batch to the slots of the target

Cause: requests whose prompts were still queued elsewhere counted as running on the engine that will generate, so urgent requests were refused for steps of batches larger than the engine can hold. Change: the step is estimated for at most the reported slots.

--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -173,7 +173,11 @@
 // Decode predicts the generation of an answer whose prompt is ready on the target after
 // the given delay.
 func Decode(req *core.Request, state *core.TargetState, load Load, ready time.Duration) core.Estimate {
-	step := Step(state, load.Sequences+1) * interference(state)
+	sequences := load.Sequences + 1
+	if slots := state.Report.Slots; slots > 0 {
+		sequences = min(sequences, slots)
+	}
+	step := Step(state, sequences) * interference(state)
 	result := core.Estimate{FirstToken: ready + step, BetweenTokens: step}
 	result.Total = result.FirstToken + step*time.Duration(max(0, req.OutputTokens-1))
 	return result
