Expect the answer under the load that will be left

Cause: requests whose prompts were queued elsewhere counted as sequences of the generating engine, so work was refused although batches were two thirds full. Change: targets are still compared by all that was promised to them, but the estimate that admission sees uses the sequences that run.

--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -21,6 +21,9 @@
 type Load struct {
 	// Sequences counts requests that are queued or running.
 	Sequences int
+	// Running is Sequences without the requests to a target that only generates whose
+	// prompts may still be queued elsewhere.
+	Running int
 	// Backlog is the prompt work not yet computed, in tokens.
 	Backlog float64
 	// Urgent is the part of it that belongs to urgent requests.
@@ -68,8 +71,14 @@
 		queued = max(1, int(float64(queued)*min(1, backlog/float64(work))))
 	}
 	sequences := report.Running + report.QueuedRequests + state.SentRequests - state.FinishedRequests
+	running := max(sequences, 0)
+	sequences = max(running, state.InFlight)
+	if report.Role != core.RoleDecode {
+		running = sequences
+	}
 	return Load{
-		Sequences: max(sequences, state.InFlight, 0),
+		Sequences: sequences,
+		Running:   running,
 		Backlog:   backlog,
 		Urgent:    min(backlog, UrgentAt(now, state)),
 		Queued:    queued,
@@ -77,6 +86,13 @@
 	}
 }
 
+// Settled returns the load as a request will find it that waits as long for its prompt as
+// those ahead of it: as many answers will have ended by then as began.
+func (l Load) Settled() Load {
+	l.Sequences = l.Running
+	return l
+}
+
 // UrgentAt returns the prompt work of urgent requests that is left at the given time.
 func UrgentAt(now core.Instant, state *core.TargetState) float64 {
 	return max(0, state.UrgentTokens-PrefillRate(state)*now.Sub(state.UrgentAt).Seconds())
