--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -21,8 +21,13 @@
 type Load struct {
 	// Sequences counts requests that are queued or running.
 	Sequences int
+	// Running is Sequences without the requests to a target that only generates whose
+	// prompts may still be queued elsewhere.
+	Running int
 	// Backlog is the prompt work not yet computed, in tokens.
 	Backlog float64
+	// Urgent is the part of it that belongs to urgent requests.
+	Urgent float64
 	// Queued estimates how many requests the backlog consists of.
 	Queued int
 	// KVUsed is the memory held by requests, in tokens.
@@ -66,21 +71,41 @@
 		queued = max(1, int(float64(queued)*min(1, backlog/float64(work))))
 	}
 	sequences := report.Running + report.QueuedRequests + state.SentRequests - state.FinishedRequests
+	running := max(sequences, 0)
+	sequences = max(running, state.InFlight)
+	if report.Role != core.RoleDecode {
+		running = sequences
+	}
 	return Load{
-		Sequences: max(sequences, state.InFlight, 0),
+		Sequences: sequences,
+		Running:   running,
 		Backlog:   backlog,
+		Urgent:    min(backlog, UrgentAt(now, state)),
 		Queued:    queued,
 		KVUsed:    report.KVUsed + state.SentPromptTokens,
 	}
 }
 
+// Settled returns the load as a request will find it that waits as long for its prompt as
+// those ahead of it: as many answers will have ended by then as began.
+func (l Load) Settled() Load {
+	l.Sequences = l.Running
+	return l
+}
+
+// UrgentAt returns the prompt work of urgent requests that is left at the given time.
+func UrgentAt(now core.Instant, state *core.TargetState) float64 {
+	return max(0, state.UrgentTokens-PrefillRate(state)*now.Sub(state.UrgentAt).Seconds())
+}
+
 // PrefillWait returns how long the request waits before its prompt is computed. An
-// urgent request goes to the head of the engine's queue and waits only for the prompt
-// under way, of which half is left on average.
+// urgent request passes the others and waits for the prompt under way, of which half is
+// left on average, and for the urgent ones ahead. Without the latter, all urgent requests
+// would go to the engine whose queue already consists of many short urgent prompts.
 func PrefillWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
 	backlog := load.Backlog
 	if req.Kind.Urgent && load.Queued > 0 {
-		backlog /= 2 * float64(load.Queued)
+		backlog = load.Urgent + (backlog-load.Urgent)/float64(2*load.Queued)
 	}
 	return seconds(backlog / PrefillRate(state))
 }
@@ -115,11 +140,46 @@
 	return time.Duration(float64(answer) * float64(deficit) / float64(load.KVUsed))
 }
 
+// urgentSlots is the part of an engine's slots, one in urgentSlots, that only urgent
+// requests are expected to find free.
+const urgentSlots = 16
+
+// SlotWait returns how long the request waits for a place in the batch. Places become
+// free as answers end, all of them in about the duration of one answer.
+func SlotWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
+	slots := state.Report.Slots
+	if slots <= 0 {
+		return 0
+	}
+	free := slots
+	if !req.Kind.Urgent {
+		free -= slots / urgentSlots
+	}
+	excess := load.Sequences + 1 - free
+	if excess <= 0 {
+		return 0
+	}
+	answer := Step(state, slots) * time.Duration(max(1, req.OutputTokens))
+	return time.Duration(float64(answer) * float64(excess) / float64(slots))
+}
+
+// mixedFactor is how much longer the time between tokens is on an engine that computes
+// prompts as well: a chunk of a prompt takes about as long as the step of a large batch.
+const mixedFactor = 2
+
+// interference returns the factor on the time between tokens that prompts cause.
+func interference(state *core.TargetState) time.Duration {
+	if state.Report.Role == core.RoleMixed && state.Report.QueuedPromptTokens+state.SentPromptTokens > 0 {
+		return mixedFactor
+	}
+	return 1
+}
+
 // Engine predicts the service of a request by one engine that holds prefixTokens of its
 // prompt in cache.
 func Engine(req *core.Request, state *core.TargetState, load Load, prefixTokens int) core.Estimate {
 	queue, prefill := Prefill(req, state, load, prefixTokens)
-	wait := MemoryWait(req, state, load, prefixTokens)
+	wait := max(MemoryWait(req, state, load, prefixTokens), SlotWait(req, state, load))
 	result := Decode(req, state, load, prefill+wait)
 	result.Queue = queue + wait
 	result.PrefixTokens = prefixTokens
@@ -129,7 +189,11 @@
 // Decode predicts the generation of an answer whose prompt is ready on the target after
 // the given delay.
 func Decode(req *core.Request, state *core.TargetState, load Load, ready time.Duration) core.Estimate {
-	step := Step(state, load.Sequences+1)
+	sequences := load.Sequences + 1
+	if slots := state.Report.Slots; slots > 0 {
+		sequences = min(sequences, slots)
+	}
+	step := Step(state, sequences) * interference(state)
 	result := core.Estimate{FirstToken: ready + step, BetweenTokens: step}
 	result.Total = result.FirstToken + step*time.Duration(max(0, req.OutputTokens-1))
 	return result
