--- a/core/configuration/document.go
+++ b/core/configuration/document.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"maps"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -46,57 +47,14 @@
 // applied to any revision.
 func (u Update) IsFull() bool { return u.From == 0 }
 
-type documentKey struct {
-	section Section
-	name    string
-}
-
-// documents returns every document of c in JSON.
-func documents(c core.Configuration) (map[documentKey]json.RawMessage, error) {
-	all := make(map[documentKey]json.RawMessage)
-	var failure error
-	add := func(section Section, name string, v any) {
-		value, err := json.Marshal(v)
-		if err != nil && failure == nil {
-			failure = errors.Wrapf(err, "%s.%s", section, name)
-		}
-		all[documentKey{section, name}] = value
-	}
-	for name, v := range c.Presets {
-		add(SectionPresets, name, v)
-	}
-	for name, v := range c.Policies {
-		add(SectionPolicies, name, v)
-	}
-	for name, v := range c.Kinds {
-		add(SectionKinds, string(name), v)
-	}
-	for _, v := range c.Targets {
-		add(SectionTargets, string(v.ID), v)
-	}
-	for name, v := range c.Organisations {
-		add(SectionOrganisations, string(name), v)
-	}
-	for name, drained := range c.Drained {
-		if drained {
-			add(SectionDrained, string(name), true)
-		}
-	}
-	return all, failure
-}
-
 // FullUpdate returns an update that holds all of c.
 func FullUpdate(c core.Configuration) (Update, error) {
-	all, err := documents(c)
-	if err != nil {
-		return Update{}, err
+	changes, err := difference(core.Configuration{}, c)
+	u := Update{Revision: c.Revision, PresetInForce: c.PresetInForce, Documents: make([]Document, len(changes))}
+	for i, change := range changes {
+		u.Documents[i] = Document{change.Section, change.Name, change.After}
 	}
-	u := Update{Revision: c.Revision, PresetInForce: c.PresetInForce}
-	for key, value := range all {
-		u.Documents = append(u.Documents, Document{key.section, key.name, value})
-	}
-	sortDocuments(u.Documents)
-	return u, nil
+	return u, err
 }
 
 // documentChange is a document before and after a change.
@@ -109,35 +67,75 @@
 
 // difference lists the documents that differ between two configurations.
 func difference(before, after core.Configuration) ([]documentChange, error) {
-	old, err := documents(before)
-	if err != nil {
-		return nil, err
-	}
-	updated, err := documents(after)
-	if err != nil {
-		return nil, err
-	}
-	var changes []documentChange
-	for key, value := range updated {
-		if !bytes.Equal(old[key], value) {
-			changes = append(changes, documentChange{key.section, key.name, old[key], value})
+	var d differ
+	compare(&d, SectionPresets, before.Presets, after.Presets)
+	compare(&d, SectionPolicies, before.Policies, after.Policies)
+	compare(&d, SectionKinds, before.Kinds, after.Kinds)
+	compare(&d, SectionTargets, targetsByID(before.Targets), targetsByID(after.Targets))
+	compare(&d, SectionOrganisations, before.Organisations, after.Organisations)
+	compare(&d, SectionDrained, onlyTrue(before.Drained), onlyTrue(after.Drained))
+	slices.SortFunc(d.changes, func(a, b documentChange) int {
+		return compareNames(a.Section, b.Section, a.Name, b.Name)
+	})
+	return d.changes, d.failure
+}
+
+type differ struct {
+	changes []documentChange
+	failure error
+}
+
+// compare adds the entries of a section that differ. Only these are encoded:
+// encoding all documents of the design size for every change would take 1% of a
+// core on the instance that accepts the changes.
+func compare[K ~string, V any](d *differ, section Section, before, after map[K]V) {
+	encode := func(name K, v V, ok bool) json.RawMessage {
+		if !ok {
+			return nil
+		}
+		value, err := json.Marshal(v)
+		if err != nil && d.failure == nil {
+			d.failure = errors.Wrapf(err, "%s.%s", section, name)
 		}
+		return value
 	}
-	for key, value := range old {
-		if _, ok := updated[key]; !ok {
-			changes = append(changes, documentChange{key.section, key.name, value, nil})
+	add := func(name K) {
+		old, had := before[name]
+		updated, has := after[name]
+		if had && has && reflect.DeepEqual(old, updated) {
+			return
+		}
+		change := documentChange{section, string(name), encode(name, old, had), encode(name, updated, has)}
+		if !bytes.Equal(change.Before, change.After) {
+			d.changes = append(d.changes, change)
+		}
+	}
+	for name := range after {
+		add(name)
+	}
+	for name := range before {
+		if _, ok := after[name]; !ok {
+			add(name)
 		}
 	}
-	slices.SortFunc(changes, func(a, b documentChange) int {
-		return compareNames(a.Section, b.Section, a.Name, b.Name)
-	})
-	return changes, nil
 }
 
-func sortDocuments(list []Document) {
-	slices.SortFunc(list, func(a, b Document) int {
-		return compareNames(a.Section, b.Section, a.Name, b.Name)
-	})
+func targetsByID(list []core.Target) map[core.TargetID]core.Target {
+	byID := make(map[core.TargetID]core.Target, len(list))
+	for _, t := range list {
+		byID[t.ID] = t
+	}
+	return byID
+}
+
+func onlyTrue(drained map[core.TargetID]bool) map[core.TargetID]bool {
+	only := make(map[core.TargetID]bool, len(drained))
+	for id, is := range drained {
+		if is {
+			only[id] = true
+		}
+	}
+	return only
 }
 
 func compareNames(sectionA, sectionB Section, nameA, nameB string) int {
@@ -188,10 +186,7 @@
 		return setEntry(&c.Drained, first, core.TargetID(d.Name), d.Value)
 	case SectionTargets:
 		if first {
-			e.targets = make(map[core.TargetID]core.Target, len(c.Targets))
-			for _, t := range c.Targets {
-				e.targets[t.ID] = t
-			}
+			e.targets = targetsByID(c.Targets)
 		}
 		return setEntry(&e.targets, false, core.TargetID(d.Name), d.Value)
 	}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -50,21 +51,26 @@
 	// minutes, because a member of a data centre of 113 probes each of the others
 	// about every two minutes.
 	IdleTimeout time.Duration
-	// HTTP replaces the HTTP client, for measuring.
-	HTTP connect.HTTPClient
+	// Dial replaces the dialer, for measuring.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Client calls other instances over HTTP/2.
+// Client calls other instances over HTTP/2. Each peer has its own transport, so
+// that the connection of a call without a reply can be replaced: a connection may
+// go silent for good while new ones work.
 type Client struct {
-	http  connect.HTTPClient
-	peers *lru.Cache[string, *procedures]
+	options ClientOptions
+	peers   *lru.Cache[string, *procedures]
 }
 
 var _ Transport = (*Client)(nil)
 
+type messageClient = connect.Client[membership.Message, membership.Message]
+
 // procedures are the clients for one peer.
 type procedures struct {
-	probe, indirect, digest *connect.Client[membership.Message, membership.Message]
+	transport               *http.Transport
+	probe, indirect, digest *messageClient
 	push                    *connect.Client[propagation.Push, propagation.PushReply]
 	pull                    *connect.Client[propagation.Pull, propagation.PullReply]
 	status                  *connect.Client[StatusRequest, propagation.StatusReply]
@@ -78,27 +84,18 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = 5 * time.Minute
 	}
-	if o.HTTP == nil {
-		o.HTTP = &http.Client{Transport: NewHTTPTransport(o.IdleTimeout)}
-	}
-	peers, err := lru.New[string, *procedures](o.Peers)
-	return &Client{http: o.HTTP, peers: peers}, errors.Wrap(err, "peer client")
+	peers, err := lru.NewWithEvict(o.Peers, func(_ string, p *procedures) { p.transport.CloseIdleConnections() })
+	return &Client{options: o, peers: peers}, errors.Wrap(err, "peer client")
 }
 
-// NewHTTPTransport returns an HTTP/2 transport for peers.
-func NewHTTPTransport(idle time.Duration) *http.Transport {
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.peers.Purge() }
+
+func (c *Client) newTransport() *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		Protocols:          &protocols,
-		IdleConnTimeout:    idle,
-		DisableCompression: true,
-		HTTP2: &http.HTTP2Config{
-			// A connection that went silent is closed, so that the next call opens
-			// a new one.
-			SendPingTimeout: 15 * time.Second,
-			PingTimeout:     2 * time.Second,
-		},
+		Protocols: &protocols, DialContext: c.options.Dial, IdleConnTimeout: c.options.IdleTimeout, DisableCompression: true,
 	}
 }
 
@@ -106,58 +103,72 @@
 	if p, ok := c.peers.Get(address); ok {
 		return p
 	}
+	transport := c.newTransport()
+	client := &http.Client{Transport: transport}
 	p := &procedures{
-		probe:    procedure[membership.Message, membership.Message](c, address, pathProbe),
-		indirect: procedure[membership.Message, membership.Message](c, address, pathIndirectProbe),
-		digest:   procedure[membership.Message, membership.Message](c, address, pathDigest),
-		push:     procedure[propagation.Push, propagation.PushReply](c, address, pathPush),
-		pull:     procedure[propagation.Pull, propagation.PullReply](c, address, pathPull),
-		status:   procedure[StatusRequest, propagation.StatusReply](c, address, pathStatus),
+		transport: transport,
+		probe:     procedure[membership.Message, membership.Message](client, address, pathProbe),
+		indirect:  procedure[membership.Message, membership.Message](client, address, pathIndirectProbe),
+		digest:    procedure[membership.Message, membership.Message](client, address, pathDigest),
+		push:      procedure[propagation.Push, propagation.PushReply](client, address, pathPush),
+		pull:      procedure[propagation.Pull, propagation.PullReply](client, address, pathPull),
+		status:    procedure[StatusRequest, propagation.StatusReply](client, address, pathStatus),
+	}
+	// Another call may have added the peer meanwhile.
+	if earlier, found, _ := c.peers.PeekOrAdd(address, p); found {
+		return earlier
 	}
-	c.peers.Add(address, p)
 	return p
 }
 
-func procedure[Request, Reply any](c *Client, address, path string) *connect.Client[Request, Reply] {
-	return connect.NewClient[Request, Reply](c.http, "http://"+address+path,
+func procedure[Request, Reply any](client *http.Client, address, path string) *connect.Client[Request, Reply] {
+	return connect.NewClient[Request, Reply](client, "http://"+address+path,
 		connect.WithCodec(Codec{}), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage))
 }
 
-func call[Request, Reply any](ctx context.Context, client *connect.Client[Request, Reply], request *Request) (Reply, error) {
-	reply, err := client.CallUnary(ctx, connect.NewRequest(request))
-	if err != nil {
-		var none Reply
-		return none, errors.Wrap(core.ErrUnavailable, err.Error())
+// call makes one call. Without a reply in time the peer gets a new connection.
+func call[Request, Reply any](
+	ctx context.Context, c *Client, address string,
+	choose func(*procedures) *connect.Client[Request, Reply], request *Request,
+) (Reply, error) {
+	p := c.peer(address)
+	reply, err := choose(p).CallUnary(ctx, connect.NewRequest(request))
+	if err == nil {
+		return *reply.Msg, nil
+	}
+	if current, ok := c.peers.Peek(address); ok && current == p && ctx.Err() != nil {
+		c.peers.Remove(address)
 	}
-	return *reply.Msg, nil
+	var none Reply
+	return none, errors.Wrap(core.ErrUnavailable, err.Error())
 }
 
 // Probe probes a peer.
 func (c *Client) Probe(ctx context.Context, address string, m membership.Message) (membership.Message, error) {
-	return call(ctx, c.peer(address).probe, &m)
+	return call(ctx, c, address, func(p *procedures) *messageClient { return p.probe }, &m)
 }
 
 // IndirectProbe asks a peer to probe another one.
 func (c *Client) IndirectProbe(ctx context.Context, address string, m membership.Message) (membership.Message, error) {
-	return call(ctx, c.peer(address).indirect, &m)
+	return call(ctx, c, address, func(p *procedures) *messageClient { return p.indirect }, &m)
 }
 
 // Digest compares views with a peer.
 func (c *Client) Digest(ctx context.Context, address string, m membership.Message) (membership.Message, error) {
-	return call(ctx, c.peer(address).digest, &m)
+	return call(ctx, c, address, func(p *procedures) *messageClient { return p.digest }, &m)
 }
 
 // Push sends updates of the configuration to a peer.
 func (c *Client) Push(ctx context.Context, address string, p propagation.Push) (propagation.PushReply, error) {
-	return call(ctx, c.peer(address).push, &p)
+	return call(ctx, c, address, func(p *procedures) *connect.Client[propagation.Push, propagation.PushReply] { return p.push }, &p)
 }
 
 // Pull fetches updates of the configuration from a peer.
 func (c *Client) Pull(ctx context.Context, address string, p propagation.Pull) (propagation.PullReply, error) {
-	return call(ctx, c.peer(address).pull, &p)
+	return call(ctx, c, address, func(p *procedures) *connect.Client[propagation.Pull, propagation.PullReply] { return p.pull }, &p)
 }
 
 // Status asks a peer for the revisions in force in its data centre.
 func (c *Client) Status(ctx context.Context, address string) (propagation.StatusReply, error) {
-	return call(ctx, c.peer(address).status, &StatusRequest{})
+	return call(ctx, c, address, func(p *procedures) *connect.Client[StatusRequest, propagation.StatusReply] { return p.status }, &StatusRequest{})
 }
--- a/standin/fleet/instance.go
+++ b/standin/fleet/instance.go
@@ -23,6 +23,7 @@
 	Isolation *configuration.Isolation
 
 	fleet   *Fleet
+	store   *configuration.Store
 	running bool
 	// process counts starts: events of an earlier process are dropped.
 	process     int
@@ -70,7 +71,7 @@
 
 // Propose proposes a change through this instance.
 func (i *Instance) Propose(seen core.Revision, operation configuration.Operation) configuration.Proposal {
-	p := i.fleet.store.Propose(context.Background(), seen, configuration.Change{
+	p := i.store.Propose(context.Background(), seen, configuration.Change{
 		Operation: operation, Operator: string(i.ID),
 	})
 	if p.Kind == configuration.ProposalAccepted {
@@ -88,6 +89,7 @@
 	if i.ignoreRevisions {
 		i.Applier.IgnoreRevisions()
 	}
+	i.store = configuration.NewStore(configuration.Options{Table: f.table, Attempts: f.attempt, InForce: i.Applier})
 	i.Isolation = configuration.NewIsolation(i.Applier)
 	i.Node = propagation.NewNode(propagation.Options{
 		Self: i.Record, Random: rand.New(rand.NewPCG(f.rng.Uint64(), 0)),
