--- a/core/configuration/isolation.go
+++ b/core/configuration/isolation.go
@@ -30,11 +30,17 @@
 // NewIsolation returns the rule for an applier.
 func NewIsolation(a *Applier) *Isolation { return &Isolation{applier: a} }
 
-// Heard notes a contact with the store or a peer that knows the given revision.
-// A contact that knows a newer revision than is in force does not confirm it.
-func (i *Isolation) Heard(now core.Instant, known core.Revision) {
-	if known <= i.applier.Revision() {
-		i.confirmed.Store(int64(now) + 1)
+// Heard notes a contact with the store or a peer at the given time, when the given
+// revision was the newest known. A contact does not confirm an older revision.
+func (i *Isolation) Heard(at core.Instant, known core.Revision) {
+	if known > i.applier.Revision() {
+		return
+	}
+	for {
+		last := i.confirmed.Load()
+		if int64(at) < last || i.confirmed.CompareAndSwap(last, int64(at)+1) {
+			return
+		}
 	}
 }
 
--- a/core/membership/addresses.go
+++ b/core/membership/addresses.go
@@ -71,6 +71,9 @@
 	return p.view.selected(func(r Record) bool { return p.isPeer(r) && r.Status != StatusLeaving })
 }
 
+// LocalCount returns the number of members of the own data centre.
+func (p *Protocol) LocalCount() int { return p.view.local() }
+
 // IsReachable reports whether a record's data centre answers digests.
 func (p *Protocol) IsReachable(r Record) bool { return !p.view.isLost(r.DataCentre) }
 
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -59,7 +59,7 @@
 // HandleDigest answers a digest.
 func (p *Protocol) HandleDigest(now core.Instant, m Message) Message {
 	p.receive(now, m)
-	reply := p.message(now, m.From)
+	reply := p.reply(now, m.From)
 	reply.Hashes = maps.Clone(p.view.hashes)
 	if !m.Want {
 		return reply
--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -52,6 +52,8 @@
 // Message is the body of probes, indirect probes and digests and of their
 // replies. Unused fields are not encoded.
 type Message struct {
+	// From is the sender's own record. A reply leaves out what the caller knows
+	// from having called: the address and the data centre.
 	From Record `cbor:"1,keyasint"`
 	// Applied is the configuration revision in force on the sender.
 	Applied core.Revision `cbor:"2,keyasint,omitempty"`
@@ -61,7 +63,7 @@
 	Head      core.Revision `cbor:"3,keyasint,omitempty"`
 	HeadAgeMs uint32        `cbor:"4,keyasint,omitempty"`
 	// View is a hash over the sender's records.
-	View    uint64   `cbor:"5,keyasint,omitempty"`
+	View    uint32   `cbor:"5,keyasint,omitempty"`
 	Updates []Record `cbor:"6,keyasint,omitempty"`
 	// Target and Address say whom an indirect probe is for; Reached answers it.
 	Target  core.InstanceID `cbor:"7,keyasint,omitempty"`
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -17,7 +17,7 @@
 func (p *Protocol) HandleProbe(now core.Instant, m Message) Message {
 	p.receive(now, m)
 	p.compareViews(now, m)
-	return p.message(now, m.From)
+	return p.reply(now, m.From)
 }
 
 // HandleIndirectProbe returns the probe to make for another member, whose
@@ -30,13 +30,14 @@
 
 // AnswerIndirectProbe answers an indirect probe.
 func (p *Protocol) AnswerIndirectProbe(now core.Instant, m Message, reached bool) Message {
-	reply := p.message(now, m.From)
+	reply := p.reply(now, m.From)
 	reply.Reached = reached
 	return reply
 }
 
 // Replied takes in the reply to a call.
 func (p *Protocol) Replied(now core.Instant, call Call, reply Message) {
+	reply.From.Address, reply.From.DataCentre = call.To.Address, call.To.DataCentre
 	p.receive(now, reply)
 	switch call.Kind {
 	case CallProbe:
--- a/core/membership/protocol.go
+++ b/core/membership/protocol.go
@@ -232,6 +232,13 @@
 	return m
 }
 
+// reply returns a message to a caller.
+func (p *Protocol) reply(now core.Instant, to Record) Message {
+	m := p.message(now, to)
+	m.From.Address, m.From.DataCentre = "", ""
+	return m
+}
+
 // receive takes in what every message carries.
 func (p *Protocol) receive(now core.Instant, m Message) {
 	p.learn(now, m.From)
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -97,12 +97,14 @@
 	}
 }
 
-func (v *view) hash() uint64 {
+// hash returns a short hash over all records. One in 4 billion differences stays
+// unseen until the next change.
+func (v *view) hash() uint32 {
 	var h uint64
 	for _, x := range v.hashes {
 		h ^= x
 	}
-	return h
+	return uint32(h)
 }
 
 func (v *view) members() int {
--- a/core/propagation/done.go
+++ b/core/propagation/done.go
@@ -7,6 +7,16 @@
 
 // Done takes in the outcome of a call and returns further calls.
 func (n *Node) Done(now core.Instant, call Call, result Result) []Call {
+	calls := n.done(now, call, result)
+	if result.Err == nil {
+		// A contact is as old as its call. Requests of peers and the receipt of
+		// replies are not: they may have waited while this process was paused.
+		n.Isolation.Heard(call.began, n.head)
+	}
+	return calls
+}
+
+func (n *Node) done(now core.Instant, call Call, result Result) []Call {
 	switch call.Kind {
 	case CallMember:
 		return n.memberDone(now, call, result)
@@ -32,7 +42,7 @@
 	case CallLoad:
 		n.fetching = false
 		if result.Err == nil {
-			return n.loaded(now, result.Configuration)
+			n.loaded(result.Configuration)
 		}
 	}
 	return nil
@@ -40,8 +50,9 @@
 
 func (n *Node) memberDone(now core.Instant, call Call, result Result) []Call {
 	if result.Err != nil {
-		return wrap(n.members.Failed(now, call.Member))
+		return wrap(now, n.members.Failed(now, call.Member))
 	}
+	result.Message.From.Address, result.Message.From.DataCentre = call.To.Address, call.To.DataCentre
 	n.heard(now, result.Message)
 	n.members.Replied(now, call.Member, result.Message)
 	return nil
@@ -51,13 +62,12 @@
 func (n *Node) pushDone(now core.Instant, call Call, result Result) []Call {
 	if result.Err == nil {
 		n.applied[call.To.ID] = max(n.applied[call.To.ID], result.Push.Applied)
-		n.Isolation.Heard(now, n.head)
 		return nil
 	}
 	if len(call.others) == 0 {
 		return nil
 	}
-	return []Call{pushTo(call.Push, call.others)}
+	return []Call{pushTo(now, call.Push, call.others)}
 }
 
 // headRead takes in a head poll and reads what is missing.
@@ -66,26 +76,25 @@
 	// The head was current at some time after the poll began.
 	n.confirmed = max(n.confirmed, began)
 	applied := n.Applier.Revision()
-	n.Isolation.Heard(began, n.head)
 	if head <= applied || n.fetching {
 		return nil
 	}
 	if applied > 0 && head-applied <= maxDelta {
 		n.fetching = true
-		return []Call{{Kind: CallUpdates, Timeout: storeTimeout, After: applied, Until: head}}
+		return []Call{{Kind: CallUpdates, Timeout: storeTimeout, After: applied, Until: head, began: now}}
 	}
 	// A whole configuration is read from a peer where possible. Only readers, and
 	// others after some time, load it from the store.
 	if n.ahead.revision > applied {
 		n.fetching = true
-		return []Call{n.pull(n.ahead.peer)}
+		return []Call{n.pull(now, n.ahead.peer)}
 	}
 	if !n.IsReader() && now < n.loadAfter {
 		n.nextPoll = n.loadAfter
 		return nil
 	}
 	n.fetching = true
-	return []Call{{Kind: CallLoad, Timeout: storeTimeout}}
+	return []Call{{Kind: CallLoad, Timeout: storeTimeout, began: now}}
 }
 
 // fetched applies updates that this node read itself. A reader passes them on.
@@ -93,21 +102,20 @@
 	before := n.Applier.Revision()
 	n.apply(updates)
 	after := n.Applier.Revision()
-	n.Isolation.Heard(now, n.head)
 	if after == before {
 		n.ahead = ahead{}
 		return nil
 	}
-	if !n.IsReader() && !n.pushNext {
+	// A whole configuration is only for this node: the others are as far as they
+	// were, and pull what they lack.
+	if updates[0].IsFull() || !n.IsReader() && !n.pushNext {
 		return nil
 	}
 	n.pushNext = false
-	return n.forward(Push{Updates: updates})
+	return n.forward(now, Push{Updates: updates})
 }
 
-func (n *Node) loaded(now core.Instant, c core.Configuration) []Call {
+func (n *Node) loaded(c core.Configuration) {
 	n.Applier.ApplyConfiguration(c)
 	n.kept = nil
-	n.Isolation.Heard(now, n.head)
-	return nil
 }
--- a/core/propagation/handle.go
+++ b/core/propagation/handle.go
@@ -27,7 +27,7 @@
 // HandleIndirectProbe returns the probe to make for another member.
 func (n *Node) HandleIndirectProbe(now core.Instant, m membership.Message) Call {
 	n.heard(now, m)
-	return wrap([]membership.Call{n.members.HandleIndirectProbe(now, m)})[0]
+	return wrap(now, []membership.Call{n.members.HandleIndirectProbe(now, m)})[0]
 }
 
 // AnswerIndirectProbe answers an indirect probe.
@@ -44,7 +44,7 @@
 	n.apply(p.Updates)
 	n.applied[p.From.ID] = max(n.applied[p.From.ID], newest)
 	n.knows(now, p.From, newest, newest, 0)
-	return PushReply{Applied: n.Applier.Revision()}, n.forward(p)
+	return PushReply{Applied: n.Applier.Revision()}, n.forward(now, p)
 }
 
 // HandlePull answers a pull with the updates that the peer lacks.
@@ -110,7 +110,7 @@
 
 // forward splits the range of a push into parts and sends each to its first
 // member.
-func (n *Node) forward(p Push) []Call {
+func (n *Node) forward(now core.Instant, p Push) []Call {
 	list := n.leaves(p)
 	var calls []Call
 	parts := min(fanOut, len(list))
@@ -121,17 +121,17 @@
 			push.Before = list[last].key
 		}
 		part := list[first:last]
-		calls = append(calls, pushTo(push, part[:min(pushTries, len(part))]))
+		calls = append(calls, pushTo(now, push, part[:min(pushTries, len(part))]))
 	}
 	return calls
 }
 
-func pushTo(push Push, candidates []leaf) Call {
+func pushTo(now core.Instant, push Push, candidates []leaf) Call {
 	push.After = candidates[0].key
-	return Call{Kind: CallPush, To: candidates[0].Record, Timeout: pushTimeout, Push: push, others: candidates[1:]}
+	return Call{Kind: CallPush, To: candidates[0].Record, Timeout: pushTimeout, Push: push, others: candidates[1:], began: now}
 }
 
-func (n *Node) pull(from membership.Record) Call {
+func (n *Node) pull(now core.Instant, from membership.Record) Call {
 	request := Pull{From: n.members.Self(), Applied: n.Applier.Revision()}
-	return Call{Kind: CallPull, To: from, Timeout: pullTimeout, Pull: request}
+	return Call{Kind: CallPull, To: from, Timeout: pullTimeout, Pull: request, began: now}
 }
--- a/core/propagation/message.go
+++ b/core/propagation/message.go
@@ -35,6 +35,12 @@
 	Updates []configuration.Update `cbor:"1,keyasint,omitempty"`
 }
 
+// StatusRequest asks for revisions in force.
+type StatusRequest struct {
+	// Own asks only for the receiver's own revision.
+	Own bool `cbor:"1,keyasint,omitempty"`
+}
+
 // StatusReply holds the revisions in force on members of the receiver's data
 // centre, as far as they have told it.
 type StatusReply struct {
--- a/core/propagation/node.go
+++ b/core/propagation/node.go
@@ -21,10 +21,12 @@
 	FollowerInterval = 8 * time.Second
 	// pollJitter keeps followers from polling at the same time after an outage.
 	pollJitter = 2 * time.Second
-	// reportSpacing bounds the reports of an instance while changes come fast, and
-	// reportInterval is their distance without changes.
-	reportSpacing  = 2 * time.Second
-	reportInterval = 8 * time.Second
+	// reportSpacing is the least time between two reports of an instance, and
+	// reportInterval their distance without changes. In large data centres the
+	// spacing grows, so that a reader gets at most three reports per second.
+	reportSpacing    = 2 * time.Second
+	reportInterval   = 8 * time.Second
+	reportsPerSecond = 3 * membership.Delegates
 	// pullGrace is the time that a push gets to arrive before a pull. A push takes
 	// five levels at the design size and 0.5 s per dead member on its path.
 	pullGrace = 700 * time.Millisecond
@@ -111,17 +113,17 @@
 	if !n.started {
 		n.start(now)
 	}
-	calls := wrap(n.members.Tick(now))
+	calls := wrap(now, n.members.Tick(now))
 	if call, due := n.poll(now); due {
 		calls = append(calls, call)
 	}
 	if a := n.ahead; a.revision > n.Applier.Revision() && now >= a.pullAt && !n.fetching {
 		n.fetching = true
-		calls = append(calls, n.pull(a.peer))
+		calls = append(calls, n.pull(now, a.peer))
 	}
 	if to, due := n.reportTo(now); due {
 		n.lastReport, n.reported = now, n.Applier.Revision()
-		calls = append(calls, wrap([]membership.Call{n.members.Report(now, to)})...)
+		calls = append(calls, wrap(now, []membership.Call{n.members.Report(now, to)})...)
 	}
 	return calls
 }
@@ -168,7 +170,7 @@
 }
 
 // Leave announces that this instance leaves.
-func (n *Node) Leave(now core.Instant) []Call { return wrap(n.members.Leave(now)) }
+func (n *Node) Leave(now core.Instant) []Call { return wrap(now, n.members.Leave(now)) }
 
 // Readers returns the readers of all data centres without this node.
 func (n *Node) Readers() []membership.Record {
@@ -187,7 +189,8 @@
 // divide themselves among the readers by rendezvous hashing.
 func (n *Node) reportTo(now core.Instant) (membership.Record, bool) {
 	since := now.Sub(n.lastReport)
-	if since < reportSpacing || n.reported == n.Applier.Revision() && since < reportInterval || n.IsReader() {
+	spacing := max(reportSpacing, time.Duration(n.members.LocalCount())*time.Second/reportsPerSecond)
+	if since < spacing || n.reported == n.Applier.Revision() && since < reportInterval || n.IsReader() {
 		return membership.Record{}, false
 	}
 	var best membership.Record
@@ -215,7 +218,6 @@
 // knows notes that a peer has a revision in force and which head it knows.
 func (n *Node) knows(now core.Instant, peer membership.Record, applied, head core.Revision, grace time.Duration) {
 	n.head = max(n.head, head)
-	n.Isolation.Heard(now, n.head)
 	if applied <= n.Applier.Revision() {
 		return
 	}
@@ -235,22 +237,31 @@
 	Missing  []core.InstanceID
 }
 
-// InForceOn merges the replies of readers with what this node knows itself. A
-// member that nobody has heard about the revision from counts as missing.
-func (n *Node) InForceOn(revision core.Revision, replies []StatusReply) InForceOn {
+// Unconfirmed returns the members that nobody has heard about the revision from,
+// and how many members there are. Leaving members do not count.
+func (n *Node) Unconfirmed(revision core.Revision, replies []StatusReply) ([]membership.Record, int) {
 	replies = append(slices.Clip(replies), n.HandleStatus())
-	answer := InForceOn{Revision: revision}
+	var missing []membership.Record
+	total := 0
 	for _, r := range n.members.Members() {
 		if r.Status == membership.StatusLeaving {
 			continue
 		}
-		answer.Total++
-		if slices.ContainsFunc(replies, func(s StatusReply) bool { return s.Applied[r.ID] >= revision }) {
-			answer.Applied++
-		} else {
-			answer.Missing = append(answer.Missing, r.ID)
+		total++
+		if !slices.ContainsFunc(replies, func(s StatusReply) bool { return s.Applied[r.ID] >= revision }) {
+			missing = append(missing, r)
 		}
 	}
+	return missing, total
+}
+
+// InForceOn merges the replies of members with what this node knows itself.
+func (n *Node) InForceOn(revision core.Revision, replies []StatusReply) InForceOn {
+	missing, total := n.Unconfirmed(revision, replies)
+	answer := InForceOn{Revision: revision, Applied: total - len(missing), Total: total}
+	for _, r := range missing {
+		answer.Missing = append(answer.Missing, r.ID)
+	}
 	return answer
 }
 
@@ -273,10 +284,10 @@
 	return reply
 }
 
-func wrap(list []membership.Call) []Call {
+func wrap(now core.Instant, list []membership.Call) []Call {
 	calls := make([]Call, len(list))
 	for i, c := range list {
-		calls[i] = Call{Kind: CallMember, To: c.To, Timeout: c.Timeout, Member: c}
+		calls[i] = Call{Kind: CallMember, To: c.To, Timeout: c.Timeout, Member: c, began: now}
 	}
 	return calls
 }
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -29,9 +29,6 @@
 // about 2 MB.
 const maxMessage = 16 << 20
 
-// StatusRequest asks for the revisions in force in a data centre.
-type StatusRequest struct{}
-
 // Transport makes calls to other instances. A call ends by its context's
 // deadline; an error means that no reply arrived.
 type Transport interface {
@@ -40,7 +37,7 @@
 	Digest(ctx context.Context, address string, m membership.Message) (membership.Message, error)
 	Push(ctx context.Context, address string, p propagation.Push) (propagation.PushReply, error)
 	Pull(ctx context.Context, address string, p propagation.Pull) (propagation.PullReply, error)
-	Status(ctx context.Context, address string) (propagation.StatusReply, error)
+	Status(ctx context.Context, address string, r propagation.StatusRequest) (propagation.StatusReply, error)
 }
 
 // ClientOptions are the settings of a Client.
@@ -73,7 +70,7 @@
 	probe, indirect, digest *messageClient
 	push                    *connect.Client[propagation.Push, propagation.PushReply]
 	pull                    *connect.Client[propagation.Pull, propagation.PullReply]
-	status                  *connect.Client[StatusRequest, propagation.StatusReply]
+	status                  *connect.Client[propagation.StatusRequest, propagation.StatusReply]
 }
 
 // NewClient returns a client. It opens connections when they are needed.
@@ -112,7 +109,7 @@
 		digest:    procedure[membership.Message, membership.Message](client, address, pathDigest),
 		push:      procedure[propagation.Push, propagation.PushReply](client, address, pathPush),
 		pull:      procedure[propagation.Pull, propagation.PullReply](client, address, pathPull),
-		status:    procedure[StatusRequest, propagation.StatusReply](client, address, pathStatus),
+		status:    procedure[propagation.StatusRequest, propagation.StatusReply](client, address, pathStatus),
 	}
 	// Another call may have added the peer meanwhile.
 	if earlier, found, _ := c.peers.PeekOrAdd(address, p); found {
@@ -168,7 +165,9 @@
 	return call(ctx, c, address, func(p *procedures) *connect.Client[propagation.Pull, propagation.PullReply] { return p.pull }, &p)
 }
 
-// Status asks a peer for the revisions in force in its data centre.
-func (c *Client) Status(ctx context.Context, address string) (propagation.StatusReply, error) {
-	return call(ctx, c, address, func(p *procedures) *connect.Client[StatusRequest, propagation.StatusReply] { return p.status }, &StatusRequest{})
+// Status asks a peer for revisions in force.
+func (c *Client) Status(ctx context.Context, address string, r propagation.StatusRequest) (propagation.StatusReply, error) {
+	return call(ctx, c, address, func(p *procedures) *connect.Client[propagation.StatusRequest, propagation.StatusReply] {
+		return p.status
+	}, &r)
 }
--- a/io/peer/client_test.go
+++ b/io/peer/client_test.go
@@ -46,7 +46,7 @@
 	return propagation.PullReply{Updates: []configuration.Update{{From: p.Applied, Revision: p.Applied + 1}}}, nil
 }
 
-func (e echo) Status(context.Context) (propagation.StatusReply, error) {
+func (e echo) Status(context.Context, propagation.StatusRequest) (propagation.StatusReply, error) {
 	return propagation.StatusReply{Applied: map[core.InstanceID]core.Revision{"i": 4}}, nil
 }
 
@@ -85,7 +85,7 @@
 	if err != nil || len(pull.Updates) != 1 || pull.Updates[0].Revision != 7 {
 		t.Errorf("pull: %+v, %v", pull, err)
 	}
-	if status, err := client.Status(ctx, address); err != nil || status.Applied["i"] != 4 {
+	if status, err := client.Status(ctx, address, propagation.StatusRequest{}); err != nil || status.Applied["i"] != 4 {
 		t.Errorf("status: %+v, %v", status, err)
 	}
 	bounded, cancel := context.WithTimeout(ctx, 30*time.Millisecond)
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -17,7 +17,7 @@
 	Digest(ctx context.Context, m membership.Message) (membership.Message, error)
 	Push(ctx context.Context, p propagation.Push) (propagation.PushReply, error)
 	Pull(ctx context.Context, p propagation.Pull) (propagation.PullReply, error)
-	Status(ctx context.Context) (propagation.StatusReply, error)
+	Status(ctx context.Context, r propagation.StatusRequest) (propagation.StatusReply, error)
 }
 
 // NewHandler returns the HTTP handler of a server. Mount it at "/gorseline.Peer/".
@@ -28,9 +28,7 @@
 	handle(mux, pathDigest, s.Digest)
 	handle(mux, pathPush, s.Push)
 	handle(mux, pathPull, s.Pull)
-	handle(mux, pathStatus, func(ctx context.Context, _ StatusRequest) (propagation.StatusReply, error) {
-		return s.Status(ctx)
-	})
+	handle(mux, pathStatus, s.Status)
 	return mux
 }
 
--- a/io/peer/member.go
+++ b/io/peer/member.go
@@ -22,8 +22,10 @@
 	// callLimit bounds calls under way. A call above it fails at once and is
 	// counted; gossip and pulls repair what it would have carried.
 	callLimit = 64
-	// statusTimeout bounds the wait for one reader's status.
-	statusTimeout = time.Second
+	// statusTimeout bounds the wait for the statuses of many members, statusCalls
+	// how many are asked at once.
+	statusTimeout = 2 * time.Second
+	statusCalls   = 64
 )
 
 // MemberOptions are the parts of a Member.
--- a/io/peer/member_test.go
+++ b/io/peer/member_test.go
@@ -72,8 +72,8 @@
 	return send(ctx, t, to, func(s peer.Server) (propagation.PullReply, error) { return s.Pull(ctx, p) })
 }
 
-func (t transport) Status(ctx context.Context, to string) (propagation.StatusReply, error) {
-	return send(ctx, t, to, func(s peer.Server) (propagation.StatusReply, error) { return s.Status(ctx) })
+func (t transport) Status(ctx context.Context, to string, r propagation.StatusRequest) (propagation.StatusReply, error) {
+	return send(ctx, t, to, func(s peer.Server) (propagation.StatusReply, error) { return s.Status(ctx, r) })
 }
 
 type lister []core.ListedInstance
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -56,8 +56,12 @@
 	return m.node.HandlePull(p), nil
 }
 
-// Status answers which revisions are in force in this data centre.
-func (m *Member) Status(context.Context) (propagation.StatusReply, error) {
+// Status answers which revisions are in force here or in this data centre.
+func (m *Member) Status(_ context.Context, r propagation.StatusRequest) (propagation.StatusReply, error) {
+	if r.Own {
+		own := map[core.InstanceID]core.Revision{m.options.Self.ID: m.options.Applier.Revision()}
+		return propagation.StatusReply{Applied: own}, nil
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.node.HandleStatus(), nil
@@ -100,28 +104,42 @@
 	return p
 }
 
-// InForceOn asks the readers of all data centres where a revision is in force.
-// Members whose readers do not answer count as missing.
+// InForceOn tells where a revision is in force. It asks the readers of all data
+// centres, and then directly the members that those have not heard from yet.
+// Members that do not answer count as missing.
 func (m *Member) InForceOn(ctx context.Context, revision core.Revision) propagation.InForceOn {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
 	m.mu.Lock()
 	readers := m.node.Readers()
 	m.mu.Unlock()
-	replies := make([]propagation.StatusReply, len(readers))
+	replies := m.statuses(ctx, readers, propagation.StatusRequest{})
+	m.mu.Lock()
+	unconfirmed, _ := m.node.Unconfirmed(revision, replies)
+	m.mu.Unlock()
+	replies = append(replies, m.statuses(ctx, unconfirmed, propagation.StatusRequest{Own: true})...)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.InForceOn(revision, replies)
+}
+
+// statuses asks members at the same time, a bounded number at once.
+func (m *Member) statuses(ctx context.Context, members []membership.Record, request propagation.StatusRequest) []propagation.StatusReply {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	replies := make([]propagation.StatusReply, len(members))
+	slots := make(chan struct{}, statusCalls)
 	var calls sync.WaitGroup
-	for i, r := range readers {
+	for i, r := range members {
+		slots <- struct{}{}
 		calls.Go(func() {
-			reply, err := m.options.Transport.Status(ctx, r.Address)
+			defer func() { <-slots }()
+			reply, err := m.options.Transport.Status(ctx, r.Address, request)
 			if err != nil {
-				m.options.Log.WithError(err).WithField("reader", r.ID).Warn("propagation: status not read, its members count as missing")
+				m.options.Log.WithError(err).WithField("instance", r.ID).Warn("propagation: status not read")
 				return
 			}
 			replies[i] = reply
 		})
 	}
 	calls.Wait()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.node.InForceOn(revision, replies)
+	return replies
 }
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -308,6 +308,29 @@
 	}
 }
 
+// Guards against an instance that wakes from a long pause and takes new work under
+// its old revision, because messages that waited look like fresh contacts.
+func TestPausedInstanceCatchesUpBeforeItTakesWork(t *testing.T) {
+	f := running(t, 12, 3)
+	paused := f.Instances()[4]
+	const pause = 12 * time.Second
+	// The pause begins while a reply is on its way.
+	before := paused.Traffic().Requests
+	f.RunUntil(5*time.Second, func() bool { return paused.Traffic().Requests > before })
+	paused.Pause(pause)
+	f.Run(10 * time.Millisecond)
+	revision := mustAccept(t, f.Instances()[0].Propose(1, configuration.SwitchPreset{Name: "Peak"}))
+	// A paused process takes no work, so only what it would do after waking counts.
+	f.Run(pause - 20*time.Millisecond)
+	if took, ok := f.RunUntil(time.Second, func() bool { return paused.Ready().Ready && paused.Applier.Revision() < revision }); ok {
+		t.Errorf("ready under the old revision %s after waking", took)
+	}
+	took, ok := f.RunUntil(5*time.Second, func() bool { return paused.Ready().Ready })
+	if !ok || paused.Applier.Revision() != revision {
+		t.Errorf("%s after waking: ready %v, revision %d", took, ok, paused.Applier.Revision())
+	}
+}
+
 // Guards against an instance that can't start while the store is down although
 // its peers have the configuration, and against one that starts with nothing.
 func TestStartWithoutTheStore(t *testing.T) {
