--- /dev/null
+++ b/cmd/commands/demo.go
@@ -0,0 +1,114 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gorseline/cmd/demo"
+)
+
+type demoCommand struct {
+	Deployment string        `long:"deployment" env:"DEMO_DEPLOYMENT" description:"Sample to run" choice:"ledgerpeach" choice:"kreditschutz" default:"ledgerpeach"`
+	Format     string        `long:"format" env:"DEMO_FORMAT" description:"Format of the account" choice:"table" choice:"json" default:"table"`
+	Rounds     int           `long:"rounds" env:"DEMO_ROUNDS" description:"How often the sample is sent" default:"4"`
+	Duration   time.Duration `long:"duration" env:"DEMO_DURATION" description:"Time over which the requests are sent" default:"8s"`
+	Keep       bool          `long:"keep" env:"DEMO_KEEP" description:"Stay up until interrupted and print the addresses"`
+	Verbose    bool          `long:"verbose" env:"DEMO_VERBOSE" description:"Show the instances' log lines"`
+}
+
+func init() {
+	register("demo", "Run everything on loopback and print an account",
+		"Runs stand-ins and two instances in one process, sends sample requests, switches the preset in the middle, "+
+			"lets an instance leave while streams run, and exits with 0 only if nothing was cut, doubled or lost.",
+		&demoCommand{})
+}
+
+// demoSeed fixes the order of the requests.
+const demoSeed = 1
+
+// Execute runs the demonstration.
+func (c *demoCommand) Execute([]string) error {
+	if c.Rounds < 1 || c.Rounds > 100 {
+		return invalidSetting("--rounds", c.Rounds, "1 to 100")
+	}
+	if c.Duration < time.Second || c.Duration > 5*time.Minute {
+		return invalidSetting("--duration", c.Duration, "1s to 5m")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	logs := io.Discard
+	if c.Verbose {
+		logs = os.Stderr
+	}
+	run, err := demo.Start(ctx, demo.Options{
+		Deployment: c.Deployment, Rounds: c.Rounds, Duration: c.Duration, Seed: demoSeed,
+		Progress: os.Stderr, Logs: logs,
+	})
+	if err != nil {
+		return failure{err}
+	}
+	defer run.Stop()
+	account, err := run.Play(ctx)
+	if err != nil {
+		return failure{err}
+	}
+	if err := c.print(account); err != nil {
+		return failure{err}
+	}
+	if !account.Passed() {
+		return failure{errors.New("something was cut, doubled, lost or left unknown")}
+	}
+	if c.Keep {
+		c.keep(ctx, run)
+	}
+	return nil
+}
+
+func (c *demoCommand) print(a demo.Account) error {
+	if c.Format == "json" {
+		data, err := json.Marshal(a)
+		fmt.Fprintln(os.Stdout, string(data))
+		return err
+	}
+	for _, row := range []struct {
+		name  string
+		value int
+	}{
+		{"sent", a.Sent},
+		{"in time", a.InTime},
+		{"late", a.Late},
+		{"refused, not run", a.NotRun},
+		{"cut", a.Cut},
+		{"unknown", a.Unknown},
+		{"effects once", a.EffectsOnce},
+		{"effects doubled", a.EffectsDoubled},
+		{"effects lost", a.EffectsLost},
+		{"effects unreported", a.EffectsUnreported},
+		{"role changes", a.RoleChanges},
+		{"preset switches", a.PresetSwitches},
+	} {
+		fmt.Fprintf(os.Stdout, "%-20s %5d\n", row.name, row.value)
+	}
+	for _, p := range a.Problems {
+		fmt.Fprintln(os.Stdout, "  ", p)
+	}
+	return nil
+}
+
+func (c *demoCommand) keep(ctx context.Context, run *demo.Run) {
+	for _, address := range run.CallersAddresses() {
+		fmt.Fprintf(os.Stdout, "Callers=http://%s\n", address)
+	}
+	for _, address := range run.OperatorsAddresses() {
+		fmt.Fprintf(os.Stdout, "Operators=http://%s\n", address)
+	}
+	<-ctx.Done()
+}
--- a/cmd/commands/main.go
+++ b/cmd/commands/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+
+	"gorseline/core"
 )
 
 // Exit codes of the binary.
@@ -62,3 +64,8 @@
 	}
 	return exitUsage
 }
+
+// invalidSetting returns the one line for a setting with a value that isn't accepted.
+func invalidSetting(name string, value any, accepted string) error {
+	return &core.InvalidValueError{Path: name, Value: fmt.Sprint(value), Accepted: []string{accepted}}
+}
--- /dev/null
+++ b/cmd/commands/serve.go
@@ -0,0 +1,51 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"gorseline/cmd/instance"
+)
+
+type serveCommand struct{ instance.Settings }
+
+func init() {
+	register("serve", "Run one instance",
+		"Runs one entry instance until SIGTERM or SIGINT, which start a graceful shutdown. "+
+			"A second signal ends the process at once.", &serveCommand{})
+}
+
+// Execute runs the instance.
+func (c *serveCommand) Execute([]string) error {
+	if err := c.Validate(); err != nil {
+		return err
+	}
+	running, err := instance.New(c.Settings, os.Stderr)
+	if err != nil {
+		return failure{err}
+	}
+	if err := running.Start(context.Background()); err != nil {
+		return failure{err}
+	}
+	fmt.Fprintf(os.Stdout, "Callers=http://%s\nOperators=http://%s\n", running.CallersAddress(), running.OperatorsAddress())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), c.LeaveLimit)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	left := running.Leave(ctx)
+	if err := running.Stop(context.WithoutCancel(ctx)); err != nil {
+		return failure{err}
+	}
+	if left != nil {
+		return failure{fmt.Errorf("the shutdown was cut short: %w", left)}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/demo/account.go
@@ -0,0 +1,112 @@
+package demo
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"gorseline/core"
+	"gorseline/standin/engine"
+)
+
+// Account counts what became of the sample's requests.
+type Account struct {
+	Sent   int
+	InTime int
+	Late   int
+	// NotRun requests were refused and have not run.
+	NotRun int
+	// Cut streams ended early or with another text than the engine's.
+	Cut int
+	// Unknown calls may have run.
+	Unknown int
+	// EffectsOnce, EffectsDoubled and EffectsLost count the calls that may not be
+	// repeated and were answered, by the number of their effects.
+	EffectsOnce    int
+	EffectsDoubled int
+	EffectsLost    int
+	// EffectsUnreported counts calls that took effect although their caller was told
+	// that they were not run.
+	EffectsUnreported int
+	RoleChanges       int
+	PresetSwitches    int
+	// Problems tell what went wrong, by request.
+	Problems []string `json:",omitempty"`
+}
+
+// Passed reports whether nothing was cut, doubled, lost or left unknown.
+func (a Account) Passed() bool {
+	return a.Cut+a.Unknown+a.EffectsDoubled+a.EffectsLost+a.EffectsUnreported == 0 && a.Sent > 0
+}
+
+// ledger collects the results of concurrent requests.
+type ledger struct {
+	kinds map[core.KindName]core.Kind
+
+	mu      sync.Mutex
+	account Account
+	// keys holds the outcome of each call that may not be repeated.
+	keys map[string]core.OutcomeKind
+}
+
+func newLedger(kinds map[core.KindName]core.Kind) *ledger {
+	return &ledger{kinds: kinds, keys: map[string]core.OutcomeKind{}}
+}
+
+func (l *ledger) add(r Request, key string, got result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kind := l.kinds[r.Kind]
+	l.account.Sent++
+	if !kind.Repeatable {
+		l.keys[key] = got.outcome
+	}
+	switch {
+	case got.outcome == core.OutcomeDone && r.Model != "" && !isWhole(r, got.text):
+		l.account.Cut++
+		l.problem(r, "the text differs from the engine's")
+	case got.outcome == core.OutcomeDone && got.took <= kind.Deadline:
+		l.account.InTime++
+	case got.outcome == core.OutcomeDone:
+		l.account.Late++
+		l.problem(r, "answered after "+got.took.Round(time.Millisecond).String())
+	case got.outcome == core.OutcomeNotRun:
+		l.account.NotRun++
+		l.problem(r, got.reason)
+	case got.outcome == core.OutcomeCut:
+		l.account.Cut++
+		l.problem(r, got.reason)
+	default:
+		l.account.Unknown++
+		l.problem(r, got.reason)
+	}
+}
+
+func (l *ledger) problem(r Request, text string) {
+	l.account.Problems = append(l.account.Problems, r.Name+": "+text)
+}
+
+// isWhole compares a text with what every engine generates for the prompt.
+func isWhole(r Request, text string) bool {
+	want, _ := engine.Answer(r.Model, r.Prompt, r.MaxTokens)
+	return strings.TrimSpace(text) == strings.TrimSpace(want)
+}
+
+// settle compares the outcomes with the effects that the services counted.
+func (l *ledger) settle(effects map[string]int) Account {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, outcome := range l.keys {
+		switch n := effects[key]; {
+		case n > 1:
+			l.account.EffectsDoubled++
+		case n == 1 && outcome == core.OutcomeNotRun:
+			l.account.EffectsUnreported++
+		case n == 1:
+			l.account.EffectsOnce++
+		case outcome == core.OutcomeDone:
+			l.account.EffectsLost++
+		}
+	}
+	return l.account
+}
--- /dev/null
+++ b/cmd/demo/sample.go
@@ -0,0 +1,50 @@
+package demo
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+	"gorseline/core/configuration"
+	"gorseline/examples"
+)
+
+// Request is one request of a sample.
+type Request struct {
+	Name         string
+	Kind         core.KindName
+	Organisation core.Organisation
+
+	// Model requests have a prompt, calls of plain services a path.
+	Model     core.Model
+	Prompt    string
+	MaxTokens int
+
+	Service core.Service
+	Method  string
+	Path    string
+	Body    json.RawMessage
+}
+
+// Sample is the configuration and the requests of a deployment.
+type Sample struct {
+	Configuration core.Configuration
+	Requests      []Request
+}
+
+// LoadSample reads the sample of a deployment under examples.
+func LoadSample(deployment string) (Sample, error) {
+	var s Sample
+	data, err := examples.Files.ReadFile(deployment + "/configuration.json")
+	if err != nil {
+		return s, errors.Wrap(err, "read sample")
+	}
+	if s.Configuration, err = configuration.Decode[core.Configuration](data, ""); err != nil {
+		return s, err
+	}
+	if data, err = examples.Files.ReadFile(deployment + "/requests.json"); err != nil {
+		return s, errors.Wrap(err, "read sample")
+	}
+	return s, errors.Wrap(json.Unmarshal(data, &s.Requests), "decode sample requests")
+}
--- /dev/null
+++ b/cmd/instance/apply.go
@@ -0,0 +1,70 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"gorseline/core"
+)
+
+// eventApplied records that a revision took hold on this instance.
+const eventApplied core.EventKind = "ConfigurationApplied"
+
+// fleetSizeInterval is how often the shares of the table service's budget follow the
+// size of the fleet.
+const fleetSizeInterval = 5 * time.Second
+
+// configurationLoop passes each new revision to the parts that depend on it.
+type configurationLoop struct{ applyInputs }
+
+type applyInputs struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Control   *control
+	Serving   *serving
+	Platform  *platform
+	Recorder  core.Recorder
+	Log       log.Interface
+}
+
+func applyConfiguration(in applyInputs) {
+	start(in.Lifecycle, newLoop((&configurationLoop{in}).run))
+}
+
+func (l *configurationLoop) run(ctx context.Context) {
+	revisions, unsubscribe := l.Control.applier.Subscribe()
+	defer unsubscribe()
+	if l.Control.applier.Revision() > 0 {
+		l.apply(l.Control.applier.Configuration())
+	}
+	ticker := time.NewTicker(fleetSizeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-revisions:
+			l.apply(l.Control.applier.Configuration())
+		case <-ticker.C:
+			l.Platform.table.SetInstances(max(1, len(l.Control.members())))
+		}
+	}
+}
+
+func (l *configurationLoop) apply(c core.Configuration) {
+	l.Serving.fleet.SetTargets(c.Targets)
+	l.Serving.fleet.SetDrained(c.Drained)
+	l.Serving.retrier.Budget().SetRatio(c.Preset().RetryBudget)
+	if err := l.Serving.policies.Apply(c); err != nil {
+		// Validation before acceptance excludes this, except for a newer version of
+		// the program among the instances.
+		l.Log.WithError(err).Error("configuration: policies not built, earlier ones stay")
+		return
+	}
+	l.Recorder.Record(core.Event{Kind: eventApplied, Detail: c.PresetInForce})
+	l.Log.WithField("revision", c.Revision).WithField("preset", c.PresetInForce).Info("configuration: revision applied")
+}
--- /dev/null
+++ b/cmd/instance/authority.go
@@ -0,0 +1,81 @@
+package instance
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"gorseline/core"
+	"gorseline/core/authority"
+	"gorseline/core/common/random"
+	"gorseline/core/watch"
+)
+
+// authorities hold the leases of this instance and give orders under them.
+type authorities struct {
+	keeper    *authority.Keeper
+	commander *authority.Commander
+	options   authority.Options
+}
+
+type authorityInputs struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Settings  Settings
+	Platform  *platform
+	Control   *control
+	Serving   *serving
+	Clock     core.DeadlineClock
+	Recorder  core.Recorder
+	Attempts  Attempts
+	Random    *random.Source
+}
+
+func newAuthority(in authorityInputs) *authorities {
+	options := authority.Options{
+		Self: core.InstanceID(in.Settings.Instance), Shards: in.Settings.Shards,
+		Table: in.Platform.table.Leases, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
+		Members: in.Control.members, Orderer: in.Serving.engines, Timing: authority.DefaultTiming(),
+	}
+	keeper := authority.NewKeeper(options)
+	a := &authorities{keeper: keeper, commander: authority.NewCommander(options, keeper), options: options}
+	watcher := watch.New(watch.Options{
+		Fleet: in.Serving.fleet, Load: in.Serving.engines, Events: in.Serving.engines,
+		Clock: in.Clock, Random: in.Random,
+		OnReport: func(state core.TargetState, err error) { a.observe(in.Clock, state, err) },
+	})
+	start(in.Lifecycle, keeper)
+	start(in.Lifecycle, watcher)
+	return a
+}
+
+// observe compares a report with the target's intent.
+func (a *authorities) observe(clock core.ClockProvider, state core.TargetState, err error) {
+	if err != nil || !state.IsEngine() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), a.options.OrderLifetime)
+	defer cancel()
+	a.commander.Observe(ctx, state.Target, state.Report, clock.Now())
+}
+
+// holds reports whether this instance may give orders to a target now.
+func (a *authorities) holds(target core.Target) bool {
+	shard := authority.ShardOf(target.ID, a.options.Shards)
+	for _, lease := range a.keeper.Leases() {
+		if lease.Shard == shard {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *authorities) shards() []int {
+	leases := a.keeper.Leases()
+	shards := make([]int, len(leases))
+	for i, l := range leases {
+		shards[i] = l.Shard
+	}
+	return shards
+}
--- /dev/null
+++ b/cmd/instance/events.go
@@ -0,0 +1,145 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"gorseline/core"
+	"gorseline/core/timeline"
+	"gorseline/io/operator"
+)
+
+const (
+	// flushInterval bounds what a killed instance loses from the time line.
+	flushInterval = 10 * time.Second
+	// chunkEvents bounds a chunk to about 256 KB.
+	chunkEvents  = 1024
+	flushTimeout = 5 * time.Second
+	eventsPrefix = "Events/"
+	// maxChunks bounds what one query reads from the object store.
+	maxChunks = 512
+	// maxAnswer bounds the events of one answer.
+	maxAnswer = 10000
+)
+
+// eventFlusher writes events to the object store, so that they outlive the instance.
+type eventFlusher struct {
+	instance string
+	timeline *timeline.Timeline
+	objects  core.ObjectStore
+	log      log.Interface
+	// failed is a chunk whose write failed, kept for the next round.
+	failed []core.Event
+}
+
+func newEventFlusher(lifecycle fx.Lifecycle, s Settings, t *timeline.Timeline, p *platform, l log.Interface) *eventFlusher {
+	f := &eventFlusher{instance: s.Instance, timeline: t, objects: p.objects, log: l}
+	start(lifecycle, newLoop(f.run))
+	return f
+}
+
+// run flushes until ctx ends, and then once more.
+func (f *eventFlusher) run(ctx context.Context) {
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			f.flush(context.WithoutCancel(ctx))
+			return
+		case <-ticker.C:
+			f.flush(ctx)
+		}
+	}
+}
+
+// flush writes chunks until none is left or a write fails. While the store is down
+// the oldest events give way in the time line, which counts them.
+func (f *eventFlusher) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	for {
+		chunk := f.failed
+		if chunk == nil {
+			chunk = f.timeline.Unflushed(chunkEvents)
+		}
+		if len(chunk) == 0 {
+			return
+		}
+		if err := f.put(ctx, chunk); err != nil {
+			f.failed = chunk
+			f.log.WithError(err).Warn("timeline: chunk not written, kept for the next try")
+			return
+		}
+		f.failed = nil
+	}
+}
+
+func (f *eventFlusher) put(ctx context.Context, chunk []core.Event) error {
+	var body bytes.Buffer
+	encoder := json.NewEncoder(&body)
+	for _, e := range chunk {
+		if err := encoder.Encode(e); err != nil {
+			return err
+		}
+	}
+	// The padded time makes key order the order of time.
+	key := fmt.Sprintf("%s%020d-%s", eventsPrefix, chunk[0].At.Wall, f.instance)
+	return f.objects.Put(ctx, key, body.Bytes())
+}
+
+// events answers a query from memory and, on request, from the object store.
+func (f *eventFlusher) events(ctx context.Context, r operator.TimelineRequest) operator.TimelineAnswer {
+	lists := [][]core.Event{f.timeline.Events(r.Filter)}
+	var answer operator.TimelineAnswer
+	if r.Fleet {
+		stored, err := f.stored(ctx, r.Filter)
+		if err != nil {
+			answer.Incomplete = "the object store was not read: " + err.Error()
+		}
+		lists = append(lists, stored)
+	}
+	if lost := f.timeline.Lost(); lost > 0 && answer.Incomplete == "" {
+		answer.Incomplete = fmt.Sprintf("%d events of this instance were not written to the object store", lost)
+	}
+	answer.Events = timeline.Merge(lists...)
+	limit := r.Limit
+	if limit <= 0 || limit > maxAnswer {
+		limit = maxAnswer
+	}
+	if extra := len(answer.Events) - limit; extra > 0 {
+		answer.Events = answer.Events[extra:]
+	}
+	return answer
+}
+
+func (f *eventFlusher) stored(ctx context.Context, filter timeline.Filter) ([]core.Event, error) {
+	keys, err := f.objects.List(ctx, eventsPrefix, maxChunks)
+	if err != nil {
+		return nil, err
+	}
+	var events []core.Event
+	for _, key := range keys {
+		data, err := f.objects.Get(ctx, key)
+		if err != nil {
+			return events, err
+		}
+		decoder := json.NewDecoder(bytes.NewReader(data))
+		for decoder.More() {
+			var e core.Event
+			if err := decoder.Decode(&e); err != nil {
+				return events, err
+			}
+			if filter.Matches(e) {
+				events = append(events, e)
+			}
+		}
+	}
+	return events, nil
+}
--- /dev/null
+++ b/cmd/instance/instance.go
@@ -0,0 +1,102 @@
+package instance
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/text"
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+	"gorseline/core/timeline"
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	app     *fx.App
+	servers *servers
+	leaving *leaving
+}
+
+// New assembles an instance from valid settings. It starts nothing. Log lines go to
+// logs.
+func New(settings Settings, logs io.Writer) (*Instance, error) {
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	i := &Instance{}
+	i.app = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(settings.LeaveLimit),
+		fx.Supply(settings),
+		fx.Provide(
+			func() log.Interface { return newLogger(settings, logs) },
+			core.NewDeadlineClock,
+			func(c core.DeadlineClock) core.ClockProvider { return c },
+			newTimeline,
+			func(t *timeline.Timeline) core.Recorder { return t },
+			metrics.NewRegistry,
+			newRandom,
+			newAttempts,
+			newListeners,
+			newPlatform,
+			newControl,
+			newServing,
+			newAuthority,
+			newPlacementLoop,
+			newEventFlusher,
+			newLeaving,
+			newServers,
+		),
+		fx.Invoke(applyConfiguration, func(*placementLoop, *eventFlusher) {}),
+		fx.Populate(&i.servers, &i.leaving),
+	)
+	return i, i.app.Err()
+}
+
+// Start starts all parts and returns when the ports are open.
+func (i *Instance) Start(ctx context.Context) error { return i.app.Start(ctx) }
+
+// Stop stops all parts at once; Leave comes first where no request may be cut.
+func (i *Instance) Stop(ctx context.Context) error { return i.app.Stop(ctx) }
+
+// Leave announces that the instance leaves and returns when no request is left, or
+// when ctx ends.
+func (i *Instance) Leave(ctx context.Context) error { return i.leaving.leave(ctx) }
+
+// CallersAddress returns the address that callers use.
+func (i *Instance) CallersAddress() string { return i.servers.listeners.callersAddress }
+
+// OperatorsAddress returns the address of the operators' API.
+func (i *Instance) OperatorsAddress() string { return i.servers.listeners.operators.Addr().String() }
+
+// PeersAddress returns the address that other instances use.
+func (i *Instance) PeersAddress() string { return i.servers.listeners.peersAddress }
+
+// Attempts returns IDs that no process has used.
+type Attempts func() core.AttemptID
+
+func newAttempts() Attempts { return func() core.AttemptID { return core.AttemptID(uuid.NewString()) } }
+
+// newRandom seeds decisions differently on each instance and each start.
+func newRandom(s Settings) *random.Source {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, s.Instance) // a hash never fails
+	return random.New(h.Sum64() ^ rand.Uint64())
+}
+
+func newLogger(s Settings, logs io.Writer) log.Interface {
+	return (&log.Logger{Handler: text.New(logs), Level: log.MustParseLevel(s.LogLevel)}).
+		WithField("instance", s.Instance)
+}
+
+func newTimeline(s Settings) *timeline.Timeline {
+	return timeline.New(core.InstanceID(s.Instance), timeline.NewClock(timeline.SystemWall), s.EventsKept)
+}
--- /dev/null
+++ b/cmd/instance/placement.go
@@ -0,0 +1,120 @@
+package instance
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"gorseline/core"
+	"gorseline/core/authority"
+	"gorseline/core/dispatch"
+)
+
+// placementInterval is the time between two plans. It is short against the ten
+// seconds over which the planner's fast average looks.
+const placementInterval = 5 * time.Second
+
+// eventRoleChange records a planned role change with its expected gain.
+const eventRoleChange core.EventKind = "RoleChangePlanned"
+
+// placementLoop plans the roles of engines whose shard this instance holds.
+type placementLoop struct {
+	control     *control
+	serving     *serving
+	authorities *authorities
+	recorder    core.Recorder
+	clock       core.ClockProvider
+	log         log.Interface
+	before      map[core.Model]dispatch.Traffic
+	plannedAt   core.Instant
+}
+
+type placementInputs struct {
+	fx.In
+
+	Lifecycle   fx.Lifecycle
+	Control     *control
+	Serving     *serving
+	Authorities *authorities
+	Recorder    core.Recorder
+	Clock       core.ClockProvider
+	Log         log.Interface
+}
+
+func newPlacementLoop(in placementInputs) *placementLoop {
+	l := &placementLoop{
+		control: in.Control, serving: in.Serving, authorities: in.Authorities,
+		recorder: in.Recorder, clock: in.Clock, log: in.Log,
+		before: map[core.Model]dispatch.Traffic{},
+	}
+	start(in.Lifecycle, newLoop(l.run))
+	return l
+}
+
+// run plans until ctx ends.
+func (l *placementLoop) run(ctx context.Context) {
+	ticker := time.NewTicker(placementInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.plan(ctx)
+		}
+	}
+}
+
+func (l *placementLoop) plan(ctx context.Context) {
+	policy := l.serving.policies.InForce()
+	if policy == nil || !l.control.member.Ready().Ready {
+		return
+	}
+	now := l.clock.Now()
+	elapsed := now.Sub(l.plannedAt).Seconds()
+	l.plannedAt = now
+	models := map[core.Model][]core.TargetState{}
+	for _, state := range l.serving.fleet.States() {
+		if state.IsEngine() && l.authorities.holds(state.Target) {
+			models[state.Report.Model] = append(models[state.Report.Model], state)
+		}
+	}
+	traffic := l.serving.dispatcher.Traffic()
+	// Callers are spread evenly over the instances, so the own share stands for all.
+	scale := float64(len(l.control.members())) / elapsed
+	for model, engines := range models {
+		slices.SortFunc(engines, func(a, b core.TargetState) int { return cmp.Compare(a.ID, b.ID) })
+		rate := traffic[model].Minus(l.before[model])
+		view := core.PlacementView{
+			Model: model, Engines: engines,
+			PromptRate: rate.PromptTokens * scale, OutputRate: rate.OutputTokens * scale,
+			Goodput: rate.Goodput * scale, Offered: rate.Offered * scale,
+		}
+		l.before[model] = traffic[model]
+		for _, change := range policy.Plan(now, &view) {
+			l.submit(ctx, engines, change)
+		}
+	}
+}
+
+func (l *placementLoop) submit(ctx context.Context, engines []core.TargetState, change core.RoleChange) {
+	i := slices.IndexFunc(engines, func(s core.TargetState) bool { return s.ID == change.Target })
+	if i < 0 {
+		return
+	}
+	report := engines[i].Report
+	l.recorder.Record(core.Event{
+		Kind: eventRoleChange, Target: change.Target, Reason: change.Reason,
+		Detail: change.From.String() + " to " + change.To.String(),
+	})
+	ctx, cancel := context.WithTimeout(ctx, l.authorities.options.OrderLifetime)
+	defer cancel()
+	result := l.authorities.commander.Submit(ctx, engines[i].Target, authority.Desired{
+		Role: change.To, Model: report.Model, WeightsVersion: report.WeightsVersion,
+	})
+	l.log.WithField("target", change.Target).WithField("result", result).Info("placement: role change submitted")
+}
--- /dev/null
+++ b/cmd/instance/platform.go
@@ -0,0 +1,33 @@
+package instance
+
+import (
+	"go.uber.org/fx"
+
+	"gorseline/core"
+	"gorseline/io/instancelist"
+	"gorseline/io/object"
+	"gorseline/io/table"
+)
+
+// platform holds the clients of the platform's services.
+type platform struct {
+	table     *table.Service
+	objects   core.ObjectStore
+	instances core.InstanceLister
+}
+
+func newPlatform(lifecycle fx.Lifecycle, s Settings, clock core.ClockProvider, attempts Attempts) *platform {
+	p := &platform{
+		table: table.NewService(table.ServiceOptions{
+			Client:    table.NewClient(table.ClientOptions{URL: s.TableURL}),
+			Clock:     clock,
+			Attempts:  attempts,
+			Instances: 1,
+			Shards:    s.Shards,
+		}),
+		objects:   object.NewClient(s.ObjectsURL, nil),
+		instances: instancelist.NewClient(instancelist.ClientOptions{URL: s.InstancesURL}),
+	}
+	start(lifecycle, newLoop(p.table.Claims.Run))
+	return p
+}
--- /dev/null
+++ b/cmd/instance/servers.go
@@ -0,0 +1,133 @@
+package instance
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"gorseline/core"
+	"gorseline/io/caller"
+	"gorseline/io/certificate"
+	"gorseline/io/operator"
+	"gorseline/io/peer"
+)
+
+// listeners hold the open ports. Ports are opened first, so that an instance can
+// tell its addresses to others.
+type listeners struct {
+	callers, operators, peers    net.Listener
+	callersAddress, peersAddress string
+}
+
+func newListeners(lifecycle fx.Lifecycle, s Settings) (*listeners, error) {
+	var l listeners
+	for _, port := range []struct {
+		name, address string
+		listener      *net.Listener
+	}{
+		{"--callers-listen", s.CallersListen, &l.callers},
+		{"--operators-listen", s.OperatorsListen, &l.operators},
+		{"--peers-listen", s.PeersListen, &l.peers},
+	} {
+		listener, err := net.Listen("tcp", port.address)
+		if err != nil {
+			return nil, errors.Wrap(err, port.name)
+		}
+		*port.listener = listener
+		lifecycle.Append(fx.StopHook(func() { _ = listener.Close() })) // the server has closed it before
+	}
+	l.callersAddress, l.peersAddress = s.CallersAddress, s.PeersAddress
+	if l.callersAddress == "" {
+		l.callersAddress = l.callers.Addr().String()
+	}
+	if l.peersAddress == "" {
+		l.peersAddress = l.peers.Addr().String()
+	}
+	return &l, nil
+}
+
+// servers serve the three ports.
+type servers struct {
+	listeners *listeners
+	log       log.Interface
+}
+
+type serverInputs struct {
+	fx.In
+
+	Lifecycle   fx.Lifecycle
+	Settings    Settings
+	Listeners   *listeners
+	Control     *control
+	Serving     *serving
+	Authorities *authorities
+	Events      *eventFlusher
+	Leaving     *leaving
+	Clock       core.ClockProvider
+	Metrics     metrics.Registry
+	Log         log.Interface
+}
+
+func newServers(in serverInputs) (*servers, error) {
+	s := &servers{listeners: in.Listeners, log: in.Log}
+	secure, err := certificate.NewSource(certificate.Files(in.Settings.TLS))
+	if err != nil {
+		return nil, err
+	}
+	callers := caller.NewHandler(caller.Options{
+		Configuration: in.Control.applier, Dispatcher: in.Serving.dispatcher, Addresses: in.Control,
+		Gate: in.Leaving, Clock: in.Clock, MaxBody: in.Settings.MaxBody,
+	})
+	operators := http.NewServeMux()
+	operators.Handle("/gorseline.Operator/", operator.NewHandler(newConsole(in)))
+	operators.Handle("/metrics", operator.NewMetricsHandler(in.Metrics))
+	operators.Handle("/health", operator.NewHealthHandler(func() *core.Refusal { return nil }))
+	operators.Handle("/ready", operator.NewHealthHandler(in.Leaving.Gate))
+	peers := http.NewServeMux()
+	peers.Handle("/gorseline.Peer/", peer.NewHandler(in.Control.member))
+
+	s.serve(in, in.Listeners.callers, in.Leaving.counted(callers), secure.Callers(), &http.Server{
+		ReadHeaderTimeout: in.Settings.HeaderWait, ReadTimeout: in.Settings.BodyWait,
+		IdleTimeout: in.Settings.IdleWait, MaxHeaderBytes: in.Settings.MaxHeader,
+	})
+	s.serve(in, in.Listeners.operators, operators, secure.Private(), &http.Server{ReadHeaderTimeout: in.Settings.HeaderWait})
+	s.serve(in, in.Listeners.peers, peers, secure.Private(), peer.NewHTTPServer(nil))
+	return s, nil
+}
+
+// stopWait bounds the end of idle connections; no request is left when it begins.
+const stopWait = 2 * time.Second
+
+func (s *servers) serve(in serverInputs, l net.Listener, h http.Handler, secure *tls.Config, server *http.Server) {
+	server.Handler = h
+	if secure != nil {
+		l = tls.NewListener(l, secure)
+	}
+	in.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go s.run(server, l)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, stopWait)
+			defer cancel()
+			if err := server.Shutdown(ctx); err != nil {
+				return server.Close()
+			}
+			return nil
+		},
+	})
+}
+
+func (s *servers) run(server *http.Server, l net.Listener) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		s.log.WithError(err).Error("server: port closed")
+	}
+}
--- /dev/null
+++ b/cmd/instance/serving.go
@@ -0,0 +1,99 @@
+package instance
+
+import (
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+	"gorseline/core/dispatch"
+	"gorseline/core/operation"
+	"gorseline/core/placement"
+	"gorseline/core/policy"
+	"gorseline/core/retry"
+	"gorseline/core/routing"
+	"gorseline/core/stream"
+	"gorseline/io/engine"
+	"gorseline/io/service"
+)
+
+// serving holds the parts on the path of a request.
+type serving struct {
+	fleet      *routing.Store
+	policies   *policy.Set
+	engines    *engine.Client
+	relay      *stream.Relay
+	operations *operation.Executor
+	retrier    *retry.Retrier
+	dispatcher *dispatch.Dispatcher
+}
+
+type servingInputs struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Settings  Settings
+	Platform  *platform
+	Control   *control
+	Clock     core.DeadlineClock
+	Random    *random.Source
+	Recorder  core.Recorder
+	Attempts  Attempts
+	Log       log.Interface
+}
+
+func newServing(in servingInputs) (*serving, error) {
+	previous := make([][]byte, len(in.Settings.PreviousResumeKey))
+	for i, key := range in.Settings.PreviousResumeKey {
+		previous[i] = []byte(key)
+	}
+	sealer, err := stream.NewSealer([]byte(in.Settings.ResumeKey), previous...)
+	if err != nil {
+		return nil, err
+	}
+	s := &serving{
+		fleet:    routing.NewStore(routing.StoreOptions{}),
+		policies: policy.NewSet(newPlacer, in.Random.Uint64()),
+		engines:  engine.NewClient(engine.Options{Name: in.Settings.Instance}),
+		retrier:  retry.NewRetrier(retry.DefaultOptions(), in.Random),
+	}
+	s.relay = stream.NewRelay(stream.Options{
+		Completer: s.engines, Clock: in.Clock, Sealer: sealer, Recorder: in.Recorder,
+	})
+	s.operations = newOperations(in)
+	circuits := dispatch.NewCircuits(s.fleet, in.Clock, in.Random)
+	s.dispatcher = dispatch.New(dispatch.Options{
+		Policies: s.policies, Fleet: s.fleet, Completer: s.engines, Relay: s.relay, Sealer: sealer,
+		Services: service.NewClient(service.Options{}), Operations: s.operations, Retrier: s.retrier,
+		Hedger:   retry.NewHedger(retry.DefaultHedgeOptions(), s.retrier.Budget()),
+		Circuits: circuits, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
+	})
+	start(in.Lifecycle, s.engines)
+	start(in.Lifecycle, s.operations)
+	start(in.Lifecycle, circuits)
+	return s, nil
+}
+
+func newOperations(in servingInputs) *operation.Executor {
+	options := operation.DefaultOptions()
+	options.Self = core.InstanceID(in.Settings.Instance)
+	options.Table = in.Platform.table.Claims
+	options.Objects = in.Platform.objects
+	options.Clock, options.Recorder, options.Attempts = in.Clock, in.Recorder, in.Attempts
+	options.IsLive = func(id core.InstanceID) bool {
+		for _, member := range in.Control.members() {
+			if member == id {
+				return true
+			}
+		}
+		return false
+	}
+	return operation.New(options)
+}
+
+// newPlacer makes the placement of a preset.
+func newPlacer(preset core.Preset) core.Placer {
+	return placement.New(placement.Options{
+		RoleChangePrice: preset.RoleChangePrice, MinimumStay: preset.MinimumStay,
+	})
+}
--- /dev/null
+++ b/cmd/instance/settings.go
@@ -0,0 +1,154 @@
+// Package instance assembles one entry instance of the system from its parts.
+package instance
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"strings"
+	"time"
+
+	"gorseline/core"
+)
+
+// Settings are the settings of one instance. Every flag is also an environment
+// variable with the prefix GORSELINE_.
+type Settings struct {
+	Instance   string `long:"instance" env:"INSTANCE" description:"Name of this instance; no other instance has it" required:"true"`
+	DataCentre string `long:"data-centre" env:"DATA_CENTRE" description:"Data centre of this instance" required:"true"`
+
+	CallersListen   string `long:"callers-listen" env:"CALLERS_LISTEN" description:"Address for callers" default:"0.0.0.0:7000"`
+	OperatorsListen string `long:"operators-listen" env:"OPERATORS_LISTEN" description:"Address for operators and metrics" default:"0.0.0.0:7001"`
+	PeersListen     string `long:"peers-listen" env:"PEERS_LISTEN" description:"Address for other instances" default:"0.0.0.0:7002"`
+	CallersAddress  string `long:"callers-address" env:"CALLERS_ADDRESS" description:"IP:port that callers are told; the listening address if empty"`
+	PeersAddress    string `long:"peers-address" env:"PEERS_ADDRESS" description:"IP:port that peers are told; the listening address if empty"`
+
+	TableURL     string `long:"table-url" env:"TABLE_URL" description:"Table service of the platform" required:"true"`
+	ObjectsURL   string `long:"objects-url" env:"OBJECTS_URL" description:"Object store of the platform" required:"true"`
+	InstancesURL string `long:"instances-url" env:"INSTANCES_URL" description:"Instance list of the platform" required:"true"`
+
+	ResumeKey         string   `long:"resume-key" env:"RESUME_KEY" description:"Key of resume tokens, the same on all instances, at least 16 bytes" required:"true"`
+	PreviousResumeKey []string `long:"previous-resume-key" env:"PREVIOUS_RESUME_KEY" env-delim:"," description:"Earlier key that is still accepted"`
+
+	Shards       int           `long:"shards" env:"SHARDS" description:"Number of shards that targets are spread over; the same on all instances" default:"4"`
+	MaxBody      int64         `long:"max-body" env:"MAX_BODY" description:"Largest request body in bytes" default:"8388608"`
+	MaxHeader    int           `long:"max-header" env:"MAX_HEADER" description:"Largest request header in bytes" default:"65536"`
+	HeaderWait   time.Duration `long:"header-timeout" env:"HEADER_TIMEOUT" description:"Time for a caller to send its header" default:"10s"`
+	BodyWait     time.Duration `long:"body-timeout" env:"BODY_TIMEOUT" description:"Time for a caller to send header and body" default:"60s"`
+	IdleWait     time.Duration `long:"idle-timeout" env:"IDLE_TIMEOUT" description:"Time that an idle connection is kept" default:"120s"`
+	LeaveLimit   time.Duration `long:"leave-limit" env:"LEAVE_LIMIT" description:"Hard limit of a graceful shutdown" default:"5m"`
+	EventsKept   int           `long:"events-kept" env:"EVENTS_KEPT" description:"Events kept in memory for the time line" default:"8192"`
+	LogLevel     string        `long:"log-level" env:"LOG_LEVEL" description:"Least level of log lines" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info"`
+	SecondSender bool          `long:"second-sender" env:"SECOND_SENDER" description:"Deliver orders to targets that ignore fences through a second instance"`
+
+	TLS TLSSettings `group:"TLS" namespace:"tls" env-namespace:"TLS"`
+}
+
+// TLSSettings name the files for TLS. Without a certificate a port speaks plain
+// HTTP.
+type TLSSettings struct {
+	Certificate string `long:"certificate" env:"CERTIFICATE" description:"Certificate file, reloaded when it changes"`
+	Key         string `long:"key" env:"KEY" description:"Key file of the certificate"`
+	ClientCA    string `long:"client-ca" env:"CLIENT_CA" description:"CA file for client certificates of operators and peers; they are required if it is set"`
+}
+
+// Validate returns an error that names the first wrong setting, its value and what
+// is accepted.
+func (s Settings) Validate() error {
+	checks := []error{
+		checkAddress("--callers-listen", s.CallersListen),
+		checkAddress("--operators-listen", s.OperatorsListen),
+		checkAddress("--peers-listen", s.PeersListen),
+		checkURL("--table-url", s.TableURL),
+		checkURL("--objects-url", s.ObjectsURL),
+		checkURL("--instances-url", s.InstancesURL),
+		checkRange("--shards", s.Shards, 1, 4096),
+		checkRange("--max-body", s.MaxBody, 1<<10, 256<<20),
+		checkRange("--max-header", s.MaxHeader, 1<<10, 1<<20),
+		checkRange("--events-kept", s.EventsKept, 16, 1<<20),
+		checkRange("--header-timeout", s.HeaderWait, 100*time.Millisecond, 10*time.Minute),
+		checkRange("--body-timeout", s.BodyWait, s.HeaderWait, time.Hour),
+		checkRange("--idle-timeout", s.IdleWait, time.Second, time.Hour),
+		checkRange("--leave-limit", s.LeaveLimit, time.Second, time.Hour),
+		s.TLS.validate(),
+	}
+	if s.CallersAddress != "" {
+		checks = append(checks, checkIPAddress("--callers-address", s.CallersAddress))
+	}
+	if s.PeersAddress != "" {
+		checks = append(checks, checkIPAddress("--peers-address", s.PeersAddress))
+	}
+	for _, key := range append([]string{s.ResumeKey}, s.PreviousResumeKey...) {
+		if len(key) < 16 {
+			// The key itself is a secret and isn't shown.
+			checks = append(checks, invalid("--resume-key", "a key of "+fmt.Sprint(len(key))+" bytes", "a key of at least 16 bytes"))
+		}
+	}
+	for _, err := range checks {
+		if err != nil {
+			return err
+		}
+	}
+	return s.validateListeners()
+}
+
+// validateListeners keeps the operators' API off the callers' port.
+func (s Settings) validateListeners() error {
+	named := map[string]string{}
+	for _, l := range [...][2]string{
+		{"--callers-listen", s.CallersListen},
+		{"--operators-listen", s.OperatorsListen},
+		{"--peers-listen", s.PeersListen},
+	} {
+		if other, used := named[l[1]]; used && !strings.HasSuffix(l[1], ":0") {
+			return invalid(l[0], l[1], "another address than "+other)
+		}
+		named[l[1]] = l[0]
+	}
+	return nil
+}
+
+func (s TLSSettings) validate() error {
+	if (s.Certificate == "") != (s.Key == "") {
+		return invalid("--tls.certificate", s.Certificate, "both --tls.certificate and --tls.key, or neither")
+	}
+	if s.ClientCA != "" && s.Certificate == "" {
+		return invalid("--tls.client-ca", s.ClientCA, "only with --tls.certificate")
+	}
+	return nil
+}
+
+func invalid(name, value, accepted string) error {
+	return &core.InvalidValueError{Path: name, Value: value, Accepted: []string{accepted}}
+}
+
+func checkAddress(name, value string) error {
+	if _, port, err := net.SplitHostPort(value); err != nil || port == "" {
+		return invalid(name, value, "host:port")
+	}
+	return nil
+}
+
+// checkIPAddress accepts IP addresses only: instances talk by IP number.
+func checkIPAddress(name, value string) error {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || port == "" || net.ParseIP(host) == nil {
+		return invalid(name, value, "IP:port")
+	}
+	return nil
+}
+
+func checkURL(name, value string) error {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return invalid(name, value, "a URL such as http://10.0.0.9:9000")
+	}
+	return nil
+}
+
+func checkRange[T int | int64 | time.Duration](name string, value, low, high T) error {
+	if value < low || value > high {
+		return invalid(name, fmt.Sprint(value), fmt.Sprintf("%v to %v", low, high))
+	}
+	return nil
+}
--- a/core/configuration/propose.go
+++ b/core/configuration/propose.go
@@ -44,6 +44,17 @@
 // MarshalText encodes the outcome as its name.
 func (k ProposalKind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
 
+// UnmarshalText decodes the name of an outcome.
+func (k *ProposalKind) UnmarshalText(text []byte) error {
+	for i, name := range proposalNames {
+		if name == string(text) {
+			*k = ProposalKind(i)
+			return nil
+		}
+	}
+	return &core.InvalidValueError{Value: string(text), Accepted: proposalNames[:]}
+}
+
 // Proposal is the outcome of a proposed change.
 type Proposal struct {
 	Kind ProposalKind
--- /dev/null
+++ b/core/dispatch/call.go
@@ -0,0 +1,193 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/operation"
+	"gorseline/core/retry"
+)
+
+// Call runs a call of a plain service: at most once if its kind may not be
+// repeated, else with retries and, for short kinds, a second attempt on another
+// target when the first one is slow.
+func (d *Dispatcher) Call(ctx context.Context, req *core.Request, call core.ServiceCall) (core.ServiceAnswer, *core.Refusal) {
+	a, refused := d.admit(req)
+	if refused != nil {
+		return core.ServiceAnswer{}, refused
+	}
+	if !req.Kind.Repeatable {
+		return a.callOnce(ctx, call)
+	}
+	d.Retrier.Fresh()
+	return a.callRepeatable(ctx, call)
+}
+
+// callOnce goes on when the caller goes away, so that the outcome is recorded and
+// a repeat of the key finds it.
+func (a *admitted) callOnce(ctx context.Context, call core.ServiceCall) (core.ServiceAnswer, *core.Refusal) {
+	d := a.dispatcher
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.req.Remaining(d.Clock.Now()))
+	defer cancel()
+	target, _ := d.Fleet.State(a.decision.Target)
+	claim := operation.Call{
+		Organisation: a.req.Organisation,
+		Key:          a.req.Key,
+		Digest:       digest(a.req.Service, call),
+		Target:       target.ID,
+		Deduplicates: target.DeduplicatesKeys,
+	}
+	result := d.Operations.Execute(ctx, claim, func(ctx context.Context) core.ServiceResult {
+		return a.attempt(ctx, a.decision, call)
+	})
+	a.finish(result.Outcome, result.Reason)
+	return operationAnswer(a.req, result)
+}
+
+// digest identifies the content of a call.
+func digest(service core.Service, call core.ServiceCall) string {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(service), []byte(call.Method), []byte(call.Path), call.Body} {
+		_, _ = fmt.Fprintf(h, "%d:", len(part)) // a hash never fails
+		_, _ = h.Write(part)
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func operationAnswer(req *core.Request, result operation.Result) (core.ServiceAnswer, *core.Refusal) {
+	refused := core.Refusal{Kind: string(result.Reason), RetryAfterMs: result.RetryAfter.Milliseconds()}
+	switch result.Outcome {
+	case core.OutcomeDone:
+		if !result.AnswerMissing {
+			return result.Answer, nil
+		}
+		refused.Kind, refused.Status = "AnswerMissing", http.StatusConflict
+		refused.Message = "the call has run, but its answer was not recorded"
+	case core.OutcomeNotRun:
+		refused = refusal(req, result.Reason)
+		refused.RetryAfterMs = result.RetryAfter.Milliseconds()
+		if result.Reason == operation.ReasonKeyReused {
+			refused.Status = http.StatusUnprocessableEntity
+			refused.Message = "the operation key was used with another request"
+		}
+	case core.OutcomeInProgress:
+		refused.Kind, refused.Status = "InProgress", http.StatusConflict
+		refused.Message = "a call with this operation key is still running"
+	default:
+		refused.Kind, refused.Status = "OutcomeUnknown", http.StatusBadGateway
+		refused.Message = "it is not known whether the call has run: " + string(result.Reason)
+	}
+	return core.ServiceAnswer{}, &refused
+}
+
+// attempt sends the call once to the decision's target.
+func (a *admitted) attempt(ctx context.Context, decision core.Decision, call core.ServiceCall) core.ServiceResult {
+	d := a.dispatcher
+	target, known := d.Fleet.State(decision.Target)
+	if !known {
+		return core.ServiceResult{Outcome: core.OutcomeNotRun, Err: core.ErrNotRun}
+	}
+	finished := a.send(decision)
+	defer finished()
+	call.Attempt = d.Attempts()
+	result := d.Services.Call(ctx, target.Address, call)
+	if ctx.Err() == nil {
+		d.Circuits.Ended(target.ID, result.Outcome == core.OutcomeDone)
+	}
+	return result
+}
+
+// tried is one attempt and its result.
+type tried struct {
+	target core.TargetID
+	result core.ServiceResult
+}
+
+func (a *admitted) callRepeatable(ctx context.Context, call core.ServiceCall) (core.ServiceAnswer, *core.Refusal) {
+	d := a.dispatcher
+	ctx, cancel := context.WithTimeout(ctx, a.req.Remaining(d.Clock.Now()))
+	defer cancel()
+	decision := a.decision
+	var exclude []core.TargetID
+	for n := 1; ; n++ {
+		started := d.Clock.Now()
+		last, all := a.hedged(ctx, decision, exclude, call)
+		if last.result.Outcome == core.OutcomeDone {
+			d.Hedger.Observe(a.req.Kind.Name, d.Clock.Now().Sub(started))
+			a.finish(core.OutcomeDone, decision.Reason)
+			return last.result.Answer, nil
+		}
+		exclude = append(exclude, all...)
+		failure := retry.Failure{
+			NotRun: last.result.Outcome == core.OutcomeNotRun, Attempt: n, Expected: decision.Estimate.Total,
+		}
+		verdict := d.Retrier.Next(d.Clock.Now(), a.req, failure)
+		if !verdict.Retry || !wait(ctx, verdict.After) {
+			break
+		}
+		next := a.route(d.Clock.Now(), exclude)
+		if !next.Found() {
+			break
+		}
+		decision = next
+	}
+	a.finish(core.OutcomeUnknown, "TargetFailed")
+	return core.ServiceAnswer{}, (core.Refusal{
+		Kind: "TargetFailed", Message: "no target answered in time; the call may be repeated", Status: http.StatusBadGateway,
+	}).WithRetryAfter(retryWithoutTarget)
+}
+
+// hedged sends the call, and a second time to another target when the first one
+// takes longer than usual. It returns the first answer and all targets tried.
+func (a *admitted) hedged(
+	ctx context.Context, decision core.Decision, exclude []core.TargetID, call core.ServiceCall,
+) (tried, []core.TargetID) {
+	d := a.dispatcher
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan tried, 2)
+	start := func(decision core.Decision) {
+		go func() { results <- tried{decision.Target, a.attempt(ctx, decision, call)} }()
+	}
+	start(decision)
+	targets := []core.TargetID{decision.Target}
+	delay, hedge := d.Hedger.Delay(a.req, decision.Estimate.Total)
+	if !hedge {
+		return <-results, targets
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	running := 1
+	for {
+		select {
+		case r := <-results:
+			running--
+			if r.result.Outcome == core.OutcomeDone || running == 0 {
+				return r, targets
+			}
+		case <-timer.C:
+			second := a.route(d.Clock.Now(), append(targets, exclude...))
+			if second.Found() && d.Hedger.Start(d.Clock.Now(), a.req) {
+				start(second)
+				targets = append(targets, second.Target)
+				running++
+			}
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/core/dispatch/circuits.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+	"gorseline/core/retry"
+	"gorseline/core/routing"
+)
+
+// Circuits holds a circuit breaker per target and keeps the fleet's view of them.
+// It is safe for concurrent use.
+type Circuits struct {
+	fleet   *routing.Store
+	clock   core.ClockProvider
+	random  *random.Source
+	options retry.BreakerOptions
+	done    chan struct{}
+
+	mu       sync.Mutex
+	breakers map[core.TargetID]*retry.Breaker
+}
+
+// NewCircuits returns closed circuits for all targets.
+func NewCircuits(fleet *routing.Store, clock core.ClockProvider, source *random.Source) *Circuits {
+	return &Circuits{
+		fleet: fleet, clock: clock, random: source, options: retry.DefaultBreakerOptions(),
+		done: make(chan struct{}), breakers: map[core.TargetID]*retry.Breaker{},
+	}
+}
+
+func (c *Circuits) breaker(id core.TargetID) *retry.Breaker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, ok := c.breakers[id]
+	if !ok {
+		b = retry.NewBreaker(c.options)
+		c.breakers[id] = b
+	}
+	return b
+}
+
+// Ended notes how an attempt on a target ended.
+func (c *Circuits) Ended(id core.TargetID, ok bool) {
+	now := c.clock.Now()
+	b := c.breaker(id)
+	if ok {
+		b.Succeeded(now)
+	} else {
+		b.Failed(now, c.random.Unit())
+	}
+	c.fleet.SetCircuit(id, !b.Ready(now))
+}
+
+// Done is closed when Run has ended.
+func (c *Circuits) Done() <-chan struct{} { return c.done }
+
+// circuitInterval is the time between two looks at open circuits. It is short
+// against the time that a circuit stays open.
+const circuitInterval = 250 * time.Millisecond
+
+// Run lets attempts through again when the open time of a circuit is over.
+func (c *Circuits) Run(ctx context.Context) {
+	defer close(c.done)
+	ticker := time.NewTicker(circuitInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.refresh()
+		}
+	}
+}
+
+func (c *Circuits) refresh() {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, b := range c.breakers {
+		if b.State() != retry.CircuitClosed {
+			c.fleet.SetCircuit(id, !b.Ready(now))
+		}
+	}
+}
--- /dev/null
+++ b/core/dispatch/completion.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/estimate"
+	"gorseline/core/retry"
+	"gorseline/core/stream"
+)
+
+// Complete runs a completion and ends the answer in sink, with a refusal if it
+// didn't run.
+func (d *Dispatcher) Complete(ctx context.Context, req *core.Request, completion core.CompletionRequest, sink stream.Sink) {
+	a, refused := d.admit(req)
+	if refused != nil {
+		_ = sink.Fail(refused, nil) // a caller that went away can't be told
+		return
+	}
+	d.Retrier.Fresh()
+	completion.Attempt = d.Attempts()
+	run := &completionRun{admitted: a, ctx: ctx, completion: completion}
+	run.serve(stream.Call{}, sink)
+}
+
+// Resume continues the stream that a resume token names. The request was admitted
+// when the stream began and isn't admitted again.
+func (d *Dispatcher) Resume(ctx context.Context, req *core.Request, completion core.CompletionRequest, token string, sink stream.Sink) {
+	position, err := d.Sealer.Open(token, req.Organisation)
+	if err != nil {
+		var refused *core.Refusal
+		if !errors.As(err, &refused) {
+			panic(err) // Open returns refusals only
+		}
+		_ = sink.Fail(refused, nil)
+		return
+	}
+	a := &admitted{dispatcher: d, policy: unreserved{d.Policies.Policy(req.Organisation)}, req: req}
+	a.decision.Target = position.Target
+	completion.Attempt = d.Attempts()
+	run := &completionRun{admitted: a, ctx: ctx, completion: completion, attempts: 1}
+	run.serve(stream.Call{Resume: &position}, sink)
+}
+
+// unreserved is a policy for work that was not admitted here.
+type unreserved struct{ core.Policy }
+
+// Finish returns nothing, since nothing was reserved.
+func (unreserved) Finish(core.Instant, *core.Request, bool) {}
+
+// completionRun is one completion with its attempts.
+type completionRun struct {
+	*admitted
+	ctx        context.Context
+	completion core.CompletionRequest
+	attempts   int
+	load       estimate.Load
+	finished   func()
+}
+
+func (r *completionRun) serve(call stream.Call, sink stream.Sink) {
+	call.Request, call.Completion = r.req, r.completion
+	call.Targets, call.OnAttempt = r.next, r.ended
+	result := r.dispatcher.Relay.Serve(r.ctx, call, sink)
+	r.release()
+	r.learn(result)
+	r.finish(result.Outcome, result.Reason)
+}
+
+func (r *completionRun) release() {
+	if r.finished != nil {
+		r.finished()
+		r.finished = nil
+	}
+}
+
+// next returns the target of the next attempt: first the one that admission
+// reckoned with, then others as the retry budget allows.
+func (r *completionRun) next(exclude []core.TargetID) (stream.Candidate, bool) {
+	d := r.dispatcher
+	r.release()
+	r.attempts++
+	if r.attempts > 1 {
+		failure := retry.Failure{Attempt: r.attempts - 1, Expected: r.decision.Estimate.FirstToken}
+		if !d.Retrier.Next(d.Clock.Now(), r.req, failure).Retry {
+			return stream.Candidate{}, false
+		}
+		r.decision = r.route(d.Clock.Now(), exclude)
+	}
+	return r.prepare(exclude)
+}
+
+// prepare computes the prompt on another engine where the decision says so. When
+// that fails it chooses again without that engine.
+func (r *completionRun) prepare(exclude []core.TargetID) (stream.Candidate, bool) {
+	d := r.dispatcher
+	for r.decision.Found() {
+		target, known := d.Fleet.State(r.decision.Target)
+		if !known {
+			return stream.Candidate{}, false
+		}
+		candidate := stream.Candidate{Target: target.ID, Address: target.Address}
+		if r.decision.ImportFrom != "" {
+			source, _ := d.Fleet.State(r.decision.ImportFrom)
+			candidate.ImportFrom = source.Address
+		}
+		r.load = estimate.LoadAt(d.Clock.Now(), &target)
+		r.finished = r.send(r.decision)
+		if r.decision.Prefill == "" || r.decision.Prefill == r.decision.Target {
+			return candidate, true
+		}
+		if source, ok := r.prefill(); ok {
+			candidate.ImportFrom = source
+			return candidate, true
+		}
+		r.release()
+		exclude = append(slices.Clone(exclude), r.decision.Prefill)
+		r.decision = r.route(d.Clock.Now(), exclude)
+	}
+	return stream.Candidate{}, false
+}
+
+// prefill computes the prompt on the prefill engine and returns its address.
+func (r *completionRun) prefill() (address string, ok bool) {
+	d := r.dispatcher
+	engine, known := d.Fleet.State(r.decision.Prefill)
+	if !known {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, r.req.Remaining(d.Clock.Now()))
+	defer cancel()
+	prefill := r.completion
+	prefill.PrefillOnly = true
+	err := drain(ctx, d.Completer, engine.Address, prefill)
+	d.Circuits.Ended(engine.ID, err == nil || r.ctx.Err() != nil)
+	return engine.Address, err == nil
+}
+
+func drain(ctx context.Context, completer core.Completer, address string, completion core.CompletionRequest) error {
+	reader, err := completer.Complete(ctx, address, completion)
+	if err != nil {
+		return err
+	}
+	defer reader.Close()
+	for {
+		piece, err := reader.Next(ctx)
+		if err != nil {
+			return err
+		}
+		if piece.Final {
+			return nil
+		}
+	}
+}
+
+func (r *completionRun) ended(attempt stream.Attempt) {
+	if attempt.Abandoned {
+		return
+	}
+	r.dispatcher.Circuits.Ended(attempt.Target, attempt.Err == nil || errors.Is(attempt.Err, core.ErrUnknownStream))
+}
+
+// learn passes what an undisturbed answer showed to the estimates.
+func (r *completionRun) learn(result stream.Result) {
+	undisturbed := result.Resumes == 0 && result.Reruns == 0 && r.decision.Prefill == ""
+	if result.Outcome != core.OutcomeDone || !undisturbed || result.Tokens < 2 {
+		return
+	}
+	whole := r.dispatcher.Clock.Now().Sub(r.req.Arrived)
+	r.dispatcher.Fleet.Observe(result.Target, estimate.Observation{
+		Backlog:       r.load.Backlog,
+		Computed:      max(0, r.req.PromptTokens-r.decision.Estimate.PrefixTokens),
+		FirstToken:    result.FirstToken,
+		Sequences:     r.load.Sequences + 1,
+		BetweenTokens: (whole - result.FirstToken) / time.Duration(result.Tokens-1),
+	})
+}
--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,121 @@
+// Package dispatch takes a caller's request through routing, admission, the target
+// and the account of its outcome.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/operation"
+	"gorseline/core/retry"
+	"gorseline/core/routing"
+	"gorseline/core/stream"
+)
+
+// Operations runs calls that may not be repeated.
+type Operations interface {
+	Execute(ctx context.Context, call operation.Call, run func(context.Context) core.ServiceResult) operation.Result
+}
+
+// Options are the parts of a Dispatcher. All fields are required.
+type Options struct {
+	Policies   core.PolicyProvider
+	Fleet      *routing.Store
+	Completer  core.Completer
+	Relay      *stream.Relay
+	Sealer     *stream.Sealer
+	Services   core.ServiceClient
+	Operations Operations
+	Retrier    *retry.Retrier
+	Hedger     *retry.Hedger
+	Circuits   *Circuits
+	Clock      core.ClockProvider
+	Recorder   core.Recorder
+	// Attempts returns a new ID that no process has used.
+	Attempts func() core.AttemptID
+}
+
+// Kinds of events that this package records.
+const (
+	EventRouted   core.EventKind = "RequestRouted"
+	EventRefused  core.EventKind = "RequestRefused"
+	EventFinished core.EventKind = "RequestFinished"
+)
+
+// Dispatcher runs requests. It is safe for concurrent use.
+type Dispatcher struct {
+	Options
+	account Account
+}
+
+// New returns a dispatcher with an empty account.
+func New(options Options) *Dispatcher { return &Dispatcher{Options: options} }
+
+// Kinds returns the totals of the requests that ended here.
+func (d *Dispatcher) Kinds() map[core.KindName]KindAccount { return d.account.Kinds() }
+
+// Traffic returns the totals of the requests that ended here, by model.
+func (d *Dispatcher) Traffic() map[core.Model]Traffic { return d.account.Traffic() }
+
+// admitted is a request that a policy has taken on. It keeps the policy, so that a
+// switch of the preset doesn't change how the request is accounted for.
+type admitted struct {
+	dispatcher *Dispatcher
+	policy     core.Policy
+	req        *core.Request
+	decision   core.Decision
+}
+
+// admit routes the request and asks for admission.
+func (d *Dispatcher) admit(req *core.Request) (*admitted, *core.Refusal) {
+	now := d.Clock.Now()
+	policy := d.Policies.Policy(req.Organisation)
+	decision := policy.Route(now, req, d.Fleet)
+	if !decision.Found() {
+		return nil, d.refuse(req, decision.Reason, retryWithoutTarget)
+	}
+	admission := policy.Admit(now, req, decision.Estimate)
+	if !admission.Admitted {
+		return nil, d.refuse(req, admission.Reason, admission.RetryAfter)
+	}
+	return &admitted{dispatcher: d, policy: policy, req: req, decision: decision}, nil
+}
+
+// route chooses another target, leaving out some.
+func (a *admitted) route(now core.Instant, exclude []core.TargetID) core.Decision {
+	fleet := excludingFleet{a.dispatcher.Fleet, exclude}
+	return a.policy.Route(now, a.req, fleet)
+}
+
+// finish returns the reservation and accounts for the outcome.
+func (a *admitted) finish(outcome core.OutcomeKind, reason core.Reason) {
+	d := a.dispatcher
+	now := d.Clock.Now()
+	inTime := outcome == core.OutcomeDone && a.req.Remaining(now) >= 0
+	a.policy.Finish(now, a.req, inTime)
+	d.account.finished(a.req, outcome, inTime)
+	d.record(EventFinished, a.req, a.decision.Target, reason, outcome.String())
+}
+
+// retryWithoutTarget is when a request comes back that no target can take: about
+// one load report later.
+const retryWithoutTarget = 2 * time.Second
+
+func (d *Dispatcher) refuse(req *core.Request, reason core.Reason, after time.Duration) *core.Refusal {
+	d.account.refused(req)
+	d.record(EventRefused, req, "", reason, "")
+	return refusal(req, reason).WithRetryAfter(after)
+}
+
+func (d *Dispatcher) record(kind core.EventKind, req *core.Request, target core.TargetID, reason core.Reason, detail string) {
+	d.Recorder.Record(core.Event{Kind: kind, Request: req.ID, Target: target, Reason: reason, Detail: detail})
+}
+
+// send notes that the request goes to a target and returns what to call at its end.
+func (a *admitted) send(decision core.Decision) (finished func()) {
+	d := a.dispatcher
+	d.Fleet.Sent(d.Clock.Now(), a.req, decision)
+	d.record(EventRouted, a.req, decision.Target, decision.Reason, decision.Estimate.Total.Round(time.Millisecond).String())
+	return func() { d.Fleet.Finished(d.Clock.Now(), decision) }
+}
--- /dev/null
+++ b/core/dispatch/exclude.go
@@ -0,0 +1,24 @@
+package dispatch
+
+import (
+	"slices"
+
+	"gorseline/core"
+	"gorseline/core/routing"
+)
+
+// excludingFleet leaves out the targets that a request has already tried.
+type excludingFleet struct {
+	routing.PrefixFleet
+	exclude []core.TargetID
+}
+
+var _ routing.PrefixFleet = excludingFleet{}
+
+// Candidates implements core.Fleet.
+func (f excludingFleet) Candidates(req *core.Request, into []*core.TargetState) []*core.TargetState {
+	known := len(into)
+	all := f.PrefixFleet.Candidates(req, into)
+	kept := slices.DeleteFunc(all[known:], func(s *core.TargetState) bool { return slices.Contains(f.exclude, s.ID) })
+	return all[:known+len(kept)]
+}
--- /dev/null
+++ b/core/dispatch/refusal.go
@@ -0,0 +1,27 @@
+package dispatch
+
+import (
+	"net/http"
+
+	"gorseline/core"
+)
+
+// refusal returns the answer to a request that was refused before it ran.
+func refusal(req *core.Request, reason core.Reason) core.Refusal {
+	r := core.Refusal{Kind: string(reason), NotRun: true, Status: http.StatusServiceUnavailable}
+	switch reason {
+	case core.ReasonOrganisationLimit:
+		r.Status = http.StatusTooManyRequests
+		r.Message = "the organisation has too many requests in flight"
+	case core.ReasonKindLimit, core.ReasonConcurrency:
+		r.Status = http.StatusTooManyRequests
+		r.Message = "too many requests of kind " + string(req.Kind.Name) + " are in flight"
+	case core.ReasonDeadline:
+		r.Message = "the deadline can't be met now"
+	case core.ReasonStoreUnavailable:
+		r.Message = "the store that records calls that may not be repeated is unavailable"
+	default:
+		r.Message = "no target can take the request now"
+	}
+	return r
+}
--- a/core/engine.go
+++ b/core/engine.go
@@ -1,6 +1,9 @@
 package core
 
-import "context"
+import (
+	"context"
+	"io"
+)
 
 // CompletionRequest asks an engine for a completion.
 type CompletionRequest struct {
@@ -41,7 +44,7 @@
 	// Next returns the next piece. It returns io.EOF after the terminal piece and
 	// ErrStreamCut when the stream ended before it.
 	Next(ctx context.Context) (Piece, error)
-	Close() error
+	io.Closer
 }
 
 // Order tells an engine what to be. It is absolute and idempotent.
--- a/core/membership/addresses.go
+++ b/core/membership/addresses.go
@@ -38,6 +38,7 @@
 		case h.Status == StatusSuspect || p.view.isLost(h.DataCentre):
 			answer.KeepFor = keepForInFlux
 		case h.Status != StatusAlive:
+		case p.self.Callers != "" && h.Callers == "": // not heard from yet
 		case h.DataCentre == caller:
 			near = append(near, h.Record)
 		default:
@@ -49,10 +50,10 @@
 	// Each part fills what the other lacks.
 	nearCount := min(len(near), max(localShare, addressCount-len(far)))
 	for _, r := range near[:nearCount] {
-		answer.Addresses = append(answer.Addresses, r.Address)
+		answer.Addresses = append(answer.Addresses, r.CallerAddress())
 	}
 	for _, r := range far[:min(len(far), addressCount-nearCount)] {
-		answer.Addresses = append(answer.Addresses, r.Address)
+		answer.Addresses = append(answer.Addresses, r.CallerAddress())
 	}
 	return answer
 }
--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -37,6 +37,17 @@
 	// Incarnation is raised only by the member itself, to refute a suspicion or
 	// to return. For a data centre the delegates raise it.
 	Incarnation uint64 `cbor:"5,keyasint,omitempty"`
+	// Callers is the address for callers, where it differs from Address. It is
+	// empty for a member that is known only from the platform's list.
+	Callers string `cbor:"6,keyasint,omitempty"`
+}
+
+// CallerAddress returns the address that callers use.
+func (r Record) CallerAddress() string {
+	if r.Callers != "" {
+		return r.Callers
+	}
+	return r.Address
 }
 
 func (r Record) isCentre() bool { return r.ID == "" }
--- /dev/null
+++ b/core/watch/watch.go
@@ -0,0 +1,138 @@
+// Package watch keeps the fleet's load reports and prefix hints fresh.
+package watch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+	"gorseline/core/routing"
+)
+
+// Options are the parts of a Watcher.
+type Options struct {
+	Fleet  *routing.Store
+	Load   core.LoadReporter
+	Events core.CacheEventReader
+	Clock  core.ClockProvider
+	Random *random.Source
+	// Watched selects the targets that this instance polls; nil polls all.
+	Watched func(core.TargetID) bool
+	// OnReport is told of each report, or of a failed poll with an error; it may be
+	// nil.
+	OnReport func(core.TargetState, error)
+	// Interval is the time between two polls of a target.
+	Interval time.Duration
+}
+
+const (
+	// DefaultInterval is the time between two polls of a target.
+	DefaultInterval = 2 * time.Second
+	// pollers bounds the polls under way, so that silent targets can't hold up all.
+	pollers = 8
+	// pollTimeout is short against the interval: a report that takes longer is stale.
+	pollTimeout = time.Second
+)
+
+// Watcher polls targets. One that is busy with all pollers skips a round.
+type Watcher struct {
+	options Options
+	work    chan core.TargetState
+	done    chan struct{}
+
+	mu     sync.Mutex
+	events map[core.TargetID]uint64 // last cache event seen
+}
+
+// New returns a watcher that polls nothing until Run.
+func New(options Options) *Watcher {
+	if options.Interval == 0 {
+		options.Interval = DefaultInterval
+	}
+	return &Watcher{
+		options: options, work: make(chan core.TargetState, pollers), done: make(chan struct{}),
+		events: map[core.TargetID]uint64{},
+	}
+}
+
+// Done is closed when Run has ended.
+func (w *Watcher) Done() <-chan struct{} { return w.done }
+
+// Run polls until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	defer close(w.done)
+	var group sync.WaitGroup
+	for range pollers {
+		group.Go(func() { w.loop(ctx) })
+	}
+	defer group.Wait()
+	defer close(w.work)
+	for {
+		w.round(ctx)
+		// Jitter keeps the instances from polling a target at the same moment.
+		pause := w.options.Interval/2 + time.Duration(w.options.Random.Unit()*float64(w.options.Interval))
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+func (w *Watcher) round(ctx context.Context) {
+	for _, state := range w.options.Fleet.States() {
+		if w.options.Watched != nil && !w.options.Watched(state.ID) {
+			continue
+		}
+		select {
+		case w.work <- state:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *Watcher) loop(ctx context.Context) {
+	for state := range w.work {
+		if ctx.Err() == nil {
+			w.poll(ctx, state)
+		}
+	}
+}
+
+func (w *Watcher) poll(ctx context.Context, state core.TargetState) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	report, err := w.options.Load.Load(ctx, state.Address)
+	if err == nil {
+		w.options.Fleet.Report(w.options.Clock.Now(), state.ID, report)
+		state.Report = report
+		w.readEvents(ctx, state)
+	}
+	if w.options.OnReport != nil {
+		w.options.OnReport(state, err)
+	}
+}
+
+// readEvents ignores errors: cache events are hints, and the next poll asks again
+// for what follows the last one seen.
+func (w *Watcher) readEvents(ctx context.Context, state core.TargetState) {
+	if !state.IsEngine() {
+		return
+	}
+	w.mu.Lock()
+	after := w.events[state.ID]
+	w.mu.Unlock()
+	events, err := w.options.Events.CacheEvents(ctx, state.Address, after)
+	if err != nil || len(events) == 0 {
+		return
+	}
+	w.options.Fleet.CacheEvents(state.ID, events)
+	w.mu.Lock()
+	w.events[state.ID] = events[len(events)-1].Sequence
+	w.mu.Unlock()
+}
--- a/io/caller/completion.go
+++ b/io/caller/completion.go
@@ -11,15 +11,12 @@
 // completionBody is the part of the OpenAI completion and chat formats that the
 // system understands. Other fields are ignored, as servers of this API do.
 type completionBody struct {
-	Model       string          `json:"model"`
-	Prompt      json.RawMessage `json:"prompt"`
-	Messages    []chatMessage   `json:"messages"`
-	MaxTokens   int             `json:"max_tokens"`
-	MaxNew      int             `json:"max_completion_tokens"`
-	Stream      bool            `json:"stream"`
-	StreamUsage struct {
-		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  []chatMessage   `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	MaxNew    int             `json:"max_completion_tokens"`
+	Stream    bool            `json:"stream"`
 }
 
 type chatMessage struct {
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -12,21 +12,15 @@
 	"github.com/gorilla/mux"
 
 	"gorseline/core"
+	"gorseline/core/stream"
+	"gorseline/io/sse"
 )
 
-// Sink takes the events of one streamed answer.
-type Sink interface {
-	// Write sends a piece under the given event id, which resumes after it.
-	Write(id string, piece core.Piece) error
-	// Heartbeat tells the caller that the stream is alive.
-	Heartbeat() error
-}
-
-// CompletionDispatcher runs completions. A refusal means that no piece was written.
+// CompletionDispatcher runs completions and ends each answer in its sink.
 type CompletionDispatcher interface {
-	Complete(ctx context.Context, req *core.Request, completion core.CompletionRequest, sink Sink) *core.Refusal
-	// Resume continues the stream that an event id names.
-	Resume(ctx context.Context, req *core.Request, completion core.CompletionRequest, id string, sink Sink) *core.Refusal
+	Complete(ctx context.Context, req *core.Request, completion core.CompletionRequest, sink stream.Sink)
+	// Resume continues the stream that a resume token names.
+	Resume(ctx context.Context, req *core.Request, completion core.CompletionRequest, token string, sink stream.Sink)
 }
 
 // ServiceDispatcher runs calls of plain services.
@@ -40,16 +34,9 @@
 	ServiceDispatcher
 }
 
-// Address is one address that callers may use.
-type Address struct {
-	Instance   core.InstanceID
-	Address    string
-	DataCentre core.DataCentre
-}
-
 // AddressProvider chooses addresses for a caller in a data centre.
 type AddressProvider interface {
-	Addresses(from core.DataCentre) (addresses []Address, keep time.Duration)
+	Addresses(from core.DataCentre) (addresses []string, keep time.Duration)
 }
 
 // AdmissionGate tells whether this instance takes new work.
@@ -99,19 +86,20 @@
 	cfg := h.Configuration.Configuration()
 	req, completion, body, refusal := h.decode(w, r, cfg, chat)
 	if refusal != nil {
-		writeRefusal(w, refusal)
+		_ = writeRefusal(w, refusal)
 		return
 	}
 	w.Header().Set(HeaderRequest, string(req.ID))
-	ctx, cancel := context.WithTimeout(r.Context(), req.Remaining(h.Clock.Now()))
-	defer cancel()
-	answer := newAnswer(w, req, chat, body)
-	if id := r.Header.Get(headerLastEvent); id != "" {
-		refusal = h.Dispatcher.Resume(ctx, req, completion, id, answer)
-	} else {
-		refusal = h.Dispatcher.Complete(ctx, req, completion, answer)
+	format := sse.Format{Chat: chat, ID: req.ID, Model: req.Model, Created: time.Now(), PromptTokens: req.PromptTokens}
+	var sink stream.Sink = newCollector(w, format)
+	if body.Stream {
+		sink = sse.NewWriter(w, format)
+	}
+	if token := r.Header.Get(headerLastEvent); token != "" {
+		h.Dispatcher.Resume(r.Context(), req, completion, token, sink)
+		return
 	}
-	answer.finish(refusal)
+	h.Dispatcher.Complete(r.Context(), req, completion, sink)
 }
 
 func (h *Handler) decode(
@@ -161,7 +149,7 @@
 	cfg := h.Configuration.Configuration()
 	answer, refusal := h.callService(w, r, cfg)
 	if refusal != nil {
-		writeRefusal(w, refusal)
+		_ = writeRefusal(w, refusal)
 		return
 	}
 	w.Header().Set("Content-Type", answer.ContentType)
@@ -264,28 +252,29 @@
 	for _, m := range modelsOf(h.Configuration.Configuration()) {
 		list.Data = append(list.Data, modelEntry{string(m), "model", "gorseline"})
 	}
-	writeJSON(w, http.StatusOK, list)
+	_ = writeJSON(w, http.StatusOK, list)
 }
 
 type addressesBody struct {
-	Addresses []Address
+	// Addresses come in the order to try them.
+	Addresses []string
 	// KeepMs is how long the caller may keep the answer, in milliseconds.
 	KeepMs int64
 }
 
 func (h *Handler) addresses(w http.ResponseWriter, r *http.Request) {
 	list, keep := h.Addresses.Addresses(core.DataCentre(r.URL.Query().Get("dataCentre")))
-	writeJSON(w, http.StatusOK, addressesBody{list, keep.Milliseconds()})
+	_ = writeJSON(w, http.StatusOK, addressesBody{list, keep.Milliseconds()})
 }
 
 func notFound(w http.ResponseWriter, r *http.Request) {
-	writeRefusal(w, &core.Refusal{
+	_ = writeRefusal(w, &core.Refusal{
 		Kind: "UnknownPath", Message: "no such path: " + r.URL.Path, NotRun: true, Status: http.StatusNotFound,
 	})
 }
 
 func methodNotAllowed(w http.ResponseWriter, r *http.Request) {
-	writeRefusal(w, &core.Refusal{
+	_ = writeRefusal(w, &core.Refusal{
 		Kind: "MethodNotAllowed", Message: r.Method + " is not accepted on " + r.URL.Path,
 		NotRun: true, Status: http.StatusMethodNotAllowed,
 	})
--- a/io/caller/refusal.go
+++ b/io/caller/refusal.go
@@ -28,7 +28,7 @@
 	Code    string `json:"code"`
 }
 
-func writeRefusal(w http.ResponseWriter, r *core.Refusal) {
+func writeRefusal(w http.ResponseWriter, r *core.Refusal) error {
 	if r.RetryAfterMs > 0 {
 		wait := time.Duration(r.RetryAfterMs) * time.Millisecond
 		seconds := int64((wait + time.Second - 1) / time.Second)
@@ -38,15 +38,23 @@
 	if status == 0 {
 		status = http.StatusServiceUnavailable
 	}
-	writeJSON(w, status, errorBody{r, openAIError{r.Message, r.Kind, r.Kind}})
+	return writeJSON(w, status, errorBody{r, openAIError{r.Message, r.Kind, r.Kind}})
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+// writeJSON returns an error if the caller went away.
+func writeJSON(w http.ResponseWriter, status int, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		panic(err) // the bodies are plain structs
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_, _ = w.Write(append(data, '\n')) // a caller that went away can't be told
+	_, err = w.Write(append(data, '\n'))
+	return err
+}
+
+// interrupt makes a blocked write to a caller fail.
+func interrupt(control *http.ResponseController) {
+	// A response that has no deadlines can't block on a connection either.
+	_ = control.SetWriteDeadline(time.Unix(1, 0))
 }
--- /dev/null
+++ b/io/operator/client.go
@@ -0,0 +1,60 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"gorseline/core"
+)
+
+// Client calls the operators' API of one instance.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// callTimeout covers a change with settled writes and a status of all readers.
+const callTimeout = 15 * time.Second
+
+// NewClient returns a client of the instance at base, such as
+// "http://10.0.0.9:7001".
+func NewClient(base string, transport http.RoundTripper) *Client {
+	return &Client{strings.TrimSuffix(base, "/"), &http.Client{Transport: transport, Timeout: callTimeout}}
+}
+
+// Status returns the fleet's state as the instance sees it.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return call[Status](ctx, c, pathStatus, Empty{})
+}
+
+// Configuration returns the configuration in force on the instance.
+func (c *Client) Configuration(ctx context.Context) (core.Configuration, error) {
+	return call[core.Configuration](ctx, c, pathConfiguration, Empty{})
+}
+
+// Change proposes a change.
+func (c *Client) Change(ctx context.Context, r ChangeRequest) (ChangeAnswer, error) {
+	return call[ChangeAnswer](ctx, c, pathChange, r)
+}
+
+// History lists accepted revisions.
+func (c *Client) History(ctx context.Context, r HistoryRequest) (History, error) {
+	return call[History](ctx, c, pathHistory, r)
+}
+
+// Compare lists the differences between two revisions.
+func (c *Client) Compare(ctx context.Context, r CompareRequest) (Comparison, error) {
+	return call[Comparison](ctx, c, pathCompare, r)
+}
+
+// Operation returns the outcome of a call that may not be repeated.
+func (c *Client) Operation(ctx context.Context, r OperationRequest) (OperationAnswer, error) {
+	return call[OperationAnswer](ctx, c, pathOperation, r)
+}
+
+// Timeline returns events.
+func (c *Client) Timeline(ctx context.Context, r TimelineRequest) (TimelineAnswer, error) {
+	return call[TimelineAnswer](ctx, c, pathTimeline, r)
+}
--- /dev/null
+++ b/io/operator/server.go
@@ -0,0 +1,107 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+	"gorseline/core/configuration"
+	"gorseline/core/operation"
+)
+
+// StatusProvider describes the fleet as one instance sees it.
+type StatusProvider interface {
+	Status(ctx context.Context) Status
+}
+
+// Proposer proposes a change and spreads it when it is accepted.
+type Proposer interface {
+	Propose(ctx context.Context, seen core.Revision, change configuration.Change) configuration.Proposal
+}
+
+// HistoryReader reads accepted revisions.
+type HistoryReader interface {
+	History(ctx context.Context, newest core.Revision, limit int) ([]configuration.Head, error)
+	Compare(ctx context.Context, a, b core.Revision) ([]configuration.Difference, error)
+}
+
+// OperationReader looks up calls that may not be repeated.
+type OperationReader interface {
+	Lookup(ctx context.Context, org core.Organisation, key core.OperationKey) operation.Result
+}
+
+// EventReader reads the time line.
+type EventReader interface {
+	Events(ctx context.Context, request TimelineRequest) TimelineAnswer
+}
+
+// Server is everything that the operators' API needs.
+type Server interface {
+	StatusProvider
+	core.ConfigurationProvider
+	Proposer
+	HistoryReader
+	OperationReader
+	EventReader
+}
+
+type handler struct{ server Server }
+
+// NewHandler returns the handler of the operators' API. Mount it at
+// "/gorseline.Operator/".
+func NewHandler(server Server) http.Handler {
+	h := handler{server}
+	mux := http.NewServeMux()
+	handle(mux, pathStatus, h.status)
+	handle(mux, pathConfiguration, h.configuration)
+	handle(mux, pathChange, h.change)
+	handle(mux, pathHistory, h.history)
+	handle(mux, pathCompare, h.compare)
+	handle(mux, pathOperation, h.operation)
+	handle(mux, pathTimeline, h.timeline)
+	return mux
+}
+
+func (h handler) status(ctx context.Context, _ Empty) (Status, error) {
+	return h.server.Status(ctx), nil
+}
+
+func (h handler) configuration(context.Context, Empty) (core.Configuration, error) {
+	return h.server.Configuration(), nil
+}
+
+func (h handler) change(ctx context.Context, r ChangeRequest) (ChangeAnswer, error) {
+	o, ok := r.operation()
+	if !ok {
+		return ChangeAnswer{}, connect.NewError(connect.CodeInvalidArgument, errors.New("exactly one change must be set"))
+	}
+	change := configuration.Change{Operation: o, Operator: r.Operator, Note: r.Note, At: time.Now()}
+	return ChangeAnswer{h.server.Propose(ctx, r.Seen, change)}, nil
+}
+
+const maxHistory = 200
+
+func (h handler) history(ctx context.Context, r HistoryRequest) (History, error) {
+	if r.Limit <= 0 || r.Limit > maxHistory {
+		r.Limit = maxHistory
+	}
+	list, err := h.server.History(ctx, r.Newest, r.Limit)
+	return History{list}, err
+}
+
+func (h handler) compare(ctx context.Context, r CompareRequest) (Comparison, error) {
+	list, err := h.server.Compare(ctx, r.Before, r.After)
+	return Comparison{list}, err
+}
+
+func (h handler) operation(ctx context.Context, r OperationRequest) (OperationAnswer, error) {
+	return OperationAnswer{h.server.Lookup(ctx, r.Organisation, r.Key)}, nil
+}
+
+func (h handler) timeline(ctx context.Context, r TimelineRequest) (TimelineAnswer, error) {
+	return h.server.Events(ctx, r), nil
+}
--- a/io/peer/member.go
+++ b/io/peer/member.go
@@ -19,6 +19,8 @@
 const (
 	tickInterval = 100 * time.Millisecond
 	seedInterval = 30 * time.Second
+	// aloneInterval replaces seedInterval while no other member is known.
+	aloneInterval = 2 * time.Second
 	// callLimit bounds calls under way. A call above it fails at once and is
 	// counted; gossip and pulls repair what it would have carried.
 	callLimit = 64
@@ -117,18 +119,27 @@
 }
 
 func (m *Member) loopSeeds(ctx context.Context) {
-	ticker := time.NewTicker(seedInterval)
-	defer ticker.Stop()
 	for {
+		timer := time.NewTimer(m.untilSeeds())
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			m.readSeeds(ctx)
 		}
 	}
 }
 
+// untilSeeds returns the time until the next look at the list. An instance that
+// knows no other one, as at the start of a fleet, looks more often: the list lags.
+func (m *Member) untilSeeds() time.Duration {
+	if len(m.Members()) > 1 {
+		return seedInterval
+	}
+	return aloneInterval
+}
+
 func (m *Member) readSeeds(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, seedInterval/2)
 	defer cancel()
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,6 +32,7 @@
 // Service is one replica of a plain service.
 type Service struct {
 	options Options
+	running atomic.Int64
 
 	mu       sync.Mutex
 	effects  map[string]int
@@ -51,8 +53,15 @@
 	}
 }
 
-// ServeHTTP runs one call. Its key is the Idempotency-Key, or else the path.
+// ServeHTTP runs one call. Its key is the Idempotency-Key, or else the path. A GET
+// of /v1/load answers with a load report.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == "/v1/load" {
+		s.serveLoad(w)
+		return
+	}
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
 	if err != nil {
 		http.Error(w, "body is too long", http.StatusRequestEntityTooLarge)
@@ -70,6 +79,14 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
+func (s *Service) serveLoad(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the client has gone.
+	_ = json.NewEncoder(w).Encode(struct {
+		Running int64 `json:"running"`
+	}{s.running.Load()})
+}
+
 // pass applies the faults that come before the effect.
 func (s *Service) pass(r *http.Request) bool {
 	s.mu.Lock()
