--- /dev/null
+++ b/cmd/commands/policylist.go
@@ -0,0 +1,58 @@
+package commands
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+
+	"gorseline/core"
+	"gorseline/core/policy"
+)
+
+type policyListCommand struct {
+	operatorSettings
+	Types bool `long:"types" description:"List the policy types of this build instead, without a server"`
+}
+
+func init() {
+	registerTerminal[policyListCommand]("policy list", "List the policies",
+		"Lists the policies, their types and the presets that use them.")
+}
+
+// policyRow is one policy in JSON.
+type policyRow struct {
+	core.PolicyDocument
+	UsedBy []string
+}
+
+// Execute prints the policies by name.
+func (c *policyListCommand) Execute([]string) error {
+	if c.Types {
+		types := policy.Types()
+		return c.print(types, func() { c.printf("%s\n", strings.Join(types, "\n")) })
+	}
+	return c.call(func(_ context.Context, to session) error {
+		var list []policyRow
+		var table [][]any
+		for _, name := range slices.Sorted(maps.Keys(to.configuration.Policies)) {
+			row := policyRow{to.configuration.Policies[name], usedBy(to.configuration, name)}
+			list = append(list, row)
+			table = append(table, []any{name, row.Type, strings.Join(row.UsedBy, ",")})
+		}
+		return c.print(list, func() { c.rows("NAME TYPE USED-BY", table) })
+	})
+}
+
+// usedBy returns the presets whose own policy or experiment uses the policy.
+func usedBy(c core.Configuration, name string) []string {
+	var presets []string
+	for _, preset := range slices.Sorted(maps.Keys(c.Presets)) {
+		p := c.Presets[preset]
+		shares := slices.ContainsFunc(p.Experiment, func(s core.PolicyShare) bool { return s.Policy == name })
+		if p.Policy == name || shares {
+			presets = append(presets, preset)
+		}
+	}
+	return presets
+}
--- /dev/null
+++ b/cmd/commands/presethistory.go
@@ -0,0 +1,41 @@
+package commands
+
+import (
+	"context"
+	"time"
+
+	"gorseline/core"
+	"gorseline/io/operator"
+)
+
+type presetHistoryCommand struct {
+	operatorSettings
+	Limit  int           `long:"limit" env:"HISTORY_LIMIT" description:"Number of revisions, at most 200" default:"20"`
+	Newest core.Revision `long:"newest" env:"HISTORY_NEWEST" description:"Revision to begin with; 0 is the newest"`
+}
+
+func init() {
+	registerTerminal[presetHistoryCommand]("preset history", "List accepted changes",
+		"Lists the accepted revisions, newest first: who changed what, why, and the preset in force since. It reads the table "+
+			"service, so it also tells the outcome of a change whose answer was lost.")
+}
+
+// Execute prints the revisions.
+func (c *presetHistoryCommand) Execute([]string) error {
+	if c.Limit < 1 || c.Limit > 200 {
+		return invalidSetting("--limit", c.Limit, "1 to 200")
+	}
+	return c.call(func(ctx context.Context, to session) error {
+		answer, err := to.History(ctx, operator.HistoryRequest{Newest: c.Newest, Limit: c.Limit})
+		if err != nil {
+			return unread(to, err)
+		}
+		return c.print(answer.Revisions, func() {
+			var table [][]any
+			for _, h := range answer.Revisions {
+				table = append(table, []any{h.Revision, h.At.UTC().Format(time.DateTime), h.Operator, h.PresetInForce, h.Change, h.Attempt, h.Note})
+			}
+			c.rows("REVISION AT(UTC) OPERATOR PRESET CHANGE ATTEMPT NOTE", table)
+		})
+	})
+}
--- a/io/operator/codec.go
+++ b/io/operator/codec.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 )
 
 // codec encodes messages as JSON, so that any HTTP client can call the API.
@@ -30,7 +31,11 @@
 func handle[Request, Answer any](mux *http.ServeMux, path string, serve func(context.Context, Request) (Answer, error)) {
 	unary := func(ctx context.Context, request *connect.Request[Request]) (*connect.Response[Answer], error) {
 		answer, err := serve(ctx, *request.Msg)
-		if err != nil {
+		var typed *connect.Error
+		switch {
+		case errors.As(err, &typed):
+			return nil, typed
+		case err != nil:
 			return nil, connect.NewError(connect.CodeUnavailable, err)
 		}
 		return connect.NewResponse(&answer), nil
