--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -57,7 +57,7 @@
 	}
 	r := &Run{options: options, sample: sample, started: time.Now()}
 	r.site, err = deployment.Start(sample.Configuration, deployment.Options{
-		Engine: engineOptions(), Work: 10 * time.Millisecond, ListLag: 500 * time.Millisecond,
+		Engine: EngineOptions(), Work: 10 * time.Millisecond, ListLag: 500 * time.Millisecond,
 	})
 	if err != nil {
 		return nil, err
@@ -72,8 +72,8 @@
 	return r, nil
 }
 
-// engineOptions returns engines fast enough for a run of a few seconds.
-func engineOptions() engine.Options {
+// EngineOptions returns engines fast enough for a run of a few seconds.
+func EngineOptions() engine.Options {
 	o := engine.DefaultOptions()
 	o.PrefillRate = 40_000
 	o.StepBase = 8 * time.Millisecond
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	Work time.Duration
 	// ListLag is how late the instance list shows changes.
 	ListLag time.Duration
+	// FirstPort is the loopback port of the table service; the object store, the
+	// instance list and the targets follow in this order. 0 takes free ports.
+	FirstPort int
 }
 
 // Deployment is a set of running stand-ins.
@@ -43,9 +47,10 @@
 
 	TableURL, ObjectsURL, InstancesURL string
 
-	cancel  context.CancelFunc
-	servers []*http.Server
-	running sync.WaitGroup
+	cancel   context.CancelFunc
+	nextPort int
+	servers  []*http.Server
+	running  sync.WaitGroup
 }
 
 // Start runs stand-ins for the targets of a configuration until Stop.
@@ -55,7 +60,7 @@
 		Configuration: c, Table: table.New(), Objects: object.New(),
 		Instances: instancelist.New(instancelist.Faults{Lag: options.ListLag}),
 		Engines:   map[core.TargetID]*engine.Engine{}, Services: map[core.TargetID]*service.Service{},
-		cancel: cancel,
+		cancel: cancel, nextPort: options.FirstPort,
 	}
 	err := d.start(ctx, options)
 	if err != nil {
@@ -109,10 +114,13 @@
 }
 
 func (d *Deployment) serve(h http.Handler) (address string, err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(d.nextPort)))
 	if err != nil {
 		return "", errors.Wrap(err, "open a stand-in's port")
 	}
+	if d.nextPort > 0 {
+		d.nextPort++
+	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	d.servers = append(d.servers, server)
 	d.running.Go(func() { _ = server.Serve(l) }) // it returns when Stop closes it
--- a/standin/object/object.go
+++ b/standin/object/object.go
@@ -20,6 +20,15 @@
 
 const maxObject = 8 << 20
 
+// PathFaults is the stand-in's own control: PUT a Faults document.
+const PathFaults = "/standin/faults"
+
+// Faults are the failures that the store brings about.
+type Faults struct {
+	// Outage makes all calls fail.
+	Outage bool
+}
+
 // Store keeps objects in memory. It is safe for concurrent use.
 type Store struct {
 	mu      sync.Mutex
@@ -79,12 +88,23 @@
 // Handler serves the store over HTTP.
 func (s *Store) Handler() http.Handler {
 	r := mux.NewRouter().UseEncodedPath()
+	r.HandleFunc(PathFaults, s.serveFaults).Methods(http.MethodPut)
 	r.HandleFunc("/objects", s.serveList).Methods(http.MethodGet)
 	r.HandleFunc("/objects/{key:.+}", s.servePut).Methods(http.MethodPut)
 	r.HandleFunc("/objects/{key:.+}", s.serveGet).Methods(http.MethodGet)
 	return r
 }
 
+func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxObject)).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetOutage(f.Outage)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func key(r *http.Request) string { return strings.TrimPrefix(r.URL.Path, "/objects/") }
 
 func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
