Record the inputs of decisions and read the time line cheaply

Events named a reason but not what it rested on, accepted changes left no event, wall clocks alone ordered events between instances, and a query of a large store read its oldest 512 chunks. Events now carry their inputs, proposals are recorded with operator and note, the hybrid logical clock travels with peer calls, and chunks are read newest first by prefixes of their time.

--- a/cmd/instance/apply.go
+++ b/cmd/instance/apply.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	"gorseline/core"
+	"gorseline/core/timeline"
 )
 
 // eventApplied records that a revision took hold on this instance.
@@ -65,6 +66,8 @@
 		l.Log.WithError(err).Error("configuration: policies not built, earlier ones stay")
 		return
 	}
-	l.Recorder.Record(core.Event{Kind: eventApplied, Detail: c.PresetInForce})
+	var in timeline.Inputs
+	in.Int("Revision", int64(c.Revision)).Text("Preset", c.PresetInForce).Text("Policy", c.Preset().Policy)
+	l.Recorder.Record(core.Event{Kind: eventApplied, Detail: in.String()})
 	l.Log.WithField("revision", c.Revision).WithField("preset", c.PresetInForce).Info("configuration: revision applied")
 }
--- a/cmd/instance/console.go
+++ b/cmd/instance/console.go
@@ -22,7 +22,7 @@
 
 func newConsole(in serverInputs) *console {
 	return &console{
-		ConfigurationProvider: in.Control.applier, Proposer: in.Control.member,
+		ConfigurationProvider: in.Control.applier, Proposer: recordedProposer{in.Control.member, in.Recorder},
 		HistoryReader: in.Control.store, OperationReader: in.Serving.operations, in: in,
 	}
 }
--- a/cmd/instance/control.go
+++ b/cmd/instance/control.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
@@ -11,6 +12,7 @@
 	"gorseline/core/configuration"
 	"gorseline/core/membership"
 	"gorseline/core/policy"
+	"gorseline/core/timeline"
 	"gorseline/io/caller"
 	"gorseline/io/peer"
 )
@@ -32,6 +34,7 @@
 	Clock     core.ClockProvider
 	Random    *random.Source
 	Attempts  Attempts
+	Stamps    *timeline.Clock
 	Log       log.Interface
 }
 
@@ -40,7 +43,9 @@
 	c.store = configuration.NewStore(configuration.Options{
 		Table: in.Platform.table.Shared, Policies: policy.Validate, Attempts: in.Attempts, InForce: c.applier,
 	})
-	transport, err := peer.NewClient(peer.ClientOptions{})
+	transport, err := peer.NewClient(peer.ClientOptions{
+		Options: []connect.ClientOption{connect.WithInterceptors(peer.NewClockInterceptor(in.Stamps))},
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/instance/events.go
+++ b/cmd/instance/events.go
@@ -21,9 +21,8 @@
 	// chunkEvents bounds a chunk to about 256 KB.
 	chunkEvents  = 1024
 	flushTimeout = 5 * time.Second
-	eventsPrefix = "Events/"
-	// maxChunks bounds what one query reads from the object store.
-	maxChunks = 512
+	// maxClockSkew is how far the clock of another instance may be ahead.
+	maxClockSkew = time.Minute
 	// maxAnswer bounds the events of one answer.
 	maxAnswer = 10000
 )
@@ -89,17 +88,23 @@
 			return err
 		}
 	}
-	// The padded time makes key order the order of time.
-	key := fmt.Sprintf("%s%020d-%s", eventsPrefix, chunk[0].At.Wall, f.instance)
-	return f.objects.Put(ctx, key, body.Bytes())
+	return f.objects.Put(ctx, chunkKey(chunk[0].At.Wall, f.instance), body.Bytes())
 }
 
 // events answers a query from memory and, on request, from the object store.
 func (f *eventFlusher) events(ctx context.Context, r operator.TimelineRequest) operator.TimelineAnswer {
+	limit := r.Limit
+	if limit <= 0 || limit > maxAnswer {
+		limit = maxAnswer
+	}
 	lists := [][]core.Event{f.timeline.Events(r.Filter)}
 	var answer operator.TimelineAnswer
 	if r.Fleet {
-		stored, err := f.stored(ctx, r.Filter)
+		reader := chunkReader{
+			objects: f.objects, filter: r.Filter, limit: limit, newest: timeline.SystemWall() + maxClockSkew,
+		}
+		stored, err := reader.read(ctx)
+		answer.Incomplete = reader.incomplete()
 		if err != nil {
 			answer.Incomplete = "the object store was not read: " + err.Error()
 		}
@@ -109,37 +114,8 @@
 		answer.Incomplete = fmt.Sprintf("%d events of this instance were not written to the object store", lost)
 	}
 	answer.Events = timeline.Merge(lists...)
-	limit := r.Limit
-	if limit <= 0 || limit > maxAnswer {
-		limit = maxAnswer
-	}
 	if extra := len(answer.Events) - limit; extra > 0 {
 		answer.Events = answer.Events[extra:]
 	}
 	return answer
 }
-
-func (f *eventFlusher) stored(ctx context.Context, filter timeline.Filter) ([]core.Event, error) {
-	keys, err := f.objects.List(ctx, eventsPrefix, maxChunks)
-	if err != nil {
-		return nil, err
-	}
-	var events []core.Event
-	for _, key := range keys {
-		data, err := f.objects.Get(ctx, key)
-		if err != nil {
-			return events, err
-		}
-		decoder := json.NewDecoder(bytes.NewReader(data))
-		for decoder.More() {
-			var e core.Event
-			if err := decoder.Decode(&e); err != nil {
-				return events, err
-			}
-			if filter.Matches(e) {
-				events = append(events, e)
-			}
-		}
-	}
-	return events, nil
-}
--- a/cmd/instance/instance.go
+++ b/cmd/instance/instance.go
@@ -40,6 +40,7 @@
 			func() log.Interface { return newLogger(settings, logs) },
 			core.NewDeadlineClock,
 			func(c core.DeadlineClock) core.ClockProvider { return c },
+			func() *timeline.Clock { return timeline.NewClock(timeline.SystemWall) },
 			newTimeline,
 			func(t *timeline.Timeline) core.Recorder { return t },
 			metrics.NewRegistry,
@@ -97,6 +98,6 @@
 		WithField("instance", s.Instance)
 }
 
-func newTimeline(s Settings) *timeline.Timeline {
-	return timeline.New(core.InstanceID(s.Instance), timeline.NewClock(timeline.SystemWall), s.EventsKept)
+func newTimeline(s Settings, clock *timeline.Clock) *timeline.Timeline {
+	return timeline.New(core.InstanceID(s.Instance), clock, s.EventsKept)
 }
--- a/cmd/instance/placement.go
+++ b/cmd/instance/placement.go
@@ -12,6 +12,7 @@
 	"gorseline/core"
 	"gorseline/core/authority"
 	"gorseline/core/dispatch"
+	"gorseline/core/timeline"
 )
 
 // placementInterval is the time between two plans. It is short against the ten
@@ -96,20 +97,20 @@
 		}
 		l.before[model] = traffic[model]
 		for _, change := range policy.Plan(now, &view) {
-			l.submit(ctx, engines, change)
+			l.submit(ctx, &view, change)
 		}
 	}
 }
 
-func (l *placementLoop) submit(ctx context.Context, engines []core.TargetState, change core.RoleChange) {
+func (l *placementLoop) submit(ctx context.Context, view *core.PlacementView, change core.RoleChange) {
+	engines := view.Engines
 	i := slices.IndexFunc(engines, func(s core.TargetState) bool { return s.ID == change.Target })
 	if i < 0 {
 		return
 	}
 	report := engines[i].Report
 	l.recorder.Record(core.Event{
-		Kind: eventRoleChange, Target: change.Target, Reason: change.Reason,
-		Detail: change.From.String() + " to " + change.To.String(),
+		Kind: eventRoleChange, Target: change.Target, Reason: change.Reason, Detail: planInputs(view, change),
 	})
 	ctx, cancel := context.WithTimeout(ctx, l.authorities.options.OrderLifetime)
 	defer cancel()
@@ -118,3 +119,11 @@
 	})
 	l.log.WithField("target", change.Target).WithField("result", result).Info("placement: role change submitted")
 }
+
+// planInputs returns the plan and what it was made on, in tokens and weight per second.
+func planInputs(view *core.PlacementView, change core.RoleChange) string {
+	var in timeline.Inputs
+	return in.Text("From", change.From.String()).Text("To", change.To.String()).Float("Gain", change.Gain).
+		Float("PromptRate", view.PromptRate).Float("OutputRate", view.OutputRate).
+		Float("Goodput", view.Goodput).Float("Offered", view.Offered).String()
+}
--- a/cmd/instance/servers.go
+++ b/cmd/instance/servers.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
 	"gorseline/core"
+	"gorseline/core/timeline"
 	"gorseline/io/caller"
 	"gorseline/io/certificate"
 	"gorseline/io/operator"
@@ -71,6 +73,8 @@
 	Events      *eventFlusher
 	Leaving     *leaving
 	Clock       core.ClockProvider
+	Stamps      *timeline.Clock
+	Recorder    core.Recorder
 	Metrics     metrics.Registry
 	Log         log.Interface
 }
@@ -91,7 +95,9 @@
 	operators.Handle("/health", operator.NewHealthHandler(func() *core.Refusal { return nil }))
 	operators.Handle("/ready", operator.NewHealthHandler(in.Leaving.Gate))
 	peers := http.NewServeMux()
-	peers.Handle("/gorseline.Peer/", peer.NewHandler(in.Control.member))
+	peers.Handle("/gorseline.Peer/", peer.NewHandler(
+		in.Control.member, connect.WithInterceptors(peer.NewClockInterceptor(in.Stamps)),
+	))
 
 	s.serve(in, in.Listeners.callers, in.Leaving.counted(callers), secure.Callers(), &http.Server{
 		ReadHeaderTimeout: in.Settings.HeaderWait, ReadTimeout: in.Settings.BodyWait,
--- a/core/authority/commander.go
+++ b/core/authority/commander.go
@@ -288,6 +288,6 @@
 	c.opts.Recorder.Record(core.Event{
 		Instance: c.opts.Self, Kind: kind, Target: t.target.ID,
 		Detail: "fence " + strconv.FormatUint(uint64(t.intent.Fence), 10) +
-			" sequence " + strconv.FormatUint(t.intent.Sequence, 10) + " " + detail,
+			" sequence " + strconv.FormatUint(t.intent.Sequence, 10) + " role " + t.intent.Role.String() + " " + detail,
 	})
 }
--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -45,7 +45,7 @@
 	result := d.Operations.Execute(ctx, claim, func(ctx context.Context) core.ServiceResult {
 		return a.attempt(ctx, a.decision, call)
 	})
-	a.finish(result.Outcome, result.Reason)
+	a.finish(result.Outcome, result.Reason, Run{})
 	return operationAnswer(a.req, result)
 }
 
@@ -119,7 +119,7 @@
 		last, all := a.hedged(ctx, decision, exclude, call)
 		if last.result.Outcome == core.OutcomeDone {
 			d.Hedger.Observe(a.req.Kind.Name, d.Clock.Now().Sub(started))
-			a.finish(core.OutcomeDone, decision.Reason)
+			a.finish(core.OutcomeDone, decision.Reason, Run{})
 			return last.result.Answer, nil
 		}
 		exclude = append(exclude, all...)
@@ -136,7 +136,7 @@
 		}
 		decision = next
 	}
-	a.finish(core.OutcomeUnknown, "TargetFailed")
+	a.finish(core.OutcomeUnknown, "TargetFailed", Run{})
 	return core.ServiceAnswer{}, (core.Refusal{
 		Kind: "TargetFailed", Message: "no target answered in time; the call may be repeated", Status: http.StatusBadGateway,
 	}).WithRetryAfter(retryWithoutTarget)
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -67,7 +67,7 @@
 	result := r.dispatcher.Relay.Serve(r.ctx, call, sink)
 	r.release()
 	r.learn(result)
-	r.finish(result.Outcome, result.Reason)
+	r.finish(result.Outcome, result.Reason, Run{result.FirstToken, result.Tokens, result.Resumes, result.Reruns})
 }
 
 func (r *completionRun) release() {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -34,15 +34,10 @@
 	Recorder   core.Recorder
 	// Attempts returns a new ID that no process has used.
 	Attempts func() core.AttemptID
+	// Observer is told how requests end; it may be nil.
+	Observer Observer
 }
 
-// Kinds of events that this package records.
-const (
-	EventRouted   core.EventKind = "RequestRouted"
-	EventRefused  core.EventKind = "RequestRefused"
-	EventFinished core.EventKind = "RequestFinished"
-)
-
 // Dispatcher runs requests. It is safe for concurrent use.
 type Dispatcher struct {
 	Options
@@ -73,11 +68,11 @@
 	policy := d.Policies.Policy(req.Organisation)
 	decision := policy.Route(now, req, d.Fleet)
 	if !decision.Found() {
-		return nil, d.refuse(req, decision.Reason, retryWithoutTarget)
+		return nil, d.refuse(now, policy, req, decision, core.Admission{Reason: decision.Reason, RetryAfter: retryWithoutTarget})
 	}
 	admission := policy.Admit(now, req, decision.Estimate)
 	if !admission.Admitted {
-		return nil, d.refuse(req, admission.Reason, admission.RetryAfter)
+		return nil, d.refuse(now, policy, req, decision, admission)
 	}
 	return &admitted{dispatcher: d, policy: policy, req: req, decision: decision}, nil
 }
@@ -89,33 +84,34 @@
 }
 
 // finish returns the reservation and accounts for the outcome.
-func (a *admitted) finish(outcome core.OutcomeKind, reason core.Reason) {
+func (a *admitted) finish(outcome core.OutcomeKind, reason core.Reason, run Run) {
 	d := a.dispatcher
 	now := d.Clock.Now()
 	inTime := outcome == core.OutcomeDone && a.req.Remaining(now) >= 0
 	a.policy.Finish(now, a.req, inTime)
 	d.account.finished(a.req, outcome, inTime)
-	d.record(EventFinished, a.req, a.decision.Target, reason, outcome.String())
+	d.ended(Ended{
+		Request: a.req, Policy: a.policy.Name(), Target: a.decision.Target, Outcome: outcome, Reason: reason,
+		InTime: inTime, Took: now.Sub(a.req.Arrived), Run: run,
+	})
 }
 
 // retryWithoutTarget is when a request comes back that no target can take: about
 // one load report later.
 const retryWithoutTarget = 2 * time.Second
 
-func (d *Dispatcher) refuse(req *core.Request, reason core.Reason, after time.Duration) *core.Refusal {
+func (d *Dispatcher) refuse(
+	now core.Instant, policy core.Policy, req *core.Request, decision core.Decision, admission core.Admission,
+) *core.Refusal {
 	d.account.refused(req)
-	d.record(EventRefused, req, "", reason, "")
-	return refusal(req, reason).WithRetryAfter(after)
-}
-
-func (d *Dispatcher) record(kind core.EventKind, req *core.Request, target core.TargetID, reason core.Reason, detail string) {
-	d.Recorder.Record(core.Event{Kind: kind, Request: req.ID, Target: target, Reason: reason, Detail: detail})
+	d.refused(now, policy, req, decision, admission)
+	return refusal(req, admission.Reason).WithRetryAfter(admission.RetryAfter)
 }
 
 // send notes that the request goes to a target and returns what to call at its end.
 func (a *admitted) send(decision core.Decision) (finished func()) {
 	d := a.dispatcher
 	d.Fleet.Sent(d.Clock.Now(), a.req, decision)
-	d.record(EventRouted, a.req, decision.Target, decision.Reason, decision.Estimate.Total.Round(time.Millisecond).String())
+	d.routed(a.policy, a.req, decision)
 	return func() { d.Fleet.Finished(d.Clock.Now(), decision) }
 }
--- a/core/stream/finish.go
+++ b/core/stream/finish.go
@@ -179,6 +179,14 @@
 	s.record("StreamEnded", s.delivered.Target, detail)
 }
 
+// why says what led to the next try.
+func (s *session) why() string {
+	if s.cause == nil {
+		return "the caller resumes"
+	}
+	return s.cause.Error()
+}
+
 // record adds an event to the timeline. The recorder stamps it.
 func (s *session) record(kind core.EventKind, target core.TargetID, detail string) {
 	if s.relay.options.Recorder == nil {
--- a/core/stream/session.go
+++ b/core/stream/session.go
@@ -37,8 +37,9 @@
 	lost      bool // the engine does not know the stream any more
 	exhausted bool // no further target is left
 	excluded  []core.TargetID
-	tries     int // targets tried
-	idle      int // tries in a row that brought no piece
+	cause     error // of the latest failed try
+	tries     int   // targets tried
+	idle      int   // tries in a row that brought no piece
 
 	pending       []byte // text not yet written, at most MergeBytes and one piece
 	pendingOffset int    // offset behind the pending text
@@ -86,6 +87,7 @@
 		if err == nil {
 			return nil
 		}
+		s.cause = err
 		if s.ctx.Err() != nil {
 			return context.Cause(s.ctx)
 		}
@@ -186,7 +188,7 @@
 	s.tries++
 	if s.sent {
 		s.result.Reruns++
-		s.record("StreamRerun", candidate.Target, "")
+		s.record("StreamRerun", candidate.Target, s.why())
 	}
 	s.lost = false
 	request := s.call.Completion
@@ -206,7 +208,7 @@
 // resume continues the current stream on a new connection.
 func (s *session) resume() error {
 	s.result.Resumes++
-	s.record("StreamResumed", s.delivered.Target, "")
+	s.record("StreamResumed", s.delivered.Target, s.why())
 	s.match.held, s.match.bytes = nil, 0
 	return s.try(true, func(ctx context.Context) (core.PieceReader, error) {
 		return s.relay.options.Completer.Resume(ctx, s.delivered.Address, s.match.stream, s.match.next)
--- a/core/timeline/timeline.go
+++ b/core/timeline/timeline.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 
 	"gorseline/core"
 	"gorseline/core/common/ring"
@@ -49,6 +50,8 @@
 	Target   core.TargetID
 	Instance core.InstanceID
 	Kind     core.EventKind
+	// From and To bound the wall clock time of events; 0 is no bound.
+	From, To time.Duration
 }
 
 // Matches reports whether e passes the filter.
@@ -56,7 +59,8 @@
 	return (f.Request == "" || f.Request == e.Request) &&
 		(f.Target == "" || f.Target == e.Target) &&
 		(f.Instance == "" || f.Instance == e.Instance) &&
-		(f.Kind == "" || f.Kind == e.Kind)
+		(f.Kind == "" || f.Kind == e.Kind) &&
+		(f.From == 0 || e.At.Wall >= f.From) && (f.To == 0 || e.At.Wall <= f.To)
 }
 
 // Events returns the held events that pass the filter, oldest first.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -48,6 +48,8 @@
 	// minutes, because a member of a data centre of 113 probes each of the others
 	// about every two minutes.
 	IdleTimeout time.Duration
+	// Options hold for all procedures, such as the interceptor of NewClockInterceptor.
+	Options []connect.ClientOption
 	// Dial replaces the dialer, for measuring.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -104,12 +106,12 @@
 	client := &http.Client{Transport: transport}
 	p := &procedures{
 		transport: transport,
-		probe:     procedure[membership.Message, membership.Message](client, address, pathProbe),
-		indirect:  procedure[membership.Message, membership.Message](client, address, pathIndirectProbe),
-		digest:    procedure[membership.Message, membership.Message](client, address, pathDigest),
-		push:      procedure[propagation.Push, propagation.PushReply](client, address, pathPush),
-		pull:      procedure[propagation.Pull, propagation.PullReply](client, address, pathPull),
-		status:    procedure[propagation.StatusRequest, propagation.StatusReply](client, address, pathStatus),
+		probe:     procedure[membership.Message, membership.Message](c, client, address, pathProbe),
+		indirect:  procedure[membership.Message, membership.Message](c, client, address, pathIndirectProbe),
+		digest:    procedure[membership.Message, membership.Message](c, client, address, pathDigest),
+		push:      procedure[propagation.Push, propagation.PushReply](c, client, address, pathPush),
+		pull:      procedure[propagation.Pull, propagation.PullReply](c, client, address, pathPull),
+		status:    procedure[propagation.StatusRequest, propagation.StatusReply](c, client, address, pathStatus),
 	}
 	// Another call may have added the peer meanwhile.
 	if earlier, found, _ := c.peers.PeekOrAdd(address, p); found {
@@ -118,9 +120,10 @@
 	return p
 }
 
-func procedure[Request, Reply any](client *http.Client, address, path string) *connect.Client[Request, Reply] {
+func procedure[Request, Reply any](c *Client, client *http.Client, address, path string) *connect.Client[Request, Reply] {
 	return connect.NewClient[Request, Reply](client, "http://"+address+path,
-		connect.WithCodec(Codec{}), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage))
+		connect.WithCodec(Codec{}), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage),
+		connect.WithClientOptions(c.options.Options...))
 }
 
 // call makes one call. Without a reply in time the peer gets a new connection.
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -21,18 +21,21 @@
 }
 
 // NewHandler returns the HTTP handler of a server. Mount it at "/gorseline.Peer/".
-func NewHandler(s Server) http.Handler {
+// The options hold for all procedures.
+func NewHandler(s Server, options ...connect.HandlerOption) http.Handler {
 	mux := http.NewServeMux()
-	handle(mux, pathProbe, s.Probe)
-	handle(mux, pathIndirectProbe, s.IndirectProbe)
-	handle(mux, pathDigest, s.Digest)
-	handle(mux, pathPush, s.Push)
-	handle(mux, pathPull, s.Pull)
-	handle(mux, pathStatus, s.Status)
+	handle(mux, pathProbe, s.Probe, options)
+	handle(mux, pathIndirectProbe, s.IndirectProbe, options)
+	handle(mux, pathDigest, s.Digest, options)
+	handle(mux, pathPush, s.Push, options)
+	handle(mux, pathPull, s.Pull, options)
+	handle(mux, pathStatus, s.Status, options)
 	return mux
 }
 
-func handle[Request, Reply any](mux *http.ServeMux, path string, serve func(context.Context, Request) (Reply, error)) {
+func handle[Request, Reply any](
+	mux *http.ServeMux, path string, serve func(context.Context, Request) (Reply, error), options []connect.HandlerOption,
+) {
 	unary := func(ctx context.Context, request *connect.Request[Request]) (*connect.Response[Reply], error) {
 		reply, err := serve(ctx, *request.Msg)
 		if err != nil {
@@ -41,7 +44,7 @@
 		return connect.NewResponse(&reply), nil
 	}
 	mux.Handle(path, connect.NewUnaryHandler(path, unary,
-		connect.WithCodec(Codec{}), connect.WithReadMaxBytes(maxMessage)))
+		connect.WithCodec(Codec{}), connect.WithReadMaxBytes(maxMessage), connect.WithHandlerOptions(options...)))
 }
 
 // NewHTTPServer returns a server for peers that speaks HTTP/2 without TLS, and
