--- /dev/null
+++ b/cmd/commands/report.go
@@ -0,0 +1,103 @@
+package commands
+
+import (
+	"context"
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"gorseline/cmd/report"
+	"gorseline/core"
+	"gorseline/core/dispatch"
+	"gorseline/core/timeline"
+	"gorseline/io/operator"
+)
+
+type reportCommand struct {
+	operatorSettings
+	rangeSettings
+	Out flags.Filename `long:"out" env:"REPORT_OUT" description:"Directory for the plots; it is made if it doesn't exist" required:"yes"`
+}
+
+func init() {
+	registerTerminal[reportCommand]("report", "Plot goodput, mix and roles over time",
+		"Reads the time line of the fleet and plots goodput, the mix of prompt and output tokens, and the roles of engines "+
+			"as "+strings.Join(report.Files, ", ")+".")
+}
+
+const (
+	reportPage = 10000
+	// maxReportPages bounds a report to 200,000 events of a kind.
+	maxReportPages = 20
+)
+
+// Execute draws the plots.
+func (c *reportCommand) Execute([]string) error {
+	now := timeline.SystemWall()
+	from, to, err := c.bounds(now)
+	if err != nil {
+		return err
+	}
+	if to == 0 {
+		to = now
+	}
+	filter := timeline.Filter{From: from, To: to}
+	return c.call(func(ctx context.Context, s session) error {
+		ended, err := c.read(ctx, s, filter, dispatch.EventFinished, dispatch.EventRefused)
+		if err != nil {
+			return err
+		}
+		changes, err := c.read(ctx, s, timeline.Filter{From: from}, "RoleChangePlanned", "OrderApplied")
+		if err != nil {
+			return err
+		}
+		status, err := s.Status(ctx)
+		if err != nil {
+			return unread(s, err)
+		}
+		roles := map[core.TargetID]core.Role{}
+		for _, t := range status.Targets {
+			if t.Role != core.RoleNone {
+				roles[t.ID] = t.Role
+			}
+		}
+		if err := os.MkdirAll(string(c.Out), 0o755); err != nil {
+			return failure{err}
+		}
+		if err := report.Draw(string(c.Out), report.Points(ended), report.RoleCounts(changes, roles), to); err != nil {
+			return failure{err}
+		}
+		c.printf("%d requests and %d role events in %s\n", len(ended), len(changes), c.Out)
+		return nil
+	})
+}
+
+// read returns all events of some kinds, page by page from the latest.
+func (c *reportCommand) read(ctx context.Context, s session, filter timeline.Filter, kinds ...core.EventKind) ([]core.Event, error) {
+	var lists [][]core.Event
+	for _, kind := range kinds {
+		next := filter
+		next.Kind = kind
+		for range maxReportPages {
+			answer, err := s.Timeline(ctx, operator.TimelineRequest{Filter: next, Fleet: true, Limit: reportPage})
+			if err != nil {
+				return nil, unread(s, err)
+			}
+			if answer.Incomplete != "" {
+				_, _ = c.terminal.err.Write([]byte("incomplete: " + answer.Incomplete + "\n"))
+			}
+			lists = append(lists, answer.Events)
+			if len(answer.Events) < reportPage {
+				break
+			}
+			oldest := answer.Events[0].At.Wall
+			if oldest == next.To {
+				return nil, failure{errors.Errorf("more than %d events at one time", reportPage)}
+			}
+			next.To = oldest
+		}
+	}
+	return timeline.Merge(lists...), nil
+}
--- a/cmd/commands/story_test.go
+++ b/cmd/commands/story_test.go
@@ -14,11 +14,11 @@
 	}
 	return []core.Event{
 		{At: at(0), Instance: "entry-1", Kind: "ShardAcquired", Detail: "shard 2 fence 7"},
-		{At: at(5000), Instance: "entry-1", Kind: "RoleChangePlanned", Target: "ledger-llm-3", Reason: "RatioShift", Detail: "Prefill to Decode"},
-		{At: at(5004), Instance: "entry-1", Kind: "OrderIntended", Target: "ledger-llm-3", Detail: "fence 7 sequence 1 Pending"},
+		{At: at(5000), Instance: "entry-1", Kind: "RoleChangePlanned", Target: "ledger-llm-3", Reason: "RatioShift", Detail: "From=Prefill To=Decode Gain=6.2 PromptRate=810 OutputRate=2.1e+03"},
+		{At: at(5004), Instance: "entry-1", Kind: "OrderIntended", Target: "ledger-llm-3", Detail: "fence 7 sequence 1 role Decode Pending"},
 		{At: at(20100), Instance: "entry-2", Kind: "ShardAcquired", Detail: "shard 2 fence 12"},
-		{At: at(20105), Instance: "entry-2", Kind: "OrderAdopted", Target: "ledger-llm-3", Detail: "fence 12 sequence 1 Pending"},
-		{At: at(20106), Instance: "entry-2", Kind: "OrderSent", Target: "ledger-llm-3", Detail: "fence 12 sequence 1 "},
-		{At: at(22300), Instance: "entry-2", Kind: "OrderApplied", Target: "ledger-llm-3", Detail: "fence 12 sequence 1 Applied"},
+		{At: at(20105), Instance: "entry-2", Kind: "OrderAdopted", Target: "ledger-llm-3", Detail: "fence 12 sequence 1 role Decode Pending"},
+		{At: at(20106), Instance: "entry-2", Kind: "OrderSent", Target: "ledger-llm-3", Detail: "fence 12 sequence 1 role Decode "},
+		{At: at(22300), Instance: "entry-2", Kind: "OrderApplied", Target: "ledger-llm-3", Detail: "fence 12 sequence 1 role Decode Applied"},
 	}
 }
--- a/cmd/commands/timeline.go
+++ b/cmd/commands/timeline.go
@@ -1,25 +1,55 @@
 package commands
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"maps"
+	"os"
 	"slices"
 	"time"
 
+	"github.com/jessevdk/go-flags"
+
+	"gorseline/cmd/page"
 	"gorseline/core"
 	"gorseline/core/timeline"
 	"gorseline/io/operator"
 )
 
+// rangeSettings bound the time of events.
+type rangeSettings struct {
+	Since time.Duration `long:"since" env:"SINCE" description:"Only events of this last time, such as 10m; 0 has no bound"`
+	Until time.Duration `long:"until" env:"UNTIL" description:"Only events until this long ago; 0 is now"`
+}
+
+// bounds returns the times of the range since the Unix epoch.
+func (s rangeSettings) bounds(now time.Duration) (from, to time.Duration, err error) {
+	if s.Since < 0 || s.Until < 0 {
+		return 0, 0, invalidSetting("--since, --until", min(s.Since, s.Until), "0s or more")
+	}
+	if s.Since > 0 && s.Until >= s.Since {
+		return 0, 0, invalidSetting("--until", s.Until, "less than --since")
+	}
+	if s.Since > 0 {
+		from = now - s.Since
+	}
+	if s.Until > 0 {
+		to = now - s.Until
+	}
+	return from, to, nil
+}
+
 type timelineCommand struct {
 	operatorSettings
+	rangeSettings
 	Request  core.RequestID  `long:"request" env:"TIMELINE_REQUEST" description:"Only events of this request"`
 	Target   core.TargetID   `long:"target" env:"TIMELINE_TARGET" description:"Only events of this target"`
 	Instance core.InstanceID `long:"instance" env:"TIMELINE_INSTANCE" description:"Only events of this instance"`
 	Kind     core.EventKind  `long:"kind" env:"TIMELINE_KIND" description:"Only events of this kind, such as RequestRefused"`
 	Fleet    bool            `long:"fleet" env:"TIMELINE_FLEET" description:"Also read the events of other instances from the object store"`
 	Limit    int             `long:"limit" env:"TIMELINE_LIMIT" description:"Number of events, the latest ones" default:"1000"`
+	HTML     flags.Filename  `long:"html" env:"TIMELINE_HTML" description:"Draw the events as one page into this file"`
 }
 
 func init() {
@@ -28,19 +58,24 @@
 			"write their events to the object store every 10 s, so their latest ones are missing with --fleet.")
 }
 
-// Execute prints the events.
+// Execute prints or draws the events.
 func (c *timelineCommand) Execute([]string) error {
 	if c.Limit < 1 || c.Limit > 10000 {
 		return invalidSetting("--limit", c.Limit, "1 to 10000")
 	}
+	filter := timeline.Filter{Request: c.Request, Target: c.Target, Instance: c.Instance, Kind: c.Kind}
+	var err error
+	if filter.From, filter.To, err = c.bounds(timeline.SystemWall()); err != nil {
+		return err
+	}
 	return c.call(func(ctx context.Context, to session) error {
-		answer, err := to.Timeline(ctx, operator.TimelineRequest{
-			Filter: timeline.Filter{Request: c.Request, Target: c.Target, Instance: c.Instance, Kind: c.Kind},
-			Fleet:  c.Fleet, Limit: c.Limit,
-		})
+		answer, err := to.Timeline(ctx, operator.TimelineRequest{Filter: filter, Fleet: c.Fleet, Limit: c.Limit})
 		if err != nil {
 			return unread(to, err)
 		}
+		if c.HTML != "" {
+			return c.draw(answer)
+		}
 		return c.print(answer, func() {
 			c.rows("TIME(UTC) INSTANCE KIND REQUEST TARGET REASON DETAIL", eventRows(answer.Events))
 			if answer.Incomplete != "" {
@@ -50,6 +85,19 @@
 	})
 }
 
+func (c *timelineCommand) draw(answer operator.TimelineAnswer) error {
+	var b bytes.Buffer
+	err := page.Write(&b, answer.Events, answer.Incomplete)
+	if err == nil {
+		err = os.WriteFile(string(c.HTML), b.Bytes(), 0o644)
+	}
+	if err != nil {
+		return failure{err}
+	}
+	c.printf("%d events in %s\n", len(answer.Events), c.HTML)
+	return nil
+}
+
 func eventRows(events []core.Event) [][]any {
 	rows := make([][]any, len(events))
 	for i, e := range events {
