Count requests, streams, claims and table calls as metrics

The registry was empty. It now holds requests by kind and outcome, times, refusals by reason, events by kind, streams, the revision in force, leases and table calls. A test compares docs/METRICS.md with the registry of an assembled instance.

--- a/cmd/instance/instance.go
+++ b/cmd/instance/instance.go
@@ -42,8 +42,9 @@
 			func(c core.DeadlineClock) core.ClockProvider { return c },
 			func() *timeline.Clock { return timeline.NewClock(timeline.SystemWall) },
 			newTimeline,
-			func(t *timeline.Timeline) core.Recorder { return t },
+			newRecorder,
 			metrics.NewRegistry,
+			newInstruments,
 			newRandom,
 			newAttempts,
 			newListeners,
@@ -56,7 +57,7 @@
 			newLeaving,
 			newServers,
 		),
-		fx.Invoke(applyConfiguration, func(*placementLoop, *eventFlusher) {}),
+		fx.Invoke(applyConfiguration, registerGauges, func(*placementLoop, *eventFlusher) {}),
 		fx.Populate(&i.servers, &i.leaving),
 	)
 	return i, i.app.Err()
--- /dev/null
+++ b/cmd/instance/metrics_test.go
@@ -0,0 +1,72 @@
+package instance
+
+import (
+	"io"
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
+
+	"gorseline/core"
+	"gorseline/core/dispatch"
+	"gorseline/core/timeline"
+)
+
+// assembled returns the registry of an instance that was assembled but not started,
+// with one value of each name that appears only with its first value.
+func assembled(t *testing.T) metrics.Registry {
+	t.Helper()
+	i, err := New(testSettings(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry := i.servers.registry
+	in := newInstruments(registry)
+	request := &core.Request{Kind: core.Kind{Name: "<Kind>"}}
+	in.RequestEnded(dispatch.Ended{Request: request, Outcome: core.OutcomeDone, InTime: true, Run: dispatch.Run{FirstToken: time.Second}})
+	in.RequestEnded(dispatch.Ended{Request: request, Outcome: core.OutcomeNotRun, Refused: true, Reason: "<Reason>"})
+	clock := timeline.NewClock(timeline.SystemWall)
+	newRecorder(timeline.New("a", clock, 1), in).Record(core.Event{Kind: "<EventKind>"})
+	return registry
+}
+
+func testSettings() Settings {
+	return Settings{
+		Instance: "entry-1", DataCentre: "athens-a",
+		CallersListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0", PeersListen: "127.0.0.1:0",
+		TableURL: "http://127.0.0.1:1", ObjectsURL: "http://127.0.0.1:1", InstancesURL: "http://127.0.0.1:1",
+		ResumeKey: "test-key-not-secret", Shards: 4, MaxBody: 8 << 20, MaxHeader: 64 << 10,
+		HeaderWait: 10 * time.Second, BodyWait: time.Minute, IdleWait: time.Minute, LeaveLimit: time.Minute,
+		EventsKept: 64, LogLevel: "info",
+	}
+}
+
+var (
+	listedName = regexp.MustCompile("(?m)^\\| `([^`]+)`")
+	outcome    = regexp.MustCompile(`^(Requests\.<Kind>\.)(Done|NotRun)$`)
+)
+
+// Guards against a page of metrics that lists a name which no instance serves, or
+// lacks one.
+func TestMetricsPageMatchesRegistry(t *testing.T) {
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listed, served []string
+	for _, match := range listedName.FindAllSubmatch(page, -1) {
+		listed = append(listed, string(match[1]))
+	}
+	assembled(t).Each(func(name string, _ any) {
+		served = append(served, outcome.ReplaceAllString(name, "${1}<Outcome>"))
+	})
+	slices.Sort(listed)
+	slices.Sort(served)
+	if diff := cmp.Diff(listed, slices.Compact(served)); diff != "" {
+		t.Errorf("docs/METRICS.md against the registry:\n%s", diff)
+	}
+}
--- a/cmd/instance/platform.go
+++ b/cmd/instance/platform.go
@@ -16,10 +16,10 @@
 	instances core.InstanceLister
 }
 
-func newPlatform(lifecycle fx.Lifecycle, s Settings, clock core.ClockProvider, attempts Attempts) *platform {
+func newPlatform(lifecycle fx.Lifecycle, s Settings, clock core.ClockProvider, attempts Attempts, i *instruments) *platform {
 	p := &platform{
 		table: table.NewService(table.ServiceOptions{
-			Client:    table.NewClient(table.ClientOptions{URL: s.TableURL}),
+			Client:    newCountedTable(table.NewClient(table.ClientOptions{URL: s.TableURL}), i),
 			Clock:     clock,
 			Attempts:  attempts,
 			Instances: 1,
--- a/cmd/instance/servers.go
+++ b/cmd/instance/servers.go
@@ -58,6 +58,7 @@
 // servers serve the three ports.
 type servers struct {
 	listeners *listeners
+	registry  metrics.Registry
 	log       log.Interface
 }
 
@@ -80,7 +81,7 @@
 }
 
 func newServers(in serverInputs) (*servers, error) {
-	s := &servers{listeners: in.Listeners, log: in.Log}
+	s := &servers{listeners: in.Listeners, registry: in.Metrics, log: in.Log}
 	secure, err := certificate.NewSource(certificate.Files(in.Settings.TLS))
 	if err != nil {
 		return nil, err
--- a/cmd/instance/serving.go
+++ b/cmd/instance/serving.go
@@ -39,6 +39,7 @@
 	Random    *random.Source
 	Recorder  core.Recorder
 	Attempts  Attempts
+	Observer  *instruments
 	Log       log.Interface
 }
 
@@ -67,6 +68,7 @@
 		Services: service.NewClient(service.Options{}), Operations: s.operations, Retrier: s.retrier,
 		Hedger:   retry.NewHedger(retry.DefaultHedgeOptions(), s.retrier.Budget()),
 		Circuits: circuits, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
+		Observer: in.Observer,
 	})
 	start(in.Lifecycle, s.engines)
 	start(in.Lifecycle, s.operations)
