Record members, leases, circuits and readiness in the time line

A killed instance, an expired lease, an open circuit and an instance that stops taking work left no event.

--- a/cmd/instance/instance.go
+++ b/cmd/instance/instance.go
@@ -57,7 +57,7 @@
 			newLeaving,
 			newServers,
 		),
-		fx.Invoke(applyConfiguration, registerGauges, watchExperiments, func(*placementLoop, *eventFlusher) {}),
+		fx.Invoke(applyConfiguration, registerGauges, watchExperiments, observeChanges, func(*placementLoop, *eventFlusher) {}),
 		fx.Populate(&i.servers, &i.leaving),
 	)
 	return i, i.app.Err()
