--- a/cmd/instance/events.go
+++ b/cmd/instance/events.go
@@ -18,6 +18,9 @@
 const (
 	// flushInterval bounds what a killed instance loses from the time line.
 	flushInterval = 10 * time.Second
+	// flushPoll is the time between two looks at whether a chunk is full. With 8,192
+	// events kept nothing is lost up to that many events per second.
+	flushPoll = time.Second
 	// chunkEvents bounds a chunk to about 256 KB.
 	chunkEvents  = 1024
 	flushTimeout = 5 * time.Second
@@ -35,6 +38,8 @@
 	log      log.Interface
 	// failed is a chunk whose write failed, kept for the next round.
 	failed []core.Event
+	// body is the buffer of chunks being written.
+	body bytes.Buffer
 }
 
 func newEventFlusher(lifecycle fx.Lifecycle, s Settings, t *timeline.Timeline, p *platform, l log.Interface) *eventFlusher {
@@ -45,15 +50,18 @@
 
 // run flushes until ctx ends, and then once more.
 func (f *eventFlusher) run(ctx context.Context) {
-	ticker := time.NewTicker(flushInterval)
+	ticker := time.NewTicker(flushPoll)
 	defer ticker.Stop()
-	for {
+	for polls := 1; ; polls++ {
 		select {
 		case <-ctx.Done():
 			f.flush(context.WithoutCancel(ctx))
 			return
 		case <-ticker.C:
-			f.flush(ctx)
+			if f.timeline.Pending() >= chunkEvents || polls >= int(flushInterval/flushPoll) {
+				f.flush(ctx)
+				polls = 0
+			}
 		}
 	}
 }
@@ -81,14 +89,14 @@
 }
 
 func (f *eventFlusher) put(ctx context.Context, chunk []core.Event) error {
-	var body bytes.Buffer
-	encoder := json.NewEncoder(&body)
+	f.body.Reset()
+	encoder := json.NewEncoder(&f.body)
 	for _, e := range chunk {
 		if err := encoder.Encode(e); err != nil {
 			return err
 		}
 	}
-	return f.objects.Put(ctx, chunkKey(chunk[0].At.Wall, f.instance), body.Bytes())
+	return f.objects.Put(ctx, chunkKey(chunk[0].At.Wall, f.instance), f.body.Bytes())
 }
 
 // events answers a query from memory and, on request, from the object store.
--- /dev/null
+++ b/cmd/instance/events_test.go
@@ -0,0 +1,62 @@
+package instance
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"gorseline/core"
+	"gorseline/core/timeline"
+	"gorseline/standin/object"
+)
+
+// Guards against events that are lost at peak, lost without being counted while the
+// object store is down, or written twice: what is stored and what is counted as lost
+// add up to what was recorded. 12,000 requests/s on 680 instances are 18 requests or 54
+// events per second on each; the peak here is ten times that.
+func TestLossAtPeakIsCounted(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		outage time.Duration
+	}{{"peak", 0}, {"short outage", 10 * time.Second}, {"long outage", time.Minute}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const perSecond, seconds = 540, 120
+				store := object.New()
+				wall := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
+				line := timeline.New("entry-1", timeline.NewClock(wall), 8192)
+				f := &eventFlusher{instance: "entry-1", timeline: line, objects: store, log: &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}}
+				ctx, stop := context.WithCancel(t.Context())
+				ended := make(chan struct{})
+				go func() { defer close(ended); f.run(ctx) }()
+				for second := range seconds {
+					store.SetOutage(second >= 30 && second < 30+int(c.outage.Seconds()))
+					for range perSecond {
+						line.Record(core.Event{Kind: "RequestRouted"})
+						time.Sleep(time.Second / perSecond)
+					}
+				}
+				stop()
+				<-ended
+				reader := chunkReader{objects: store, limit: 1 << 20, newest: latestTime}
+				stored, err := reader.read(context.Background())
+				if err != nil {
+					t.Fatal(err)
+				}
+				distinct := len(timeline.Merge(stored))
+				if distinct != len(stored) || distinct+int(line.Lost()) != perSecond*seconds {
+					t.Errorf("%d stored, %d of them distinct, %d lost, want a sum of %d", len(stored), distinct, line.Lost(), perSecond*seconds)
+				}
+				// 8,192 events last 15 s at this rate; a minute of outage loses the rest.
+				if lossy := c.outage == time.Minute; lossy != (line.Lost() > 0) {
+					t.Errorf("%d events lost", line.Lost())
+				}
+				t.Logf("%d events recorded, %d lost", perSecond*seconds, line.Lost())
+			})
+		})
+	}
+}
--- a/core/timeline/timeline.go
+++ b/core/timeline/timeline.go
@@ -79,6 +79,13 @@
 	return t.pending.Drain(limit)
 }
 
+// Pending returns how many events wait to be written to the object store.
+func (t *Timeline) Pending() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pending.Len()
+}
+
 // Lost returns how many events gave way before they were written to the object
 // store.
 func (t *Timeline) Lost() uint64 {
