Watch streams from one loop and measure the relay

Cause: a timer with a goroutine per stream and a deep call chain took 29 KB of stacks per stream; nothing was measured. Change: one loop per relay looks at all streams and starts goroutines only for heartbeats that are due; the frame that chooses a target is left before pieces are read; smaller buffers in io/target and io/sse; stand-in engines can send several tokens per event; benchmarks of tokens, latency and memory.

--- a/core/stream/relay.go
+++ b/core/stream/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -150,10 +151,16 @@
 
 // Relay relays streams. It is safe for concurrent use.
 type Relay struct {
-	options  Options
-	handOver context.Context
-	leave    context.CancelCauseFunc
-	counters counters
+	options    Options
+	handOver   context.Context
+	leave      context.CancelCauseFunc
+	counters   counters
+	ended      chan struct{} // the last stream has ended; holds at most one value
+	heartbeats chan struct{} // one value per heartbeat being written
+
+	mu      sync.Mutex
+	watches map[*watch]struct{}
+	looping bool // loop runs
 }
 
 var (
@@ -164,7 +171,10 @@
 
 // NewRelay returns a relay without streams.
 func NewRelay(o Options) *Relay {
-	r := &Relay{options: o.withDefaults()}
+	r := &Relay{
+		options: o.withDefaults(), ended: make(chan struct{}, 1),
+		heartbeats: make(chan struct{}, maxHeartbeats), watches: map[*watch]struct{}{},
+	}
 	r.handOver, r.leave = context.WithCancelCause(context.Background())
 	return r
 }
--- a/core/stream/relay_test.go
+++ b/core/stream/relay_test.go
@@ -13,8 +13,9 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func newTestRelay(completer core.Completer) *Relay {
-	return NewRelay(Options{Completer: completer, Clock: core.NewProcessClock(), Sealer: newSealer()})
+func newTestRelay(o Options) *Relay {
+	o.Clock, o.Sealer = core.NewProcessClock(), newSealer()
+	return NewRelay(o)
 }
 
 // Guards against repeated or mixed text after a rerun: a rerun with other text is
@@ -51,7 +52,7 @@
 				}
 				engine.resume = func(string, string, int) ([]core.Piece, error) { return nil, errors.New("refused") }
 				out := newSink()
-				result := newTestRelay(engine).Serve(t.Context(), call(), out)
+				result := newTestRelay(Options{Completer: engine}).Serve(t.Context(), call(), out)
 				if result.Reason != test.reason || out.text.String() != test.text {
 					t.Errorf("reason %s, text %q; want %s, %q", result.Reason, out.text.String(), test.reason, test.text)
 				}
@@ -88,7 +89,7 @@
 				engine.complete = func(string, core.CompletionRequest) ([]core.Piece, error) { return test.pieces, nil }
 				engine.resume = func(_, _ string, offset int) ([]core.Piece, error) { return whole[offset:], nil }
 				out := newSink()
-				relay := newTestRelay(engine)
+				relay := newTestRelay(Options{Completer: engine})
 				result := relay.Serve(t.Context(), call(), out)
 				if result.Outcome != test.outcome || result.Resumes != test.resumes {
 					t.Errorf("result %+v", result)
@@ -132,7 +133,7 @@
 				request.Request.Kind.Repeatable = false
 				request.Request.Deadline = core.Instant(test.deadline)
 				out := newSink()
-				result := newTestRelay(engine).Serve(t.Context(), request, out)
+				result := newTestRelay(Options{Completer: engine}).Serve(t.Context(), request, out)
 				if result.Outcome != test.outcome || len(engine.calls) != test.calls {
 					t.Errorf("result %+v after %v", result, engine.calls)
 				}
@@ -149,7 +150,7 @@
 func TestHeartbeatsAndDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engine := &script{complete: func(string, core.CompletionRequest) ([]core.Piece, error) { return nil, nil }}
-		relay := NewRelay(Options{Completer: engine, Clock: core.NewProcessClock(), Sealer: newSealer(), MissedHeartbeats: 100})
+		relay := newTestRelay(Options{Completer: engine, MissedHeartbeats: 100})
 		request := call()
 		request.Request.Deadline = core.Instant(5 * time.Second)
 		out := newSink()
@@ -172,7 +173,7 @@
 		out := newSink()
 		out.block = make(chan struct{})
 		started := time.Now()
-		result := newTestRelay(engine).Serve(t.Context(), call(), out)
+		result := newTestRelay(Options{Completer: engine}).Serve(t.Context(), call(), out)
 		if result.Reason != EndStalled || time.Since(started) > 17*time.Second {
 			t.Errorf("%s after %v", result.Reason, time.Since(started))
 		}
--- a/core/stream/session.go
+++ b/core/stream/session.go
@@ -37,8 +37,10 @@
 	lost      bool // the engine does not know the stream any more
 	exhausted bool // no further target is left
 	excluded  []core.TargetID
-	tries     int // targets tried
-	idle      int // tries in a row that brought no piece
+	// importFrom is the address that the current target imports KV cache from.
+	importFrom string
+	tries      int // targets tried
+	idle       int // tries in a row that brought no piece
 
 	pending       []byte // text not yet written, at most MergeBytes and one piece
 	pendingOffset int    // offset behind the pending text
@@ -48,8 +50,6 @@
 // Serve relays one answer to sink and returns when it has ended. ctx ends when
 // the caller has gone.
 func (r *Relay) Serve(ctx context.Context, call Call, sink Sink) Result {
-	r.counters.open.Add(1)
-	defer r.counters.open.Add(-1)
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(r.handOver, func() { end(errHandOver) })()
@@ -77,11 +77,9 @@
 		s.match = newResume(&s.delivered)
 	}
 	for {
-		var err error
-		if resume {
-			err = s.resume()
-		} else {
-			err = s.begin()
+		err := s.prepare(resume)
+		if err == nil {
+			err = s.try(resume)
 		}
 		if err == nil {
 			return nil
@@ -89,11 +87,6 @@
 		if s.ctx.Err() != nil {
 			return context.Cause(s.ctx)
 		}
-		if s.progress {
-			s.idle = 0
-		} else {
-			s.idle++
-		}
 		if resume, err = s.next(err); err != nil {
 			return err
 		}
@@ -177,68 +170,81 @@
 
 var errNoTarget = errors.New("no target is left to serve the request")
 
-// begin sends the request to a target that has not been tried.
-func (s *session) begin() error {
+// prepare chooses the stream to resume or the next target.
+func (s *session) prepare(resume bool) error {
+	if resume {
+		s.result.Resumes++
+		s.record("StreamResumed", s.delivered.Target, "")
+		s.match.held, s.match.bytes = nil, 0
+		return nil
+	}
 	candidate, ok := s.call.Targets(s.excluded)
 	if !ok || slices.Contains(s.excluded, candidate.Target) {
 		return errNoTarget
 	}
 	s.tries++
+	s.lost = false
 	if s.sent {
 		s.result.Reruns++
 		s.record("StreamRerun", candidate.Target, "")
 	}
-	s.lost = false
-	request := s.call.Completion
-	request.ImportFrom = candidate.ImportFrom
-	request.Attempt = core.AttemptID(string(request.Attempt) + "/" + strconv.Itoa(s.tries))
+	attempt := core.AttemptID(string(s.call.Completion.Attempt) + "/" + strconv.Itoa(s.tries))
 	s.count()
-	s.match = newRerun(request.Attempt, &s.delivered)
+	s.match = newRerun(attempt, &s.delivered)
 	s.delivered.Target, s.delivered.Address = candidate.Target, candidate.Address
-	s.delivered.Attempt, s.delivered.Stream = request.Attempt, ""
-	return s.try(false, func(ctx context.Context) (core.PieceReader, error) {
-		pieces, err := s.relay.options.Completer.Complete(ctx, candidate.Address, request)
-		s.sent = s.sent || !errors.Is(err, core.ErrNotRun)
-		return pieces, err
-	})
+	s.delivered.Attempt, s.delivered.Stream = attempt, ""
+	s.importFrom = candidate.ImportFrom
+	return nil
 }
 
-// resume continues the current stream on a new connection.
-func (s *session) resume() error {
-	s.result.Resumes++
-	s.record("StreamResumed", s.delivered.Target, "")
-	s.match.held, s.match.bytes = nil, 0
-	return s.try(true, func(ctx context.Context) (core.PieceReader, error) {
+// open starts or resumes the engine's stream.
+func (s *session) open(ctx context.Context, resume bool) (core.PieceReader, error) {
+	if resume {
 		return s.relay.options.Completer.Resume(ctx, s.delivered.Address, s.match.stream, s.match.next)
-	})
+	}
+	request := s.call.Completion
+	request.ImportFrom, request.Attempt = s.importFrom, s.match.attempt
+	pieces, err := s.relay.options.Completer.Complete(ctx, s.delivered.Address, request)
+	s.sent = s.sent || !errors.Is(err, core.ErrNotRun)
+	if named, ok := pieces.(core.NamedReader); ok && err == nil {
+		s.match.stream = named.Stream()
+	}
+	return pieces, err
 }
 
 // try opens a connection and relays its pieces.
-func (s *session) try(resume bool, open func(context.Context) (core.PieceReader, error)) error {
+func (s *session) try(resume bool) error {
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
 	s.progress = false
 	s.watch.attempt(cancel)
 	s.watch.phase.Store(phaseRead)
-	pieces, err := open(ctx)
+	pieces, err := s.open(ctx, resume)
 	if err == nil {
-		if named, ok := pieces.(core.NamedReader); ok && s.match.stream == "" {
-			s.match.stream = named.Stream()
-		}
 		err = s.pump(ctx, pieces)
 		_ = pieces.Close() // what was read counts
 		if flushErr := s.flush(); err == nil {
 			err = flushErr
 		}
-		if err == nil {
-			s.delivered.Offset = s.match.next
-		}
+	}
+	s.ended(resume, err)
+	return err
+}
+
+// ended notes the end of a try.
+func (s *session) ended(resume bool, err error) {
+	if err == nil {
+		s.delivered.Offset = s.match.next
+	}
+	if s.progress {
+		s.idle = 0
+	} else {
+		s.idle++
 	}
 	if s.call.OnAttempt != nil {
 		abandoned := err != nil && s.ctx.Err() != nil
 		s.call.OnAttempt(Attempt{Target: s.delivered.Target, Resume: resume, Err: err, Abandoned: abandoned})
 	}
-	return err
 }
 
 // pump relays pieces until the terminal one.
--- a/core/stream/watch.go
+++ b/core/stream/watch.go
@@ -19,9 +19,56 @@
 	phaseWrite
 )
 
-// watch looks at one stream once per interval. It finds engines that are silent
-// and callers that don't read, and sends heartbeats to idle callers. The stream
-// only counts its reads and writes, so that a token costs no clock reading.
+// maxHeartbeats bounds the heartbeats to callers that are being written at the
+// same time. Over it a caller gets its heartbeat at a later look.
+const maxHeartbeats = 256
+
+// loop looks at all streams once per HeartbeatInterval, until there are none.
+func (r *Relay) loop() {
+	ticker := time.NewTicker(r.options.HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ended:
+		case <-ticker.C:
+			r.look()
+		}
+		r.mu.Lock()
+		r.looping = len(r.watches) > 0
+		looping := r.looping
+		r.mu.Unlock()
+		if !looping {
+			return
+		}
+	}
+}
+
+func (r *Relay) look() {
+	r.mu.Lock()
+	watches := make([]*watch, 0, len(r.watches))
+	for w := range r.watches {
+		watches = append(watches, w)
+	}
+	r.mu.Unlock()
+	for _, w := range watches {
+		if !w.inspect() {
+			continue
+		}
+		select {
+		case r.heartbeats <- struct{}{}:
+			go func() {
+				w.heartbeat()
+				<-r.heartbeats
+			}()
+		default:
+		}
+	}
+}
+
+// watch is what the relay's loop knows of one stream. It finds engines that are silent and
+// callers that don't read, and sends heartbeats to idle callers. The stream only
+// counts its reads and writes, so that a token costs no clock reading, and it has
+// no timer of its own, so that a look starts no goroutine for a busy stream.
 type watch struct {
 	relay *Relay
 	// end ends the stream with a cause.
@@ -39,7 +86,6 @@
 
 	mu         sync.Mutex
 	closed     bool
-	timer      *time.Timer
 	cancel     context.CancelCauseFunc // ends the current attempt
 	seenReads  uint32
 	seenWrites uint32
@@ -48,21 +94,39 @@
 }
 
 func (w *watch) start() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(w.relay.options.HeartbeatInterval, w.look)
+	r := w.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watches[w] = struct{}{}
+	r.counters.open.Add(1)
+	if !r.looping {
+		r.looping = true
+		go r.loop()
+	}
 }
 
 // stop ends the watch. No call of the sink is under way when it returns.
 func (w *watch) stop() {
-	// The timer still runs while this waits for a heartbeat that is being written,
-	// so that a caller that doesn't read is interrupted.
+	// The watch goes on while this waits for a heartbeat that is being written, so
+	// that a caller that doesn't read is interrupted.
 	w.sinkMu.Lock()
-	defer w.sinkMu.Unlock()
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.closed = true
-	w.timer.Stop()
+	w.mu.Unlock()
+	w.sinkMu.Unlock()
+	r := w.relay
+	r.mu.Lock()
+	delete(r.watches, w)
+	r.counters.open.Add(-1)
+	last := len(r.watches) == 0
+	r.mu.Unlock()
+	if !last {
+		return
+	}
+	select {
+	case r.ended <- struct{}{}:
+	default:
+	}
 }
 
 // attempt names the attempt that is ended when its connection is silent.
@@ -72,12 +136,6 @@
 	w.cancel, w.missed = cancel, 0
 }
 
-func (w *watch) look() {
-	if w.inspect() {
-		w.heartbeat()
-	}
-}
-
 // inspect compares the counts with those of the last look and reports whether the
 // caller needs a heartbeat.
 func (w *watch) inspect() (heartbeat bool) {
@@ -87,7 +145,6 @@
 		return false
 	}
 	o := &w.relay.options
-	w.timer.Reset(o.HeartbeatInterval)
 	if w.deadline != 0 && !w.begun.Load() && o.Clock.Now() >= w.deadline {
 		w.end(errDeadline)
 	}
--- a/io/engine/pieces.go
+++ b/io/engine/pieces.go
@@ -22,7 +22,7 @@
 	Attempt core.AttemptID `json:"attempt_id"`
 	Offset  int            `json:"offset"`
 	Tokens  int            `json:"tokens"`
-	Choices []wireChoice   `json:"choices"`
+	Choices [1]wireChoice  `json:"choices"`
 	Usage   *wireUsage     `json:"usage"`
 	Error   *wireError     `json:"error"`
 }
@@ -51,6 +51,7 @@
 	stream  string
 	body    io.Closer
 	events  *sse.Decoder
+	wire    wirePiece // reused, so that decoding allocates less
 	ended   bool
 
 	// watched is the context of the last call of Next; its end ends the stream.
@@ -111,18 +112,17 @@
 		// The terminal piece came before; an engine that skips it cut its stream.
 		return core.Piece{}, core.ErrStreamCut
 	}
-	var wire wirePiece
-	if err := json.Unmarshal(data, &wire); err != nil {
+	wire := &r.wire
+	*wire = wirePiece{}
+	if err := json.Unmarshal(data, wire); err != nil {
 		return core.Piece{}, errors.Wrapf(core.ErrStreamCut, "undecodable event: %v", err)
 	}
 	if wire.Error != nil {
 		return core.Piece{}, errors.Wrapf(core.ErrUnknownStream, "engine ended the stream: %s", wire.Error.Type)
 	}
 	piece := core.Piece{Stream: wire.ID, Attempt: wire.Attempt, Offset: wire.Offset, Tokens: wire.Tokens}
-	if len(wire.Choices) > 0 {
-		piece.Text = wire.Choices[0].Text
-		piece.Final = wire.Choices[0].FinishReason != ""
-	}
+	piece.Text = wire.Choices[0].Text
+	piece.Final = wire.Choices[0].FinishReason != ""
 	if piece.Final && wire.Usage != nil {
 		piece.Total = wire.Usage.CompletionTokens
 		r.ended = true
--- a/io/sse/decoder.go
+++ b/io/sse/decoder.go
@@ -36,7 +36,7 @@
 
 // decoderBuffer is the read buffer in bytes. It bounds the memory of a stream;
 // longer lines are gathered in a buffer of their own.
-const decoderBuffer = 2 << 10
+const decoderBuffer = 1 << 10
 
 // NewDecoder returns a decoder of events of at most limit bytes.
 func NewDecoder(r io.Reader, limit int) *Decoder {
--- a/io/target/transport.go
+++ b/io/target/transport.go
@@ -64,7 +64,7 @@
 		MaxIdleConnsPerHost: o.MaxIdlePerTarget,
 		IdleConnTimeout:     30 * time.Second,
 		ReadBufferSize:      bufferSize,
-		WriteBufferSize:     bufferSize,
+		WriteBufferSize:     bufferSize / 2,
 		DisableCompression:  true,
 		DisableKeepAlives:   o.SingleUse,
 	}
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -30,6 +30,8 @@
 	StepBase        time.Duration
 	StepPerSequence time.Duration
 	TokensPerStep   int
+	// TokensPerPiece bounds the tokens of one event.
+	TokensPerPiece int
 	// BatchSize bounds the running sequences, QueueSize the waiting ones.
 	BatchSize int
 	QueueSize int
@@ -74,6 +76,7 @@
 		StepBase:        12 * time.Millisecond,
 		StepPerSequence: 300 * time.Microsecond,
 		TokensPerStep:   1,
+		TokensPerPiece:  1,
 		BatchSize:       32,
 		QueueSize:       4096,
 		KVCapacity:      200_000,
@@ -99,6 +102,7 @@
 	setDefault(&o.StepBase, d.StepBase)
 	setDefault(&o.StepPerSequence, d.StepPerSequence)
 	setDefault(&o.TokensPerStep, d.TokensPerStep)
+	setDefault(&o.TokensPerPiece, d.TokensPerPiece)
 	setDefault(&o.BatchSize, d.BatchSize)
 	setDefault(&o.QueueSize, d.QueueSize)
 	setDefault(&o.KVCapacity, d.KVCapacity)
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -93,11 +93,14 @@
 		if !s.wait(f.delay) {
 			return false
 		}
+		n := 1
 		if swap {
-			s.piece(s.offset+1, f.double)
+			s.piece(s.offset+1, 1, f.double)
+		} else {
+			n = min(produced-s.offset, e.options.TokensPerPiece)
 		}
-		s.piece(s.offset, f.double)
-		if s.offset++; swap {
+		s.piece(s.offset, n, f.double)
+		if s.offset += n; swap {
 			s.offset++
 		}
 	}
@@ -128,8 +131,8 @@
 	}
 }
 
-// piece writes the event of one token.
-func (s *streamWriter) piece(offset int, double bool) {
+// piece writes one event of n tokens.
+func (s *streamWriter) piece(offset, n int, double bool) {
 	if s.cutAfter >= 0 && s.written >= s.cutAfter {
 		s.flusher.Flush()
 		panic(http.ErrAbortHandler)
@@ -143,15 +146,19 @@
 	b = append(b, s.head...)
 	b = append(b, `,"offset":`...)
 	b = strconv.AppendInt(b, int64(offset), 10)
-	b = append(b, `,"tokens":1,"choices":[{"index":0,"text":"`...)
-	b = append(b, token(s.sequence.seed, offset)...)
+	b = append(b, `,"tokens":`...)
+	b = strconv.AppendInt(b, int64(n), 10)
+	b = append(b, `,"choices":[{"index":0,"text":"`...)
+	for i := range n {
+		b = append(b, token(s.sequence.seed, offset+i)...)
+	}
 	b = append(b, "\"}]}\n\n"...)
 	s.buffer = b
 	s.send(b)
 	if double {
 		s.send(b)
 	}
-	s.written++
+	s.written += n
 }
 
 func (s *streamWriter) terminal() {
