--- a/standin/engine/relay_test.go
+++ b/standin/engine/relay_test.go
@@ -42,8 +42,21 @@
 	clock      core.ClockProvider
 	relay      *stream.Relay
 	sealer     *stream.Sealer
-	engines    int
 	results    chan stream.Result
+	targets    func(exclude []core.TargetID) (stream.Candidate, bool)
+}
+
+// firstOf returns the first of n engines that is not excluded.
+func firstOf(n int) func([]core.TargetID) (stream.Candidate, bool) {
+	return func(exclude []core.TargetID) (stream.Candidate, bool) {
+		for i := range n {
+			id := core.TargetID(fmt.Sprintf("e%d", i))
+			if !slices.Contains(exclude, id) {
+				return stream.Candidate{Target: id, Address: engineAddress(i)}, true
+			}
+		}
+		return stream.Candidate{}, false
+	}
 }
 
 func engineAddress(i int) string { return fmt.Sprintf("10.1.0.%d:8000", i+1) }
@@ -72,7 +85,14 @@
 	})
 }
 
-func (c *cluster) addInstance(t *testing.T, ctx context.Context, address string) *instance {
+func (c *cluster) addInstance(t *testing.T, ctx context.Context, address string) {
+	in, engines := c.newInstance(t, address)
+	in.targets = firstOf(len(c.engines))
+	c.instances = append(c.instances, in)
+	c.stops = append(c.stops, c.start(ctx, in, engines, address))
+}
+
+func (c *cluster) newInstance(t *testing.T, address string) (*instance, *client.Client) {
 	sealer, err := stream.NewSealer(relayKey)
 	if err != nil {
 		t.Fatal(err)
@@ -80,18 +100,39 @@
 	engines := client.NewClient(client.Options{Connections: target.Options{Dial: c.network.Dial}, Name: address})
 	in := &instance{
 		address: address, repeatable: true, deadline: time.Minute, clock: core.NewProcessClock(),
-		sealer: sealer, engines: len(c.engines), results: make(chan stream.Result, 100),
+		sealer: sealer, results: make(chan stream.Result, 100),
 	}
 	in.relay = stream.NewRelay(stream.Options{Completer: engines, Clock: in.clock, Sealer: sealer})
-	server := &http.Server{Handler: in}
+	return in, engines
+}
+
+// start serves an instance and returns the function that stops it.
+func (c *cluster) start(ctx context.Context, handler http.Handler, engines *client.Client, address string) func() {
+	ctx, stop := context.WithCancel(ctx)
+	server := &http.Server{Handler: handler}
 	go server.Serve(c.network.Listen(address))
 	go engines.Run(ctx)
-	c.instances = append(c.instances, in)
-	c.stops = append(c.stops, func() { server.Close(); <-engines.Done(); engines.Close() })
-	return in
+	return func() {
+		// Shutdown waits for the last bytes of answers, which the server writes after
+		// their handlers have returned.
+		patience, cancel := context.WithTimeout(context.WithoutCancel(ctx), 5*time.Second)
+		defer cancel()
+		server.Shutdown(patience)
+		server.Close()
+		stop()
+		<-engines.Done()
+		engines.Close()
+	}
 }
 
 func (in *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if result, ok := in.serve(w, r, func(*stream.Call) {}); ok {
+		in.results <- result
+	}
+}
+
+// serve relays one request; adapt may change the call.
+func (in *instance) serve(w http.ResponseWriter, r *http.Request, adapt func(*stream.Call)) (result stream.Result, ok bool) {
 	var body struct {
 		Prompt string `json:"prompt"`
 		Tokens int    `json:"max_tokens"`
@@ -106,15 +147,7 @@
 		Completion: core.CompletionRequest{
 			Request: "r", Attempt: core.AttemptID(in.address), Model: "ledger-7b", Prompt: body.Prompt, MaxTokens: body.Tokens,
 		},
-		Targets: func(exclude []core.TargetID) (stream.Candidate, bool) {
-			for i := range in.engines {
-				id := core.TargetID(fmt.Sprintf("e%d", i))
-				if !slices.Contains(exclude, id) {
-					return stream.Candidate{Target: id, Address: engineAddress(i)}, true
-				}
-			}
-			return stream.Candidate{}, false
-		},
+		Targets: in.targets,
 	}
 	sink := sse.NewWriter(w, sse.Format{ID: "r", Model: "ledger-7b"})
 	if token := r.Header.Get("Last-Event-ID"); token != "" {
@@ -123,11 +156,12 @@
 			var refusal *core.Refusal
 			errors.As(err, &refusal)
 			sink.Fail(refusal, nil)
-			return
+			return result, false
 		}
 		call.Resume = &position
 	}
-	in.results <- in.relay.Serve(r.Context(), call, sink)
+	adapt(&call)
+	return in.relay.Serve(r.Context(), call, sink), true
 }
 
 // answer is what a caller has of one answer.
