--- a/cmd/commands/demo.go
+++ b/cmd/commands/demo.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/cmd/demo"
+	"gorseline/cmd/workload"
 )
 
 type demoCommand struct {
@@ -72,7 +73,7 @@
 	return nil
 }
 
-func (c *demoCommand) print(a demo.Account) error {
+func (c *demoCommand) print(a workload.Account) error {
 	if c.Format == "json" {
 		data, err := json.Marshal(a)
 		fmt.Fprintln(os.Stdout, string(data))
--- a/cmd/commands/serve.go
+++ b/cmd/commands/serve.go
@@ -30,7 +30,8 @@
 	if err := running.Start(context.Background()); err != nil {
 		return failure{err}
 	}
-	fmt.Fprintf(os.Stdout, "Callers=http://%s\nOperators=http://%s\n", running.CallersAddress(), running.OperatorsAddress())
+	fmt.Fprintf(os.Stdout, "Callers=http://%s\nOperators=http://%s\nPeers=http://%s\n",
+		running.CallersAddress(), running.OperatorsAddress(), running.PeersAddress())
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	<-signals
--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -7,17 +7,16 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"gorseline/cmd/instance"
+	"gorseline/cmd/workload"
 	"gorseline/core"
 	"gorseline/io/operator"
 	"gorseline/standin/deployment"
-	"gorseline/standin/engine"
 )
 
 // Options configure a run.
@@ -41,7 +40,7 @@
 // Run is a running demonstration.
 type Run struct {
 	options   Options
-	sample    Sample
+	sample    workload.Sample
 	site      *deployment.Deployment
 	instances []*instance.Instance
 	left      *instance.Instance
@@ -51,13 +50,13 @@
 // Start runs the stand-ins and two instances, and puts the sample's configuration
 // in force.
 func Start(ctx context.Context, options Options) (*Run, error) {
-	sample, err := LoadSample(options.Deployment)
+	sample, err := workload.LoadSample(options.Deployment)
 	if err != nil {
 		return nil, err
 	}
 	r := &Run{options: options, sample: sample, started: time.Now()}
 	r.site, err = deployment.Start(sample.Configuration, deployment.Options{
-		Engine: engineOptions(), Work: 10 * time.Millisecond, ListLag: 500 * time.Millisecond,
+		Engine: deployment.FastEngine(), Work: 10 * time.Millisecond, ListLag: 500 * time.Millisecond,
 	})
 	if err != nil {
 		return nil, err
@@ -72,17 +71,6 @@
 	return r, nil
 }
 
-// engineOptions returns engines fast enough for a run of a few seconds.
-func engineOptions() engine.Options {
-	o := engine.DefaultOptions()
-	o.PrefillRate = 40_000
-	o.StepBase = 8 * time.Millisecond
-	o.StepPerSequence = 100 * time.Microsecond
-	o.RoleChange = time.Second
-	o.LoadLag = 250 * time.Millisecond
-	return o
-}
-
 func (r *Run) progress(format string, args ...any) {
 	elapsed := time.Since(r.started).Round(100 * time.Millisecond)
 	fmt.Fprintf(r.options.Progress, "%6s  %s\n", elapsed, fmt.Sprintf(format, args...))
@@ -144,7 +132,7 @@
 				status.Revision, status.PresetInForce, status.InForceOn, status.Of)
 			return nil
 		}
-		if !wait(ctx, readyPoll) {
+		if !workload.Wait(ctx, readyPoll) {
 			return errors.Errorf("revision %d is in force on %d of %d instances, missing %v: %s",
 				revision, status.InForceOn, status.Of, status.Missing, status.Reason)
 		}
@@ -153,33 +141,33 @@
 
 // Play sends the sample, switches the preset in the middle and lets an instance
 // leave. It returns the account.
-func (r *Run) Play(ctx context.Context) (Account, error) {
-	l := newLedger(r.sample.Configuration.Kinds)
+func (r *Run) Play(ctx context.Context) (workload.Account, error) {
+	l := workload.NewLedger(r.sample.Configuration.Kinds)
 	var seeds []string
 	for _, i := range r.instances {
 		seeds = append(seeds, i.CallersAddress())
 	}
-	c := newClient(seeds, r.site.Configuration.Targets[0].DataCentre)
-	order := r.order()
+	c := workload.NewClient(seeds, r.site.Configuration.Targets[0].DataCentre)
+	order := r.sample.Shuffled(r.options.Rounds, r.options.Seed)
 	gap := r.options.Duration / time.Duration(len(order))
 	var group sync.WaitGroup
 	var switched, left error
 	r.progress("sending %d requests over %s", len(order), r.options.Duration)
 	for i, request := range order {
 		key := fmt.Sprintf("%s-%d", request.Name, i)
-		group.Go(func() { l.add(request, key, c.run(ctx, request, key)) })
+		group.Go(func() { l.Add(request, key, c.Run(ctx, request, key)) })
 		switch i {
 		case len(order) / 3:
 			group.Go(func() { switched = r.switchPreset(ctx) })
 		case len(order) / 2:
 			group.Go(func() { left = r.leave(ctx) })
 		}
-		if !wait(ctx, gap) {
+		if !workload.Wait(ctx, gap) {
 			break
 		}
 	}
 	group.Wait()
-	account := l.settle(r.site.Effects())
+	account := l.Settle(r.site.Effects())
 	account.PresetSwitches = 1
 	if switched != nil {
 		return account, switched
@@ -192,17 +180,6 @@
 	return account, err
 }
 
-// order returns the rounds of the sample in a fixed random order.
-func (r *Run) order() []Request {
-	var all []Request
-	for range r.options.Rounds {
-		all = append(all, r.sample.Requests...)
-	}
-	rng := rand.New(rand.NewPCG(r.options.Seed, 0))
-	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all
-}
-
 func (r *Run) switchPreset(ctx context.Context) error {
 	const preset = "peak"
 	status, err := r.operator().Status(ctx)
--- a/cmd/demo/account.go
+++ b/cmd/workload/account.go
@@ -1,4 +1,4 @@
-package demo
+package workload
 
 import (
 	"strings"
@@ -39,8 +39,8 @@
 	return a.Cut+a.Unknown+a.EffectsDoubled+a.EffectsLost+a.EffectsUnreported == 0 && a.Sent > 0
 }
 
-// ledger collects the results of concurrent requests.
-type ledger struct {
+// Ledger collects the results of concurrent requests.
+type Ledger struct {
 	kinds map[core.KindName]core.Kind
 
 	mu      sync.Mutex
@@ -49,40 +49,42 @@
 	keys map[string]core.OutcomeKind
 }
 
-func newLedger(kinds map[core.KindName]core.Kind) *ledger {
-	return &ledger{kinds: kinds, keys: map[string]core.OutcomeKind{}}
+// NewLedger returns an empty ledger.
+func NewLedger(kinds map[core.KindName]core.Kind) *Ledger {
+	return &Ledger{kinds: kinds, keys: map[string]core.OutcomeKind{}}
 }
 
-func (l *ledger) add(r Request, key string, got result) {
+// Add notes the result of a request.
+func (l *Ledger) Add(r Request, key string, got Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	kind := l.kinds[r.Kind]
 	l.account.Sent++
 	if !kind.Repeatable {
-		l.keys[key] = got.outcome
+		l.keys[key] = got.Outcome
 	}
 	switch {
-	case got.outcome == core.OutcomeDone && r.Model != "" && !isWhole(r, got.text):
+	case got.Outcome == core.OutcomeDone && r.Model != "" && !isWhole(r, got.Text):
 		l.account.Cut++
 		l.problem(r, "the text differs from the engine's")
-	case got.outcome == core.OutcomeDone && got.took <= kind.Deadline:
+	case got.Outcome == core.OutcomeDone && got.Took <= kind.Deadline:
 		l.account.InTime++
-	case got.outcome == core.OutcomeDone:
+	case got.Outcome == core.OutcomeDone:
 		l.account.Late++
-		l.problem(r, "answered after "+got.took.Round(time.Millisecond).String())
-	case got.outcome == core.OutcomeNotRun:
+		l.problem(r, "answered after "+got.Took.Round(time.Millisecond).String())
+	case got.Outcome == core.OutcomeNotRun:
 		l.account.NotRun++
-		l.problem(r, got.reason)
-	case got.outcome == core.OutcomeCut:
+		l.problem(r, got.Reason)
+	case got.Outcome == core.OutcomeCut:
 		l.account.Cut++
-		l.problem(r, got.reason)
+		l.problem(r, got.Reason)
 	default:
 		l.account.Unknown++
-		l.problem(r, got.reason)
+		l.problem(r, got.Reason)
 	}
 }
 
-func (l *ledger) problem(r Request, text string) {
+func (l *Ledger) problem(r Request, text string) {
 	l.account.Problems = append(l.account.Problems, r.Name+": "+text)
 }
 
@@ -92,8 +94,8 @@
 	return strings.TrimSpace(text) == strings.TrimSpace(want)
 }
 
-// settle compares the outcomes with the effects that the services counted.
-func (l *ledger) settle(effects map[string]int) Account {
+// Settle compares the outcomes with the effects that the services counted.
+func (l *Ledger) Settle(effects map[string]int) Account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for key, outcome := range l.keys {
--- a/cmd/demo/client.go
+++ b/cmd/workload/client.go
@@ -1,4 +1,4 @@
-package demo
+package workload
 
 import (
 	"bytes"
@@ -17,10 +17,10 @@
 	"gorseline/io/sse"
 )
 
-// client is a program that uses the system as its pages tell: it asks for
-// addresses, keeps the answer for a while, comes back when told to, and resumes a
-// stream that was cut.
-type client struct {
+// Client is a program that uses the system as its pages tell: it asks for
+// addresses, keeps the answer for a while, comes back when told to, leaves silent connections,
+// and resumes a stream that was cut.
+type Client struct {
 	http       *http.Client
 	dataCentre core.DataCentre
 
@@ -30,13 +30,14 @@
 	until     time.Time
 }
 
-func newClient(seeds []string, dataCentre core.DataCentre) *client {
-	return &client{http: &http.Client{}, dataCentre: dataCentre, addresses: seeds}
+// NewClient returns a client that starts with the given addresses.
+func NewClient(seeds []string, dataCentre core.DataCentre) *Client {
+	return &Client{http: &http.Client{}, dataCentre: dataCentre, addresses: seeds}
 }
 
 // address returns an address to use, asking for new ones when the kept answer has
 // expired.
-func (c *client) address(ctx context.Context) string {
+func (c *Client) address(ctx context.Context) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Now().After(c.until) {
@@ -47,7 +48,7 @@
 }
 
 // refresh asks the kept addresses in turn. While none answers the kept ones stay.
-func (c *client) refresh(ctx context.Context) {
+func (c *Client) refresh(ctx context.Context) {
 	for _, address := range c.addresses {
 		ctx, cancel := context.WithTimeout(ctx, time.Second)
 		var answer struct {
@@ -64,7 +65,7 @@
 	}
 }
 
-func (c *client) get(ctx context.Context, url string, answer any) error {
+func (c *Client) get(ctx context.Context, url string, answer any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return errors.Wrap(err, "build request")
@@ -77,38 +78,39 @@
 	return errors.Wrap(json.NewDecoder(resp.Body).Decode(answer), "decode")
 }
 
-// result tells how one request of the sample ended.
-type result struct {
-	outcome core.OutcomeKind
-	text    string
-	took    time.Duration
-	reason  string
+// Result tells how one request of a sample ended.
+type Result struct {
+	Outcome core.OutcomeKind
+	Text    string
+	Took    time.Duration
+	Reason  string
 }
 
 // maxTries bounds how often a caller comes back.
 const maxTries = 8
 
-// run sends a request until it has an outcome that a repeat would not change.
-func (c *client) run(ctx context.Context, r Request, key string) result {
+// Run sends a request until it has an outcome that a repeat would not change.
+func (c *Client) Run(ctx context.Context, r Request, key string) Result {
 	started := time.Now()
-	var last result
+	var last Result
 	var text strings.Builder
 	token := ""
 	for range maxTries {
 		var refusal *core.Refusal
 		last, refusal = c.try(ctx, r, key, &text, &token)
-		last.took = time.Since(started)
+		last.Took = time.Since(started)
 		if refusal == nil || refusal.RetryAfterMs == 0 {
 			return last
 		}
-		if !wait(ctx, time.Duration(refusal.RetryAfterMs)*time.Millisecond) {
+		if !Wait(ctx, time.Duration(refusal.RetryAfterMs)*time.Millisecond) {
 			return last
 		}
 	}
 	return last
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
+// Wait waits for d and reports whether ctx still runs.
+func Wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -119,11 +121,19 @@
 	}
 }
 
+// silenceLimit is how long a connection may be silent before the client gives it up.
+// An instance sends a heartbeat every second while a stream waits.
+const silenceLimit = 3 * time.Second
+
 // try sends the request once. A returned refusal tells when to come back.
-func (c *client) try(ctx context.Context, r Request, key string, text *strings.Builder, token *string) (result, *core.Refusal) {
+func (c *Client) try(ctx context.Context, r Request, key string, text *strings.Builder, token *string) (Result, *core.Refusal) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(silenceLimit, cancel)
+	defer watchdog.Stop()
 	req, err := r.build(ctx, c.address(ctx), key)
 	if err != nil {
-		return result{outcome: core.OutcomeNotRun, reason: err.Error()}, nil
+		return Result{Outcome: core.OutcomeNotRun, Reason: err.Error()}, nil
 	}
 	if *token != "" {
 		req.Header.Set("Last-Event-ID", *token)
@@ -131,23 +141,23 @@
 	again := (core.Refusal{Kind: "NoConnection"}).WithRetryAfter(100 * time.Millisecond)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return result{outcome: core.OutcomeUnknown, reason: err.Error()}, again
+		return Result{Outcome: core.OutcomeUnknown, Reason: err.Error()}, again
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode >= http.StatusBadRequest {
 		return refused(resp.Body)
 	}
-	if r.Model == "" {
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			return result{outcome: core.OutcomeUnknown, reason: err.Error()}, again
-		}
-		return result{outcome: core.OutcomeDone, text: string(body)}, nil
+	if r.Model != "" {
+		return readStream(resp.Body, watchdog, text, token)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Result{Outcome: core.OutcomeUnknown, Reason: err.Error()}, again
 	}
-	return readStream(resp.Body, text, token)
+	return Result{Outcome: core.OutcomeDone, Text: string(body)}, nil
 }
 
-func refused(body io.Reader) (result, *core.Refusal) {
+func refused(body io.Reader) (Result, *core.Refusal) {
 	var refusal core.Refusal
 	if err := json.NewDecoder(body).Decode(&refusal); err != nil {
 		return ended(core.OutcomeUnknown, "", err)
@@ -156,26 +166,27 @@
 	if refusal.NotRun {
 		outcome = core.OutcomeNotRun
 	}
-	return result{outcome: outcome, reason: refusal.Kind + ": " + refusal.Message}, &refusal
+	return Result{Outcome: outcome, Reason: refusal.Kind + ": " + refusal.Message}, &refusal
 }
 
 // ended is the outcome of a request that a repeat would not change.
-func ended(outcome core.OutcomeKind, text string, err error) (result, *core.Refusal) {
-	return result{outcome: outcome, text: text, reason: err.Error()}, nil
+func ended(outcome core.OutcomeKind, text string, err error) (Result, *core.Refusal) {
+	return Result{Outcome: outcome, Text: text, Reason: err.Error()}, nil
 }
 
 // maxEvent bounds one event in bytes.
 const maxEvent = 64 << 10
 
 // readStream collects the text of a stream and the token to resume it.
-func readStream(body io.Reader, text *strings.Builder, token *string) (result, *core.Refusal) {
+func readStream(body io.Reader, watchdog *time.Timer, text *strings.Builder, token *string) (Result, *core.Refusal) {
 	again := (core.Refusal{Kind: "StreamCut"}).WithRetryAfter(100 * time.Millisecond)
 	decoder := sse.NewDecoder(body, maxEvent)
 	for {
 		var event sse.Event
 		if err := decoder.Next(&event); err != nil {
-			return result{outcome: core.OutcomeCut, text: text.String(), reason: err.Error()}, again
+			return Result{Outcome: core.OutcomeCut, Text: text.String(), Reason: err.Error()}, again
 		}
+		watchdog.Reset(silenceLimit)
 		if event.Comment {
 			continue
 		}
@@ -185,10 +196,10 @@
 		switch {
 		case string(event.Name) == "error":
 			r, refusal := refused(bytes.NewReader(event.Data))
-			r.outcome, r.text = core.OutcomeCut, text.String()
+			r.Outcome, r.Text = core.OutcomeCut, text.String()
 			return r, refusal
 		case string(event.Data) == "[DONE]":
-			return result{outcome: core.OutcomeDone, text: text.String()}, nil
+			return Result{Outcome: core.OutcomeDone, Text: text.String()}, nil
 		}
 		var chunk struct {
 			Choices []struct{ Text string }
--- a/cmd/demo/sample.go
+++ b/cmd/workload/sample.go
@@ -1,7 +1,10 @@
-package demo
+// Package workload sends sample requests like callers do and accounts for their
+// outcomes.
+package workload
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 
 	"github.com/pkg/errors"
 
@@ -48,3 +51,14 @@
 	}
 	return s, errors.Wrap(json.Unmarshal(data, &s.Requests), "decode sample requests")
 }
+
+// Shuffled returns the requests a number of times in a random order.
+func (s Sample) Shuffled(rounds int, seed uint64) []Request {
+	var all []Request
+	for range rounds {
+		all = append(all, s.Requests...)
+	}
+	rng := rand.New(rand.NewPCG(seed, 0))
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all
+}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -30,6 +30,17 @@
 	ListLag time.Duration
 }
 
+// FastEngine returns engines fast enough for a run of a few seconds.
+func FastEngine() engine.Options {
+	o := engine.DefaultOptions()
+	o.PrefillRate = 40_000
+	o.StepBase = 8 * time.Millisecond
+	o.StepPerSequence = 100 * time.Microsecond
+	o.RoleChange = time.Second
+	o.LoadLag = 250 * time.Millisecond
+	return o
+}
+
 // Deployment is a set of running stand-ins.
 type Deployment struct {
 	// Configuration holds the targets with their loopback addresses.
