--- a/cmd/commands/compare.go
+++ b/cmd/commands/compare.go
@@ -14,6 +14,7 @@
 type compareCommand struct {
 	Deployment string `long:"deployment" env:"DEPLOYMENT" default:"kreditschutz" description:"ledgerpeach or kreditschutz"`
 	Seeds      int    `long:"seeds" env:"SEEDS" default:"10" description:"number of traces per scenario"`
+	FirstSeed  uint64 `long:"first-seed" env:"FIRST_SEED" default:"1" description:"seed of the first trace"`
 	Policies   string `long:"policies" env:"POLICIES" description:"comma-separated policies; all by default"`
 	Scenarios  string `long:"scenarios" env:"SCENARIOS" description:"comma-separated scenarios; all by default"`
 	Format     string `long:"format" env:"FORMAT" default:"table" choice:"table" choice:"json" description:"form of the output"`
@@ -37,7 +38,7 @@
 	}
 	rows, err := bench.Compare(bench.Options{
 		Deployment: deployment, Scenarios: scenarios, Policies: list(c.Policies),
-		Seeds: c.Seeds, Workers: compareWorkers,
+		Seeds: c.Seeds, FirstSeed: c.FirstSeed, Workers: compareWorkers,
 	})
 	if err != nil {
 		return err
--- a/standin/bench/compare.go
+++ b/standin/bench/compare.go
@@ -66,8 +66,9 @@
 	Scenarios []Scenario
 	// Policies default to all; see Policies.
 	Policies []string
-	// Seeds is the number of traces per scenario.
-	Seeds int
+	// Seeds is the number of traces per scenario; the first has the seed FirstSeed.
+	Seeds     int
+	FirstSeed uint64
 	// Workers is the number of seeds that run at once, at least 1.
 	Workers int
 }
@@ -149,11 +150,12 @@
 // runTrace runs the policies on one trace.
 func (o *Options) runTrace(chosen []contender, scenario, seed int, fail func(error)) []Result {
 	d, s := &o.Deployment, &o.Scenarios[scenario]
-	calls := newTrace(d, s, uint64(seed+1))
+	number := o.FirstSeed + uint64(seed)
+	calls := newTrace(d, s, number)
 	bound := Bound(d, s, calls)
 	results := make([]Result, len(chosen))
 	for p, c := range chosen {
-		result, err := runContender(d, s, calls, c, uint64(seed+1))
+		result, err := runContender(d, s, calls, c, number)
 		if err != nil {
 			fail(err)
 			return nil
--- a/standin/bench/compare_test.go
+++ b/standin/bench/compare_test.go
@@ -19,7 +19,7 @@
 		t.Fatal(err)
 	}
 	rows, err := Compare(Options{
-		Deployment: d, Scenarios: []Scenario{*quick(t, "Swing", 30*time.Second)}, Seeds: 2, Workers: workers,
+		Deployment: d, Scenarios: []Scenario{*quick(t, "Swing", 30*time.Second)}, Seeds: 2, FirstSeed: 1, Workers: workers,
 	})
 	if err != nil {
 		t.Fatal(err)
