--- a/core/membership/protocol.go
+++ b/core/membership/protocol.go
@@ -52,6 +52,7 @@
 	self    Record
 	rng     *rand.Rand
 	header  Header
+	changed func(Record)
 	view    view
 	spread  spreader
 	seeds   map[core.InstanceID]Record
@@ -72,10 +73,14 @@
 	mismatch map[core.DataCentre]core.Instant
 }
 
-// New returns the view of an instance that knows only itself.
-func New(self Record, rng *rand.Rand, header Header) *Protocol {
+// New returns the view of an instance that knows only itself. It calls changed, if
+// that is not nil, for each record that changes.
+func New(self Record, rng *rand.Rand, header Header, changed func(Record)) *Protocol {
+	if changed == nil {
+		changed = func(Record) {}
+	}
 	p := &Protocol{
-		self: self, rng: rng, header: header,
+		self: self, rng: rng, header: header, changed: changed,
 		view:     newView(self.DataCentre),
 		seeds:    make(map[core.InstanceID]Record),
 		pending:  make(map[core.InstanceID]int),
@@ -191,6 +196,7 @@
 	p.self.Status = status
 	p.view.put(now, p.self)
 	p.spread.add(now, p.self)
+	p.changed(p.self)
 }
 
 // isPeer selects members of the own data centre that can be probed.
@@ -217,6 +223,7 @@
 	}
 	p.view.put(now, r)
 	p.spread.add(now, r)
+	p.changed(r)
 }
 
 // message returns a message to a member with piggybacked records.
--- a/core/membership/protocol_test.go
+++ b/core/membership/protocol_test.go
@@ -11,7 +11,7 @@
 
 func protocol() *Protocol {
 	header := func(core.Instant) (core.Revision, core.Revision, uint32) { return 0, 0, 0 }
-	return New(Record{ID: "p", Address: "p", DataCentre: "d"}, rand.New(rand.NewPCG(1, 2)), header)
+	return New(Record{ID: "p", Address: "p", DataCentre: "d"}, rand.New(rand.NewPCG(1, 2)), header, nil)
 }
 
 func member(id core.InstanceID, status Status, incarnation uint64) Record {
--- a/core/propagation/node.go
+++ b/core/propagation/node.go
@@ -53,6 +53,8 @@
 	Random    *rand.Rand
 	Applier   *configuration.Applier
 	Isolation *configuration.Isolation
+	// Changed is called for each member whose record changes; it may be nil.
+	Changed func(membership.Record)
 }
 
 // Node is the control part of one instance: its view of the members and the
@@ -89,7 +91,7 @@
 // NewNode returns a node that knows only itself.
 func NewNode(o Options) *Node {
 	n := &Node{Options: o, applied: make(map[core.InstanceID]core.Revision)}
-	n.members = membership.New(o.Self, o.Random, n.header)
+	n.members = membership.New(o.Self, o.Random, n.header, o.Changed)
 	return n
 }
 
--- a/io/peer/member.go
+++ b/io/peer/member.go
@@ -40,6 +40,8 @@
 	// Seed seeds all random choices.
 	Seed uint64
 	Log  log.Interface
+	// Recorder gets the events of this package; nil records none.
+	Recorder core.Recorder
 }
 
 // Member runs the control part of one instance: it drives the state machine of
@@ -77,6 +79,7 @@
 	}
 	m.node = propagation.NewNode(propagation.Options{
 		Self: o.Self, Random: rand.New(rand.NewPCG(o.Seed, 0)), Applier: o.Applier, Isolation: m.isolation,
+		Changed: m.recordMember,
 	})
 	return m
 }
@@ -92,6 +95,7 @@
 		loops.Go(func() { m.loopSeeds(ctx) })
 	}
 	loops.Go(func() { m.loopTicks(ctx) })
+	loops.Go(func() { m.loopEvents(ctx) })
 	loops.Wait()
 	m.mu.Lock()
 	m.base = nil
--- a/io/peer/member_test.go
+++ b/io/peer/member_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"go.uber.org/goleak"
 
 	"gorseline/core"
@@ -80,17 +82,30 @@
 
 func (l lister) Instances(context.Context) ([]core.ListedInstance, error) { return l, nil }
 
+// recorder counts events by kind.
+type recorder struct {
+	mu     sync.Mutex
+	counts map[core.EventKind]int
+}
+
+func (r *recorder) Record(e core.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[e.Kind]++
+}
+
 // rig is a set of running members over one table.
 type rig struct {
 	network *network
 	table   *rows
 	members []*peer.Member
+	events  *recorder
 	stop    context.CancelFunc
 }
 
 func startRig(t *testing.T, count int) *rig {
 	ctx, stop := context.WithCancel(t.Context())
-	r := &rig{network: &network{servers: map[string]peer.Server{}, cut: map[string]bool{}}, table: newRows(), stop: stop}
+	r := &rig{network: &network{servers: map[string]peer.Server{}, cut: map[string]bool{}}, table: newRows(), events: &recorder{counts: map[core.EventKind]int{}}, stop: stop}
 	var listed lister
 	for i := range count {
 		listed = append(listed, core.ListedInstance{
@@ -106,7 +121,7 @@
 		m := peer.NewMember(peer.MemberOptions{
 			Self:      membership.Record{ID: l.ID, Address: l.Address, DataCentre: l.DataCentre},
 			Transport: transport{r.network, l.Address}, Store: storeOf(r.table, l.Address), Lister: listed,
-			Clock: core.NewProcessClock(), Applier: applier, Seed: uint64(i + 1),
+			Clock: core.NewProcessClock(), Applier: applier, Seed: uint64(i + 1), Log: &log.Logger{Handler: discard.Default}, Recorder: r.events,
 		})
 		r.network.servers[l.Address] = m
 		r.members = append(r.members, m)
@@ -178,6 +193,11 @@
 				t.Error("a leaving member is in the answers")
 			}
 		}
+		for kind, least := range map[core.EventKind]int{peer.EventRevisionApplied: 9, peer.EventMemberChanged: 9, peer.EventReadinessChanged: 9 + 2} {
+			if got := r.events.counts[kind]; got < least {
+				t.Errorf("%d events %s, expected at least %d", got, kind, least)
+			}
+		}
 	})
 }
 
