Speak TLS between instances and reload certificates

Cause: a certificate was used on the ports but peers dialled without TLS, and log lines carried terminal colours into files. Change: the peer client dials with TLS and presents the instance's certificate; servers negotiate HTTP/2 over TLS; logs are written as logfmt.

--- a/cmd/instance/control.go
+++ b/cmd/instance/control.go
@@ -12,6 +12,7 @@
 	"gorseline/core/membership"
 	"gorseline/core/policy"
 	"gorseline/io/caller"
+	"gorseline/io/certificate"
 	"gorseline/io/peer"
 )
 
@@ -33,6 +34,7 @@
 	Random    *random.Source
 	Attempts  Attempts
 	Log       log.Interface
+	Secure    *certificate.Source
 }
 
 func newControl(in controlInputs) (*control, error) {
@@ -40,7 +42,7 @@
 	c.store = configuration.NewStore(configuration.Options{
 		Table: in.Platform.table.Shared, Policies: policy.Validate, Attempts: in.Attempts, InForce: c.applier,
 	})
-	transport, err := peer.NewClient(peer.ClientOptions{})
+	transport, err := peer.NewClient(peer.ClientOptions{TLS: in.Secure.Client()})
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/instance/instance.go
+++ b/cmd/instance/instance.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/text"
+	"github.com/apex/log/handlers/logfmt"
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
@@ -16,6 +16,7 @@
 	"gorseline/core"
 	"gorseline/core/common/random"
 	"gorseline/core/timeline"
+	"gorseline/io/certificate"
 )
 
 // Instance is one entry instance.
@@ -45,6 +46,7 @@
 			metrics.NewRegistry,
 			newRandom,
 			newAttempts,
+			func() (*certificate.Source, error) { return certificate.NewSource(certificate.Files(settings.TLS)) },
 			newListeners,
 			newPlatform,
 			newControl,
@@ -93,7 +95,7 @@
 }
 
 func newLogger(s Settings, logs io.Writer) log.Interface {
-	return (&log.Logger{Handler: text.New(logs), Level: log.MustParseLevel(s.LogLevel)}).
+	return (&log.Logger{Handler: logfmt.New(logs), Level: log.MustParseLevel(s.LogLevel)}).
 		WithField("instance", s.Instance)
 }
 
--- a/cmd/instance/servers.go
+++ b/cmd/instance/servers.go
@@ -73,14 +73,11 @@
 	Clock       core.ClockProvider
 	Metrics     metrics.Registry
 	Log         log.Interface
+	Secure      *certificate.Source
 }
 
-func newServers(in serverInputs) (*servers, error) {
+func newServers(in serverInputs) *servers {
 	s := &servers{listeners: in.Listeners, log: in.Log}
-	secure, err := certificate.NewSource(certificate.Files(in.Settings.TLS))
-	if err != nil {
-		return nil, err
-	}
 	callers := caller.NewHandler(caller.Options{
 		Configuration: in.Control.applier, Dispatcher: in.Serving.dispatcher, Addresses: in.Control,
 		Gate: in.Leaving, Clock: in.Clock, MaxBody: in.Settings.MaxBody,
@@ -93,23 +90,20 @@
 	peers := http.NewServeMux()
 	peers.Handle("/gorseline.Peer/", peer.NewHandler(in.Control.member))
 
-	s.serve(in, in.Listeners.callers, in.Leaving.counted(callers), secure.Callers(), &http.Server{
+	s.serve(in, in.Listeners.callers, in.Leaving.counted(callers), in.Secure.Callers(), &http.Server{
 		ReadHeaderTimeout: in.Settings.HeaderWait, ReadTimeout: in.Settings.BodyWait,
 		IdleTimeout: in.Settings.IdleWait, MaxHeaderBytes: in.Settings.MaxHeader,
 	})
-	s.serve(in, in.Listeners.operators, operators, secure.Private(), &http.Server{ReadHeaderTimeout: in.Settings.HeaderWait})
-	s.serve(in, in.Listeners.peers, peers, secure.Private(), peer.NewHTTPServer(nil))
-	return s, nil
+	s.serve(in, in.Listeners.operators, operators, in.Secure.Private(), &http.Server{ReadHeaderTimeout: in.Settings.HeaderWait})
+	s.serve(in, in.Listeners.peers, peers, in.Secure.Private(), peer.NewHTTPServer(nil))
+	return s
 }
 
 // stopWait bounds the end of idle connections; no request is left when it begins.
 const stopWait = 2 * time.Second
 
 func (s *servers) serve(in serverInputs, l net.Listener, h http.Handler, secure *tls.Config, server *http.Server) {
-	server.Handler = h
-	if secure != nil {
-		l = tls.NewListener(l, secure)
-	}
+	server.Handler, server.TLSConfig = h, secure
 	in.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go s.run(server, l)
@@ -127,7 +121,11 @@
 }
 
 func (s *servers) run(server *http.Server, l net.Listener) {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	serve := server.Serve
+	if server.TLSConfig != nil {
+		serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
+	}
+	if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
 		s.log.WithError(err).Error("server: port closed")
 	}
 }
--- a/io/certificate/certificate.go
+++ b/io/certificate/certificate.go
@@ -78,6 +78,21 @@
 	return c
 }
 
+// Client returns the configuration of connections to other instances, which present
+// the same certificate and trust the same CA, or nil without TLS. Instances are named
+// by IP number, so certificates must list the instance's IP.
+func (s *Source) Client() *tls.Config {
+	if s.files.Certificate == "" {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12, RootCAs: s.clients,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return s.certificate(nil)
+		},
+	}
+}
+
 // certificate returns the current certificate. While a new file can't be loaded,
 // as in the middle of a replacement, the old certificate stays in use.
 func (s *Source) certificate(*tls.ClientHelloInfo) (*tls.Certificate, error) {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -48,6 +49,8 @@
 	// minutes, because a member of a data centre of 113 probes each of the others
 	// about every two minutes.
 	IdleTimeout time.Duration
+	// TLS is the configuration of connections to peers; nil speaks plain HTTP/2.
+	TLS *tls.Config
 	// Dial replaces the dialer, for measuring.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -90,9 +93,10 @@
 
 func (c *Client) newTransport() *http.Transport {
 	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetUnencryptedHTTP2(c.options.TLS == nil)
+	protocols.SetHTTP2(c.options.TLS != nil)
 	return &http.Transport{
-		Protocols: &protocols, DialContext: c.options.Dial, IdleConnTimeout: c.options.IdleTimeout, DisableCompression: true,
+		Protocols: &protocols, TLSClientConfig: c.options.TLS, DialContext: c.options.Dial, IdleConnTimeout: c.options.IdleTimeout, DisableCompression: true,
 	}
 }
 
@@ -102,14 +106,18 @@
 	}
 	transport := c.newTransport()
 	client := &http.Client{Transport: transport}
+	base := "http://" + address
+	if c.options.TLS != nil {
+		base = "https://" + address
+	}
 	p := &procedures{
 		transport: transport,
-		probe:     procedure[membership.Message, membership.Message](client, address, pathProbe),
-		indirect:  procedure[membership.Message, membership.Message](client, address, pathIndirectProbe),
-		digest:    procedure[membership.Message, membership.Message](client, address, pathDigest),
-		push:      procedure[propagation.Push, propagation.PushReply](client, address, pathPush),
-		pull:      procedure[propagation.Pull, propagation.PullReply](client, address, pathPull),
-		status:    procedure[propagation.StatusRequest, propagation.StatusReply](client, address, pathStatus),
+		probe:     procedure[membership.Message, membership.Message](client, base, pathProbe),
+		indirect:  procedure[membership.Message, membership.Message](client, base, pathIndirectProbe),
+		digest:    procedure[membership.Message, membership.Message](client, base, pathDigest),
+		push:      procedure[propagation.Push, propagation.PushReply](client, base, pathPush),
+		pull:      procedure[propagation.Pull, propagation.PullReply](client, base, pathPull),
+		status:    procedure[propagation.StatusRequest, propagation.StatusReply](client, base, pathStatus),
 	}
 	// Another call may have added the peer meanwhile.
 	if earlier, found, _ := c.peers.PeekOrAdd(address, p); found {
@@ -118,8 +126,8 @@
 	return p
 }
 
-func procedure[Request, Reply any](client *http.Client, address, path string) *connect.Client[Request, Reply] {
-	return connect.NewClient[Request, Reply](client, "http://"+address+path,
+func procedure[Request, Reply any](client *http.Client, base, path string) *connect.Client[Request, Reply] {
+	return connect.NewClient[Request, Reply](client, base+path,
 		connect.WithCodec(Codec{}), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage))
 }
 
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -1,6 +1,6 @@
 // Package peer lets instances speak to each other: probes, digests, and pushes and
 // pulls of the configuration. It uses connect with a CBOR codec over plain Go
-// structs, on HTTP/2 without TLS.
+// structs, on HTTP/2 with or without TLS.
 package peer
 
 import (
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -44,11 +44,12 @@
 		connect.WithCodec(Codec{}), connect.WithReadMaxBytes(maxMessage)))
 }
 
-// NewHTTPServer returns a server for peers that speaks HTTP/2 without TLS, and
+// NewHTTPServer returns a server for peers that speaks HTTP/2 with or without TLS, and
 // HTTP/1 for others.
 func NewHTTPServer(h http.Handler) *http.Server {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP2(true)
 	protocols.SetHTTP1(true)
 	return &http.Server{Handler: h, Protocols: &protocols}
 }
