--- /dev/null
+++ b/core/estimate/estimate.go
@@ -0,0 +1,242 @@
+package estimate
+
+import (
+	"time"
+
+	"gorseline/core"
+)
+
+// Rates used for a target before its first observed answer. They describe a middling
+// engine, so that a new target is neither flooded nor avoided.
+const (
+	DefaultPrefillRate     = 8000.0 // prompt tokens per second
+	DefaultStepBase        = 12 * time.Millisecond
+	DefaultStepPerSequence = 300 * time.Microsecond
+)
+
+// Never is the delay of a request that a target can't serve at all.
+const Never = time.Hour
+
+// Load is a target's load at one moment, corrected for the age of its report.
+type Load struct {
+	// Sequences counts requests that are queued or running.
+	Sequences int
+	// Running is Sequences without the requests to a target that only generates whose
+	// prompts may still be queued elsewhere.
+	Running int
+	// Backlog is the prompt work not yet computed, in tokens.
+	Backlog float64
+	// Urgent is the part of it that belongs to urgent requests.
+	Urgent float64
+	// Queued estimates how many requests the backlog consists of.
+	Queued int
+	// KVUsed is the memory held by requests, in tokens.
+	KVUsed int
+}
+
+// PrefillRate returns the prompt rate of a target in tokens per second.
+func PrefillRate(state *core.TargetState) float64 {
+	if state.PrefillRate > 0 {
+		return state.PrefillRate
+	}
+	return DefaultPrefillRate
+}
+
+// Step returns the time between two tokens when n sequences run.
+func Step(state *core.TargetState, n int) time.Duration {
+	base, per := state.StepBase, state.StepPerSequence
+	if base <= 0 {
+		base = DefaultStepBase
+	}
+	if per <= 0 {
+		per = DefaultStepPerSequence
+	}
+	return base + per*time.Duration(n)
+}
+
+// Age returns how old the target's load report is.
+func Age(now core.Instant, state *core.TargetState) time.Duration {
+	return max(0, now.Sub(state.ReportedAt)+state.Report.Age)
+}
+
+// LoadAt returns the target's load now.
+func LoadAt(now core.Instant, state *core.TargetState) Load {
+	report := &state.Report
+	pending := float64(report.QueuedPromptTokens + state.SentPromptTokens + state.IdlePromptTokens)
+	backlog := pending - PrefillRate(state)*Age(now, state).Seconds()
+	queued := report.QueuedRequests + state.SentRequests
+	if backlog <= 0 {
+		backlog, queued = 0, 0
+	} else if work := report.QueuedPromptTokens + state.SentPromptTokens; work > 0 {
+		queued = max(1, int(float64(queued)*min(1, backlog/float64(work))))
+	}
+	sequences := report.Running + report.QueuedRequests + state.SentRequests - state.FinishedRequests
+	running := max(sequences, 0)
+	sequences = max(running, state.InFlight)
+	if report.Role != core.RoleDecode {
+		running = sequences
+	}
+	return Load{
+		Sequences: sequences,
+		Running:   running,
+		Backlog:   backlog,
+		Urgent:    min(backlog, UrgentAt(now, state)),
+		Queued:    queued,
+		KVUsed:    report.KVUsed + state.SentPromptTokens,
+	}
+}
+
+// Settled returns the load as a request will find it that waits as long for its prompt as
+// those ahead of it: as many answers will have ended by then as began.
+func (l Load) Settled() Load {
+	l.Sequences = l.Running
+	return l
+}
+
+// UrgentAt returns the prompt work of urgent requests that is left at the given time.
+func UrgentAt(now core.Instant, state *core.TargetState) float64 {
+	return max(0, state.UrgentTokens-PrefillRate(state)*now.Sub(state.UrgentAt).Seconds())
+}
+
+// PrefillWait returns how long the request waits before its prompt is computed. An
+// urgent request passes the others and waits for the prompt under way, of which half is
+// left on average, and for the urgent ones ahead. Without the latter, all urgent requests
+// would go to the engine whose queue already consists of many short urgent prompts.
+func PrefillWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
+	backlog := load.Backlog
+	if req.Kind.Urgent && load.Queued > 0 {
+		backlog = load.Urgent + (backlog-load.Urgent)/float64(2*load.Queued)
+	}
+	return seconds(backlog / PrefillRate(state))
+}
+
+// Compute returns the time that the target takes for the given number of prompt tokens.
+func Compute(state *core.TargetState, tokens int) time.Duration {
+	return seconds(float64(max(0, tokens)) / PrefillRate(state))
+}
+
+// Prefill predicts the delay until the prompt's KV cache is computed on the target.
+func Prefill(req *core.Request, state *core.TargetState, load Load, prefixTokens int) (queue, total time.Duration) {
+	queue = PrefillWait(req, state, load)
+	return queue, queue + Compute(state, req.PromptTokens-prefixTokens)
+}
+
+// MemoryWait returns how long the request waits for KV memory. Held memory is released
+// as answers end, so all of it turns over in about the duration of one answer.
+func MemoryWait(req *core.Request, state *core.TargetState, load Load, prefixTokens int) time.Duration {
+	capacity := state.Report.KVCapacity
+	if capacity <= 0 {
+		return 0
+	}
+	need := req.PromptTokens + req.OutputTokens
+	if need > capacity {
+		return Never
+	}
+	deficit := load.KVUsed + need - prefixTokens - capacity
+	if deficit <= 0 || load.KVUsed <= 0 {
+		return 0
+	}
+	answer := Step(state, load.Sequences) * time.Duration(max(1, req.OutputTokens))
+	return time.Duration(float64(answer) * float64(deficit) / float64(load.KVUsed))
+}
+
+// urgentSlots is the part of an engine's slots, one in urgentSlots, that only urgent
+// requests are expected to find free.
+const urgentSlots = 16
+
+// SlotWait returns how long the request waits for a place in the batch. Places become
+// free as answers end, all of them in about the duration of one answer.
+func SlotWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
+	slots := state.Report.Slots
+	if slots <= 0 {
+		return 0
+	}
+	free := slots
+	if !req.Kind.Urgent {
+		free -= slots / urgentSlots
+	}
+	excess := load.Sequences + 1 - free
+	if excess <= 0 {
+		return 0
+	}
+	answer := Step(state, slots) * time.Duration(max(1, req.OutputTokens))
+	return time.Duration(float64(answer) * float64(excess) / float64(slots))
+}
+
+// mixedFactor is how much longer the time between tokens is on an engine that computes
+// prompts as well: a chunk of a prompt takes about as long as the step of a large batch.
+const mixedFactor = 2
+
+// interference returns the factor on the time between tokens that prompts cause.
+func interference(state *core.TargetState) time.Duration {
+	if state.Report.Role == core.RoleMixed && state.Report.QueuedPromptTokens+state.SentPromptTokens > 0 {
+		return mixedFactor
+	}
+	return 1
+}
+
+// Engine predicts the service of a request by one engine that holds prefixTokens of its
+// prompt in cache.
+func Engine(req *core.Request, state *core.TargetState, load Load, prefixTokens int) core.Estimate {
+	queue, prefill := Prefill(req, state, load, prefixTokens)
+	wait := max(MemoryWait(req, state, load, prefixTokens), SlotWait(req, state, load))
+	result := Decode(req, state, load, prefill+wait)
+	result.Queue = queue + wait
+	result.PrefixTokens = prefixTokens
+	return result
+}
+
+// Decode predicts the generation of an answer whose prompt is ready on the target after
+// the given delay.
+func Decode(req *core.Request, state *core.TargetState, load Load, ready time.Duration) core.Estimate {
+	sequences := load.Sequences + 1
+	if slots := state.Report.Slots; slots > 0 {
+		sequences = min(sequences, slots)
+	}
+	step := Step(state, sequences) * interference(state)
+	result := core.Estimate{FirstToken: ready + step, BetweenTokens: step}
+	result.Total = result.FirstToken + step*time.Duration(max(0, req.OutputTokens-1))
+	return result
+}
+
+// Service predicts a call of a plain service from its load: every call ahead adds the
+// learned time per call.
+func Service(state *core.TargetState, load Load) core.Estimate {
+	total := Step(state, load.Sequences+1)
+	return core.Estimate{
+		FirstToken: total,
+		Queue:      total - Step(state, 1),
+		Total:      total,
+	}
+}
+
+// Target predicts the service of a request by a plain service or an engine.
+func Target(now core.Instant, req *core.Request, state *core.TargetState, prefixTokens int) core.Estimate {
+	load := LoadAt(now, state)
+	if req.Service != "" {
+		return Service(state, load)
+	}
+	return Engine(req, state, load, prefixTokens)
+}
+
+// Feasible reports whether the estimate keeps the deadline and the kind's limits on the
+// first token and the time between tokens.
+func Feasible(now core.Instant, req *core.Request, expected *core.Estimate) bool {
+	if expected.Total > req.Remaining(now) {
+		return false
+	}
+	kind := &req.Kind
+	if kind.FirstToken > 0 && now.Sub(req.Arrived)+expected.FirstToken > kind.FirstToken {
+		return false
+	}
+	return kind.BetweenTokens <= 0 || expected.BetweenTokens <= kind.BetweenTokens
+}
+
+// seconds converts to a duration and stays within Never, which also covers division by
+// a rate close to zero.
+func seconds(s float64) time.Duration {
+	if s >= Never.Seconds() {
+		return Never
+	}
+	return time.Duration(s * float64(time.Second))
+}
--- a/core/target.go
+++ b/core/target.go
@@ -82,6 +82,10 @@
 	Running        int
 	// QueuedPromptTokens is the prompt work not yet computed, in tokens.
 	QueuedPromptTokens int
+	// QueuedUrgentTokens is the part of it that belongs to urgent requests.
+	QueuedUrgentTokens int
+	// Slots is the largest number of sequences that run at once; 0 if unknown.
+	Slots int
 	// KVUsed and KVCapacity are in tokens of KV cache.
 	KVUsed     int
 	KVCapacity int
@@ -103,11 +107,25 @@
 // TargetState is what an instance knows about one target.
 type TargetState struct {
 	Target
+	// Slot is a small number that the fleet gives the target, for use as an index. It
+	// is unique among the targets that the fleet knows.
+	Slot       uint32
 	Report     LoadReport
 	ReportedAt Instant
 	// SentRequests and SentPromptTokens were sent from here after the report.
 	SentRequests     int
 	SentPromptTokens int
+	// IdlePromptTokens is the prompt work that the target had time for, but had not
+	// been given, between the report and the last send. It keeps a long idle time
+	// from hiding a burst that was sent at its end.
+	IdlePromptTokens int
+	// UrgentTokens is the prompt work of urgent requests that the target had at
+	// UrgentAt, by its report and by what was sent from here since. Engines compute
+	// it before other prompts.
+	UrgentTokens float64
+	UrgentAt     Instant
+	// FinishedRequests were sent from here and have finished after the report.
+	FinishedRequests int
 	// InFlight counts requests from this instance that are not finished.
 	InFlight int
 	// PrefillRate is the learned prompt rate in tokens per second.
