--- a/cmd/workload/client.go
+++ b/cmd/workload/client.go
@@ -131,7 +131,7 @@
 	defer cancel()
 	watchdog := time.AfterFunc(silenceLimit, cancel)
 	defer watchdog.Stop()
-	req, err := r.build(ctx, c.address(ctx), key)
+	req, err := r.Build(ctx, c.address(ctx), key)
 	if err != nil {
 		return Result{Outcome: core.OutcomeNotRun, Reason: err.Error()}, nil
 	}
@@ -213,8 +213,8 @@
 	}
 }
 
-// build returns the HTTP request to one address.
-func (r Request) build(ctx context.Context, address, key string) (*http.Request, error) {
+// Build returns the HTTP request to one address.
+func (r Request) Build(ctx context.Context, address, key string) (*http.Request, error) {
 	method, path, body := r.Method, "/services/"+string(r.Service)+r.Path, []byte(r.Body)
 	if r.Model != "" {
 		var err error
