--- a/core/stream/relay.go
+++ b/core/stream/relay.go
@@ -1,7 +1,6 @@
 package stream
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -152,8 +151,6 @@
 // Relay relays streams. It is safe for concurrent use.
 type Relay struct {
 	options    Options
-	handOver   context.Context
-	leave      context.CancelCauseFunc
 	counters   counters
 	ended      chan struct{} // the last stream has ended; holds at most one value
 	heartbeats chan struct{} // one value per heartbeat being written
@@ -161,6 +158,7 @@
 	mu      sync.Mutex
 	watches map[*watch]struct{}
 	looping bool // loop runs
+	leaving bool // HandOver was called
 }
 
 var (
@@ -171,18 +169,23 @@
 
 // NewRelay returns a relay without streams.
 func NewRelay(o Options) *Relay {
-	r := &Relay{
+	return &Relay{
 		options: o.withDefaults(), ended: make(chan struct{}, 1),
 		heartbeats: make(chan struct{}, maxHeartbeats), watches: map[*watch]struct{}{},
 	}
-	r.handOver, r.leave = context.WithCancelCause(context.Background())
-	return r
 }
 
 // HandOver ends all streams with a StreamMoved error that carries a resume token,
 // and does the same to each later stream. Their engines go on; the caller
 // continues on another instance.
-func (r *Relay) HandOver() { r.leave(errHandOver) }
+func (r *Relay) HandOver() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+	for w := range r.watches {
+		w.end(errHandOver)
+	}
+}
 
 // Open returns the number of streams that are being served.
 func (r *Relay) Open() int { return int(r.counters.open.Load()) }
--- a/core/stream/session.go
+++ b/core/stream/session.go
@@ -52,7 +52,6 @@
 func (r *Relay) Serve(ctx context.Context, call Call, sink Sink) Result {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	defer context.AfterFunc(r.handOver, func() { end(errHandOver) })()
 	s := &session{relay: r, call: &call, ctx: ctx, start: r.options.Clock.Now()}
 	s.delivered = Position{Organisation: call.Request.Organisation, Digest: digestStart}
 	s.watch.relay, s.watch.end, s.watch.sink = r, end, sink
--- a/core/stream/watch.go
+++ b/core/stream/watch.go
@@ -99,6 +99,9 @@
 	defer r.mu.Unlock()
 	r.watches[w] = struct{}{}
 	r.counters.open.Add(1)
+	if r.leaving {
+		w.end(errHandOver)
+	}
 	if !r.looping {
 		r.looping = true
 		go r.loop()
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -103,6 +103,7 @@
 }
 
 func (c *Client) openStream(ctx context.Context, attempt *target.Attempt, method, address, path string, body []byte) (core.PieceReader, error) {
+	caller := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	resp, err := c.do(ctx, c.streams, attempt, method, address, path, body)
 	if err != nil {
@@ -115,7 +116,7 @@
 		return nil, err
 	}
 	c.count(address, 1)
-	return newPieceReader(ctx, cancel, c, address, resp), nil
+	return newPieceReader(ctx, caller, cancel, c, address, resp), nil
 }
 
 // Cancel stops a stream. Cancelling a stream that has ended is no error.
--- a/io/engine/pieces.go
+++ b/io/engine/pieces.go
@@ -65,9 +65,11 @@
 	_ core.NamedReader = (*pieceReader)(nil)
 )
 
-func newPieceReader(ctx context.Context, cancel context.CancelCauseFunc, c *Client, address string, resp *http.Response) *pieceReader {
+// newPieceReader returns the reader of resp. ctx is the request's context, which
+// cancel ends; caller is the context that it comes from.
+func newPieceReader(ctx, caller context.Context, cancel context.CancelCauseFunc, c *Client, address string, resp *http.Response) *pieceReader {
 	return &pieceReader{
-		ctx: ctx, cancel: cancel, client: c, address: address, stream: resp.Header.Get("X-Stream"),
+		ctx: ctx, watched: caller, cancel: cancel, client: c, address: address, stream: resp.Header.Get("X-Stream"),
 		body: resp.Body, events: sse.NewDecoder(resp.Body, maxEvent),
 	}
 }
--- a/standin/engine/relay_bench_test.go
+++ b/standin/engine/relay_bench_test.go
@@ -267,20 +267,22 @@
 	}{{"memory", true, 10_000}, {"tcp", false, 4000}} {
 		b.Run(run.name, func(b *testing.B) {
 			for b.Loop() {
-				var used [2]uint64
-				for i := range used {
-					used[i] = openStreams(b, run.memory, run.streams, i == 1)
+				var heap, stack [2]float64
+				for i := range heap {
+					heap[i], stack[i] = openStreams(b, run.memory, run.streams, i == 1)
 				}
-				b.ReportMetric(float64(used[0])/float64(run.streams), "direct-B/stream")
-				b.ReportMetric((float64(used[1])-float64(used[0]))/float64(run.streams), "relay-B/stream")
+				b.ReportMetric(heap[0]+stack[0], "direct-B/stream")
+				b.ReportMetric(heap[1]-heap[0], "relay-heap-B/stream")
+				b.ReportMetric(stack[1]-stack[0], "relay-stack-B/stream")
+				b.ReportMetric(heap[1]+stack[1]-heap[0]-stack[0], "relay-B/stream")
 			}
 		})
 	}
 }
 
 // openStreams opens streams that have each delivered a token, and returns the
-// memory that they use.
-func openStreams(b *testing.B, memory bool, streams int, relayed bool) uint64 {
+// memory that one uses, in bytes.
+func openStreams(b *testing.B, memory bool, streams int, relayed bool) (heap, stack float64) {
 	s := newBench(b, engine.Options{
 		BatchSize: streams, QueueSize: streams, KVCapacity: 1 << 40, PrefillRate: 1e9, PrefillChunk: 1 << 20,
 		StepBase: time.Second, StepPerSequence: 1,
@@ -289,7 +291,7 @@
 	if relayed {
 		address = s.relayed
 	}
-	before := memoryUsed()
+	heapBefore, stackBefore := memoryUsed()
 	ctx, cancel := context.WithCancel(b.Context())
 	bodies := make([]io.ReadCloser, streams)
 	limit := make(chan struct{}, 1000)
@@ -310,20 +312,23 @@
 	if relayed && s.relay.Open() != streams {
 		b.Errorf("%d streams are open, want %d", s.relay.Open(), streams)
 	}
-	used := memoryUsed() - before
+	heap, stack = memoryUsed()
 	for _, body := range bodies {
 		if body != nil {
 			body.Close()
 		}
 	}
 	cancel()
-	return used
+	return (heap - heapBefore) / float64(streams), (stack - stackBefore) / float64(streams)
 }
 
-func memoryUsed() uint64 {
-	runtime.GC()
-	runtime.GC()
+// memoryUsed returns heap and stacks in bytes. Each collection halves a stack at
+// most, so that it takes some until the stacks of long streams have settled.
+func memoryUsed() (heap, stack float64) {
+	for range 5 {
+		runtime.GC()
+	}
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return m.HeapInuse + m.StackInuse
+	return float64(m.HeapInuse), float64(m.StackInuse)
 }
--- a/standin/engine/relay_test.go
+++ b/standin/engine/relay_test.go
@@ -66,7 +66,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		c := &cluster{network: network.New()}
 		for i := range engines {
-			e := engine.New(engine.Options{ID: core.TargetID(fmt.Sprintf("e%d", i))})
+			e := engine.New(engine.Options{ID: core.TargetID(fmt.Sprintf("e%d", i)), Dial: c.network.Dial})
 			server := &http.Server{Handler: e}
 			go server.Serve(c.network.Listen(engineAddress(i)))
 			go e.Run(ctx)
