--- a/core/stream/session.go
+++ b/core/stream/session.go
@@ -14,7 +14,7 @@
 
 const (
 	// maxResumes bounds the resumes of one stream in a row that bring no piece.
-	maxResumes = 2
+	maxResumes = 3
 	// backoffBase and backoffMax bound the pause before a try that follows a
 	// failed one, so that a broken engine is not called in a tight loop.
 	backoffBase = 20 * time.Millisecond
@@ -115,10 +115,10 @@
 	known := s.match.stream != "" && !s.lost
 	limit := maxResumes
 	if errors.Is(err, core.ErrSilent) {
-		limit = 0 // the engine hangs if a new connection is silent too
+		limit = 1 // the engine hangs if a new connection is silent too
 	}
 	switch {
-	case known && s.idle <= limit:
+	case known && s.idle < limit:
 		return true, nil
 	case s.mayRerun():
 		return false, nil
