End streams without a token exactly at their deadline

Cause: the look once per heartbeat interval gave the final answer up to 1 s late. Change: a timer per stream, which starts a goroutine only when it fires. Result: in virtual time a deadline of 5.5 s gives the final answer after 5.5 s and 5 heartbeats before it.

--- a/core/stream/relay_test.go
+++ b/core/stream/relay_test.go
@@ -152,15 +152,15 @@
 		engine := &script{complete: func(string, core.CompletionRequest) ([]core.Piece, error) { return nil, nil }}
 		relay := newTestRelay(Options{Completer: engine, MissedHeartbeats: 100})
 		request := call()
-		request.Request.Deadline = core.Instant(5 * time.Second)
+		request.Request.Deadline = core.Instant(5500 * time.Millisecond)
 		out := newSink()
 		started := time.Now()
 		result := relay.Serve(t.Context(), request, out)
-		if result.Reason != EndDeadline || time.Since(started) > 5*time.Second {
+		if result.Reason != EndDeadline || time.Since(started) != 5500*time.Millisecond {
 			t.Errorf("%s after %v", result.Reason, time.Since(started))
 		}
-		if out.heartbeats < 4 {
-			t.Errorf("%d heartbeats in 5 s", out.heartbeats)
+		if out.heartbeats != 5 {
+			t.Errorf("%d heartbeats in 5.5 s", out.heartbeats)
 		}
 	})
 }
--- a/core/stream/session.go
+++ b/core/stream/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -55,12 +56,12 @@
 	s := &session{relay: r, call: &call, ctx: ctx, start: r.options.Clock.Now()}
 	s.delivered = Position{Organisation: call.Request.Organisation, Digest: digestStart}
 	s.watch.relay, s.watch.end, s.watch.sink = r, end, sink
-	s.watch.deadline = call.Request.Deadline
 	if call.Resume != nil {
 		s.delivered = *call.Resume
 		s.watch.begun.Store(call.Resume.Offset > 0)
 		s.sent = true
 	}
+	defer s.expire().Stop()
 	s.watch.start()
 	err := s.run()
 	s.finish(err)
@@ -69,6 +70,15 @@
 	return s.result
 }
 
+// expire ends the stream at its deadline if it has no token by then.
+func (s *session) expire() *time.Timer {
+	return time.AfterFunc(s.remaining(), func() {
+		if !s.watch.begun.Load() {
+			s.watch.end(errDeadline)
+		}
+	})
+}
+
 // run makes tries until the answer is complete or no further try is allowed.
 func (s *session) run() error {
 	resume := s.call.Resume != nil
@@ -145,7 +155,7 @@
 
 func (s *session) remaining() time.Duration {
 	if s.call.Request.Deadline == 0 {
-		return time.Hour
+		return math.MaxInt64
 	}
 	return s.call.Request.Remaining(s.relay.options.Clock.Now())
 }
--- a/core/stream/watch.go
+++ b/core/stream/watch.go
@@ -72,8 +72,7 @@
 type watch struct {
 	relay *Relay
 	// end ends the stream with a cause.
-	end      context.CancelCauseFunc
-	deadline core.Instant
+	end context.CancelCauseFunc
 
 	phase  atomic.Uint32
 	reads  atomic.Uint32
@@ -148,9 +147,6 @@
 		return false
 	}
 	o := &w.relay.options
-	if w.deadline != 0 && !w.begun.Load() && o.Clock.Now() >= w.deadline {
-		w.end(errDeadline)
-	}
 	reads, writes := w.reads.Load(), w.writes.Load()
 	if w.phase.Load() == phaseRead && reads == w.seenReads {
 		w.missed++
