Plan the roles of a service as a whole and number shards by service

Cause: targets were spread over shards by their own name, so with 9 engines in 4 shards each holder would have planned roles for two engines, under floors of one prefill and one decode engine each. Change: a shard holds groups of one service's targets; a holder plans each model's engines in its shards. An order carries its shard, which the second instance of a delivery needs. The demo takes its settings from the parser.

--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -79,7 +79,10 @@
 func (r *Run) startInstances(ctx context.Context) error {
 	centres := []core.DataCentre{r.site.Configuration.Targets[0].DataCentre, r.site.Configuration.Targets[1].DataCentre}
 	for i, centre := range centres {
-		s := r.settings(fmt.Sprintf("entry-%d", i+1), centre)
+		s, err := r.settings(fmt.Sprintf("entry-%d", i+1), centre)
+		if err != nil {
+			return errors.Wrap(err, "settings")
+		}
 		running, err := instance.New(s, r.options.Logs)
 		if err != nil {
 			return err
@@ -104,15 +107,13 @@
 	return r.awaitInForce(ctx, answer.Revision)
 }
 
-func (r *Run) settings(name string, centre core.DataCentre) instance.Settings {
-	return instance.Settings{
-		Instance: name, DataCentre: string(centre),
-		CallersListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0", PeersListen: "127.0.0.1:0",
-		TableURL: r.site.TableURL, ObjectsURL: r.site.ObjectsURL, InstancesURL: r.site.InstancesURL,
-		ResumeKey: resumeKey, Shards: 4, MaxBody: 8 << 20, MaxHeader: 64 << 10,
-		HeaderWait: 10 * time.Second, BodyWait: time.Minute, IdleWait: 2 * time.Minute,
-		LeaveLimit: time.Minute, EventsKept: 8192, LogLevel: "info",
-	}
+func (r *Run) settings(name string, centre core.DataCentre) (instance.Settings, error) {
+	return instance.Parse(
+		"--instance", name, "--data-centre", string(centre),
+		"--callers-listen", "127.0.0.1:0", "--operators-listen", "127.0.0.1:0", "--peers-listen", "127.0.0.1:0",
+		"--table-url", r.site.TableURL, "--objects-url", r.site.ObjectsURL, "--instances-url", r.site.InstancesURL,
+		"--resume-key", resumeKey, "--leave-limit", "1m",
+	)
 }
 
 // operator calls the first instance, which stays.
--- a/cmd/instance/authority.go
+++ b/cmd/instance/authority.go
@@ -34,7 +34,7 @@
 
 func newAuthority(in authorityInputs) *authorities {
 	options := authority.Options{
-		Self: core.InstanceID(in.Settings.Instance), Shards: in.Settings.Shards,
+		Self: core.InstanceID(in.Settings.Instance), Shards: in.Settings.Shards, Groups: in.Settings.Groups,
 		Table: in.Platform.table.Leases, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
 		Members: in.Control.members, Orderer: in.Serving.engines, Timing: authority.DefaultTiming(),
 	}
@@ -60,17 +60,11 @@
 	a.commander.Observe(ctx, state.Target, state.Report, clock.Now())
 }
 
-// holds reports whether this instance may give orders to a target now.
-func (a *authorities) holds(target core.Target) bool {
-	shard := authority.ShardOf(target.ID, a.options.Shards)
-	for _, lease := range a.keeper.Leases() {
-		if lease.Shard == shard {
-			return true
-		}
-	}
-	return false
+func (a *authorities) shardOf(target core.Target) int {
+	return authority.ShardOf(target, a.options.Shards, a.options.Groups)
 }
 
+// shards returns the shards whose lease this instance holds now.
 func (a *authorities) shards() []int {
 	leases := a.keeper.Leases()
 	shards := make([]int, len(leases))
--- a/cmd/instance/placement.go
+++ b/cmd/instance/placement.go
@@ -77,28 +77,60 @@
 	now := l.clock.Now()
 	elapsed := now.Sub(l.plannedAt).Seconds()
 	l.plannedAt = now
-	models := map[core.Model][]core.TargetState{}
-	for _, state := range l.serving.fleet.States() {
-		if state.IsEngine() && l.authorities.holds(state.Target) {
-			models[state.Report.Model] = append(models[state.Report.Model], state)
-		}
-	}
 	traffic := l.serving.dispatcher.Traffic()
 	// Callers are spread evenly over the instances, so the own share stands for all.
 	scale := float64(len(l.control.members())) / elapsed
-	for model, engines := range models {
-		slices.SortFunc(engines, func(a, b core.TargetState) int { return cmp.Compare(a.ID, b.ID) })
-		rate := traffic[model].Minus(l.before[model])
+	for _, group := range l.groups() {
+		rate := traffic[group.model].Minus(l.before[group.model])
+		part := scale * group.part
 		view := core.PlacementView{
-			Model: model, Engines: engines,
-			PromptRate: rate.PromptTokens * scale, OutputRate: rate.OutputTokens * scale,
-			Goodput: rate.Goodput * scale, Offered: rate.Offered * scale,
+			Model: group.model, Engines: group.engines,
+			PromptRate: rate.PromptTokens * part, OutputRate: rate.OutputTokens * part,
+			Goodput: rate.Goodput * part, Offered: rate.Offered * part,
 		}
-		l.before[model] = traffic[model]
 		for _, change := range policy.Plan(now, &view) {
-			l.submit(ctx, engines, change)
+			l.submit(ctx, group.engines, change)
+		}
+	}
+	l.before = traffic
+}
+
+// engineGroup is the engines of one model in one shard that this instance holds.
+type engineGroup struct {
+	model   core.Model
+	engines []core.TargetState
+	// part is the group's part of the model's engines, from 0 to 1.
+	part float64
+}
+
+// groups returns the engines to plan, each group by itself.
+func (l *placementLoop) groups() []engineGroup {
+	type key struct {
+		model core.Model
+		shard int
+	}
+	held := l.authorities.shards()
+	total := map[core.Model]int{}
+	members := map[key][]core.TargetState{}
+	for _, state := range l.serving.fleet.States() {
+		if !state.IsEngine() || state.ReportedAt == 0 {
+			continue
 		}
+		total[state.Report.Model]++
+		if shard := l.authorities.shardOf(state.Target); slices.Contains(held, shard) {
+			k := key{state.Report.Model, shard}
+			members[k] = append(members[k], state)
+		}
+	}
+	groups := make([]engineGroup, 0, len(members))
+	for k, engines := range members {
+		slices.SortFunc(engines, func(a, b core.TargetState) int { return cmp.Compare(a.ID, b.ID) })
+		groups = append(groups, engineGroup{k.model, engines, float64(len(engines)) / float64(total[k.model])})
 	}
+	slices.SortFunc(groups, func(a, b engineGroup) int {
+		return cmp.Or(cmp.Compare(a.model, b.model), cmp.Compare(a.engines[0].ID, b.engines[0].ID))
+	})
+	return groups
 }
 
 func (l *placementLoop) submit(ctx context.Context, engines []core.TargetState, change core.RoleChange) {
--- a/cmd/instance/settings.go
+++ b/cmd/instance/settings.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/jessevdk/go-flags"
+
 	"gorseline/core"
 )
 
@@ -31,6 +33,7 @@
 	PreviousResumeKey []string `long:"previous-resume-key" env:"PREVIOUS_RESUME_KEY" env-delim:"," description:"Earlier key that is still accepted"`
 
 	Shards       int           `long:"shards" env:"SHARDS" description:"Number of shards that targets are spread over; the same on all instances" default:"4"`
+	Groups       int           `long:"groups" env:"GROUPS" description:"Number of groups of a service's targets whose roles are planned together; the same on all instances" default:"1"`
 	MaxBody      int64         `long:"max-body" env:"MAX_BODY" description:"Largest request body in bytes" default:"8388608"`
 	MaxHeader    int           `long:"max-header" env:"MAX_HEADER" description:"Largest request header in bytes" default:"65536"`
 	HeaderWait   time.Duration `long:"header-timeout" env:"HEADER_TIMEOUT" description:"Time for a caller to send its header" default:"10s"`
@@ -52,6 +55,16 @@
 	ClientCA    string `long:"client-ca" env:"CLIENT_CA" description:"CA file for client certificates of operators and peers; they are required if it is set"`
 }
 
+// Parse returns the settings of a command line, with defaults and environment
+// variables filled in.
+func Parse(arguments ...string) (Settings, error) {
+	var s Settings
+	parser := flags.NewParser(&s, flags.None)
+	parser.EnvNamespace = "GORSELINE"
+	_, err := parser.ParseArgs(arguments)
+	return s, err
+}
+
 // Validate returns an error that names the first wrong setting, its value and what
 // is accepted.
 func (s Settings) Validate() error {
@@ -63,6 +76,7 @@
 		checkURL("--objects-url", s.ObjectsURL),
 		checkURL("--instances-url", s.InstancesURL),
 		checkRange("--shards", s.Shards, 1, 4096),
+		checkRange("--groups", s.Groups, 1, 64),
 		checkRange("--max-body", s.MaxBody, 1<<10, 256<<20),
 		checkRange("--max-header", s.MaxHeader, 1<<10, 1<<20),
 		checkRange("--events-kept", s.EventsKept, 16, 1<<20),
--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -16,8 +16,11 @@
 	// Self names this process. A restarted process may use the same name: leases
 	// that it does not hold in memory count as another's.
 	Self core.InstanceID
-	// Shards is the number of shards that targets are spread over.
+	// Shards is the number of shards that targets are spread over, Groups the number
+	// of groups that the targets of one service form; see ShardOf. Both are the same
+	// on all instances.
 	Shards   int
+	Groups   int
 	Table    core.Table
 	Clock    core.DeadlineClock
 	Recorder core.Recorder
--- a/core/authority/commander.go
+++ b/core/authority/commander.go
@@ -48,7 +48,7 @@
 
 // begin takes the target's turn. The result tells why it could not.
 func (c *Commander) begin(ctx context.Context, target core.Target) (*turn, SubmitResult) {
-	lease, ok := c.keeper.enter(ShardOf(target.ID, c.opts.Shards))
+	lease, ok := c.keeper.enter(ShardOf(target, c.opts.Shards, c.opts.Groups))
 	if !ok {
 		return nil, SubmitRefused
 	}
@@ -127,7 +127,7 @@
 	if t.intent.State == IntentApplied && t.intent.Desired() == want {
 		return SubmitAccepted
 	}
-	next := t.intent.next(target.ID, want, t.lease.Fence, c.opts.Attempts())
+	next := t.intent.next(target.ID, want, t.lease, c.opts.Attempts())
 	if result := c.write(ctx, t, next, EventOrderIntended); result != SubmitRecorded {
 		return result
 	}
@@ -165,7 +165,7 @@
 
 // adopt takes over the unfinished intent of an earlier holder under the own fence.
 func (c *Commander) adopt(ctx context.Context, t *turn) {
-	next := t.intent.next(t.target.ID, t.intent.Desired(), t.lease.Fence, c.opts.Attempts())
+	next := t.intent.next(t.target.ID, t.intent.Desired(), t.lease, c.opts.Attempts())
 	next.Repeats = t.intent.Repeats
 	if c.write(ctx, t, next, EventOrderAdopted) == SubmitRecorded {
 		c.deliver(ctx, t)
@@ -181,7 +181,7 @@
 		c.write(ctx, t, abandoned, EventOrderAbandoned)
 		return
 	}
-	next := t.intent.next(t.target.ID, t.intent.Desired(), t.lease.Fence, c.opts.Attempts())
+	next := t.intent.next(t.target.ID, t.intent.Desired(), t.lease, c.opts.Attempts())
 	next.Repeats = t.intent.Repeats + 1
 	if c.write(ctx, t, next, EventOrderRepaired) == SubmitRecorded {
 		c.deliver(ctx, t)
--- a/core/authority/forwarder.go
+++ b/core/authority/forwarder.go
@@ -13,7 +13,7 @@
 
 var _ core.Orderer = (*Forwarder)(nil)
 
-// NewForwarder returns a forwarder. It uses Shards, Table, Clock, Orderer and
+// NewForwarder returns a forwarder. It uses Table, Clock, Orderer and
 // OrderLifetime of the options.
 func NewForwarder(opts Options) *Forwarder { return &Forwarder{opts: opts} }
 
@@ -22,7 +22,7 @@
 func (f *Forwarder) Order(ctx context.Context, address string, order core.Order) core.OrderResult {
 	ctx, cancel := f.opts.Clock.WithDeadline(ctx, f.opts.Clock.Now().Add(f.opts.OrderLifetime))
 	defer cancel()
-	rows, err := f.opts.Table.Read(ctx, ShardKey(ShardOf(order.Target, f.opts.Shards)))
+	rows, err := f.opts.Table.Read(ctx, ShardKey(order.Shard))
 	if err != nil || len(rows) != 1 {
 		return core.OrderUnknown
 	}
--- a/core/authority/intent.go
+++ b/core/authority/intent.go
@@ -76,11 +76,11 @@
 
 // next returns the intent that follows i: the same order if it is repeated or adopted,
 // or another. The sequence number grows in either case.
-func (i Intent) next(target core.TargetID, want Desired, fence core.Fence, attempt core.AttemptID) Intent {
+func (i Intent) next(target core.TargetID, want Desired, lease Lease, attempt core.AttemptID) Intent {
 	return Intent{
 		Order: core.Order{
-			Target: target, Role: want.Role, Model: want.Model, Adapter: want.Adapter,
-			WeightsVersion: want.WeightsVersion, Fence: fence, Sequence: i.Sequence + 1, Attempt: attempt,
+			Target: target, Shard: lease.Shard, Role: want.Role, Model: want.Model, Adapter: want.Adapter,
+			WeightsVersion: want.WeightsVersion, Fence: lease.Fence, Sequence: i.Sequence + 1, Attempt: attempt,
 		},
 		State: IntentPending,
 	}
--- a/core/authority/lease.go
+++ b/core/authority/lease.go
@@ -23,9 +23,14 @@
 // ShardKey returns the key of a shard's lease row.
 func ShardKey(shard int) string { return "Shard/" + strconv.Itoa(shard) }
 
-// ShardOf returns the shard of a target.
-func ShardOf(target core.TargetID, shards int) int {
-	return int(xxhash.Sum64String(string(target)) % uint64(shards))
+// ShardOf returns the shard of a target. The targets of a service form the given
+// number of groups, and each group lies in one shard: the holder of a shard plans the
+// roles of whole groups. The result must not change while instances run, since two
+// holders could otherwise give orders to one target under fences of different shards.
+func ShardOf(target core.Target, shards, groups int) int {
+	group := xxhash.Sum64String(string(target.ID)) % uint64(max(1, groups))
+	key := string(target.Service) + "/" + strconv.FormatUint(group, 10)
+	return int(xxhash.Sum64String(key) % uint64(shards))
 }
 
 // decodeLease returns the lease in a row with its fence filled in. An absent or
--- a/core/engine.go
+++ b/core/engine.go
@@ -49,7 +49,9 @@
 
 // Order tells an engine what to be. It is absolute and idempotent.
 type Order struct {
-	Target         TargetID
+	Target TargetID
+	// Shard is the shard whose lease the fence belongs to.
+	Shard          int
 	Role           Role
 	Model          Model
 	Adapter        string
