--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -21,12 +21,12 @@
 type Load struct {
 	// Sequences counts requests that are queued or running.
 	Sequences int
-	// Backlog is the prompt work not yet computed, in tokens.
-	Backlog float64
-	// Queued estimates how many requests the backlog consists of.
-	Queued int
+	// Wait is how long the target needs for the prompt work that is not yet computed.
+	Wait time.Duration
 	// KVUsed is the memory held by requests, in tokens.
 	KVUsed int
+	// perToken is the time per prompt token, in nanoseconds.
+	perToken float64
 }
 
 // PrefillRate returns the prompt rate of a target in tokens per second.
@@ -56,49 +56,47 @@
 
 // LoadAt returns the target's load now.
 func LoadAt(now core.Instant, state *core.TargetState) Load {
+	var load Load
+	load.Set(now, state)
+	return load
+}
+
+// Set makes l the target's load now. It fills l in place because a decision looks at many
+// targets and copying the values would take longer than computing them.
+func (l *Load) Set(now core.Instant, state *core.TargetState) {
 	report := &state.Report
 	pending := float64(report.QueuedPromptTokens + state.SentPromptTokens + state.IdlePromptTokens)
-	backlog := pending - PrefillRate(state)*Age(now, state).Seconds()
-	queued := report.QueuedRequests + state.SentRequests
-	if backlog <= 0 {
-		backlog, queued = 0, 0
-	} else if work := report.QueuedPromptTokens + state.SentPromptTokens; work > 0 {
-		queued = max(1, int(float64(queued)*min(1, backlog/float64(work))))
-	}
 	sequences := report.Running + report.QueuedRequests + state.SentRequests - state.FinishedRequests
-	return Load{
-		Sequences: max(sequences, state.InFlight, 0),
-		Backlog:   backlog,
-		Queued:    queued,
-		KVUsed:    report.KVUsed + state.SentPromptTokens,
-	}
+	l.perToken = float64(time.Second) / PrefillRate(state)
+	l.Sequences = max(sequences, state.InFlight, 0)
+	l.Wait = max(0, bounded(pending*l.perToken)-Age(now, state))
+	l.KVUsed = report.KVUsed + state.SentPromptTokens
 }
 
 // PrefillWait returns how long the request waits before its prompt is computed. An
 // urgent request goes to the head of the engine's queue and waits only for the prompt
 // under way, of which half is left on average.
-func PrefillWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
-	backlog := load.Backlog
-	if req.Kind.Urgent && load.Queued > 0 {
-		backlog /= 2 * float64(load.Queued)
+func PrefillWait(req *core.Request, state *core.TargetState, load *Load) time.Duration {
+	if !req.Kind.Urgent {
+		return load.Wait
 	}
-	return seconds(backlog / PrefillRate(state))
+	tokens := float64(state.Report.QueuedPromptTokens + state.SentPromptTokens)
+	prompts := float64(max(1, state.Report.QueuedRequests+state.SentRequests))
+	return min(load.Wait, bounded(tokens/prompts/2*load.perToken))
 }
 
 // Compute returns the time that the target takes for the given number of prompt tokens.
-func Compute(state *core.TargetState, tokens int) time.Duration {
-	return seconds(float64(max(0, tokens)) / PrefillRate(state))
-}
+func (l *Load) Compute(tokens int) time.Duration { return bounded(float64(tokens) * l.perToken) }
 
 // Prefill predicts the delay until the prompt's KV cache is computed on the target.
-func Prefill(req *core.Request, state *core.TargetState, load Load, prefixTokens int) (queue, total time.Duration) {
+func Prefill(req *core.Request, state *core.TargetState, load *Load, prefixTokens int) (queue, total time.Duration) {
 	queue = PrefillWait(req, state, load)
-	return queue, queue + Compute(state, req.PromptTokens-prefixTokens)
+	return queue, queue + load.Compute(max(0, req.PromptTokens-prefixTokens))
 }
 
 // MemoryWait returns how long the request waits for KV memory. Held memory is released
 // as answers end, so all of it turns over in about the duration of one answer.
-func MemoryWait(req *core.Request, state *core.TargetState, load Load, prefixTokens int) time.Duration {
+func MemoryWait(req *core.Request, state *core.TargetState, load *Load, prefixTokens int) time.Duration {
 	capacity := state.Report.KVCapacity
 	if capacity <= 0 {
 		return 0
@@ -115,44 +113,42 @@
 	return time.Duration(float64(answer) * float64(deficit) / float64(load.KVUsed))
 }
 
-// Engine predicts the service of a request by one engine that holds prefixTokens of its
-// prompt in cache.
-func Engine(req *core.Request, state *core.TargetState, load Load, prefixTokens int) core.Estimate {
+// Engine predicts into result the service of a request by one engine that holds
+// prefixTokens of its prompt in cache.
+func Engine(result *core.Estimate, req *core.Request, state *core.TargetState, load *Load, prefixTokens int) {
 	queue, prefill := Prefill(req, state, load, prefixTokens)
 	wait := MemoryWait(req, state, load, prefixTokens)
-	result := Decode(req, state, load, prefill+wait)
+	Decode(result, req, state, load, prefill+wait)
 	result.Queue = queue + wait
 	result.PrefixTokens = prefixTokens
-	return result
 }
 
-// Decode predicts the generation of an answer whose prompt is ready on the target after
-// the given delay.
-func Decode(req *core.Request, state *core.TargetState, load Load, ready time.Duration) core.Estimate {
+// Decode predicts into result the generation of an answer whose prompt is ready on the
+// target after the given delay.
+func Decode(result *core.Estimate, req *core.Request, state *core.TargetState, load *Load, ready time.Duration) {
 	step := Step(state, load.Sequences+1)
-	result := core.Estimate{FirstToken: ready + step, BetweenTokens: step}
-	result.Total = result.FirstToken + step*time.Duration(max(0, req.OutputTokens-1))
-	return result
+	result.FirstToken = ready + step
+	result.BetweenTokens = step
+	result.Total = ready + step*time.Duration(max(1, req.OutputTokens))
 }
 
-// Service predicts a call of a plain service from its load: every call ahead adds the
-// learned time per call.
-func Service(state *core.TargetState, load Load) core.Estimate {
+// Service predicts into result a call of a plain service from its load: every call ahead
+// adds the learned time per call.
+func Service(result *core.Estimate, state *core.TargetState, load *Load) {
 	total := Step(state, load.Sequences+1)
-	return core.Estimate{
-		FirstToken: total,
-		Queue:      total - Step(state, 1),
-		Total:      total,
-	}
+	*result = core.Estimate{FirstToken: total, Queue: total - Step(state, 1), Total: total}
 }
 
 // Target predicts the service of a request by a plain service or an engine.
 func Target(now core.Instant, req *core.Request, state *core.TargetState, prefixTokens int) core.Estimate {
+	var result core.Estimate
 	load := LoadAt(now, state)
 	if req.Service != "" {
-		return Service(state, load)
+		Service(&result, state, &load)
+	} else {
+		Engine(&result, req, state, &load, prefixTokens)
 	}
-	return Engine(req, state, load, prefixTokens)
+	return result
 }
 
 // Feasible reports whether the estimate keeps the deadline and the kind's limits on the
@@ -168,11 +164,8 @@
 	return kind.BetweenTokens <= 0 || expected.BetweenTokens <= kind.BetweenTokens
 }
 
-// seconds converts to a duration and stays within Never, which also covers division by
-// a rate close to zero.
-func seconds(s float64) time.Duration {
-	if s >= Never.Seconds() {
-		return Never
-	}
-	return time.Duration(s * float64(time.Second))
+// bounded converts nanoseconds to a duration of at most Never, which also covers division
+// by a rate close to zero.
+func bounded(nanoseconds float64) time.Duration {
+	return time.Duration(min(nanoseconds, float64(Never)))
 }
--- a/core/routing/blocks.go
+++ b/core/routing/blocks.go
@@ -95,17 +95,22 @@
 func (x *blockIndex) holders(block uint64, seated *seats) uint64 {
 	shard := x.shard(block)
 	shard.mutex.RLock()
-	defer shard.mutex.RUnlock()
 	set := shard.blocks[block]
+	mask := set.among(seated)
+	shard.mutex.RUnlock()
+	return mask
+}
+
+func (h *holders) among(seated *seats) uint64 {
 	var mask uint64
-	for _, slot := range set.few {
+	for _, slot := range h.few {
 		mask |= seated.find(slot)
 	}
-	if set.many == nil {
+	if h.many == nil {
 		return mask
 	}
 	for i, slot := range seated.slots[:seated.count] {
-		if word := int(slot / 64); word < len(set.many) && set.many[word]>>(slot%64)&1 != 0 {
+		if word := int(slot / 64); word < len(h.many) && h.many[word]>>(slot%64)&1 != 0 {
 			mask |= 1 << i
 		}
 	}
--- a/core/routing/candidates.go
+++ b/core/routing/candidates.go
@@ -71,7 +71,7 @@
 	for _, state := range found {
 		if usable(state, req) {
 			s.states[n] = state
-			s.loads[n] = estimate.LoadAt(now, state)
+			s.loads[n].Set(now, state)
 			n++
 		}
 	}
--- a/core/routing/full.go
+++ b/core/routing/full.go
@@ -53,6 +53,8 @@
 type full struct {
 	options FullOptions
 	random  *random.Source
+	// perTransfer is the transfer time of one prompt token, in nanoseconds.
+	perTransfer float64
 }
 
 var _ core.Router = (*full)(nil)
@@ -63,7 +65,11 @@
 func NewFull(options FullOptions, source *random.Source) core.Router {
 	options.Subset = clampSubset(options.Subset, DefaultSubset)
 	options.Probe = min(clampSubset(options.Probe, DefaultProbe), options.Subset)
-	return &full{options: options, random: source}
+	result := &full{options: options, random: source}
+	if options.TransferRate > 0 {
+		result.perTransfer = float64(time.Second) / options.TransferRate
+	}
+	return result
 }
 
 // Route implements core.Router. When no target keeps the deadline it returns the one
@@ -89,7 +95,7 @@
 		prefixes.PrefixHits(req, s.states[:n], s.hits[:n])
 	}
 	prefill := r.predict(now, req, s, n)
-	set := r.pool(req, s, n, prefill)
+	set := &s.set
 	if set.count == 0 {
 		return core.Decision{Reason: core.ReasonNoTarget}
 	}
@@ -106,13 +112,14 @@
 	return result
 }
 
-// predict fills in the estimates and feasibility of all candidates and returns the
-// prefill partner for engines that only generate, or -1.
+// predict fills in the pool with the estimates of the candidates that can produce an
+// answer, and returns the prefill partner for engines that only generate, or -1.
 func (r *full) predict(now core.Instant, req *core.Request, s *scratch, n int) int {
+	s.set.count, s.set.feasible = 0, 0
 	if req.Service != "" {
 		for i, state := range s.states[:n] {
-			s.estimates[i] = estimate.Service(state, s.loads[i])
-			s.feasible[i] = estimate.Feasible(now, req, &s.estimates[i])
+			estimate.Service(&s.estimates[i], state, &s.loads[i])
+			s.join(now, req, i)
 		}
 		return -1
 	}
@@ -120,31 +127,43 @@
 	prefill, queue, ready := r.prefillPartner(req, s, n)
 	for i, state := range s.states[:n] {
 		s.imports[i] = -1
-		switch {
-		case role(state) == core.RoleMixed:
-			s.estimates[i] = r.withImport(req, s, i, holder)
-		case role(state) == core.RoleDecode && prefill >= 0:
+		switch role(state) {
+		case core.RoleMixed:
+			r.withImport(req, s, i, holder)
+		case core.RoleDecode:
+			if prefill < 0 {
+				continue
+			}
 			missing := max(0, req.PromptTokens-s.hits[i])
-			wait := estimate.MemoryWait(req, state, s.loads[i], s.hits[i])
-			s.estimates[i] = estimate.Decode(req, state, s.loads[i], ready+r.transfer(missing)+wait)
+			wait := estimate.MemoryWait(req, state, &s.loads[i], s.hits[i])
+			estimate.Decode(&s.estimates[i], req, state, &s.loads[i], ready+r.transfer(missing)+wait)
 			s.estimates[i].Queue = queue + wait
 			s.estimates[i].PrefixTokens = s.hits[prefill]
 		default:
-			s.feasible[i] = false
 			continue
 		}
-		s.feasible[i] = estimate.Feasible(now, req, &s.estimates[i])
+		s.join(now, req, i)
 	}
 	return prefill
 }
 
+// join makes candidate i a member of the pool.
+func (s *scratch) join(now core.Instant, req *core.Request, i int) {
+	s.set.members[s.set.count] = int8(i)
+	s.set.count++
+	s.feasible[i] = estimate.Feasible(now, req, &s.estimates[i])
+	if s.feasible[i] {
+		s.set.feasible++
+	}
+}
+
 // prefillPartner returns the prefill engine that has the prompt ready first, chosen at
 // random among the near-best, with its queueing delay and the delay until ready.
 func (r *full) prefillPartner(req *core.Request, s *scratch, n int) (int, time.Duration, time.Duration) {
 	best := estimate.Never + 1
 	for i, state := range s.states[:n] {
 		if role(state) == core.RolePrefill {
-			_, ready := estimate.Prefill(req, state, s.loads[i], s.hits[i])
+			_, ready := estimate.Prefill(req, state, &s.loads[i], s.hits[i])
 			s.estimates[i].Total = ready
 			best = min(best, ready)
 		}
@@ -162,38 +181,34 @@
 	if chosen < 0 {
 		return -1, 0, 0
 	}
-	queue, ready := estimate.Prefill(req, s.states[chosen], s.loads[chosen], s.hits[chosen])
+	queue, ready := estimate.Prefill(req, s.states[chosen], &s.loads[chosen], s.hits[chosen])
 	return chosen, queue, ready
 }
 
 // withImport predicts candidate i and imports the holder's prefix when the transfer is
 // faster than computing it. The transfer runs while the request waits in the queue.
-func (r *full) withImport(req *core.Request, s *scratch, i, holder int) core.Estimate {
-	state, load, own := s.states[i], s.loads[i], s.hits[i]
-	plain := estimate.Engine(req, state, load, own)
-	if holder < 0 || holder == i || s.hits[holder] <= own || r.options.TransferRate <= 0 {
-		return plain
+func (r *full) withImport(req *core.Request, s *scratch, i, holder int) {
+	state, load, hits, result := s.states[i], &s.loads[i], s.hits[i], &s.estimates[i]
+	if holder < 0 || s.hits[holder] <= hits || r.options.TransferRate <= 0 {
+		estimate.Engine(result, req, state, load, hits)
+		return
 	}
-	gained := s.hits[holder] - own
+	gained := s.hits[holder] - hits
 	transfer := r.transfer(gained)
-	if transfer >= estimate.Compute(state, gained) {
-		return plain
+	if transfer >= load.Compute(gained) {
+		estimate.Engine(result, req, state, load, hits)
+		return
 	}
-	imported := estimate.Engine(req, state, load, s.hits[holder])
-	if late := transfer - imported.Queue; late > 0 {
-		imported.FirstToken += late
-		imported.Total += late
+	estimate.Engine(result, req, state, load, s.hits[holder])
+	if late := transfer - result.Queue; late > 0 {
+		result.FirstToken += late
+		result.Total += late
 	}
 	s.imports[i] = int8(holder)
-	return imported
 }
 
 func (r *full) transfer(tokens int) time.Duration {
-	if r.options.TransferRate <= 0 {
-		return r.options.TransferLatency
-	}
-	moved := float64(tokens) / r.options.TransferRate
-	return r.options.TransferLatency + time.Duration(moved*float64(time.Second))
+	return r.options.TransferLatency + time.Duration(float64(tokens)*r.perTransfer)
 }
 
 func mostHits(s *scratch, n int) int {
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -16,22 +16,6 @@
 	feasible int
 }
 
-// pool collects the candidates that can produce an answer.
-func (r *full) pool(req *core.Request, s *scratch, n, prefill int) *pool {
-	set := &s.set
-	set.count, set.feasible = 0, 0
-	for i, state := range s.states[:n] {
-		if generates(state, req) || prefill >= 0 && role(state) == core.RoleDecode {
-			set.members[set.count] = int8(i)
-			set.count++
-			if s.feasible[i] {
-				set.feasible++
-			}
-		}
-	}
-	return set
-}
-
 // keep drops the members for which wanted is false.
 func (p *pool) keep(wanted func(i int) bool) {
 	kept := 0
@@ -47,10 +31,12 @@
 // pick chooses a member of a pool that isn't empty.
 func (r *full) pick(now core.Instant, req *core.Request, s *scratch, set *pool) (int, core.Reason) {
 	reason := core.ReasonLeastDelay
-	if set.feasible > 0 {
-		set.keep(func(i int) bool { return s.feasible[i] })
-	} else {
+	switch set.feasible {
+	case 0:
 		reason = core.ReasonDeadline
+	case set.count:
+	default:
+		set.keep(func(i int) bool { return s.feasible[i] })
 	}
 	if reason != core.ReasonDeadline && r.keepHolders(req, s, set) {
 		return r.nearBest(now, s, set, set.count), core.ReasonPrefixHit
@@ -66,20 +52,22 @@
 // load bound. It reports false, and changes nothing, if there are none.
 func (r *full) keepHolders(req *core.Request, s *scratch, set *pool) bool {
 	least := max(1, int(r.options.MinimumPrefixShare*float64(req.PromptTokens)))
-	sequences, backlog, longest := 1.0, 0.0, 0
+	sequences, wait, longest := 1, time.Duration(0), 0
 	for _, i := range set.members[:set.count] {
-		sequences += float64(s.loads[i].Sequences)
-		backlog += s.loads[i].Backlog
+		sequences += s.loads[i].Sequences
+		wait += s.loads[i].Wait
 		longest = max(longest, s.hits[i])
 	}
 	if longest < least {
 		return false
 	}
 	scale := r.options.LoadBound / float64(set.count)
-	sequences, backlog = sequences*scale+1, backlog*scale+float64(req.PromptTokens)
+	mostSequences := int(float64(sequences)*scale) + 1
+	longestWait := time.Duration(float64(wait) * scale)
 	eligible := func(i int) bool {
 		load := &s.loads[i]
-		return s.hits[i] >= least && float64(load.Sequences) <= sequences && load.Backlog <= backlog
+		return s.hits[i] >= least && load.Sequences <= mostSequences &&
+			load.Wait <= longestWait+load.Compute(req.PromptTokens)
 	}
 	longest = 0
 	for _, i := range set.members[:set.count] {
@@ -102,11 +90,16 @@
 	for _, i := range set.members[1:set.count] {
 		best = min(best, s.estimates[i].Total)
 	}
-	share := time.Duration(r.options.NearBest * float64(best))
+	near := best + time.Duration(r.options.NearBest*float64(best))
+	widest := near + time.Duration(r.options.NearBestPerAge*float64(maximumAge))
 	chosen, equals := int(set.members[0]), 0
 	for _, i := range set.members[:set.count] {
+		total := s.estimates[i].Total
+		if total > widest {
+			continue
+		}
 		aged := time.Duration(r.options.NearBestPerAge * float64(min(estimate.Age(now, s.states[i]), maximumAge)))
-		if s.estimates[i].Total > best+share+aged {
+		if total > near+aged {
 			continue
 		}
 		equals++
--- a/core/routing/ring.go
+++ b/core/routing/ring.go
@@ -35,14 +35,23 @@
 }
 
 func newOrder(members []*node, permutation uint64) order {
-	nodes := slices.Clone(members)
-	place := func(n *node) uint64 { return random.Mix(n.hash + permutation) }
-	slices.SortFunc(nodes, func(a, b *node) int {
-		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.id, b.id))
+	type entry struct {
+		place uint64
+		node  *node
+	}
+	entries := make([]entry, len(members))
+	for i, n := range members {
+		entries[i] = entry{random.Mix(n.hash + permutation), n}
+	}
+	slices.SortFunc(entries, func(a, b entry) int {
+		if a.place != b.place {
+			return cmp.Compare(a.place, b.place)
+		}
+		return cmp.Compare(a.node.id, b.node.id)
 	})
-	o := order{nodes: nodes, places: make([]uint64, len(nodes))}
-	for i, n := range nodes {
-		o.places[i] = place(n)
+	o := order{places: make([]uint64, len(entries)), nodes: make([]*node, len(entries))}
+	for i, e := range entries {
+		o.places[i], o.nodes[i] = e.place, e.node
 	}
 	return o
 }
--- a/core/routing/simple.go
+++ b/core/routing/simple.go
@@ -31,14 +31,14 @@
 	result := core.Decision{Target: s.states[i].ID, Reason: reason}
 	switch {
 	case req.Service != "":
-		result.Estimate = estimate.Service(s.states[i], s.loads[i])
+		estimate.Service(&result.Estimate, s.states[i], &s.loads[i])
 	case role(s.states[i]) == core.RoleMixed:
-		result.Estimate = estimate.Engine(req, s.states[i], s.loads[i], 0)
+		estimate.Engine(&result.Estimate, req, s.states[i], &s.loads[i], 0)
 	default:
-		queue, ready := estimate.Prefill(req, s.states[prefills], s.loads[prefills], 0)
-		wait := estimate.MemoryWait(req, s.states[i], s.loads[i], 0)
+		queue, ready := estimate.Prefill(req, s.states[prefills], &s.loads[prefills], 0)
+		wait := estimate.MemoryWait(req, s.states[i], &s.loads[i], 0)
 		result.Prefill = s.states[prefills].ID
-		result.Estimate = estimate.Decode(req, s.states[i], s.loads[i], ready+wait)
+		estimate.Decode(&result.Estimate, req, s.states[i], &s.loads[i], ready+wait)
 		result.Estimate.Queue = queue + wait
 	}
 	return result
--- a/core/routing/store.go
+++ b/core/routing/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -18,8 +19,13 @@
 	mutex    sync.Mutex
 	nextSlot uint32
 	free     []uint32
+	// stale counts the engines that have left a ring since the table was built.
+	stale int
 }
 
+// staleBase is the number of moves after which the rings of a small fleet are rebuilt.
+const staleBase = 16
+
 var _ PrefixFleet = (*Store)(nil)
 
 // table is an immutable view of the known targets.
@@ -85,6 +91,7 @@
 			s.free = append(s.free, slot)
 		}
 	}
+	s.stale = 0
 	s.table.Store(newTable(nodes))
 }
 
@@ -138,30 +145,38 @@
 	}
 	before, after := n.report(now, report)
 	if before.Report.Model != after.Report.Model && after.IsEngine() {
-		s.moveModel(before, after)
+		s.moved(before, after)
 	}
 	return true
 }
 
-// moveModel rebuilds the rings of the models that an engine left and joined.
-func (s *Store) moveModel(before, after *core.TargetState) {
+// moved notes that an engine runs another model. Only the ring of a model that it joins
+// is rebuilt at once: walks skip the engine in the rings that it left, so these are
+// rebuilt together after some more moves.
+func (s *Store) moved(before, after *core.TargetState) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	current := s.table.Load()
-	next := &table{nodes: current.nodes, models: maps.Clone(current.models), services: current.services}
-	affected := append(append([]core.Model{}, servedModels(before)...), servedModels(after)...)
-	for _, model := range affected {
-		var members []*node
-		for _, n := range current.nodes {
-			for _, served := range servedModels(n.state.Load()) {
-				if served == model {
-					members = append(members, n)
-				}
-			}
+	s.stale++
+	if s.stale > staleBase+len(current.nodes)/8 {
+		s.stale = 0
+		s.table.Store(newTable(current.nodes))
+		return
+	}
+	joined := after.Report.Model
+	if slices.Contains(servedModels(before), joined) {
+		return
+	}
+	var members []*node
+	for _, n := range current.nodes {
+		if slices.Contains(servedModels(n.state.Load()), joined) {
+			members = append(members, n)
 		}
-		next.models[model] = newRing(members)
 	}
-	s.table.Store(next)
+	next := *current
+	next.models = maps.Clone(current.models)
+	next.models[joined] = newRing(members)
+	s.table.Store(&next)
 }
 
 // Sent notes that the request was sent as decided. The prompt is expected in the caches
