Count sends for all instances and test request-path decisions

Cause: instances that share one stale report each filled a target that looked idle. Change: Store.SetInstances extrapolates the sends after a report.

--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,200 @@
+package retry_test
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+	"gorseline/core/retry"
+)
+
+// Guards against a budget that drifts from its definition: retries never exceed the burst
+// plus the ratio of fresh requests, and an affordable retry is never refused.
+func TestBudgetEqualsCounting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := retry.NewBudget(0.25, 3)
+		quarters := 12 // naive: whole quarters of an attempt
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			if rapid.IntRange(0, 3).Draw(t, "action") > 0 {
+				budget.Earn()
+				quarters = min(12, quarters+1)
+				continue
+			}
+			want := quarters >= 4
+			if want {
+				quarters -= 4
+			}
+			if got := budget.Take(); got != want {
+				t.Fatalf("got %v with %d quarters", got, quarters)
+			}
+		}
+	})
+}
+
+// Guards against retries of calls that may have run, against retries without time left,
+// and against a refusal that names the wrong reason.
+func TestRetryNeedsARepeatableRequestInTime(t *testing.T) {
+	once := core.Request{Kind: core.Kind{Name: "Grant"}, Deadline: core.Instant(time.Second)}
+	repeatable := once
+	repeatable.Kind.Repeatable = true
+	cases := []struct {
+		name    string
+		req     core.Request
+		failure retry.Failure
+		want    retry.Refusal
+	}{
+		{"may have run", once, retry.Failure{Attempt: 1}, retry.RefusedNotRepeatable},
+		{"not run", once, retry.Failure{Attempt: 1, NotRun: true}, ""},
+		{"repeatable", repeatable, retry.Failure{Attempt: 1}, ""},
+		{"delivered", repeatable, retry.Failure{Attempt: 1, Delivered: true}, retry.RefusedDelivered},
+		{"third", repeatable, retry.Failure{Attempt: 3}, retry.RefusedAttempts},
+		{"late", repeatable, retry.Failure{Attempt: 1, Expected: time.Second + 1}, retry.RefusedDeadline},
+	}
+	for _, c := range cases {
+		got := retry.NewRetrier(retry.DefaultOptions(), random.New(7)).Next(0, &c.req, c.failure)
+		if got.Refusal != c.want || got.Retry != (c.want == "") || got.After > 25*time.Millisecond {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
+
+// Guards against a retry storm: when all targets of one of four data centres fail, the
+// others must get at most the budgeted tenth above the fresh traffic, and the breakers
+// must keep nearly all requests off the lost targets.
+func TestLostDataCentreCausesNoRetryStorm(t *testing.T) {
+	const targets, perSecond, seconds = 16, 500, 30
+	source := rand.New(rand.NewSource(7))
+	retrier := retry.NewRetrier(retry.DefaultOptions(), random.New(7))
+	breakers := make([]*retry.Breaker, targets)
+	for i := range breakers {
+		breakers[i] = retry.NewBreaker(retry.DefaultBreakerOptions())
+	}
+	fresh, retried, toLost := 0, 0, 0
+	for i := range perSecond * seconds {
+		now := core.Instant(i) * core.Instant(time.Second/perSecond)
+		req := &core.Request{Kind: core.Kind{Repeatable: true}, Deadline: now.Add(2 * time.Second)}
+		retrier.Fresh()
+		fresh++
+		for attempt := 1; ; attempt++ {
+			target := source.Intn(targets)
+			for !breakers[target].Allow(now) {
+				target = source.Intn(targets)
+			}
+			if target >= targets/4 {
+				breakers[target].Succeeded(now)
+				break
+			}
+			toLost++
+			breakers[target].Failed(now, source.Float64())
+			if !retrier.Next(now, req, retry.Failure{Attempt: attempt}).Retry {
+				break
+			}
+			retried++
+		}
+	}
+	if limit := fresh/10 + 10; retried > limit {
+		t.Errorf("%d retries of %d fresh requests, the budget allows %d", retried, fresh, limit)
+	}
+	// Each lost target gets the failures that open its circuit and, as the open time
+	// doubles from 1 s, at most five probes in 30 s.
+	if limit := targets / 4 * (retry.DefaultBreakerOptions().Failures + 5); toLost > limit {
+		t.Errorf("%d attempts went to the lost targets, want at most %d", toLost, limit)
+	}
+}
+
+// Guards against the loss of every target multiplying the traffic: without a breaker and
+// with every attempt failing, attempts stay within the budget.
+func TestLossOfAllTargetsStaysWithinBudget(t *testing.T) {
+	retrier := retry.NewRetrier(retry.DefaultOptions(), random.New(7))
+	attempts := 0
+	for range 10_000 {
+		retrier.Fresh()
+		req := &core.Request{Kind: core.Kind{Repeatable: true}, Deadline: core.Instant(time.Minute)}
+		for attempt := 1; ; attempt++ {
+			attempts++
+			if !retrier.Next(0, req, retry.Failure{Attempt: attempt}).Retry {
+				break
+			}
+		}
+	}
+	if attempts > 11_010 {
+		t.Errorf("%d attempts for 10,000 requests", attempts)
+	}
+}
+
+// Guards against a breaker that stays open after a recovery, that lets more than a probe
+// through, or that is closed by an attempt from before it opened.
+func TestBreakerOpensProbesAndCloses(t *testing.T) {
+	options := retry.DefaultBreakerOptions()
+	b := retry.NewBreaker(options)
+	at := func(d time.Duration) core.Instant { return core.Instant(d) }
+	for range options.Failures {
+		if !b.Allow(0) {
+			t.Fatal("closed breaker refused an attempt")
+		}
+		b.Failed(0, 0)
+	}
+	b.Succeeded(0)
+	if b.Allow(at(options.Open-1)) || b.Ready(0) || b.State() != retry.CircuitOpen {
+		t.Error("open breaker let an attempt through")
+	}
+	if !b.Ready(at(options.Open)) || !b.Allow(at(options.Open)) || b.Allow(at(options.Open)) {
+		t.Error("not exactly one probe after the open time")
+	}
+	b.Failed(at(options.Open), 0)
+	if b.Allow(at(3*options.Open-1)) || !b.Allow(at(3*options.Open)) {
+		t.Error("a failed probe did not double the open time")
+	}
+	// A probe without a result is replaced.
+	if b.Allow(at(5*options.Open-1)) || !b.Allow(at(5*options.Open)) {
+		t.Error("a lost probe blocks the circuit")
+	}
+	b.Succeeded(at(5 * options.Open))
+	if !b.Allow(at(5*options.Open)) || b.State() != retry.CircuitClosed {
+		t.Error("a successful probe did not close the circuit")
+	}
+	// Half of the attempts fail, never five in a row.
+	for i := range 40 {
+		if i%2 == 0 {
+			b.Failed(at(time.Minute), 0)
+		} else {
+			b.Succeeded(at(time.Minute))
+		}
+	}
+	if b.State() != retry.CircuitOpen {
+		t.Error("a failure share of a half did not open the circuit")
+	}
+}
+
+// Guards against hedging calls that must run once or are long, and against hedging more
+// than the slowest few.
+func TestOnlySlowShortRepeatableCallsAreHedged(t *testing.T) {
+	budget := retry.NewBudget(0.1, 1)
+	hedger := retry.NewHedger(retry.DefaultHedgeOptions(), budget)
+	req := &core.Request{Kind: core.Kind{Name: "Lookup", Repeatable: true}, Deadline: core.Instant(time.Second)}
+	if _, ok := hedger.Delay(req, time.Millisecond); ok {
+		t.Error("hedged without observations")
+	}
+	for i := range 2500 {
+		hedger.Observe("Lookup", time.Duration(i%100+1)*time.Millisecond)
+	}
+	delay, ok := hedger.Delay(req, 50*time.Millisecond)
+	if !ok || delay < 93*time.Millisecond || delay > 97*time.Millisecond {
+		t.Errorf("delay %v, want about 95ms", delay)
+	}
+	if _, ok := hedger.Delay(req, time.Second); ok {
+		t.Error("a long call is hedged")
+	}
+	once := *req
+	once.Kind.Repeatable = false
+	if _, ok := hedger.Delay(&once, time.Millisecond); ok {
+		t.Error("a call that must run once is hedged")
+	}
+	if !hedger.Start(0, req) || hedger.Start(0, req) || hedger.Start(core.Instant(time.Hour), req) {
+		t.Error("hedges ignore the budget or the deadline")
+	}
+}
--- a/core/routing/fixture_test.go
+++ b/core/routing/fixture_test.go
@@ -25,8 +25,8 @@
 }
 
 // loaded returns a store of n engines with random loads that were reported at time 1 s.
-func loaded(n int, seed int64) *routing.Store {
-	source := rand.New(rand.NewSource(seed))
+func loaded(n int) *routing.Store {
+	source := rand.New(rand.NewSource(7))
 	store := routing.NewStore(routing.StoreOptions{})
 	store.SetTargets(engines(n))
 	for _, target := range engines(n) {
@@ -45,8 +45,8 @@
 
 // dossiers returns requests of several organisations. Those of one organisation share a
 // guidance of 32 blocks, which 96 blocks of their own follow.
-func dossiers(n, organisations int, seed int64) []*core.Request {
-	source := rand.New(rand.NewSource(seed))
+func dossiers(n, organisations int) []*core.Request {
+	source := rand.New(rand.NewSource(7))
 	result := make([]*core.Request, n)
 	for i := range result {
 		org := source.Intn(organisations)
--- a/core/routing/node.go
+++ b/core/routing/node.go
@@ -30,6 +30,8 @@
 	at       core.Instant
 	tokens   int
 	finished bool
+	// instances that are assumed to have done the same.
+	instances int
 }
 
 func newNode(target core.Target, slot uint32) *node {
@@ -76,17 +78,17 @@
 	})
 }
 
-func (n *node) sent(now core.Instant, tokens, inFlight int) {
+func (n *node) sent(now core.Instant, tokens, inFlight, instances int) {
 	n.update(func(state *core.TargetState) {
 		state.InFlight += inFlight
-		n.remember(state, recent{at: now, tokens: tokens})
+		n.remember(state, recent{at: now, tokens: tokens, instances: instances})
 	})
 }
 
-func (n *node) finished(now core.Instant) {
+func (n *node) finished(now core.Instant, instances int) {
 	n.update(func(state *core.TargetState) {
 		state.InFlight = max(0, state.InFlight-1)
-		n.remember(state, recent{at: now, finished: true})
+		n.remember(state, recent{at: now, finished: true, instances: instances})
 	})
 }
 
@@ -102,7 +104,7 @@
 // target had nothing left to compute.
 func count(state *core.TargetState, entry recent) {
 	if entry.finished {
-		state.FinishedRequests++
+		state.FinishedRequests += entry.instances
 		return
 	}
 	pending := state.Report.QueuedPromptTokens + state.SentPromptTokens + state.IdlePromptTokens
@@ -110,6 +112,6 @@
 	if idle := int(done) - pending; idle > 0 {
 		state.IdlePromptTokens += idle
 	}
-	state.SentRequests++
-	state.SentPromptTokens += entry.tokens
+	state.SentRequests += entry.instances
+	state.SentPromptTokens += entry.tokens * entry.instances
 }
--- a/core/routing/route_bench_test.go
+++ b/core/routing/route_bench_test.go
@@ -14,8 +14,8 @@
 // by some engines. probe is the number of candidates looked at first; tight makes every
 // deadline unreachable, so that the whole subset is looked at after that.
 func benchRoute(b *testing.B, targets, probe int, tight bool) {
-	store := loaded(targets, 7)
-	requests := dossiers(1024, 50, 7)
+	store := loaded(targets)
+	requests := dossiers(1024, 50)
 	warm(store, requests[:256])
 	if tight {
 		for _, req := range requests {
@@ -49,8 +49,8 @@
 }
 
 func BenchmarkFullParallel(b *testing.B) {
-	store := loaded(4500, 7)
-	requests := dossiers(1024, 50, 7)
+	store := loaded(4500)
+	requests := dossiers(1024, 50)
 	warm(store, requests[:256])
 	router := routing.NewFull(routing.DefaultFullOptions(), random.New(7))
 	now := core.Instant(2 * time.Second)
@@ -68,8 +68,8 @@
 		"LeastLoaded":  routing.NewLeastLoaded(random.New(7)),
 		"PrefixAffine": routing.NewPrefixAffine(1.25),
 	}
-	store := loaded(4500, 7)
-	requests := dossiers(1024, 50, 7)
+	store := loaded(4500)
+	requests := dossiers(1024, 50)
 	for name, router := range routers {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
@@ -82,8 +82,8 @@
 
 // BenchmarkSent measures what a send costs, with the hints of 128 blocks.
 func BenchmarkSent(b *testing.B) {
-	store := loaded(4500, 7)
-	requests := dossiers(1024, 50, 7)
+	store := loaded(4500)
+	requests := dossiers(1024, 50)
 	router := routing.NewFull(routing.DefaultFullOptions(), random.New(7))
 	now := core.Instant(2 * time.Second)
 	decisions := make([]core.Decision, len(requests))
--- /dev/null
+++ b/core/routing/route_test.go
@@ -0,0 +1,346 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+	"gorseline/core/estimate"
+	"gorseline/core/routing"
+)
+
+const (
+	start = core.Instant(2 * time.Second)
+	plain = core.Service("limit-ledger")
+)
+
+func allRouters() map[string]core.Router {
+	return map[string]core.Router{
+		"RoundRobin":   routing.NewRoundRobin(),
+		"LeastLoaded":  routing.NewLeastLoaded(random.New(7)),
+		"PrefixAffine": routing.NewPrefixAffine(1.25),
+		"Full":         routing.NewFull(routing.DefaultFullOptions(), random.New(7)),
+	}
+}
+
+// Guards against garbage on the request path, which would lengthen the pauses of all
+// streams of an instance.
+func TestRouteAllocatesNothing(t *testing.T) {
+	store := loaded(4500)
+	requests := dossiers(64, 10)
+	warm(store, requests[:32])
+	tight := *requests[0]
+	tight.Deadline = start
+	requests = append(requests, &tight)
+	for name, router := range allRouters() {
+		i := 0
+		allocations := testing.AllocsPerRun(1000, func() {
+			router.Route(start, requests[i%len(requests)], store)
+			i++
+		})
+		if allocations != 0 {
+			t.Errorf("%s: %v allocations per decision", name, allocations)
+		}
+	}
+}
+
+// view is a fleet with fixed states and hits.
+type view struct {
+	states []core.TargetState
+	hits   []int
+}
+
+func (v view) Candidates(_ *core.Request, into []*core.TargetState) []*core.TargetState {
+	for i := range v.states {
+		if len(into) < cap(into) {
+			into = append(into, &v.states[i])
+		}
+	}
+	return into
+}
+
+func (v view) PrefixHits(_ *core.Request, candidates []*core.TargetState, hits []int) {
+	for i, candidate := range candidates {
+		at := slices.IndexFunc(v.states, func(s core.TargetState) bool { return s.ID == candidate.ID })
+		hits[i] = v.hits[at]
+	}
+}
+
+func drawView(t *rapid.T) view {
+	n := rapid.IntRange(0, 12).Draw(t, "targets")
+	v := view{states: make([]core.TargetState, n), hits: make([]int, n)}
+	for i := range v.states {
+		s := &v.states[i]
+		s.ID, s.Models, s.Role = core.TargetID(fmt.Sprint("t", i)), []core.Model{model}, core.RoleMixed
+		s.Report.Running = rapid.IntRange(0, 30).Draw(t, "running")
+		s.Report.QueuedPromptTokens = rapid.IntRange(0, 30_000).Draw(t, "queued")
+		s.Circuit = rapid.IntRange(0, 5).Draw(t, "circuit") == 0
+		s.ReportedAt = start
+		v.hits[i] = rapid.SampledFrom([]int{0, 0, 640, 1024, 1600}).Draw(t, "hits")
+	}
+	return v
+}
+
+// naiveAllowed returns which targets the full router may choose, by its three rules in
+// order, each written as one pass over all targets.
+func naiveAllowed(req *core.Request, v view, options routing.FullOptions) map[core.TargetID]bool {
+	type option struct {
+		state *core.TargetState
+		total time.Duration
+		ok    bool
+		hits  int
+	}
+	var all []option
+	for i := range v.states {
+		if state := &v.states[i]; state.AcceptsWork() {
+			e := estimate.Target(start, req, state, v.hits[i])
+			all = append(all, option{state, e.Total, estimate.Feasible(start, req, &e), v.hits[i]})
+		}
+	}
+	keep := func(options []option, wanted func(option) bool) (kept []option) {
+		for _, o := range options {
+			if wanted(o) {
+				kept = append(kept, o)
+			}
+		}
+		return kept
+	}
+	if feasible := keep(all, func(o option) bool { return o.ok }); len(feasible) > 0 {
+		all = feasible
+		sequences, wait := 1.0, 0.0
+		for _, o := range all {
+			load := estimate.LoadAt(start, o.state)
+			sequences += float64(load.Sequences)
+			wait += load.Wait.Seconds()
+		}
+		scale := options.LoadBound / float64(len(all))
+		holders := keep(all, func(o option) bool {
+			load := estimate.LoadAt(start, o.state)
+			return float64(o.hits) >= options.MinimumPrefixShare*float64(req.PromptTokens) && o.hits > 0 &&
+				load.Sequences <= int(sequences*scale)+1 &&
+				load.Wait.Seconds() <= wait*scale+load.Compute(req.PromptTokens).Seconds()+1e-6
+		})
+		longest := 0
+		for _, o := range holders {
+			longest = max(longest, o.hits)
+		}
+		if longest > 0 {
+			all = keep(holders, func(o option) bool { return o.hits >= longest-longest/10 })
+		}
+	}
+	allowed := map[core.TargetID]bool{}
+	for _, o := range all {
+		best := all[0].total
+		for _, other := range all {
+			best = min(best, other.total)
+		}
+		if float64(o.total) <= float64(best)*(1+options.NearBest)+1 {
+			allowed[o.state.ID] = true
+		}
+	}
+	return allowed
+}
+
+// Guards against a rule that is applied in the wrong order or to the wrong candidates.
+func TestFullChoosesWhatNaiveRulesAllow(t *testing.T) {
+	options := routing.DefaultFullOptions()
+	options.TransferRate = 0
+	router := routing.NewFull(options, random.New(7))
+	rapid.Check(t, func(t *rapid.T) {
+		v := drawView(t)
+		req := &core.Request{
+			Model:        model,
+			PromptTokens: 1700,
+			OutputTokens: rapid.IntRange(1, 100).Draw(t, "output"),
+			PrefixBlocks: make([]uint64, 26),
+			Deadline:     start.Add(time.Duration(rapid.IntRange(100, 6000).Draw(t, "deadline")) * time.Millisecond),
+		}
+		allowed := naiveAllowed(req, v, options)
+		for range 5 {
+			got := router.Route(start, req, v)
+			if len(allowed) == 0 && got.Reason != core.ReasonNoTarget || len(allowed) > 0 && !allowed[got.Target] {
+				t.Fatalf("got %+v, allowed %v", got, allowed)
+			}
+		}
+	})
+}
+
+// Guards against work being sent to an engine whose role does not accept it, and against
+// an import that takes longer than computing the prompt.
+func TestRolesArePairedAndPrefixesImported(t *testing.T) {
+	engine := func(id string, role core.Role) core.TargetState {
+		return core.TargetState{Target: core.Target{ID: core.TargetID(id), Models: []core.Model{model}, Role: role}}
+	}
+	req := dossiers(1, 1)[0]
+	split := view{
+		states: []core.TargetState{engine("p", core.RolePrefill), engine("d", core.RoleDecode)},
+		hits:   []int{0, 0},
+	}
+	for name, router := range allRouters() {
+		if got := router.Route(start, req, split); got.Target != "d" || got.Prefill != "p" {
+			t.Errorf("%s: %+v", name, got)
+		}
+		alone := view{states: split.states[1:], hits: split.hits[1:]}
+		if got := router.Route(start, req, alone); got.Found() || got.Reason != core.ReasonNoTarget {
+			t.Errorf("%s: a decode engine alone got %+v", name, got)
+		}
+	}
+	mixed := view{states: []core.TargetState{engine("a", core.RoleMixed), engine("b", core.RoleMixed)}, hits: []int{6400, 0}}
+	mixed.states[0].Report.Running = 100
+	options := routing.DefaultFullOptions()
+	if got := routing.NewFull(options, random.New(7)).Route(start, req, mixed); got.Target != "b" || got.ImportFrom != "a" {
+		t.Errorf("fast transfer: %+v", got)
+	}
+	options.TransferRate = estimate.DefaultPrefillRate / 2
+	if got := routing.NewFull(options, random.New(7)).Route(start, req, mixed); got.ImportFrom != "" {
+		t.Errorf("slow transfer: %+v", got)
+	}
+}
+
+// Guards against herding: 9 instances that hold the same report and don't see each
+// other's sends must not choose the same target, nor fill one that looks idle beyond the
+// others' load.
+func TestOneStaleReportCausesNoHerd(t *testing.T) {
+	const targets, instances, each, others = 14, 9, 28, 8
+	for _, running := range []int{others, others - 1, 0} {
+		counts := map[core.TargetID]int{}
+		for instance := range instances {
+			store := routing.NewStore(routing.StoreOptions{})
+			store.SetTargets(engines(targets))
+			store.SetInstances(instances)
+			for i, target := range engines(targets) {
+				report := core.LoadReport{Running: others, Role: core.RoleMixed, Model: model}
+				if i == 3 {
+					report.Running = running
+				}
+				store.Report(core.Instant(time.Second), target.ID, report)
+			}
+			router := routing.NewFull(routing.DefaultFullOptions(), random.New(uint64(instance)))
+			for range each {
+				req := &core.Request{Organisation: "one", Model: model, PromptTokens: 60, OutputTokens: 50, Deadline: start.Add(time.Minute)}
+				decision := router.Route(start, req, store)
+				store.Sent(start, req, decision)
+				counts[decision.Target]++
+			}
+		}
+		const mean = instances * each / targets
+		for id, n := range counts {
+			if n > 2*mean {
+				t.Errorf("%d running on one target: %s got %d requests, the mean is %d", running, id, n, mean)
+			}
+		}
+	}
+}
+
+// Guards against a report that is older than what was sent, or that overtook a newer one.
+func TestReportsAreCorrectedBySends(t *testing.T) {
+	store := routing.NewStore(routing.StoreOptions{})
+	store.SetTargets(engines(1))
+	id := engines(1)[0].ID
+	req := &core.Request{Model: model, PromptTokens: 1000, OutputTokens: 10}
+	decision := core.Decision{Target: id}
+	store.Sent(1e9, req, decision)
+	store.Sent(3e9, req, decision)
+	store.Finished(4e9, decision)
+	store.Report(5e9, id, core.LoadReport{Running: 1, Model: model, Age: 3 * time.Second})
+	store.Report(6e9, id, core.LoadReport{Running: 9, Model: model, Age: 5 * time.Second})
+	got, _ := store.State(id)
+	if got.Report.Running != 1 || got.SentRequests != 1 || got.SentPromptTokens != 1000 || got.FinishedRequests != 1 || got.InFlight != 1 {
+		t.Errorf("%+v", got)
+	}
+	load := estimate.LoadAt(6e9, &got)
+	if load.Sequences != 1 || load.Wait != 0 {
+		t.Errorf("load %+v", load)
+	}
+	// A burst at the end of a long idle time is still queued.
+	store.Sent(60e9, &core.Request{Model: model, PromptTokens: 16_000}, decision)
+	got, _ = store.State(id)
+	if wait := estimate.LoadAt(60e9, &got).Wait; wait < 1990*time.Millisecond || wait > 2010*time.Millisecond {
+		t.Errorf("wait after a burst: %v, want 2s", wait)
+	}
+}
+
+// Guards against targets that stay reachable after they left, were drained or run another
+// model, and against an engine that joins a model without being found.
+func TestCandidatesFollowChanges(t *testing.T) {
+	store := routing.NewStore(routing.StoreOptions{})
+	targets := engines(3)
+	targets[0].Models = []core.Model{model, "other"}
+	targets = append(targets, core.Target{ID: "s", Service: plain})
+	store.SetTargets(targets)
+	find := func(m core.Model, s core.Service) int {
+		return len(store.Candidates(&core.Request{Model: m, Service: s}, make([]*core.TargetState, 0, 8)))
+	}
+	store.Report(1e9, targets[0].ID, core.LoadReport{Model: "other"})
+	store.SetDrained(map[core.TargetID]bool{targets[1].ID: true})
+	if find(model, "") != 1 || find("other", "") != 1 || find("", plain) != 1 || find("none", "") != 0 {
+		t.Error("wrong candidates after a report and a drain")
+	}
+	store.Report(2e9, targets[0].ID, core.LoadReport{Model: model})
+	store.SetDrained(nil)
+	store.SetCircuit(targets[2].ID, true)
+	if find(model, "") != 2 || find("other", "") != 0 {
+		t.Error("wrong candidates after a model change and an open circuit")
+	}
+	store.SetTargets(targets[:1])
+	if find(model, "") != 1 || find("", plain) != 0 {
+		t.Error("removed targets are still found")
+	}
+}
+
+// Guards against data races between decisions and updates; meant for go test -race.
+func TestUpdatesAreConcurrentWithDecisions(t *testing.T) {
+	store := loaded(100)
+	requests := dossiers(64, 10)
+	var group sync.WaitGroup
+	for name, router := range allRouters() {
+		group.Go(func() {
+			source := rand.New(rand.NewSource(int64(len(name))))
+			for i := range 200 {
+				req := requests[source.Intn(len(requests))]
+				decision := router.Route(start, req, store)
+				if !decision.Found() {
+					t.Errorf("%s: %+v", name, decision)
+					return
+				}
+				store.Sent(start, req, decision)
+				store.Report(start.Add(time.Duration(i)), decision.Target, core.LoadReport{Running: i, Model: model, Role: core.RoleMixed})
+				store.CacheEvents(decision.Target, []core.CacheEvent{{Sequence: uint64(i * 2), Block: req.PrefixBlocks[0], Evicted: i%3 == 0}})
+				store.Observe(decision.Target, estimate.Observation{Computed: 1000, FirstToken: time.Second, Sequences: 4, BetweenTokens: 20 * time.Millisecond})
+				if i%50 == 0 {
+					store.SetTargets(engines(100 + i))
+				}
+				store.Finished(start, decision)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// Guards against round-robin and least-loaded routers that favour some targets.
+func TestSimpleRoutersSpreadRequests(t *testing.T) {
+	for _, name := range []string{"RoundRobin", "LeastLoaded"} {
+		store := routing.NewStore(routing.StoreOptions{})
+		store.SetTargets(engines(7))
+		router := allRouters()[name]
+		counts := map[core.TargetID]int{}
+		for i := range 70 {
+			req := &core.Request{Organisation: core.Organisation(fmt.Sprint(i)), Model: model, PromptTokens: 10}
+			decision := router.Route(start, req, store)
+			store.Sent(start, req, decision)
+			counts[decision.Target]++
+		}
+		for id, n := range counts {
+			if len(counts) != 7 || n != 10 {
+				t.Errorf("%s: %s got %d of 70 requests, want 10", name, id, n)
+			}
+		}
+	}
+}
--- a/core/routing/store.go
+++ b/core/routing/store.go
@@ -15,6 +15,8 @@
 type Store struct {
 	table atomic.Pointer[table]
 	hints *Hints
+	// instances is the number of instances that send to the targets, at least 1.
+	instances atomic.Int64
 	// mutex serialises changes of the table.
 	mutex    sync.Mutex
 	nextSlot uint32
@@ -46,9 +48,15 @@
 func NewStore(options StoreOptions) *Store {
 	s := &Store{hints: NewHints(options.HintBlocks)}
 	s.table.Store(&table{nodes: map[core.TargetID]*node{}})
+	s.instances.Store(1)
 	return s
 }
 
+// SetInstances sets how many instances send to the same targets. Requests sent from here
+// after a load report then count for all instances, which find the same candidates and
+// see the same report: otherwise all of them would fill a target that looks idle.
+func (s *Store) SetInstances(n int) { s.instances.Store(int64(max(1, n))) }
+
 // Candidates implements core.Fleet.
 func (s *Store) Candidates(req *core.Request, into []*core.TargetState) []*core.TargetState {
 	known := s.table.Load()
@@ -195,7 +203,7 @@
 	if !ok {
 		return
 	}
-	n.sent(now, tokens, inFlight)
+	n.sent(now, tokens, inFlight, int(s.instances.Load()))
 	if req.Service == "" {
 		s.hints.Sent(n.state.Load().Slot, req.PrefixBlocks)
 	}
@@ -204,7 +212,7 @@
 // Finished notes the end of a request, once per call of Sent, in whatever way it ended.
 func (s *Store) Finished(now core.Instant, decision core.Decision) {
 	if n, ok := s.table.Load().nodes[decision.Target]; ok {
-		n.finished(now)
+		n.finished(now, int(s.instances.Load()))
 	}
 }
 
--- a/core/target.go
+++ b/core/target.go
@@ -108,14 +108,16 @@
 	Slot       uint32
 	Report     LoadReport
 	ReportedAt Instant
-	// SentRequests and SentPromptTokens were sent from here after the report.
+	// SentRequests and SentPromptTokens were sent after the report, by this instance or,
+	// if the fleet extrapolates, by all instances.
 	SentRequests     int
 	SentPromptTokens int
 	// IdlePromptTokens is the prompt work that the target had time for, but had not
 	// been given, between the report and the last send. It keeps a long idle time
 	// from hiding a burst that was sent at its end.
 	IdlePromptTokens int
-	// FinishedRequests were sent from here and have finished after the report.
+	// FinishedRequests have finished after the report; they are counted as
+	// SentRequests are.
 	FinishedRequests int
 	// InFlight counts requests from this instance that are not finished.
 	InFlight int
