--- a/core/admission/options.go
+++ b/core/admission/options.go
@@ -71,8 +71,6 @@
 	// raising keeps the limit below the knee, as in TCP's congestion control.
 	decrease = 0.9
 	increase = 0.15
-	// responseRate is the weight of one answer in the mean time to answer.
-	responseRate = 0.05
 	// activeFor is how long an organisation without requests in flight keeps its share.
 	activeFor = 5 * time.Second
 	// shareSlack is how far an organisation may exceed its share. With a dozen requests
--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -24,14 +24,14 @@
 	// Running is Sequences without the requests to a target that only generates whose
 	// prompts may still be queued elsewhere.
 	Running int
-	// Backlog is the prompt work not yet computed, in tokens.
-	Backlog float64
-	// Urgent is the part of it that belongs to urgent requests.
-	Urgent float64
-	// Queued estimates how many requests the backlog consists of.
-	Queued int
+	// Wait is how long the target needs for the prompt work that is not yet computed.
+	Wait time.Duration
+	// Urgent is the part of Wait that belongs to urgent requests.
+	Urgent time.Duration
 	// KVUsed is the memory held by requests, in tokens.
 	KVUsed int
+	// perToken is the time per prompt token, in nanoseconds.
+	perToken float64
 }
 
 // PrefillRate returns the prompt rate of a target in tokens per second.
@@ -61,40 +61,42 @@
 
 // LoadAt returns the target's load now.
 func LoadAt(now core.Instant, state *core.TargetState) Load {
+	var load Load
+	load.Set(now, state)
+	return load
+}
+
+// Set makes l the target's load now. It fills l in place because a decision looks at many
+// targets and copying the values would take longer than computing them.
+func (l *Load) Set(now core.Instant, state *core.TargetState) {
 	report := &state.Report
 	pending := float64(report.QueuedPromptTokens + state.SentPromptTokens + state.IdlePromptTokens)
-	backlog := pending - PrefillRate(state)*Age(now, state).Seconds()
-	queued := report.QueuedRequests + state.SentRequests
-	if backlog <= 0 {
-		backlog, queued = 0, 0
-	} else if work := report.QueuedPromptTokens + state.SentPromptTokens; work > 0 {
-		queued = max(1, int(float64(queued)*min(1, backlog/float64(work))))
-	}
 	sequences := report.Running + report.QueuedRequests + state.SentRequests - state.FinishedRequests
-	running := max(sequences, 0)
-	sequences = max(running, state.InFlight)
+	l.perToken = float64(time.Second) / PrefillRate(state)
+	l.Running = max(sequences, 0)
+	l.Sequences = max(l.Running, state.InFlight)
 	if report.Role != core.RoleDecode {
-		running = sequences
-	}
-	return Load{
-		Sequences: sequences,
-		Running:   running,
-		Backlog:   backlog,
-		Urgent:    min(backlog, UrgentAt(now, state)),
-		Queued:    queued,
-		KVUsed:    report.KVUsed + state.SentPromptTokens,
+		l.Running = l.Sequences
 	}
+	l.Wait = max(0, bounded(pending*l.perToken)-Age(now, state))
+	l.Urgent = min(l.Wait, bounded(UrgentAt(now, state)*l.perToken))
+	l.KVUsed = report.KVUsed + state.SentPromptTokens
 }
 
 // Settled returns the load as a request will find it that waits as long for its prompt as
 // those ahead of it: as many answers will have ended by then as began.
-func (l Load) Settled() Load {
-	l.Sequences = l.Running
-	return l
+func (l *Load) Settled() Load {
+	settled := *l
+	settled.Sequences = l.Running
+	return settled
 }
 
-// UrgentAt returns the prompt work of urgent requests that is left at the given time.
+// UrgentAt returns the prompt work of urgent requests, in tokens, that is left at the
+// given time.
 func UrgentAt(now core.Instant, state *core.TargetState) float64 {
+	if state.UrgentTokens <= 0 {
+		return 0
+	}
 	return max(0, state.UrgentTokens-PrefillRate(state)*now.Sub(state.UrgentAt).Seconds())
 }
 
@@ -102,28 +104,27 @@
 // urgent request passes the others and waits for the prompt under way, of which half is
 // left on average, and for the urgent ones ahead. Without the latter, all urgent requests
 // would go to the engine whose queue already consists of many short urgent prompts.
-func PrefillWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
-	backlog := load.Backlog
-	if req.Kind.Urgent && load.Queued > 0 {
-		backlog = load.Urgent + (backlog-load.Urgent)/float64(2*load.Queued)
+func PrefillWait(req *core.Request, state *core.TargetState, load *Load) time.Duration {
+	if !req.Kind.Urgent {
+		return load.Wait
 	}
-	return seconds(backlog / PrefillRate(state))
+	tokens := float64(state.Report.QueuedPromptTokens + state.SentPromptTokens)
+	prompts := float64(max(1, state.Report.QueuedRequests+state.SentRequests))
+	return min(load.Wait, load.Urgent+bounded(tokens/prompts/2*load.perToken))
 }
 
 // Compute returns the time that the target takes for the given number of prompt tokens.
-func Compute(state *core.TargetState, tokens int) time.Duration {
-	return seconds(float64(max(0, tokens)) / PrefillRate(state))
-}
+func (l *Load) Compute(tokens int) time.Duration { return bounded(float64(tokens) * l.perToken) }
 
 // Prefill predicts the delay until the prompt's KV cache is computed on the target.
-func Prefill(req *core.Request, state *core.TargetState, load Load, prefixTokens int) (queue, total time.Duration) {
+func Prefill(req *core.Request, state *core.TargetState, load *Load, prefixTokens int) (queue, total time.Duration) {
 	queue = PrefillWait(req, state, load)
-	return queue, queue + Compute(state, req.PromptTokens-prefixTokens)
+	return queue, queue + load.Compute(max(0, req.PromptTokens-prefixTokens))
 }
 
 // MemoryWait returns how long the request waits for KV memory. Held memory is released
 // as answers end, so all of it turns over in about the duration of one answer.
-func MemoryWait(req *core.Request, state *core.TargetState, load Load, prefixTokens int) time.Duration {
+func MemoryWait(req *core.Request, state *core.TargetState, load *Load, prefixTokens int) time.Duration {
 	capacity := state.Report.KVCapacity
 	if capacity <= 0 {
 		return 0
@@ -146,7 +147,7 @@
 
 // SlotWait returns how long the request waits for a place in the batch. Places become
 // free as answers end, all of them in about the duration of one answer.
-func SlotWait(req *core.Request, state *core.TargetState, load Load) time.Duration {
+func SlotWait(req *core.Request, state *core.TargetState, load *Load) time.Duration {
 	slots := state.Report.Slots
 	if slots <= 0 {
 		return 0
@@ -175,48 +176,46 @@
 	return 1
 }
 
-// Engine predicts the service of a request by one engine that holds prefixTokens of its
-// prompt in cache.
-func Engine(req *core.Request, state *core.TargetState, load Load, prefixTokens int) core.Estimate {
+// Engine predicts into result the service of a request by one engine that holds
+// prefixTokens of its prompt in cache.
+func Engine(result *core.Estimate, req *core.Request, state *core.TargetState, load *Load, prefixTokens int) {
 	queue, prefill := Prefill(req, state, load, prefixTokens)
 	wait := max(MemoryWait(req, state, load, prefixTokens), SlotWait(req, state, load))
-	result := Decode(req, state, load, prefill+wait)
+	Decode(result, req, state, load, prefill+wait)
 	result.Queue = queue + wait
 	result.PrefixTokens = prefixTokens
-	return result
 }
 
-// Decode predicts the generation of an answer whose prompt is ready on the target after
-// the given delay.
-func Decode(req *core.Request, state *core.TargetState, load Load, ready time.Duration) core.Estimate {
+// Decode predicts into result the generation of an answer whose prompt is ready on the
+// target after the given delay.
+func Decode(result *core.Estimate, req *core.Request, state *core.TargetState, load *Load, ready time.Duration) {
 	sequences := load.Sequences + 1
 	if slots := state.Report.Slots; slots > 0 {
 		sequences = min(sequences, slots)
 	}
 	step := Step(state, sequences) * interference(state)
-	result := core.Estimate{FirstToken: ready + step, BetweenTokens: step}
-	result.Total = result.FirstToken + step*time.Duration(max(0, req.OutputTokens-1))
-	return result
+	result.FirstToken = ready + step
+	result.BetweenTokens = step
+	result.Total = ready + step*time.Duration(max(1, req.OutputTokens))
 }
 
-// Service predicts a call of a plain service from its load: every call ahead adds the
-// learned time per call.
-func Service(state *core.TargetState, load Load) core.Estimate {
+// Service predicts into result a call of a plain service from its load: every call ahead
+// adds the learned time per call.
+func Service(result *core.Estimate, state *core.TargetState, load *Load) {
 	total := Step(state, load.Sequences+1)
-	return core.Estimate{
-		FirstToken: total,
-		Queue:      total - Step(state, 1),
-		Total:      total,
-	}
+	*result = core.Estimate{FirstToken: total, Queue: total - Step(state, 1), Total: total}
 }
 
 // Target predicts the service of a request by a plain service or an engine.
 func Target(now core.Instant, req *core.Request, state *core.TargetState, prefixTokens int) core.Estimate {
+	var result core.Estimate
 	load := LoadAt(now, state)
 	if req.Service != "" {
-		return Service(state, load)
+		Service(&result, state, &load)
+	} else {
+		Engine(&result, req, state, &load, prefixTokens)
 	}
-	return Engine(req, state, load, prefixTokens)
+	return result
 }
 
 // Feasible reports whether the estimate keeps the deadline and the kind's limits on the
@@ -232,11 +231,8 @@
 	return kind.BetweenTokens <= 0 || expected.BetweenTokens <= kind.BetweenTokens
 }
 
-// seconds converts to a duration and stays within Never, which also covers division by
-// a rate close to zero.
-func seconds(s float64) time.Duration {
-	if s >= Never.Seconds() {
-		return Never
-	}
-	return time.Duration(s * float64(time.Second))
+// bounded converts nanoseconds to a duration of at most Never, which also covers division
+// by a rate close to zero.
+func bounded(nanoseconds float64) time.Duration {
+	return time.Duration(min(nanoseconds, float64(Never)))
 }
--- a/core/routing/candidates.go
+++ b/core/routing/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"gorseline/core"
 	"gorseline/core/estimate"
@@ -33,6 +34,8 @@
 	imports   [DefaultSubset]int8
 	feasible  [DefaultSubset]bool
 	set       pool
+	// queue and ready are the delays of the prefill partner.
+	queue, ready time.Duration
 }
 
 var scratches = sync.Pool{New: func() any { return new(scratch) }}
@@ -71,7 +74,7 @@
 	for _, state := range found {
 		if usable(state, req) {
 			s.states[n] = state
-			s.loads[n] = estimate.LoadAt(now, state)
+			s.loads[n].Set(now, state)
 			n++
 		}
 	}
