--- a/core/admission/group.go
+++ b/core/admission/group.go
@@ -1,6 +1,10 @@
 package admission
 
-import "gorseline/core"
+import (
+	"time"
+
+	"gorseline/core"
+)
 
 // group is the state of one model or service.
 type group struct {
@@ -10,6 +14,10 @@
 	limit   float64
 	members map[core.Organisation]*member
 
+	// holdUntil is when a lowered limit may fall again; earlier requests still answer
+	// late until then.
+	holdUntil core.Instant
+
 	// windowEnds is when the counts below are judged.
 	windowEnds   core.Instant
 	peak         int
@@ -98,7 +106,7 @@
 	}
 	g.windowEnds = now.Add(window)
 	if options.Adaptive && g.answers >= minimumSamples {
-		g.adapt(options)
+		g.adapt(now, options)
 	}
 	if g.answers >= minimumSamples || g.inFlight == 0 {
 		g.peak, g.answers, g.late, g.urgent, g.urgentLate = g.inFlight, 0, 0, 0, 0
@@ -115,13 +123,17 @@
 	}
 }
 
-// adapt lowers the limit below the peak of a window with too many late answers, and
-// raises it when a window used most of it without.
-func (g *group) adapt(options *Options) {
-	tooLate := float64(g.late) > options.LateShare*float64(g.answers) ||
-		g.urgent > 0 && float64(g.urgentLate) > options.UrgentLateShare*float64(g.urgent)
+// adapt lowers the limit below the peak of a window with too many late answers, at most
+// once per response time, and raises it when a window used most of it without.
+func (g *group) adapt(now core.Instant, options *Options) {
+	tooLate := float64(g.late) > options.LateShare*float64(g.answers)+lateSlack ||
+		float64(g.urgentLate) > options.UrgentLateShare*float64(g.urgent)+lateSlack
 	switch {
+	case tooLate && now < g.holdUntil:
 	case tooLate:
+		// By Little's law the response time is the work in flight over the rate of
+		// answers. One window has passed when the next is judged.
+		g.holdUntil = now.Add(window*time.Duration(g.peak)/time.Duration(g.answers) - window)
 		g.limit = max(float64(options.MinConcurrent), min(g.limit, float64(g.peak))*decrease)
 	case float64(g.peak) > g.limit/2:
 		g.limit = min(float64(options.MaxConcurrent), g.limit+max(2, g.limit*increase))
--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -21,8 +21,13 @@
 type Load struct {
 	// Sequences counts requests that are queued or running.
 	Sequences int
+	// Running is Sequences without the requests to a target that only generates whose
+	// prompts may still be queued elsewhere.
+	Running int
 	// Wait is how long the target needs for the prompt work that is not yet computed.
 	Wait time.Duration
+	// Urgent is the part of Wait that belongs to urgent requests.
+	Urgent time.Duration
 	// KVUsed is the memory held by requests, in tokens.
 	KVUsed int
 	// perToken is the time per prompt token, in nanoseconds.
@@ -68,21 +73,44 @@
 	pending := float64(report.QueuedPromptTokens + state.SentPromptTokens + state.IdlePromptTokens)
 	sequences := report.Running + report.QueuedRequests + state.SentRequests - state.FinishedRequests
 	l.perToken = float64(time.Second) / PrefillRate(state)
-	l.Sequences = max(sequences, state.InFlight, 0)
+	l.Running = max(sequences, 0)
+	l.Sequences = max(l.Running, state.InFlight)
+	if report.Role != core.RoleDecode {
+		l.Running = l.Sequences
+	}
 	l.Wait = max(0, bounded(pending*l.perToken)-Age(now, state))
+	l.Urgent = min(l.Wait, bounded(UrgentAt(now, state)*l.perToken))
 	l.KVUsed = report.KVUsed + state.SentPromptTokens
 }
 
+// Settled returns the load as a request will find it that waits as long for its prompt as
+// those ahead of it: as many answers will have ended by then as began.
+func (l *Load) Settled() Load {
+	settled := *l
+	settled.Sequences = l.Running
+	return settled
+}
+
+// UrgentAt returns the prompt work of urgent requests, in tokens, that is left at the
+// given time.
+func UrgentAt(now core.Instant, state *core.TargetState) float64 {
+	if state.UrgentTokens <= 0 {
+		return 0
+	}
+	return max(0, state.UrgentTokens-PrefillRate(state)*now.Sub(state.UrgentAt).Seconds())
+}
+
 // PrefillWait returns how long the request waits before its prompt is computed. An
-// urgent request goes to the head of the engine's queue and waits only for the prompt
-// under way, of which half is left on average.
+// urgent request passes the others and waits for the prompt under way, of which half is
+// left on average, and for the urgent ones ahead. Without the latter, all urgent requests
+// would go to the engine whose queue already consists of many short urgent prompts.
 func PrefillWait(req *core.Request, state *core.TargetState, load *Load) time.Duration {
 	if !req.Kind.Urgent {
 		return load.Wait
 	}
 	tokens := float64(state.Report.QueuedPromptTokens + state.SentPromptTokens)
 	prompts := float64(max(1, state.Report.QueuedRequests+state.SentRequests))
-	return min(load.Wait, bounded(tokens/prompts/2*load.perToken))
+	return min(load.Wait, load.Urgent+bounded(tokens/prompts/2*load.perToken))
 }
 
 // Compute returns the time that the target takes for the given number of prompt tokens.
@@ -113,11 +141,46 @@
 	return time.Duration(float64(answer) * float64(deficit) / float64(load.KVUsed))
 }
 
+// urgentSlots is the part of an engine's slots, one in urgentSlots, that only urgent
+// requests are expected to find free.
+const urgentSlots = 16
+
+// SlotWait returns how long the request waits for a place in the batch. Places become
+// free as answers end, all of them in about the duration of one answer.
+func SlotWait(req *core.Request, state *core.TargetState, load *Load) time.Duration {
+	slots := state.Report.Slots
+	if slots <= 0 {
+		return 0
+	}
+	free := slots
+	if !req.Kind.Urgent {
+		free -= slots / urgentSlots
+	}
+	excess := load.Sequences + 1 - free
+	if excess <= 0 {
+		return 0
+	}
+	answer := Step(state, slots) * time.Duration(max(1, req.OutputTokens))
+	return time.Duration(float64(answer) * float64(excess) / float64(slots))
+}
+
+// mixedFactor is how much longer the time between tokens is on an engine that computes
+// prompts as well: a chunk of a prompt takes about as long as the step of a large batch.
+const mixedFactor = 2
+
+// interference returns the factor on the time between tokens that prompts cause.
+func interference(state *core.TargetState) time.Duration {
+	if state.Report.Role == core.RoleMixed && state.Report.QueuedPromptTokens+state.SentPromptTokens > 0 {
+		return mixedFactor
+	}
+	return 1
+}
+
 // Engine predicts into result the service of a request by one engine that holds
 // prefixTokens of its prompt in cache.
 func Engine(result *core.Estimate, req *core.Request, state *core.TargetState, load *Load, prefixTokens int) {
 	queue, prefill := Prefill(req, state, load, prefixTokens)
-	wait := MemoryWait(req, state, load, prefixTokens)
+	wait := max(MemoryWait(req, state, load, prefixTokens), SlotWait(req, state, load))
 	Decode(result, req, state, load, prefill+wait)
 	result.Queue = queue + wait
 	result.PrefixTokens = prefixTokens
@@ -126,7 +189,11 @@
 // Decode predicts into result the generation of an answer whose prompt is ready on the
 // target after the given delay.
 func Decode(result *core.Estimate, req *core.Request, state *core.TargetState, load *Load, ready time.Duration) {
-	step := Step(state, load.Sequences+1)
+	sequences := load.Sequences + 1
+	if slots := state.Report.Slots; slots > 0 {
+		sequences = min(sequences, slots)
+	}
+	step := Step(state, sequences) * interference(state)
 	result.FirstToken = ready + step
 	result.BetweenTokens = step
 	result.Total = ready + step*time.Duration(max(1, req.OutputTokens))
--- a/core/routing/candidates.go
+++ b/core/routing/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"gorseline/core"
 	"gorseline/core/estimate"
@@ -36,6 +37,8 @@
 	// prefills counts the prefill engines.
 	prefills int
 	set      pool
+	// queue and ready are the delays of the prefill partner.
+	queue, ready time.Duration
 }
 
 var scratches = sync.Pool{New: func() any { return new(scratch) }}
--- a/core/routing/node.go
+++ b/core/routing/node.go
@@ -29,6 +29,7 @@
 type recent struct {
 	at       core.Instant
 	tokens   int
+	urgent   bool
 	finished bool
 	// instances that are assumed to have done the same.
 	instances int
@@ -67,6 +68,7 @@
 		state.Report, state.ReportedAt = report, now
 		state.SentRequests, state.SentPromptTokens = 0, 0
 		state.IdlePromptTokens, state.FinishedRequests = 0, 0
+		state.UrgentTokens, state.UrgentAt = float64(report.QueuedUrgentTokens), made
 		kept := n.recent[:0]
 		for _, entry := range n.recent {
 			if entry.at > made {
@@ -78,10 +80,10 @@
 	})
 }
 
-func (n *node) sent(now core.Instant, tokens, inFlight, instances int) {
+func (n *node) sent(now core.Instant, tokens, inFlight, instances int, urgent bool) {
 	n.update(func(state *core.TargetState) {
 		state.InFlight += inFlight
-		n.remember(state, recent{at: now, tokens: tokens, instances: instances})
+		n.remember(state, recent{at: now, tokens: tokens, urgent: urgent, instances: instances})
 	})
 }
 
@@ -114,4 +116,8 @@
 	}
 	state.SentRequests += entry.instances
 	state.SentPromptTokens += entry.tokens * entry.instances
+	if entry.urgent {
+		state.UrgentTokens = estimate.UrgentAt(entry.at, state) + float64(entry.tokens*entry.instances)
+		state.UrgentAt = entry.at
+	}
 }
--- a/core/routing/store.go
+++ b/core/routing/store.go
@@ -216,7 +216,7 @@
 	if !ok {
 		return
 	}
-	n.sent(now, tokens, inFlight, int(s.instances.Load()))
+	n.sent(now, tokens, inFlight, int(s.instances.Load()), req.Kind.Urgent)
 	if req.Service == "" {
 		s.hints.Sent(n.state.Load().Slot, req.PrefixBlocks)
 	}
