--- a/core/admission/group.go
+++ b/core/admission/group.go
@@ -14,9 +14,8 @@
 	limit   float64
 	members map[core.Organisation]*member
 
-	// response is the mean time to answer. After the limit was lowered it stays until
-	// holdUntil, since earlier requests still answer late.
-	response  time.Duration
+	// holdUntil is when a lowered limit may fall again; earlier requests still answer
+	// late until then.
 	holdUntil core.Instant
 
 	// windowEnds is when the counts below are judged.
@@ -74,7 +73,6 @@
 		g.held -= work(req)
 	}
 	g.answers++
-	g.response += time.Duration(responseRate * float64(now.Sub(req.Arrived)-g.response))
 	if req.Kind.Urgent {
 		g.urgent++
 	}
@@ -133,7 +131,9 @@
 	switch {
 	case tooLate && now < g.holdUntil:
 	case tooLate:
-		g.holdUntil = now.Add(g.response)
+		// By Little's law the response time is the work in flight over the rate of
+		// answers. One window has passed when the next is judged.
+		g.holdUntil = now.Add(window*time.Duration(g.peak)/time.Duration(g.answers) - window)
 		g.limit = max(float64(options.MinConcurrent), min(g.limit, float64(g.peak))*decrease)
 	case float64(g.peak) > g.limit/2:
 		g.limit = min(float64(options.MaxConcurrent), g.limit+max(2, g.limit*increase))
--- a/core/routing/full.go
+++ b/core/routing/full.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"sync/atomic"
 	"time"
 
 	"gorseline/core"
@@ -53,6 +54,11 @@
 type full struct {
 	options FullOptions
 	random  *random.Source
+	// perTransfer is the transfer time of one prompt token, in nanoseconds.
+	perTransfer float64
+	// wide is set while the last decision needed the whole subset. The next one then
+	// starts with it, so that overload does not add a first look to every decision.
+	wide atomic.Bool
 }
 
 var _ core.Router = (*full)(nil)
@@ -63,7 +69,11 @@
 func NewFull(options FullOptions, source *random.Source) core.Router {
 	options.Subset = clampSubset(options.Subset, DefaultSubset)
 	options.Probe = min(clampSubset(options.Probe, DefaultProbe), options.Subset)
-	return &full{options: options, random: source}
+	result := &full{options: options, random: source}
+	if options.TransferRate > 0 {
+		result.perTransfer = float64(time.Second) / options.TransferRate
+	}
+	return result
 }
 
 // Route implements core.Router. When no target keeps the deadline it returns the one
@@ -71,16 +81,25 @@
 func (r *full) Route(now core.Instant, req *core.Request, fleet core.Fleet) core.Decision {
 	s := scratches.Get().(*scratch)
 	defer s.release()
-	n := s.look(now, req, fleet, r.options.Probe)
-	result := r.among(now, req, fleet, s, n)
-	if result.Reason != core.ReasonNoTarget && result.Reason != core.ReasonDeadline {
-		return result
+	if !r.wide.Load() {
+		n := s.look(now, req, fleet, r.options.Probe)
+		result := r.among(now, req, fleet, s, n)
+		if suitable(result) || n < r.options.Probe || r.options.Subset == r.options.Probe {
+			return result
+		}
+		r.wide.Store(true)
 	}
-	if n < r.options.Probe || r.options.Subset == r.options.Probe {
-		return result
+	n := s.look(now, req, fleet, r.options.Subset)
+	result := r.among(now, req, fleet, s, n)
+	if suitable(result) {
+		r.wide.Store(false)
 	}
-	n = s.look(now, req, fleet, r.options.Subset)
-	return r.among(now, req, fleet, s, n)
+	return result
+}
+
+// suitable reports whether looking at more candidates is not worth its time.
+func suitable(result core.Decision) bool {
+	return result.Reason != core.ReasonNoTarget && result.Reason != core.ReasonDeadline
 }
 
 func (r *full) among(now core.Instant, req *core.Request, fleet core.Fleet, s *scratch, n int) core.Decision {
@@ -89,7 +108,7 @@
 		prefixes.PrefixHits(req, s.states[:n], s.hits[:n])
 	}
 	prefill := r.predict(now, req, s, n)
-	set := r.pool(req, s, n, prefill)
+	set := &s.set
 	if set.count == 0 {
 		return core.Decision{Reason: core.ReasonNoTarget}
 	}
@@ -98,62 +117,92 @@
 	if req.Service != "" {
 		return result
 	}
-	if !generates(s.states[i], req) {
+	if s.roles[i] == core.RoleDecode {
 		result.Prefill = s.states[prefill].ID
 		// Targets are compared by all that was promised to them, which balances them,
 		// but the answer is expected under the load that will be left by then.
-		result.Estimate = r.paired(req, s, i, prefill, s.loads[i].Settled())
+		settled := s.loads[i].Settled()
+		r.paired(req, s, i, prefill, &settled)
+		result.Estimate = s.estimates[i]
 	} else if from := s.imports[i]; from >= 0 {
 		result.ImportFrom = s.states[from].ID
 	}
 	return result
 }
 
-// predict fills in the estimates and feasibility of all candidates and returns the
-// prefill partner for engines that only generate, or -1.
+// predict fills in the pool with the estimates of the candidates that can produce an
+// answer, and returns the prefill partner for engines that only generate, or -1.
 func (r *full) predict(now core.Instant, req *core.Request, s *scratch, n int) int {
+	s.set.count, s.set.feasible = 0, 0
 	if req.Service != "" {
 		for i, state := range s.states[:n] {
-			s.estimates[i] = estimate.Service(state, s.loads[i])
-			s.feasible[i] = estimate.Feasible(now, req, &s.estimates[i])
+			estimate.Service(&s.estimates[i], state, &s.loads[i])
+			s.join(now, req, i)
 		}
 		return -1
 	}
 	holder := mostHits(s, n)
-	prefill := r.prefillPartner(req, s, n)
-	for i, state := range s.states[:n] {
+	prefill, queue, ready := r.prefillPartner(req, s, n)
+	s.queue, s.ready = queue, ready
+	for i := range s.states[:n] {
 		s.imports[i] = -1
-		switch {
-		case role(state) == core.RoleMixed:
-			s.estimates[i] = r.withImport(req, s, i, holder)
-		case role(state) == core.RoleDecode && prefill >= 0:
-			s.estimates[i] = r.paired(req, s, i, prefill, s.loads[i])
+		switch s.roles[i] {
+		case core.RoleMixed:
+			r.withImport(req, s, i, holder)
+		case core.RoleDecode:
+			if prefill < 0 {
+				continue
+			}
+			r.paired(req, s, i, prefill, &s.loads[i])
 		default:
-			s.feasible[i] = false
 			continue
 		}
-		s.feasible[i] = estimate.Feasible(now, req, &s.estimates[i])
+		s.join(now, req, i)
 	}
 	return prefill
 }
 
-// prefillPartner returns the prefill engine that has the prompt ready first, or -1. Among
-// the near-best it takes the one that holds most of the prompt, and one at random among
-// equals: with long queues the prefix saves little of the delay but all of its share of
-// the work.
-func (r *full) prefillPartner(req *core.Request, s *scratch, n int) int {
-	best := estimate.Never + 1
+// join makes candidate i a member of the pool.
+func (s *scratch) join(now core.Instant, req *core.Request, i int) {
+	s.set.members[s.set.count] = int8(i)
+	s.set.count++
+	s.feasible[i] = estimate.Feasible(now, req, &s.estimates[i])
+	if s.feasible[i] {
+		s.set.feasible++
+	}
+}
+
+// paired predicts a prompt computed by the prefill partner and generated by candidate i
+// under the given load.
+func (r *full) paired(req *core.Request, s *scratch, i, prefill int, load *estimate.Load) {
+	state, result := s.states[i], &s.estimates[i]
+	missing := max(0, req.PromptTokens-s.hits[i])
+	wait := max(estimate.MemoryWait(req, state, load, s.hits[i]), estimate.SlotWait(req, state, load))
+	estimate.Decode(result, req, state, load, s.ready+r.transfer(missing)+wait)
+	result.Queue = s.queue + wait
+	result.PrefixTokens = s.hits[prefill]
+}
+
+// prefillPartner returns the prefill engine that has the prompt ready first, with its
+// queueing delay and the delay until ready. Among the near-best it takes the one that
+// holds most of the prompt, and one at random among equals: with long queues the prefix
+// saves little of the delay but all of its share of the work.
+func (r *full) prefillPartner(req *core.Request, s *scratch, n int) (int, time.Duration, time.Duration) {
+	if s.prefills == 0 {
+		return -1, 0, 0
+	}
+	best := 4 * estimate.Never // queue and computation are at most Never each
 	for i, state := range s.states[:n] {
-		if role(state) == core.RolePrefill {
-			_, ready := estimate.Prefill(req, state, s.loads[i], s.hits[i])
+		if s.roles[i] == core.RolePrefill {
+			_, ready := estimate.Prefill(req, state, &s.loads[i], s.hits[i])
 			s.estimates[i].Total = ready
 			best = min(best, ready)
 		}
 	}
 	chosen, equals := -1, 0
 	limit := best + time.Duration(r.options.NearBest*float64(best))
-	for i, state := range s.states[:n] {
-		if role(state) != core.RolePrefill || s.estimates[i].Total > limit {
+	for i := range s.states[:n] {
+		if s.roles[i] != core.RolePrefill || s.estimates[i].Total > limit {
 			continue
 		}
 		switch {
@@ -166,50 +215,34 @@
 			}
 		}
 	}
-	return chosen
-}
-
-// paired predicts a prompt computed by the prefill partner and generated by candidate i
-// under the given load.
-func (r *full) paired(req *core.Request, s *scratch, i, prefill int, load estimate.Load) core.Estimate {
-	state := s.states[i]
-	queue, ready := estimate.Prefill(req, s.states[prefill], s.loads[prefill], s.hits[prefill])
-	missing := max(0, req.PromptTokens-s.hits[i])
-	wait := max(estimate.MemoryWait(req, state, load, s.hits[i]), estimate.SlotWait(req, state, load))
-	result := estimate.Decode(req, state, load, ready+r.transfer(missing)+wait)
-	result.Queue = queue + wait
-	result.PrefixTokens = s.hits[prefill]
-	return result
+	queue, ready := estimate.Prefill(req, s.states[chosen], &s.loads[chosen], s.hits[chosen])
+	return chosen, queue, ready
 }
 
 // withImport predicts candidate i and imports the holder's prefix when the transfer is
 // faster than computing it. The transfer runs while the request waits in the queue.
-func (r *full) withImport(req *core.Request, s *scratch, i, holder int) core.Estimate {
-	state, load, own := s.states[i], s.loads[i], s.hits[i]
-	plain := estimate.Engine(req, state, load, own)
-	if holder < 0 || holder == i || s.hits[holder] <= own || r.options.TransferRate <= 0 {
-		return plain
+func (r *full) withImport(req *core.Request, s *scratch, i, holder int) {
+	state, load, hits, result := s.states[i], &s.loads[i], s.hits[i], &s.estimates[i]
+	if holder < 0 || s.hits[holder] <= hits || r.options.TransferRate <= 0 {
+		estimate.Engine(result, req, state, load, hits)
+		return
 	}
-	gained := s.hits[holder] - own
+	gained := s.hits[holder] - hits
 	transfer := r.transfer(gained)
-	if transfer >= estimate.Compute(state, gained) {
-		return plain
+	if transfer >= load.Compute(gained) {
+		estimate.Engine(result, req, state, load, hits)
+		return
 	}
-	imported := estimate.Engine(req, state, load, s.hits[holder])
-	if late := transfer - imported.Queue; late > 0 {
-		imported.FirstToken += late
-		imported.Total += late
+	estimate.Engine(result, req, state, load, s.hits[holder])
+	if late := transfer - result.Queue; late > 0 {
+		result.FirstToken += late
+		result.Total += late
 	}
 	s.imports[i] = int8(holder)
-	return imported
 }
 
 func (r *full) transfer(tokens int) time.Duration {
-	if r.options.TransferRate <= 0 {
-		return r.options.TransferLatency
-	}
-	moved := float64(tokens) / r.options.TransferRate
-	return r.options.TransferLatency + time.Duration(moved*float64(time.Second))
+	return r.options.TransferLatency + time.Duration(float64(tokens)*r.perTransfer)
 }
 
 func mostHits(s *scratch, n int) int {
--- a/core/routing/node.go
+++ b/core/routing/node.go
@@ -31,6 +31,8 @@
 	tokens   int
 	urgent   bool
 	finished bool
+	// instances that are assumed to have done the same.
+	instances int
 }
 
 func newNode(target core.Target, slot uint32) *node {
@@ -78,17 +80,17 @@
 	})
 }
 
-func (n *node) sent(now core.Instant, tokens, inFlight int, urgent bool) {
+func (n *node) sent(now core.Instant, tokens, inFlight, instances int, urgent bool) {
 	n.update(func(state *core.TargetState) {
 		state.InFlight += inFlight
-		n.remember(state, recent{at: now, tokens: tokens, urgent: urgent})
+		n.remember(state, recent{at: now, tokens: tokens, urgent: urgent, instances: instances})
 	})
 }
 
-func (n *node) finished(now core.Instant) {
+func (n *node) finished(now core.Instant, instances int) {
 	n.update(func(state *core.TargetState) {
 		state.InFlight = max(0, state.InFlight-1)
-		n.remember(state, recent{at: now, finished: true})
+		n.remember(state, recent{at: now, finished: true, instances: instances})
 	})
 }
 
@@ -104,7 +106,7 @@
 // target had nothing left to compute.
 func count(state *core.TargetState, entry recent) {
 	if entry.finished {
-		state.FinishedRequests++
+		state.FinishedRequests += entry.instances
 		return
 	}
 	pending := state.Report.QueuedPromptTokens + state.SentPromptTokens + state.IdlePromptTokens
@@ -112,10 +114,10 @@
 	if idle := int(done) - pending; idle > 0 {
 		state.IdlePromptTokens += idle
 	}
-	state.SentRequests++
-	state.SentPromptTokens += entry.tokens
+	state.SentRequests += entry.instances
+	state.SentPromptTokens += entry.tokens * entry.instances
 	if entry.urgent {
-		state.UrgentTokens = estimate.UrgentAt(entry.at, state) + float64(entry.tokens)
+		state.UrgentTokens = estimate.UrgentAt(entry.at, state) + float64(entry.tokens*entry.instances)
 		state.UrgentAt = entry.at
 	}
 }
--- a/core/target.go
+++ b/core/target.go
@@ -107,12 +107,10 @@
 // TargetState is what an instance knows about one target.
 type TargetState struct {
 	Target
-	// Slot is a small number that the fleet gives the target, for use as an index. It
-	// is unique among the targets that the fleet knows.
-	Slot       uint32
 	Report     LoadReport
 	ReportedAt Instant
-	// SentRequests and SentPromptTokens were sent from here after the report.
+	// SentRequests and SentPromptTokens were sent after the report, by this instance or,
+	// if the fleet extrapolates, by all instances.
 	SentRequests     int
 	SentPromptTokens int
 	// IdlePromptTokens is the prompt work that the target had time for, but had not
@@ -124,7 +122,8 @@
 	// it before other prompts.
 	UrgentTokens float64
 	UrgentAt     Instant
-	// FinishedRequests were sent from here and have finished after the report.
+	// FinishedRequests have finished after the report; they are counted as
+	// SentRequests are.
 	FinishedRequests int
 	// InFlight counts requests from this instance that are not finished.
 	InFlight int
@@ -138,6 +137,9 @@
 	Circuit bool
 	// Drained is set by an operator or by a placement plan.
 	Drained bool
+	// Slot is a small number that the fleet gives the target, for use as an index. It
+	// is unique among the targets that the fleet knows.
+	Slot uint32
 }
 
 // AcceptsWork reports whether new work may go to the target.
