Leave through the drain component and keep leaving targets idle

Cause: the instance's own leave sequence knew no phases, hard limit or hand-over of its streams; a lone leaving instance in a data centre polled the head every 8 to 10 s, so its readiness lapsed after 9 s, before cached address answers had expired. New work could go to a target between its mark and the send. Change: cmd/instance uses core/drain; dispatch reserves work on a target in one step with the check of its mark; followers poll after 5 to 7 s; load polls vary by a quarter instead of a half, so a mark is seen within 2 s and the report's lag.

--- a/cmd/instance/apply.go
+++ b/cmd/instance/apply.go
@@ -28,6 +28,7 @@
 	Serving   *serving
 	Platform  *platform
 	Recorder  core.Recorder
+	Clock     core.ClockProvider
 	Log       log.Interface
 }
 
@@ -50,7 +51,20 @@
 		case <-revisions:
 			l.apply(l.Control.applier.Configuration())
 		case <-ticker.C:
-			l.Platform.table.SetInstances(max(1, len(l.Control.members())))
+			members := max(1, len(l.Control.members()))
+			l.Platform.table.SetInstances(members)
+			l.Serving.fleet.SetInstances(members)
+		}
+	}
+}
+
+// markDrained stops new work to the targets that operators drained.
+func (l *configurationLoop) markDrained(c core.Configuration) {
+	for _, target := range c.Targets {
+		if c.Drained[target.ID] {
+			l.Serving.leaving.Mark(l.Clock.Now(), target.ID)
+		} else if state, known := l.Serving.fleet.State(target.ID); known && !state.Report.Leaving {
+			l.Serving.leaving.Unmark(target.ID)
 		}
 	}
 }
@@ -58,6 +72,7 @@
 func (l *configurationLoop) apply(c core.Configuration) {
 	l.Serving.fleet.SetTargets(c.Targets)
 	l.Serving.fleet.SetDrained(c.Drained)
+	l.markDrained(c)
 	l.Serving.retrier.Budget().SetRatio(c.Preset().RetryBudget)
 	if err := l.Serving.policies.Apply(c); err != nil {
 		// Validation before acceptance excludes this, except for a newer version of
--- a/cmd/instance/authority.go
+++ b/cmd/instance/authority.go
@@ -16,6 +16,8 @@
 	keeper    *authority.Keeper
 	commander *authority.Commander
 	options   authority.Options
+	// release gives up all leases.
+	release func(context.Context) error
 }
 
 type authorityInputs struct {
@@ -43,16 +45,21 @@
 	watcher := watch.New(watch.Options{
 		Fleet: in.Serving.fleet, Load: in.Serving.engines, Events: in.Serving.engines,
 		Clock: in.Clock, Random: in.Random,
-		OnReport: func(state core.TargetState, err error) { a.observe(in.Clock, state, err) },
+		OnReport: func(state core.TargetState, err error) {
+			if err == nil {
+				in.Serving.markLeaving(in.Clock.Now(), state)
+				a.observe(in.Clock, state)
+			}
+		},
 	})
-	start(in.Lifecycle, keeper)
+	a.release = start(in.Lifecycle, keeper)
 	start(in.Lifecycle, watcher)
 	return a
 }
 
 // observe compares a report with the target's intent.
-func (a *authorities) observe(clock core.ClockProvider, state core.TargetState, err error) {
-	if err != nil || !state.IsEngine() {
+func (a *authorities) observe(clock core.ClockProvider, state core.TargetState) {
+	if !state.IsEngine() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.options.OrderLifetime)
--- a/cmd/instance/console.go
+++ b/cmd/instance/console.go
@@ -43,7 +43,7 @@
 		Shards: c.in.Authorities.shards(), Account: c.in.Serving.dispatcher.Kinds(),
 		EventsLost: c.in.Events.timeline.Lost(),
 	}
-	if refusal := c.in.Leaving.Gate(); refusal != nil {
+	if refusal := c.in.Leaving.ready(); refusal != nil {
 		status.Ready, status.Reason = false, refusal.Message
 	}
 	for _, r := range c.in.Control.member.Members() {
--- a/cmd/instance/leaving.go
+++ b/cmd/instance/leaving.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
-	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gorseline/core"
 	"gorseline/core/configuration"
+	"gorseline/core/drain"
 	"gorseline/core/membership"
 )
 
@@ -15,69 +18,84 @@
 type leaving struct {
 	control *control
 	serving *serving
-	// refusing is set when cached address answers have expired.
-	refusing atomic.Bool
-	// calls counts requests under way.
-	calls atomic.Int64
+	state   *drain.Instance
 }
 
-func newLeaving(c *control, s *serving) *leaving { return &leaving{control: c, serving: s} }
-
-// leavePoll is the time between two looks at the requests that are left.
-const leavePoll = 50 * time.Millisecond
-
-func (l *leaving) leave(ctx context.Context) error {
-	l.control.member.Leave()
-	if !sleep(ctx, membership.KeepFor) {
-		return ctx.Err()
-	}
-	l.refusing.Store(true)
-	for l.calls.Load() > 0 {
-		if !sleep(ctx, leavePoll) {
-			l.serving.relay.HandOver()
-			return ctx.Err()
-		}
-	}
-	return nil
+func newLeaving(s Settings, c *control, serving *serving, a *authorities, recorder core.Recorder) *leaving {
+	l := &leaving{control: c, serving: serving}
+	l.state = drain.NewInstance(drain.Options{
+		Announce: func(context.Context) error {
+			c.member.Leave()
+			return nil
+		},
+		HandOver: serving.relay.HandOver,
+		Release:  a.release,
+		Recorder: recorder,
+		KeepFor:  membership.KeepFor,
+		Limit:    s.LeaveLimit,
+	})
+	return l
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+// leave returns when the instance has left. The end of hurry, as by a second signal,
+// hands over open streams at once.
+func (l *leaving) leave(hurry context.Context) error {
+	l.state.Leave()
+	defer context.AfterFunc(hurry, l.state.Leave)()
+	result := l.state.Run(context.WithoutCancel(hurry))
+	if result.Cut > 0 {
+		return errors.Errorf("%d requests had not ended", result.Cut)
 	}
+	return result.Err
 }
 
-// Gate refuses new work when the instance has left the address answers for long
-// enough, or can't rely on its configuration.
+// Gate refuses new work when the instance can't rely on its configuration.
 func (l *leaving) Gate() *core.Refusal {
-	if l.refusing.Load() {
-		return (core.Refusal{
-			Kind: "Leaving", Message: "this instance is leaving; ask /addresses for another",
-			NotRun: true, Status: http.StatusServiceUnavailable,
-		}).WithRetryAfter(time.Second)
-	}
 	ready := l.control.member.Ready()
 	if ready.Ready && l.serving.policies.InForce() == nil {
 		ready = configuration.Readiness{Reason: "the configuration is being applied"}
 	}
-	if !ready.Ready {
-		return (core.Refusal{
-			Kind: string(core.ReasonNotReady), Message: ready.Reason, NotRun: true, Status: http.StatusServiceUnavailable,
-		}).WithRetryAfter(time.Second)
+	if ready.Ready {
+		return nil
 	}
-	return nil
+	return (core.Refusal{
+		Kind: string(core.ReasonNotReady), Message: ready.Reason, NotRun: true, Status: http.StatusServiceUnavailable,
+	}).WithRetryAfter(time.Second)
 }
 
-// counted counts requests under way.
+// ready is the answer of the readiness endpoint: a leaving instance is not ready,
+// although it still accepts requests from callers that keep its address.
+func (l *leaving) ready() *core.Refusal {
+	if l.state.Phase() != drain.PhaseServing {
+		return &core.Refusal{Kind: "Leaving", Message: "the instance is leaving: " + l.state.Phase().String()}
+	}
+	return l.Gate()
+}
+
+// counted admits requests until cached address answers have expired and counts those
+// under way.
 func (l *leaving) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		l.calls.Add(1)
-		defer l.calls.Add(-1)
+		end, ok := l.state.Begin()
+		if !ok {
+			l.refuse(w, r)
+			return
+		}
+		defer end()
 		next.ServeHTTP(w, r)
 	})
 }
+
+// refuse sends a caller to another instance. A stream that is resumed has run before.
+func (l *leaving) refuse(w http.ResponseWriter, r *http.Request) {
+	const retryAfter = 100 * time.Millisecond
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Retry-After", "1")
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	refusal := core.Refusal{
+		Kind: "Leaving", Message: "this instance is leaving; ask /addresses for another",
+		NotRun: r.Header.Get("Last-Event-ID") == "",
+	}
+	_ = json.NewEncoder(w).Encode(refusal.WithRetryAfter(retryAfter)) // a caller that went away can't be told
+}
--- a/cmd/instance/part.go
+++ b/cmd/instance/part.go
@@ -13,24 +13,27 @@
 }
 
 // start runs a part between the start and the stop of the application. Parts stop
-// in the reverse order of their construction, each before the next one.
-func start(lifecycle fx.Lifecycle, p part) {
+// in the reverse order of their construction, each before the next one. The returned
+// function stops the part earlier.
+func start(lifecycle fx.Lifecycle, p part) (stop func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
+	stop = func(limit context.Context) error {
+		cancel()
+		select {
+		case <-p.Done():
+			return nil
+		case <-limit.Done():
+			return limit.Err()
+		}
+	}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go p.Run(ctx)
 			return nil
 		},
-		OnStop: func(stop context.Context) error {
-			cancel()
-			select {
-			case <-p.Done():
-				return nil
-			case <-stop.Done():
-				return stop.Err()
-			}
-		},
+		OnStop: stop,
 	})
+	return stop
 }
 
 // loop makes a part of a function that runs until its context ends.
--- a/cmd/instance/servers.go
+++ b/cmd/instance/servers.go
@@ -86,7 +86,7 @@
 	operators.Handle("/gorseline.Operator/", operator.NewHandler(newConsole(in)))
 	operators.Handle("/metrics", operator.NewMetricsHandler(in.Metrics))
 	operators.Handle("/health", operator.NewHealthHandler(func() *core.Refusal { return nil }))
-	operators.Handle("/ready", operator.NewHealthHandler(in.Leaving.Gate))
+	operators.Handle("/ready", operator.NewHealthHandler(in.Leaving.ready))
 	peers := http.NewServeMux()
 	peers.Handle("/gorseline.Peer/", peer.NewHandler(in.Control.member))
 
--- a/cmd/instance/serving.go
+++ b/cmd/instance/serving.go
@@ -7,6 +7,7 @@
 	"gorseline/core"
 	"gorseline/core/common/random"
 	"gorseline/core/dispatch"
+	"gorseline/core/drain"
 	"gorseline/core/operation"
 	"gorseline/core/placement"
 	"gorseline/core/policy"
@@ -25,6 +26,8 @@
 	relay      *stream.Relay
 	operations *operation.Executor
 	retrier    *retry.Retrier
+	// leaving knows the targets that get no new work.
+	leaving    *drain.Targets
 	dispatcher *dispatch.Dispatcher
 }
 
@@ -56,6 +59,7 @@
 		policies: policy.NewSet(newPlacer, in.Random.Uint64()),
 		engines:  engine.NewClient(engine.Options{Name: in.Settings.Instance}),
 		retrier:  retry.NewRetrier(retry.DefaultOptions(), in.Random),
+		leaving:  drain.NewTargets(),
 	}
 	s.relay = stream.NewRelay(stream.Options{
 		Completer: s.engines, Clock: in.Clock, Sealer: sealer, Recorder: in.Recorder,
@@ -66,7 +70,7 @@
 		Policies: s.policies, Fleet: s.fleet, Completer: s.engines, Relay: s.relay, Sealer: sealer,
 		Services: service.NewClient(service.Options{}), Operations: s.operations, Retrier: s.retrier,
 		Hedger:   retry.NewHedger(retry.DefaultHedgeOptions(), s.retrier.Budget()),
-		Circuits: circuits, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
+		Circuits: circuits, Leaving: s.leaving, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
 	})
 	start(in.Lifecycle, s.engines)
 	start(in.Lifecycle, s.operations)
@@ -97,3 +101,12 @@
 		RoleChangePrice: preset.RoleChangePrice, MinimumStay: preset.MinimumStay,
 	})
 }
+
+// markLeaving follows a target's own report that it leaves or stays.
+func (s *serving) markLeaving(now core.Instant, state core.TargetState) {
+	if state.Report.Leaving || state.Drained {
+		s.leaving.Mark(now, state.ID)
+	} else {
+		s.leaving.Unmark(state.ID)
+	}
+}
--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -92,7 +92,10 @@
 	if !known {
 		return core.ServiceResult{Outcome: core.OutcomeNotRun, Err: core.ErrNotRun}
 	}
-	finished := a.send(decision)
+	finished, ok := a.send(decision)
+	if !ok {
+		return core.ServiceResult{Outcome: core.OutcomeNotRun, Err: core.ErrNotRun}
+	}
 	defer finished()
 	call.Attempt = d.Attempts()
 	result := d.Services.Call(ctx, target.Address, call)
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -58,7 +58,9 @@
 	completion core.CompletionRequest
 	attempts   int
 	load       estimate.Load
-	finished   func()
+	// backlog is the prompt work, in tokens, that the request found on its target.
+	backlog  float64
+	finished func()
 }
 
 func (r *completionRun) serve(call stream.Call, sink stream.Sink) {
@@ -93,36 +95,50 @@
 	return r.prepare(exclude)
 }
 
-// prepare computes the prompt on another engine where the decision says so. When
-// that fails it chooses again without that engine.
+// prepare computes the prompt on another engine where the decision says so. When that
+// fails, or the target has begun to leave, it chooses again without that engine.
 func (r *completionRun) prepare(exclude []core.TargetID) (stream.Candidate, bool) {
 	d := r.dispatcher
+	exclude = slices.Clone(exclude)
 	for r.decision.Found() {
 		target, known := d.Fleet.State(r.decision.Target)
 		if !known {
 			return stream.Candidate{}, false
 		}
-		candidate := stream.Candidate{Target: target.ID, Address: target.Address}
-		if r.decision.ImportFrom != "" {
-			source, _ := d.Fleet.State(r.decision.ImportFrom)
-			candidate.ImportFrom = source.Address
-		}
 		r.load = estimate.LoadAt(d.Clock.Now(), &target)
-		r.finished = r.send(r.decision)
-		if r.decision.Prefill == "" || r.decision.Prefill == r.decision.Target {
-			return candidate, true
+		r.backlog = r.load.Wait.Seconds() * estimate.PrefillRate(&target)
+		finished, ok := r.send(r.decision)
+		if !ok {
+			exclude = append(exclude, r.decision.Target)
+			r.decision = r.route(d.Clock.Now(), exclude)
+			continue
 		}
-		if source, ok := r.prefill(); ok {
-			candidate.ImportFrom = source
-			return candidate, true
+		r.finished = finished
+		source, ok := r.promptSource()
+		if ok {
+			return stream.Candidate{Target: target.ID, Address: target.Address, ImportFrom: source}, true
 		}
 		r.release()
-		exclude = append(slices.Clone(exclude), r.decision.Prefill)
+		exclude = append(exclude, r.decision.Prefill)
 		r.decision = r.route(d.Clock.Now(), exclude)
 	}
 	return stream.Candidate{}, false
 }
 
+// promptSource returns the address of the engine to import the prompt's KV cache from;
+// it is empty if the target computes the prompt. It returns false if the prefill
+// engine failed.
+func (r *completionRun) promptSource() (address string, ok bool) {
+	switch {
+	case r.decision.Prefill != "" && r.decision.Prefill != r.decision.Target:
+		return r.prefill()
+	case r.decision.ImportFrom != "":
+		source, _ := r.dispatcher.Fleet.State(r.decision.ImportFrom)
+		return source.Address, true
+	}
+	return "", true
+}
+
 // prefill computes the prompt on the prefill engine and returns its address.
 func (r *completionRun) prefill() (address string, ok bool) {
 	d := r.dispatcher
@@ -134,12 +150,12 @@
 	defer cancel()
 	prefill := r.completion
 	prefill.PrefillOnly = true
-	err := drain(ctx, d.Completer, engine.Address, prefill)
+	err := runPrefill(ctx, d.Completer, engine.Address, prefill)
 	d.Circuits.Ended(engine.ID, err == nil || r.ctx.Err() != nil)
 	return engine.Address, err == nil
 }
 
-func drain(ctx context.Context, completer core.Completer, address string, completion core.CompletionRequest) error {
+func runPrefill(ctx context.Context, completer core.Completer, address string, completion core.CompletionRequest) error {
 	reader, err := completer.Complete(ctx, address, completion)
 	if err != nil {
 		return err
@@ -171,7 +187,7 @@
 	}
 	whole := r.dispatcher.Clock.Now().Sub(r.req.Arrived)
 	r.dispatcher.Fleet.Observe(result.Target, estimate.Observation{
-		Backlog:       r.load.Backlog,
+		Backlog:       r.backlog,
 		Computed:      max(0, r.req.PromptTokens-r.decision.Estimate.PrefixTokens),
 		FirstToken:    result.FirstToken,
 		Sequences:     r.load.Sequences + 1,
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/drain"
 	"gorseline/core/operation"
 	"gorseline/core/retry"
 	"gorseline/core/routing"
@@ -30,8 +31,10 @@
 	Retrier    *retry.Retrier
 	Hedger     *retry.Hedger
 	Circuits   *Circuits
-	Clock      core.ClockProvider
-	Recorder   core.Recorder
+	// Leaving knows the targets that get no new work.
+	Leaving  *drain.Targets
+	Clock    core.ClockProvider
+	Recorder core.Recorder
 	// Attempts returns a new ID that no process has used.
 	Attempts func() core.AttemptID
 }
@@ -113,9 +116,16 @@
 }
 
 // send notes that the request goes to a target and returns what to call at its end.
-func (a *admitted) send(decision core.Decision) (finished func()) {
+// It returns false if the target has begun to leave since the decision.
+func (a *admitted) send(decision core.Decision) (finished func(), ok bool) {
 	d := a.dispatcher
+	if !d.Leaving.Begin(decision.Target) {
+		return nil, false
+	}
 	d.Fleet.Sent(d.Clock.Now(), a.req, decision)
 	d.record(EventRouted, a.req, decision.Target, decision.Reason, decision.Estimate.Total.Round(time.Millisecond).String())
-	return func() { d.Fleet.Finished(d.Clock.Now(), decision) }
+	return func() {
+		d.Leaving.End(decision.Target)
+		d.Fleet.Finished(d.Clock.Now(), decision)
+	}, true
 }
--- a/core/propagation/node.go
+++ b/core/propagation/node.go
@@ -18,7 +18,7 @@
 	ReaderInterval = time.Second
 	// FollowerInterval is how long other instances go without a confirmation of
 	// the head before they poll it themselves.
-	FollowerInterval = 8 * time.Second
+	FollowerInterval = 5 * time.Second
 	// pollJitter keeps followers from polling at the same time after an outage.
 	pollJitter = 2 * time.Second
 	// reportSpacing is the least time between two reports of an instance, and
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -71,8 +71,9 @@
 	defer close(w.work)
 	for {
 		w.round(ctx)
-		// Jitter keeps the instances from polling a target at the same moment.
-		pause := w.options.Interval/2 + time.Duration(w.options.Random.Unit()*float64(w.options.Interval))
+		// Jitter keeps the instances from polling a target at the same moment. Its
+		// bound keeps a leaving target's mark within the 3 s that it may take.
+		pause := w.options.Interval*3/4 + time.Duration(w.options.Random.Unit()*float64(w.options.Interval)/4)
 		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
