--- a/cmd/instance/servers.go
+++ b/cmd/instance/servers.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
 	"gorseline/core"
+	"gorseline/core/timeline"
 	"gorseline/io/caller"
 	"gorseline/io/certificate"
 	"gorseline/io/operator"
@@ -56,6 +58,7 @@
 // servers serve the three ports.
 type servers struct {
 	listeners *listeners
+	registry  metrics.Registry
 	log       log.Interface
 }
 
@@ -71,13 +74,15 @@
 	Events      *eventFlusher
 	Leaving     *leaving
 	Clock       core.ClockProvider
+	Stamps      *timeline.Clock
+	Recorder    core.Recorder
 	Metrics     metrics.Registry
 	Log         log.Interface
 	Secure      *certificate.Source
 }
 
 func newServers(in serverInputs) *servers {
-	s := &servers{listeners: in.Listeners, log: in.Log}
+	s := &servers{listeners: in.Listeners, registry: in.Metrics, log: in.Log}
 	callers := caller.NewHandler(caller.Options{
 		Configuration: in.Control.applier, Dispatcher: in.Serving.dispatcher, Addresses: in.Control,
 		Gate: in.Leaving, Clock: in.Clock, MaxBody: in.Settings.MaxBody,
@@ -88,7 +93,9 @@
 	operators.Handle("/health", operator.NewHealthHandler(func() *core.Refusal { return nil }))
 	operators.Handle("/ready", operator.NewHealthHandler(in.Leaving.ready))
 	peers := http.NewServeMux()
-	peers.Handle("/gorseline.Peer/", peer.NewHandler(in.Control.member))
+	peers.Handle("/gorseline.Peer/", peer.NewHandler(
+		in.Control.member, connect.WithInterceptors(peer.NewClockInterceptor(in.Stamps)),
+	))
 
 	s.serve(in, in.Listeners.callers, in.Leaving.counted(callers), in.Secure.Callers(), &http.Server{
 		ReadHeaderTimeout: in.Settings.HeaderWait, ReadTimeout: in.Settings.BodyWait,
--- a/cmd/instance/serving.go
+++ b/cmd/instance/serving.go
@@ -42,6 +42,7 @@
 	Random    *random.Source
 	Recorder  core.Recorder
 	Attempts  Attempts
+	Observer  *instruments
 	Log       log.Interface
 }
 
@@ -71,6 +72,7 @@
 		Services: service.NewClient(service.Options{}), Operations: s.operations, Retrier: s.retrier,
 		Hedger:   retry.NewHedger(retry.DefaultHedgeOptions(), s.retrier.Budget()),
 		Circuits: circuits, Leaving: s.leaving, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
+		Observer: in.Observer,
 	})
 	start(in.Lifecycle, s.engines)
 	start(in.Lifecycle, s.operations)
