--- a/core/estimate/estimate_test.go
+++ b/core/estimate/estimate_test.go
@@ -82,19 +82,26 @@
 		got  core.Estimate
 		less bool
 	}{
-		"prefix hit": {estimate.Target(0, request(plain), state(same), 2000), true},
-		"urgent":     {estimate.Target(0, request(func(r *core.Request) { r.Kind.Urgent = true }), state(same), 0), true},
-		"old report": {estimate.Target(core.Instant(time.Second), request(plain), state(same), 0), true},
-		"faster":     {estimate.Target(0, request(plain), state(func(s *core.TargetState) { s.PrefillRate = 20_000 }), 0), true},
-		"sent":       {estimate.Target(0, request(plain), state(func(s *core.TargetState) { s.SentPromptTokens = 5000 }), 0), false},
-		"batch":      {estimate.Target(0, request(plain), state(func(s *core.TargetState) { s.Report.Running = 20 }), 0), false},
-		"memory":     {estimate.Target(0, request(plain), state(func(s *core.TargetState) { s.Report.KVUsed = 99_000 }), 0), false},
+		"prefix hit":   {estimate.Target(0, request(plain), state(same), 2000), true},
+		"urgent":       {estimate.Target(0, request(func(r *core.Request) { r.Kind.Urgent = true }), state(same), 0), true},
+		"old report":   {estimate.Target(core.Instant(time.Second), request(plain), state(same), 0), true},
+		"faster":       {estimate.Target(0, request(plain), state(func(s *core.TargetState) { s.PrefillRate = 20_000 }), 0), true},
+		"sent":         {estimate.Target(0, request(plain), state(func(s *core.TargetState) { s.SentPromptTokens = 5000 }), 0), false},
+		"batch":        {estimate.Target(0, request(plain), state(func(s *core.TargetState) { s.Report.Running = 20 }), 0), false},
+		"no slot":      {estimate.Target(0, request(plain), state(func(s *core.TargetState) { s.Report.Slots = 8 }), 0), false},
+		"mixed engine": {estimate.Target(0, request(plain), state(func(s *core.TargetState) { s.Report.Role = core.RoleMixed }), 0), false},
+		"memory":       {estimate.Target(0, request(plain), state(func(s *core.TargetState) { s.Report.KVUsed = 99_000 }), 0), false},
 	}
 	for name, c := range cases {
 		if (c.got.Total < base.Total) != c.less || c.got.Total == base.Total {
 			t.Errorf("%s: total %v, before %v", name, c.got.Total, base.Total)
 		}
 	}
+	urgent := request(func(r *core.Request) { r.Kind.Urgent = true })
+	ahead := state(func(s *core.TargetState) { s.UrgentTokens = 5000 })
+	if more := estimate.Target(0, urgent, ahead, 0).Queue - estimate.Target(0, urgent, state(same), 0).Queue; more != 500*time.Millisecond {
+		t.Errorf("5000 urgent tokens ahead delay an urgent request by %v", more)
+	}
 	tooLong := request(func(r *core.Request) { r.PromptTokens = 200_000 })
 	if got := estimate.Target(0, tooLong, state(same), 0); got.Total < estimate.Never {
 		t.Errorf("a prompt above the KV capacity is expected within %v", got.Total)
--- a/core/routing/full.go
+++ b/core/routing/full.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"sync/atomic"
 	"time"
 
 	"gorseline/core"
@@ -55,6 +56,9 @@
 	random  *random.Source
 	// perTransfer is the transfer time of one prompt token, in nanoseconds.
 	perTransfer float64
+	// wide is set while the last decision needed the whole subset. The next one then
+	// starts with it, so that overload does not add a first look to every decision.
+	wide atomic.Bool
 }
 
 var _ core.Router = (*full)(nil)
@@ -77,16 +81,25 @@
 func (r *full) Route(now core.Instant, req *core.Request, fleet core.Fleet) core.Decision {
 	s := scratches.Get().(*scratch)
 	defer s.release()
-	n := s.look(now, req, fleet, r.options.Probe)
-	result := r.among(now, req, fleet, s, n)
-	if result.Reason != core.ReasonNoTarget && result.Reason != core.ReasonDeadline {
-		return result
+	if !r.wide.Load() {
+		n := s.look(now, req, fleet, r.options.Probe)
+		result := r.among(now, req, fleet, s, n)
+		if suitable(result) || n < r.options.Probe || r.options.Subset == r.options.Probe {
+			return result
+		}
+		r.wide.Store(true)
 	}
-	if n < r.options.Probe || r.options.Subset == r.options.Probe {
-		return result
+	n := s.look(now, req, fleet, r.options.Subset)
+	result := r.among(now, req, fleet, s, n)
+	if suitable(result) {
+		r.wide.Store(false)
 	}
-	n = s.look(now, req, fleet, r.options.Subset)
-	return r.among(now, req, fleet, s, n)
+	return result
+}
+
+// suitable reports whether looking at more candidates is not worth its time.
+func suitable(result core.Decision) bool {
+	return result.Reason != core.ReasonNoTarget && result.Reason != core.ReasonDeadline
 }
 
 func (r *full) among(now core.Instant, req *core.Request, fleet core.Fleet, s *scratch, n int) core.Decision {
@@ -104,7 +117,7 @@
 	if req.Service != "" {
 		return result
 	}
-	if !generates(s.states[i], req) {
+	if s.roles[i] == core.RoleDecode {
 		result.Prefill = s.states[prefill].ID
 		// Targets are compared by all that was promised to them, which balances them,
 		// but the answer is expected under the load that will be left by then.
@@ -131,9 +144,9 @@
 	holder := mostHits(s, n)
 	prefill, queue, ready := r.prefillPartner(req, s, n)
 	s.queue, s.ready = queue, ready
-	for i, state := range s.states[:n] {
+	for i := range s.states[:n] {
 		s.imports[i] = -1
-		switch role(state) {
+		switch s.roles[i] {
 		case core.RoleMixed:
 			r.withImport(req, s, i, holder)
 		case core.RoleDecode:
@@ -175,9 +188,12 @@
 // holds most of the prompt, and one at random among equals: with long queues the prefix
 // saves little of the delay but all of its share of the work.
 func (r *full) prefillPartner(req *core.Request, s *scratch, n int) (int, time.Duration, time.Duration) {
-	best := estimate.Never + 1
+	if s.prefills == 0 {
+		return -1, 0, 0
+	}
+	best := 4 * estimate.Never // queue and computation are at most Never each
 	for i, state := range s.states[:n] {
-		if role(state) == core.RolePrefill {
+		if s.roles[i] == core.RolePrefill {
 			_, ready := estimate.Prefill(req, state, &s.loads[i], s.hits[i])
 			s.estimates[i].Total = ready
 			best = min(best, ready)
@@ -185,8 +201,8 @@
 	}
 	chosen, equals := -1, 0
 	limit := best + time.Duration(r.options.NearBest*float64(best))
-	for i, state := range s.states[:n] {
-		if role(state) != core.RolePrefill || s.estimates[i].Total > limit {
+	for i := range s.states[:n] {
+		if s.roles[i] != core.RolePrefill || s.estimates[i].Total > limit {
 			continue
 		}
 		switch {
@@ -199,9 +215,6 @@
 			}
 		}
 	}
-	if chosen < 0 {
-		return -1, 0, 0
-	}
 	queue, ready := estimate.Prefill(req, s.states[chosen], &s.loads[chosen], s.hits[chosen])
 	return chosen, queue, ready
 }
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -32,7 +32,7 @@
 // engine computes prompts between its decode steps, so a prompt that arrives during a
 // short answer can double the time between its tokens.
 func (p *pool) preferSteady(s *scratch) {
-	steady := func(i int) bool { return role(s.states[i]) == core.RoleDecode }
+	steady := func(i int) bool { return s.roles[i] == core.RoleDecode }
 	for _, i := range p.members[:p.count] {
 		if steady(int(i)) {
 			p.keep(steady)
