--- a/cmd/instance/apply.go
+++ b/cmd/instance/apply.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
 	"gorseline/core"
+	"gorseline/core/timeline"
 )
 
 // eventApplied records that a revision took hold on this instance.
@@ -18,7 +20,10 @@
 const fleetSizeInterval = 5 * time.Second
 
 // configurationLoop passes each new revision to the parts that depend on it.
-type configurationLoop struct{ applyInputs }
+type configurationLoop struct {
+	applyInputs
+	compared policiesCompared
+}
 
 type applyInputs struct {
 	fx.In
@@ -28,11 +33,12 @@
 	Serving   *serving
 	Platform  *platform
 	Recorder  core.Recorder
+	Clock     core.ClockProvider
 	Log       log.Interface
 }
 
 func applyConfiguration(in applyInputs) {
-	start(in.Lifecycle, newLoop((&configurationLoop{in}).run))
+	start(in.Lifecycle, newLoop((&configurationLoop{applyInputs: in}).run))
 }
 
 func (l *configurationLoop) run(ctx context.Context) {
@@ -50,7 +56,20 @@
 		case <-revisions:
 			l.apply(l.Control.applier.Configuration())
 		case <-ticker.C:
-			l.Platform.table.SetInstances(max(1, len(l.Control.members())))
+			members := max(1, len(l.Control.members()))
+			l.Platform.table.SetInstances(members)
+			l.Serving.fleet.SetInstances(members)
+		}
+	}
+}
+
+// markDrained stops new work to the targets that operators drained.
+func (l *configurationLoop) markDrained(c core.Configuration) {
+	for _, target := range c.Targets {
+		if c.Drained[target.ID] {
+			l.Serving.leaving.Mark(l.Clock.Now(), target.ID)
+		} else if state, known := l.Serving.fleet.State(target.ID); known && !state.Report.Leaving {
+			l.Serving.leaving.Unmark(target.ID)
 		}
 	}
 }
@@ -58,6 +77,7 @@
 func (l *configurationLoop) apply(c core.Configuration) {
 	l.Serving.fleet.SetTargets(c.Targets)
 	l.Serving.fleet.SetDrained(c.Drained)
+	l.markDrained(c)
 	l.Serving.retrier.Budget().SetRatio(c.Preset().RetryBudget)
 	if err := l.Serving.policies.Apply(c); err != nil {
 		// Validation before acceptance excludes this, except for a newer version of
@@ -65,6 +85,12 @@
 		l.Log.WithError(err).Error("configuration: policies not built, earlier ones stay")
 		return
 	}
-	l.Recorder.Record(core.Event{Kind: eventApplied, Detail: c.PresetInForce})
+	if next := comparedBy(c); !reflect.DeepEqual(next, l.compared) {
+		l.compared = next
+		l.Serving.dispatcher.ComparePolicies(c.Revision)
+	}
+	var in timeline.Inputs
+	in.Int("Revision", int64(c.Revision)).Text("Preset", c.PresetInForce).Text("Policy", c.Preset().Policy)
+	l.Recorder.Record(core.Event{Kind: eventApplied, Detail: in.String()})
 	l.Log.WithField("revision", c.Revision).WithField("preset", c.PresetInForce).Info("configuration: revision applied")
 }
--- a/cmd/instance/console.go
+++ b/cmd/instance/console.go
@@ -22,7 +22,7 @@
 
 func newConsole(in serverInputs) *console {
 	return &console{
-		ConfigurationProvider: in.Control.applier, Proposer: in.Control.member,
+		ConfigurationProvider: in.Control.applier, Proposer: recordedProposer{in.Control.member, in.Recorder},
 		HistoryReader: in.Control.store, OperationReader: in.Serving.operations, in: in,
 	}
 }
@@ -43,7 +43,8 @@
 		Shards: c.in.Authorities.shards(), Account: c.in.Serving.dispatcher.Kinds(),
 		EventsLost: c.in.Events.timeline.Lost(),
 	}
-	if refusal := c.in.Leaving.Gate(); refusal != nil {
+	status.Policies, status.PoliciesSince = c.in.Serving.dispatcher.PolicyAccounts()
+	if refusal := c.in.Leaving.ready(); refusal != nil {
 		status.Ready, status.Reason = false, refusal.Message
 	}
 	for _, r := range c.in.Control.member.Members() {
--- a/cmd/instance/instance.go
+++ b/cmd/instance/instance.go
@@ -41,9 +41,11 @@
 			func() log.Interface { return newLogger(settings, logs) },
 			core.NewDeadlineClock,
 			func(c core.DeadlineClock) core.ClockProvider { return c },
+			func() *timeline.Clock { return timeline.NewClock(timeline.SystemWall) },
 			newTimeline,
-			func(t *timeline.Timeline) core.Recorder { return t },
+			newRecorder,
 			metrics.NewRegistry,
+			newInstruments,
 			newRandom,
 			newAttempts,
 			func() (*certificate.Source, error) { return certificate.NewSource(certificate.Files(settings.TLS)) },
@@ -57,7 +59,7 @@
 			newLeaving,
 			newServers,
 		),
-		fx.Invoke(applyConfiguration, func(*placementLoop, *eventFlusher) {}),
+		fx.Invoke(applyConfiguration, registerGauges, watchExperiments, func(*placementLoop, *eventFlusher) {}),
 		fx.Populate(&i.servers, &i.leaving),
 	)
 	return i, i.app.Err()
@@ -99,6 +101,6 @@
 		WithField("instance", s.Instance)
 }
 
-func newTimeline(s Settings) *timeline.Timeline {
-	return timeline.New(core.InstanceID(s.Instance), timeline.NewClock(timeline.SystemWall), s.EventsKept)
+func newTimeline(s Settings, clock *timeline.Clock) *timeline.Timeline {
+	return timeline.New(core.InstanceID(s.Instance), clock, s.EventsKept)
 }
--- a/cmd/instance/placement.go
+++ b/cmd/instance/placement.go
@@ -12,6 +12,7 @@
 	"gorseline/core"
 	"gorseline/core/authority"
 	"gorseline/core/dispatch"
+	"gorseline/core/timeline"
 )
 
 // placementInterval is the time between two plans. It is short against the ten
@@ -77,39 +78,71 @@
 	now := l.clock.Now()
 	elapsed := now.Sub(l.plannedAt).Seconds()
 	l.plannedAt = now
-	models := map[core.Model][]core.TargetState{}
-	for _, state := range l.serving.fleet.States() {
-		if state.IsEngine() && l.authorities.holds(state.Target) {
-			models[state.Report.Model] = append(models[state.Report.Model], state)
-		}
-	}
 	traffic := l.serving.dispatcher.Traffic()
 	// Callers are spread evenly over the instances, so the own share stands for all.
 	scale := float64(len(l.control.members())) / elapsed
-	for model, engines := range models {
-		slices.SortFunc(engines, func(a, b core.TargetState) int { return cmp.Compare(a.ID, b.ID) })
-		rate := traffic[model].Minus(l.before[model])
+	for _, group := range l.groups() {
+		rate := traffic[group.model].Minus(l.before[group.model])
+		part := scale * group.part
 		view := core.PlacementView{
-			Model: model, Engines: engines,
-			PromptRate: rate.PromptTokens * scale, OutputRate: rate.OutputTokens * scale,
-			Goodput: rate.Goodput * scale, Offered: rate.Offered * scale,
+			Model: group.model, Engines: group.engines,
+			PromptRate: rate.PromptTokens * part, OutputRate: rate.OutputTokens * part,
+			Goodput: rate.Goodput * part, Offered: rate.Offered * part,
 		}
-		l.before[model] = traffic[model]
 		for _, change := range policy.Plan(now, &view) {
-			l.submit(ctx, engines, change)
+			l.submit(ctx, &view, change)
+		}
+	}
+	l.before = traffic
+}
+
+// engineGroup is the engines of one model in one shard that this instance holds.
+type engineGroup struct {
+	model   core.Model
+	engines []core.TargetState
+	// part is the group's part of the model's engines, from 0 to 1.
+	part float64
+}
+
+// groups returns the engines to plan, each group by itself.
+func (l *placementLoop) groups() []engineGroup {
+	type key struct {
+		model core.Model
+		shard int
+	}
+	held := l.authorities.shards()
+	total := map[core.Model]int{}
+	members := map[key][]core.TargetState{}
+	for _, state := range l.serving.fleet.States() {
+		if !state.IsEngine() || state.ReportedAt == 0 {
+			continue
+		}
+		total[state.Report.Model]++
+		if shard := l.authorities.shardOf(state.Target); slices.Contains(held, shard) {
+			k := key{state.Report.Model, shard}
+			members[k] = append(members[k], state)
 		}
 	}
+	groups := make([]engineGroup, 0, len(members))
+	for k, engines := range members {
+		slices.SortFunc(engines, func(a, b core.TargetState) int { return cmp.Compare(a.ID, b.ID) })
+		groups = append(groups, engineGroup{k.model, engines, float64(len(engines)) / float64(total[k.model])})
+	}
+	slices.SortFunc(groups, func(a, b engineGroup) int {
+		return cmp.Or(cmp.Compare(a.model, b.model), cmp.Compare(a.engines[0].ID, b.engines[0].ID))
+	})
+	return groups
 }
 
-func (l *placementLoop) submit(ctx context.Context, engines []core.TargetState, change core.RoleChange) {
+func (l *placementLoop) submit(ctx context.Context, view *core.PlacementView, change core.RoleChange) {
+	engines := view.Engines
 	i := slices.IndexFunc(engines, func(s core.TargetState) bool { return s.ID == change.Target })
 	if i < 0 {
 		return
 	}
 	report := engines[i].Report
 	l.recorder.Record(core.Event{
-		Kind: eventRoleChange, Target: change.Target, Reason: change.Reason,
-		Detail: change.From.String() + " to " + change.To.String(),
+		Kind: eventRoleChange, Target: change.Target, Reason: change.Reason, Detail: planInputs(view, change),
 	})
 	ctx, cancel := context.WithTimeout(ctx, l.authorities.options.OrderLifetime)
 	defer cancel()
@@ -118,3 +151,11 @@
 	})
 	l.log.WithField("target", change.Target).WithField("result", result).Info("placement: role change submitted")
 }
+
+// planInputs returns the plan and what it was made on, in tokens and weight per second.
+func planInputs(view *core.PlacementView, change core.RoleChange) string {
+	var in timeline.Inputs
+	return in.Text("From", change.From.String()).Text("To", change.To.String()).Float("Gain", change.Gain).
+		Float("PromptRate", view.PromptRate).Float("OutputRate", view.OutputRate).
+		Float("Goodput", view.Goodput).Float("Offered", view.Offered).String()
+}
--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -45,7 +45,7 @@
 	result := d.Operations.Execute(ctx, claim, func(ctx context.Context) core.ServiceResult {
 		return a.attempt(ctx, a.decision, call)
 	})
-	a.finish(result.Outcome, result.Reason)
+	a.finish(result.Outcome, result.Reason, Run{})
 	return operationAnswer(a.req, result)
 }
 
@@ -92,7 +92,10 @@
 	if !known {
 		return core.ServiceResult{Outcome: core.OutcomeNotRun, Err: core.ErrNotRun}
 	}
-	finished := a.send(decision)
+	finished, ok := a.send(decision)
+	if !ok {
+		return core.ServiceResult{Outcome: core.OutcomeNotRun, Err: core.ErrNotRun}
+	}
 	defer finished()
 	call.Attempt = d.Attempts()
 	result := d.Services.Call(ctx, target.Address, call)
@@ -119,7 +122,7 @@
 		last, all := a.hedged(ctx, decision, exclude, call)
 		if last.result.Outcome == core.OutcomeDone {
 			d.Hedger.Observe(a.req.Kind.Name, d.Clock.Now().Sub(started))
-			a.finish(core.OutcomeDone, decision.Reason)
+			a.finish(core.OutcomeDone, decision.Reason, Run{})
 			return last.result.Answer, nil
 		}
 		exclude = append(exclude, all...)
@@ -136,7 +139,7 @@
 		}
 		decision = next
 	}
-	a.finish(core.OutcomeUnknown, "TargetFailed")
+	a.finish(core.OutcomeUnknown, "TargetFailed", Run{})
 	return core.ServiceAnswer{}, (core.Refusal{
 		Kind: "TargetFailed", Message: "no target answered in time; the call may be repeated", Status: http.StatusBadGateway,
 	}).WithRetryAfter(retryWithoutTarget)
--- a/core/routing/ring.go
+++ b/core/routing/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,14 +36,23 @@
 }
 
 func newOrder(members []*node, permutation uint64) order {
-	nodes := slices.Clone(members)
-	place := func(n *node) uint64 { return random.Mix(n.hash + permutation) }
-	slices.SortFunc(nodes, func(a, b *node) int {
-		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.id, b.id))
+	type entry struct {
+		place uint64
+		node  *node
+	}
+	entries := make([]entry, len(members))
+	for i, n := range members {
+		entries[i] = entry{random.Mix(n.hash + permutation), n}
+	}
+	slices.SortFunc(entries, func(a, b entry) int {
+		if a.place != b.place {
+			return cmp.Compare(a.place, b.place)
+		}
+		return cmp.Compare(a.node.id, b.node.id)
 	})
-	o := order{nodes: nodes, places: make([]uint64, len(nodes))}
-	for i, n := range nodes {
-		o.places[i] = place(n)
+	o := order{places: make([]uint64, len(entries)), nodes: make([]*node, len(entries))}
+	for i, e := range entries {
+		o.places[i], o.nodes[i] = e.place, e.node
 	}
 	return o
 }
@@ -52,6 +62,21 @@
 	return random.Mix(xxhash.Sum64String(string(req.Organisation)) ^ random.Mix(req.AffinityKey()))
 }
 
+// find returns the first position whose place is not below the given one. Places are
+// evenly spread, so it starts where the place would be on average; this takes less time
+// than a binary search, whose branches can't be predicted.
+func (o *order) find(place uint64) int {
+	high, _ := bits.Mul64(place, uint64(len(o.places)))
+	at := int(high)
+	for at > 0 && o.places[at-1] >= place {
+		at--
+	}
+	for at < len(o.places) && o.places[at] < place {
+		at++
+	}
+	return at
+}
+
 // skipFactor bounds a walk to this many targets per place in the result, once one usable
 // target was found, so that a fleet with many drained targets doesn't slow decisions.
 const skipFactor = 4
@@ -61,7 +86,7 @@
 func (r *ring) walk(req *core.Request, into []*core.TargetState) []*core.TargetState {
 	place := placeOf(req)
 	o := &r.orders[place%permutations]
-	at, _ := slices.BinarySearch(o.places, place)
+	at := o.find(place)
 	before, room := len(into), cap(into)
 	for step := range len(o.nodes) {
 		if len(into) == room || len(into) > before && step >= skipFactor*(room-before) {
--- a/core/stream/session.go
+++ b/core/stream/session.go
@@ -40,8 +40,9 @@
 	excluded  []core.TargetID
 	// importFrom is the address that the current target imports KV cache from.
 	importFrom string
-	tries      int // targets tried
-	idle       int // tries in a row that brought no piece
+	cause      error // of the latest failed try
+	tries      int   // targets tried
+	idle       int   // tries in a row that brought no piece
 
 	pending       []byte // text not yet written, at most MergeBytes and one piece
 	pendingOffset int    // offset behind the pending text
@@ -93,6 +94,7 @@
 		if err == nil {
 			return nil
 		}
+		s.cause = err
 		if s.ctx.Err() != nil {
 			return context.Cause(s.ctx)
 		}
@@ -183,7 +185,7 @@
 func (s *session) prepare(resume bool) error {
 	if resume {
 		s.result.Resumes++
-		s.record("StreamResumed", s.delivered.Target, "")
+		s.record("StreamResumed", s.delivered.Target, s.why())
 		s.match.held, s.match.bytes = nil, 0
 		return nil
 	}
@@ -195,7 +197,7 @@
 	s.lost = false
 	if s.sent {
 		s.result.Reruns++
-		s.record("StreamRerun", candidate.Target, "")
+		s.record("StreamRerun", candidate.Target, s.why())
 	}
 	attempt := core.AttemptID(string(s.call.Completion.Attempt) + "/" + strconv.Itoa(s.tries))
 	s.count()
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -51,6 +51,8 @@
 	IdleTimeout time.Duration
 	// TLS is the configuration of connections to peers; nil speaks plain HTTP/2.
 	TLS *tls.Config
+	// Options hold for all procedures, such as the interceptor of NewClockInterceptor.
+	Options []connect.ClientOption
 	// Dial replaces the dialer, for measuring.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -112,12 +114,12 @@
 	}
 	p := &procedures{
 		transport: transport,
-		probe:     procedure[membership.Message, membership.Message](client, base, pathProbe),
-		indirect:  procedure[membership.Message, membership.Message](client, base, pathIndirectProbe),
-		digest:    procedure[membership.Message, membership.Message](client, base, pathDigest),
-		push:      procedure[propagation.Push, propagation.PushReply](client, base, pathPush),
-		pull:      procedure[propagation.Pull, propagation.PullReply](client, base, pathPull),
-		status:    procedure[propagation.StatusRequest, propagation.StatusReply](client, base, pathStatus),
+		probe:     procedure[membership.Message, membership.Message](c, client, base, pathProbe),
+		indirect:  procedure[membership.Message, membership.Message](c, client, base, pathIndirectProbe),
+		digest:    procedure[membership.Message, membership.Message](c, client, base, pathDigest),
+		push:      procedure[propagation.Push, propagation.PushReply](c, client, base, pathPush),
+		pull:      procedure[propagation.Pull, propagation.PullReply](c, client, base, pathPull),
+		status:    procedure[propagation.StatusRequest, propagation.StatusReply](c, client, base, pathStatus),
 	}
 	// Another call may have added the peer meanwhile.
 	if earlier, found, _ := c.peers.PeekOrAdd(address, p); found {
@@ -126,9 +128,10 @@
 	return p
 }
 
-func procedure[Request, Reply any](client *http.Client, base, path string) *connect.Client[Request, Reply] {
+func procedure[Request, Reply any](c *Client, client *http.Client, base, path string) *connect.Client[Request, Reply] {
 	return connect.NewClient[Request, Reply](client, base+path,
-		connect.WithCodec(Codec{}), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage))
+		connect.WithCodec(Codec{}), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage),
+		connect.WithClientOptions(c.options.Options...))
 }
 
 // call makes one call. Without a reply in time the peer gets a new connection.
