--- a/standin/engine/connection_test.go
+++ b/standin/engine/connection_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,26 +82,27 @@
 		server := &http.Server{Handler: e}
 		go server.Serve(n.Listen(address))
 		go e.Run(ctx)
-		pause := time.Duration(0)
+		var pause atomic.Int64 // of each dial
 		c := client.NewClient(client.Options{Connections: target.Options{
 			Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := n.Dial(ctx, network, address)
-				time.Sleep(pause)
+				time.Sleep(time.Duration(pause.Load()))
 				return conn, err
 			},
 		}})
 		order := core.Order{Role: core.RoleDecode, Model: "ledger-7b", WeightsVersion: "v1", Fence: 1}
-		for _, pause = range []time.Duration{time.Second, 0} {
+		for _, paused := range []time.Duration{time.Second, 0} {
+			pause.Store(int64(paused))
 			limited, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 			got := c.Order(limited, address, order)
 			cancel()
 			time.Sleep(2 * time.Second)
 			want, orders := core.OrderUnknown, 0
-			if pause == 0 {
+			if paused == 0 {
 				want, orders = core.OrderAccepted, 1
 			}
 			if got != want || e.Counters().Orders != orders {
-				t.Errorf("pause %v: %v, %d orders taken", pause, got, e.Counters().Orders)
+				t.Errorf("pause %v: %v, %d orders taken", paused, got, e.Counters().Orders)
 			}
 		}
 		stop()
