Repair a violated floor even if the change does not pay

Cause: at a high price a fleet without an engine for prompts stayed so. Change: a change that repairs a floor precedes all others, whatever its gain. Result: the test repairs the floor at a price of 1e9 and plans no second change; the golden file of compare is unchanged.

--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -57,7 +57,7 @@
 	return []core.RoleChange{*best}
 }
 
-// best returns the change with the highest positive gain, or nil.
+// best returns the change that repairs a floor or has the highest positive gain, or nil.
 func (p *Planner) best(now core.Instant, view *core.PlacementView, state *modelState) *core.RoleChange {
 	counts := inService(view)
 	var best *core.RoleChange
@@ -78,7 +78,7 @@
 			if p.repairsFloor(counts, &change) {
 				change.Reason = ReasonFloorViolation
 			}
-			if change.Gain > 0 && (best == nil || change.Gain > best.Gain) {
+			if preferred(&change, best) {
 				best = &change
 			}
 		}
@@ -86,6 +86,20 @@
 	return best
 }
 
+// preferred reports whether a change is worth planning and better than the best one so
+// far, which may be nil. A violated floor is repaired even if that doesn't pay: without an
+// engine for prompts or for tokens nothing is served.
+func preferred(change, best *core.RoleChange) bool {
+	repairs := change.Reason == ReasonFloorViolation
+	if best == nil {
+		return repairs || change.Gain > 0
+	}
+	if repairs != (best.Reason == ReasonFloorViolation) {
+		return repairs
+	}
+	return change.Gain > best.Gain
+}
+
 var changeableRoles = []core.Role{core.RoleMixed, core.RolePrefill, core.RoleDecode}
 
 // candidate returns the engine in a role that drains the soonest, among those whose
--- a/core/placement/rules_test.go
+++ b/core/placement/rules_test.go
@@ -142,14 +142,20 @@
 	}
 }
 
-// A fleet that lost its last engine for prompts must get one whatever the price is
-// meant to prevent, since nothing is served without it.
+// A fleet that lost its last engine for prompts must get one even at a price that it can't
+// earn back, since nothing is served without it; one change is enough.
 func TestViolatedFloorIsRepaired(t *testing.T) {
-	planner := New(Options{})
-	view := fleetOf(0, 0, 6)
-	demandFor(view, 48, 1, 3)
-	_, change := planAt(planner, view, 0, core.Instant(time.Minute))
-	if change == nil || !change.To.AcceptsPrefill() || change.Reason != ReasonFloorViolation {
-		t.Fatalf("unexpected change %+v", change)
+	for _, price := range []float64{0, 1e9} {
+		planner := New(Options{RoleChangePrice: price})
+		view := fleetOf(0, 0, 6)
+		demandFor(view, 48, 0.5, 3)
+		at, change := planAt(planner, view, 0, core.Instant(time.Minute))
+		if change == nil || !change.To.AcceptsPrefill() || change.Reason != ReasonFloorViolation {
+			t.Fatalf("price %v: unexpected change %+v", price, change)
+		}
+		apply(view, *change, at+1)
+		if _, next := planAt(planner, view, at+2e9, at.Add(time.Minute)); price > 0 && next != nil {
+			t.Fatalf("price %v: second change %+v", price, next)
+		}
 	}
 }
