--- a/cmd/commands/operators_test.go
+++ b/cmd/commands/operators_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
-	"gorseline/cmd/demo"
+	"gorseline/cmd/workload"
 	"gorseline/core"
 	"gorseline/core/configuration"
 	"gorseline/core/dispatch"
@@ -40,7 +40,7 @@
 
 func newSite(t *testing.T) *site {
 	t.Helper()
-	sample, err := demo.LoadSample("ledgerpeach")
+	sample, err := workload.LoadSample("ledgerpeach")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/commands/standin.go
+++ b/cmd/commands/standin.go
@@ -10,7 +10,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"gorseline/cmd/demo"
+	"gorseline/cmd/workload"
 	"gorseline/standin/deployment"
 )
 
@@ -52,12 +52,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	sample, err := demo.LoadSample(c.Deployment)
+	sample, err := workload.LoadSample(c.Deployment)
 	if err != nil {
 		return failure{err}
 	}
 	site, err := deployment.Start(sample.Configuration, deployment.Options{
-		Engine: demo.EngineOptions(), Work: standinWork, ListLag: c.ListLag, FirstPort: c.FirstPort,
+		Engine: deployment.FastEngine(), Work: standinWork, ListLag: c.ListLag, FirstPort: c.FirstPort,
 	})
 	if err != nil {
 		return failure{err}
--- a/cmd/instance/authority.go
+++ b/cmd/instance/authority.go
@@ -16,6 +16,8 @@
 	keeper    *authority.Keeper
 	commander *authority.Commander
 	options   authority.Options
+	// release gives up all leases.
+	release func(context.Context) error
 }
 
 type authorityInputs struct {
@@ -34,7 +36,7 @@
 
 func newAuthority(in authorityInputs) *authorities {
 	options := authority.Options{
-		Self: core.InstanceID(in.Settings.Instance), Shards: in.Settings.Shards,
+		Self: core.InstanceID(in.Settings.Instance), Shards: in.Settings.Shards, Groups: in.Settings.Groups,
 		Table: in.Platform.table.Leases, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
 		Members: in.Control.members, Orderer: in.Serving.engines, Timing: authority.DefaultTiming(),
 	}
@@ -43,16 +45,21 @@
 	watcher := watch.New(watch.Options{
 		Fleet: in.Serving.fleet, Load: in.Serving.engines, Events: in.Serving.engines,
 		Clock: in.Clock, Random: in.Random,
-		OnReport: func(state core.TargetState, err error) { a.observe(in.Clock, state, err) },
+		OnReport: func(state core.TargetState, err error) {
+			if err == nil {
+				in.Serving.markLeaving(in.Clock.Now(), state)
+				a.observe(in.Clock, state)
+			}
+		},
 	})
-	start(in.Lifecycle, keeper)
+	a.release = start(in.Lifecycle, keeper)
 	start(in.Lifecycle, watcher)
 	return a
 }
 
 // observe compares a report with the target's intent.
-func (a *authorities) observe(clock core.ClockProvider, state core.TargetState, err error) {
-	if err != nil || !state.IsEngine() {
+func (a *authorities) observe(clock core.ClockProvider, state core.TargetState) {
+	if !state.IsEngine() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.options.OrderLifetime)
@@ -60,17 +67,11 @@
 	a.commander.Observe(ctx, state.Target, state.Report, clock.Now())
 }
 
-// holds reports whether this instance may give orders to a target now.
-func (a *authorities) holds(target core.Target) bool {
-	shard := authority.ShardOf(target.ID, a.options.Shards)
-	for _, lease := range a.keeper.Leases() {
-		if lease.Shard == shard {
-			return true
-		}
-	}
-	return false
+func (a *authorities) shardOf(target core.Target) int {
+	return authority.ShardOf(target, a.options.Shards, a.options.Groups)
 }
 
+// shards returns the shards whose lease this instance holds now.
 func (a *authorities) shards() []int {
 	leases := a.keeper.Leases()
 	shards := make([]int, len(leases))
--- a/cmd/instance/console.go
+++ b/cmd/instance/console.go
@@ -44,7 +44,7 @@
 		EventsLost: c.in.Events.timeline.Lost(),
 	}
 	status.Policies, status.PoliciesSince = c.in.Serving.dispatcher.PolicyAccounts()
-	if refusal := c.in.Leaving.Gate(); refusal != nil {
+	if refusal := c.in.Leaving.ready(); refusal != nil {
 		status.Ready, status.Reason = false, refusal.Message
 	}
 	for _, r := range c.in.Control.member.Members() {
--- a/cmd/instance/control.go
+++ b/cmd/instance/control.go
@@ -14,6 +14,7 @@
 	"gorseline/core/policy"
 	"gorseline/core/timeline"
 	"gorseline/io/caller"
+	"gorseline/io/certificate"
 	"gorseline/io/peer"
 )
 
@@ -36,6 +37,7 @@
 	Attempts  Attempts
 	Stamps    *timeline.Clock
 	Log       log.Interface
+	Secure    *certificate.Source
 }
 
 func newControl(in controlInputs) (*control, error) {
@@ -44,6 +46,7 @@
 		Table: in.Platform.table.Shared, Policies: policy.Validate, Attempts: in.Attempts, InForce: c.applier,
 	})
 	transport, err := peer.NewClient(peer.ClientOptions{
+		TLS:     in.Secure.Client(),
 		Options: []connect.ClientOption{connect.WithInterceptors(peer.NewClockInterceptor(in.Stamps))},
 	})
 	if err != nil {
--- a/core/routing/store.go
+++ b/core/routing/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -14,12 +15,19 @@
 type Store struct {
 	table atomic.Pointer[table]
 	hints *Hints
+	// instances is the number of instances that send to the targets, at least 1.
+	instances atomic.Int64
 	// mutex serialises changes of the table.
 	mutex    sync.Mutex
 	nextSlot uint32
 	free     []uint32
+	// stale counts the engines that have left a ring since the table was built.
+	stale int
 }
 
+// staleBase is the number of moves after which the rings of a small fleet are rebuilt.
+const staleBase = 16
+
 var _ PrefixFleet = (*Store)(nil)
 
 // table is an immutable view of the known targets.
@@ -27,6 +35,9 @@
 	nodes    map[core.TargetID]*node
 	models   map[core.Model]*ring
 	services map[core.Service]*ring
+	// names holds one copy of each model's name. Decisions compare the models of many
+	// targets, and reading one copy keeps the others out of the processor's cache.
+	names map[core.Model]core.Model
 }
 
 // StoreOptions are the settings of a store.
@@ -40,9 +51,15 @@
 func NewStore(options StoreOptions) *Store {
 	s := &Store{hints: NewHints(options.HintBlocks)}
 	s.table.Store(&table{nodes: map[core.TargetID]*node{}})
+	s.instances.Store(1)
 	return s
 }
 
+// SetInstances sets how many instances send to the same targets. Requests sent from here
+// after a load report then count for all instances, which find the same candidates and
+// see the same report: otherwise all of them would fill a target that looks idle.
+func (s *Store) SetInstances(n int) { s.instances.Store(int64(max(1, n))) }
+
 // Candidates implements core.Fleet.
 func (s *Store) Candidates(req *core.Request, into []*core.TargetState) []*core.TargetState {
 	known := s.table.Load()
@@ -85,6 +102,7 @@
 			s.free = append(s.free, slot)
 		}
 	}
+	s.stale = 0
 	s.table.Store(newTable(nodes))
 }
 
@@ -110,8 +128,14 @@
 			services[state.Service] = append(services[state.Service], n)
 		}
 	}
-	t := &table{nodes: nodes, models: map[core.Model]*ring{}, services: map[core.Service]*ring{}}
+	t := &table{
+		nodes:    nodes,
+		models:   map[core.Model]*ring{},
+		services: map[core.Service]*ring{},
+		names:    map[core.Model]core.Model{},
+	}
 	for model, members := range models {
+		t.names[model] = model
 		t.models[model] = newRing(members)
 	}
 	for service, members := range services {
@@ -132,36 +156,48 @@
 // Report takes over a target's load report that arrives now. Reports may arrive late and
 // out of order. It returns false for an unknown target.
 func (s *Store) Report(now core.Instant, id core.TargetID, report core.LoadReport) bool {
-	n, ok := s.table.Load().nodes[id]
+	known := s.table.Load()
+	n, ok := known.nodes[id]
 	if !ok {
 		return false
 	}
+	if name, ok := known.names[report.Model]; ok {
+		report.Model = name
+	}
 	before, after := n.report(now, report)
 	if before.Report.Model != after.Report.Model && after.IsEngine() {
-		s.moveModel(before, after)
+		s.moved(before, after)
 	}
 	return true
 }
 
-// moveModel rebuilds the rings of the models that an engine left and joined.
-func (s *Store) moveModel(before, after *core.TargetState) {
+// moved notes that an engine runs another model. Only the ring of a model that it joins
+// is rebuilt at once: walks skip the engine in the rings that it left, so these are
+// rebuilt together after some more moves.
+func (s *Store) moved(before, after *core.TargetState) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	current := s.table.Load()
-	next := &table{nodes: current.nodes, models: maps.Clone(current.models), services: current.services}
-	affected := append(append([]core.Model{}, servedModels(before)...), servedModels(after)...)
-	for _, model := range affected {
-		var members []*node
-		for _, n := range current.nodes {
-			for _, served := range servedModels(n.state.Load()) {
-				if served == model {
-					members = append(members, n)
-				}
-			}
+	s.stale++
+	if s.stale > staleBase+len(current.nodes)/8 {
+		s.stale = 0
+		s.table.Store(newTable(current.nodes))
+		return
+	}
+	joined := after.Report.Model
+	if slices.Contains(servedModels(before), joined) {
+		return
+	}
+	var members []*node
+	for _, n := range current.nodes {
+		if slices.Contains(servedModels(n.state.Load()), joined) {
+			members = append(members, n)
 		}
-		next.models[model] = newRing(members)
 	}
-	s.table.Store(next)
+	next := *current
+	next.models = maps.Clone(current.models)
+	next.models[joined] = newRing(members)
+	s.table.Store(&next)
 }
 
 // Sent notes that the request was sent as decided. The prompt is expected in the caches
@@ -180,7 +216,7 @@
 	if !ok {
 		return
 	}
-	n.sent(now, tokens, inFlight, req.Kind.Urgent)
+	n.sent(now, tokens, inFlight, int(s.instances.Load()), req.Kind.Urgent)
 	if req.Service == "" {
 		s.hints.Sent(n.state.Load().Slot, req.PrefixBlocks)
 	}
@@ -189,7 +225,7 @@
 // Finished notes the end of a request, once per call of Sent, in whatever way it ended.
 func (s *Store) Finished(now core.Instant, decision core.Decision) {
 	if n, ok := s.table.Load().nodes[decision.Target]; ok {
-		n.finished(now)
+		n.finished(now, int(s.instances.Load()))
 	}
 }
 
--- a/core/stream/relay.go
+++ b/core/stream/relay.go
@@ -1,8 +1,8 @@
 package stream
 
 import (
-	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -150,10 +150,15 @@
 
 // Relay relays streams. It is safe for concurrent use.
 type Relay struct {
-	options  Options
-	handOver context.Context
-	leave    context.CancelCauseFunc
-	counters counters
+	options    Options
+	counters   counters
+	ended      chan struct{} // the last stream has ended; holds at most one value
+	heartbeats chan struct{} // one value per heartbeat being written
+
+	mu      sync.Mutex
+	watches map[*watch]struct{}
+	looping bool // loop runs
+	leaving bool // HandOver was called
 }
 
 var (
@@ -164,15 +169,23 @@
 
 // NewRelay returns a relay without streams.
 func NewRelay(o Options) *Relay {
-	r := &Relay{options: o.withDefaults()}
-	r.handOver, r.leave = context.WithCancelCause(context.Background())
-	return r
+	return &Relay{
+		options: o.withDefaults(), ended: make(chan struct{}, 1),
+		heartbeats: make(chan struct{}, maxHeartbeats), watches: map[*watch]struct{}{},
+	}
 }
 
 // HandOver ends all streams with a StreamMoved error that carries a resume token,
 // and does the same to each later stream. Their engines go on; the caller
 // continues on another instance.
-func (r *Relay) HandOver() { r.leave(errHandOver) }
+func (r *Relay) HandOver() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+	for w := range r.watches {
+		w.end(errHandOver)
+	}
+}
 
 // Open returns the number of streams that are being served.
 func (r *Relay) Open() int { return int(r.counters.open.Load()) }
