Record the plans of a placement in the shadow

Another placement could only be tried by putting it in force. The preset field ShadowPolicy names a preset or Reactive; its role changes are recorded as events and not carried out.

--- a/cmd/instance/observer.go
+++ b/cmd/instance/observer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -91,10 +92,11 @@
 func (o *observer) lookAtTargets() {
 	targets := map[core.TargetID]string{}
 	held := map[core.TargetID]bool{}
+	shards := o.Authorities.shards()
 	for _, s := range o.Serving.fleet.States() {
 		targets[s.ID] = targetStatus(s).State
 		if targets[s.ID] != o.targets[s.ID] {
-			held[s.ID] = o.Authorities.holds(s.Target)
+			held[s.ID] = slices.Contains(shards, o.Authorities.shardOf(s.Target))
 		}
 	}
 	const open = "CircuitOpen"
--- a/cmd/instance/placement.go
+++ b/cmd/instance/placement.go
@@ -30,6 +30,7 @@
 	recorder    core.Recorder
 	clock       core.ClockProvider
 	log         log.Interface
+	shadow      shadowPlacement
 	before      map[core.Model]dispatch.Traffic
 	plannedAt   core.Instant
 }
@@ -50,7 +51,7 @@
 	l := &placementLoop{
 		control: in.Control, serving: in.Serving, authorities: in.Authorities,
 		recorder: in.Recorder, clock: in.Clock, log: in.Log,
-		before: map[core.Model]dispatch.Traffic{},
+		shadow: shadowPlacement{recorder: in.Recorder}, before: map[core.Model]dispatch.Traffic{},
 	}
 	start(in.Lifecycle, newLoop(l.run))
 	return l
@@ -92,6 +93,7 @@
 		for _, change := range policy.Plan(now, &view) {
 			l.submit(ctx, &view, change)
 		}
+		l.shadow.plan(now, l.control.applier.Configuration(), &view)
 	}
 	l.before = traffic
 }
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -41,8 +41,14 @@
 	// HarmLimit ends the experiment when the goodput share of one of its policies is
 	// smaller than that of Policy by more than this; 0 never ends it.
 	HarmLimit float64
+	// ShadowPolicy names what plans role changes that are recorded and not carried
+	// out: a preset, for its placement, or ShadowReactive; it may be empty.
+	ShadowPolicy string
 }
 
+// ShadowReactive is the placement that follows each change of the mix at once.
+const ShadowReactive = "Reactive"
+
 // PolicyShare gives a policy a part of the callers.
 type PolicyShare struct {
 	Policy string
--- a/core/configuration/validate.go
+++ b/core/configuration/validate.go
@@ -70,6 +70,10 @@
 		v.add(path+".Experiment", formatFloat(total), "shares with a sum of at most 1")
 	}
 	v.share(path+".HarmLimit", p.HarmLimit)
+	if _, ok := v.configuration.Presets[p.ShadowPolicy]; !ok && p.ShadowPolicy != "" && p.ShadowPolicy != core.ShadowReactive {
+		accepted := slices.Sorted(maps.Keys(v.configuration.Presets))
+		v.add(path+".ShadowPolicy", p.ShadowPolicy, append(accepted, core.ShadowReactive, "empty")...)
+	}
 	compared := total < 1-1e-9 || slices.ContainsFunc(p.Experiment, func(e core.PolicyShare) bool {
 		return e.Policy == p.Policy && e.Share > 0
 	})
