Let a slow status not hide where a change is in force

A paused member delays the status by more than a second, so a change was reported as accepted but unread. The limit now bounds the polling and not the single look.

--- a/cmd/commands/change.go
+++ b/cmd/commands/change.go
@@ -180,18 +180,21 @@
 	return nil
 }
 
+// statusTimeout bounds one look: an instance asks members that may not answer.
+const statusTimeout = 10 * time.Second
+
 // awaitInForce returns where a revision is in force: at once when the answering
-// instance has it, or with --wait when all have it, and at the latest after limit.
+// instance has it, or with --wait when all have it, and else at the first look after
+// limit.
 func (s *changeSettings) awaitInForce(ctx context.Context, to session, revision core.Revision, limit time.Duration) (inForce, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+	end := time.Now().Add(limit)
 	var last inForce
-	for read := false; ; read = true {
-		status, err := to.Status(ctx)
-		switch {
-		case err != nil && !read:
-			return last, err
-		case err == nil:
+	for read := false; ; {
+		bounded, cancel := context.WithTimeout(ctx, statusTimeout)
+		status, err := to.Status(bounded)
+		cancel()
+		if err == nil {
+			read = true
 			last = inForce{status.InForceOn, status.Of, status.Missing}
 			if status.Revision < revision {
 				last = inForce{Of: status.Of, Missing: []core.InstanceID{status.Instance}}
@@ -199,10 +202,12 @@
 				return last, nil
 			}
 		}
-		select {
-		case <-ctx.Done():
+		switch {
+		case read && time.Now().After(end):
 			return last, nil
-		case <-time.After(inForcePoll):
+		case err != nil && (ctx.Err() != nil || time.Now().After(end)):
+			return last, err
 		}
+		time.Sleep(inForcePoll)
 	}
 }
