Plan roles on a live fleet of pure engines without losing requests

Cause: three faults that only the drill MixShift showed. (1) Requests with a separate prefill taught no speeds, and the planner wanted engines that know both speeds, which pure roles never have: it never acted. (2) After a role change the engines refuse until the next report; refusals that certainly did not run counted as attempts, so two of them ended a request as unknown. (3) A prefill engine that hung was noticed only at the deadline. Ruled out: the retry budget (burst 10, not used up) and the relay. Change: learn from prefill runs, average each speed over the engines that know it, leave out refusals from the count, poll a target that refused at once, and give up a prefill after 3 s without a heartbeat.

--- a/cmd/commands/drill.go
+++ b/cmd/commands/drill.go
@@ -79,8 +79,8 @@
 		fmt.Fprintln(os.Stdout, string(data))
 		return err
 	}
-	fmt.Fprintf(os.Stdout, "%-17s sent %4d  in time %4d  late %3d  not run %3d  unknown %2d  cut %2d  once %3d  doubled %d  lost %d  unreported %d\n",
-		r.Scenario, r.Sent, r.InTime, r.Late, r.NotRun, r.Unknown, r.Cut, r.EffectsOnce, r.EffectsDoubled, r.EffectsLost, r.EffectsUnreported)
+	fmt.Fprintf(os.Stdout, "%-17s sent %4d  in time %4d  late %3d  not run %3d  unknown %2d  cut %2d  once %3d  doubled %d  lost %d  unreported %d  role changes %d\n",
+		r.Scenario, r.Sent, r.InTime, r.Late, r.NotRun, r.Unknown, r.Cut, r.EffectsOnce, r.EffectsDoubled, r.EffectsLost, r.EffectsUnreported, r.RoleChanges)
 	for _, v := range r.Violations {
 		fmt.Fprintln(os.Stdout, "   violation:", v)
 	}
--- a/cmd/drill/drill.go
+++ b/cmd/drill/drill.go
@@ -17,6 +17,7 @@
 
 	"gorseline/cmd/workload"
 	"gorseline/core"
+	"gorseline/core/authority"
 	"gorseline/core/configuration"
 	"gorseline/io/operator"
 	"gorseline/standin/deployment"
@@ -47,7 +48,7 @@
 const (
 	startTimeout = 20 * time.Second
 	// runLimit ends a scenario that hangs.
-	runLimit  = 90 * time.Second
+	runLimit  = 150 * time.Second
 	readyPoll = 50 * time.Millisecond
 	// injectAfter is the part of the duration before the failure, as a divisor.
 	injectAfter = 4
@@ -74,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(ctx, runLimit)
 	defer cancel()
 	r := &run{options: options}
-	if err := r.start(ctx); err != nil {
+	if err := r.start(ctx, s); err != nil {
 		return Report{}, err
 	}
 	defer r.stop()
@@ -86,14 +87,18 @@
 	return Report{Scenario: name, Account: account, Violations: r.violations}, nil
 }
 
-func (r *run) start(ctx context.Context) error {
+func (r *run) start(ctx context.Context, s scenario) error {
 	sample, err := workload.LoadSample(r.options.Deployment)
 	if err != nil {
 		return err
 	}
+	engines := deployment.FastEngine()
+	if s.prepare != nil {
+		s.prepare(&sample, &engines)
+	}
 	r.sample = sample
 	r.site, err = deployment.Start(sample.Configuration, deployment.Options{
-		Engine: deployment.FastEngine(), Work: 20 * time.Millisecond, ListLag: 500 * time.Millisecond,
+		Engine: engines, Work: 20 * time.Millisecond, ListLag: 500 * time.Millisecond,
 	})
 	if err != nil {
 		return err
@@ -153,8 +158,11 @@
 		seeds[i] = p.callers
 	}
 	client := workload.NewClient(seeds, r.centres[0])
-	requests := r.sample.Shuffled(r.options.Rounds, r.options.Seed)
-	gap := r.options.Duration / time.Duration(len(requests))
+	requests, duration := r.sample.Requests, s.duration
+	if duration == 0 {
+		requests, duration = r.sample.Shuffled(r.options.Rounds, r.options.Seed), r.options.Duration
+	}
+	gap := duration / time.Duration(len(requests))
 	var group sync.WaitGroup
 	var injected error
 	for i, request := range requests {
@@ -168,7 +176,29 @@
 		}
 	}
 	group.Wait()
-	return ledger.Settle(r.site.Effects()), injected
+	account := ledger.Settle(r.site.Effects())
+	if injected != nil {
+		return account, injected
+	}
+	account.RoleChanges = r.roleChanges(ctx)
+	return account, nil
+}
+
+// roleChanges counts the role changes that took effect, over all instances.
+func (r *run) roleChanges(ctx context.Context) int {
+	seen := map[string]bool{}
+	for i := range r.processes {
+		request := operator.TimelineRequest{}
+		request.Kind = authority.EventOrderApplied
+		answer, err := r.operator(i).Timeline(ctx, request)
+		if err != nil {
+			continue // an instance that has left took its share to the object store
+		}
+		for _, e := range answer.Events {
+			seen[fmt.Sprint(e.Target, e.At)] = true
+		}
+	}
+	return len(seen)
 }
 
 // judge turns what must never happen into violations.
@@ -189,6 +219,9 @@
 	if a.Unknown > 0 && !s.mayBeUnknown {
 		r.violate("%d calls have an unknown outcome", a.Unknown)
 	}
+	if s.changesRoles && a.RoleChanges == 0 {
+		r.violate("no role change took effect")
+	}
 	if a.Sent == 0 {
 		r.violate("nothing was sent")
 	}
--- a/cmd/drill/process.go
+++ b/cmd/drill/process.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -27,6 +28,9 @@
 	exited chan struct{}
 }
 
+// shards is the number of shards of a drill.
+const shards = 4
+
 // startProcess runs "serve" of this binary and waits until its ports are open.
 func startProcess(ctx context.Context, name string, centre core.DataCentre, site *deployment.Deployment, logs io.Writer) (*process, error) {
 	binary, err := os.Executable()
@@ -37,7 +41,7 @@
 		"--instance", name, "--data-centre", string(centre),
 		"--callers-listen", "127.0.0.1:0", "--operators-listen", "127.0.0.1:0", "--peers-listen", "127.0.0.1:0",
 		"--table-url", site.TableURL, "--objects-url", site.ObjectsURL, "--instances-url", site.InstancesURL,
-		"--resume-key", "drill-key-that-is-not-secret", "--leave-limit", "1m",
+		"--resume-key", "drill-key-that-is-not-secret", "--leave-limit", "1m", "--shards", strconv.Itoa(shards),
 	)
 	command.Stderr = logs
 	output, err := command.StdoutPipe()
--- a/cmd/drill/scenario.go
+++ b/cmd/drill/scenario.go
@@ -13,6 +13,7 @@
 	"gorseline/cmd/workload"
 	"gorseline/core"
 	"gorseline/io/operator"
+	"gorseline/standin/engine"
 	"gorseline/standin/table"
 )
 
@@ -21,6 +22,12 @@
 	name string
 	// inject brings the failure about and ends it.
 	inject func(ctx context.Context, r *run) error
+	// prepare changes the sample and the engines; it may be nil.
+	prepare func(sample *workload.Sample, engines *engine.Options)
+	// duration replaces the drill's, and no rounds are added; 0 keeps them.
+	duration time.Duration
+	// changesRoles requires at least one role change.
+	changesRoles bool
 	// mayBeUnknown allows calls that may not be repeated to end as unknown: the
 	// failure destroys the only witness of their outcome.
 	mayBeUnknown bool
@@ -72,6 +79,11 @@
 		return nil
 	}},
 	{name: "OperatorsRace", inject: raceOperators},
+	{name: "MixShift", prepare: shiftMix, duration: 60 * time.Second, changesRoles: true, inject: noFailure},
+	{
+		name: "KillInRoleChange", prepare: shiftMix, duration: 60 * time.Second, changesRoles: true,
+		mayBeUnknown: true, inject: killInRoleChange,
+	},
 	{name: "KillDuringOutage", mayBeUnknown: true, inject: func(ctx context.Context, r *run) error {
 		var both sync.WaitGroup
 		var killed, outage error
--- a/cmd/instance/authority.go
+++ b/cmd/instance/authority.go
@@ -53,6 +53,7 @@
 		},
 	})
 	a.release = start(in.Lifecycle, keeper)
+	in.Serving.watcher = watcher
 	start(in.Lifecycle, watcher)
 	return a
 }
--- a/cmd/instance/serving.go
+++ b/cmd/instance/serving.go
@@ -14,6 +14,7 @@
 	"gorseline/core/retry"
 	"gorseline/core/routing"
 	"gorseline/core/stream"
+	"gorseline/core/watch"
 	"gorseline/io/engine"
 	"gorseline/io/service"
 )
@@ -26,6 +27,8 @@
 	relay      *stream.Relay
 	operations *operation.Executor
 	retrier    *retry.Retrier
+	// watcher is set before any request is served.
+	watcher *watch.Watcher
 	// leaving knows the targets that get no new work.
 	leaving    *drain.Targets
 	dispatcher *dispatch.Dispatcher
@@ -71,7 +74,7 @@
 		Policies: s.policies, Fleet: s.fleet, Completer: s.engines, Relay: s.relay, Sealer: sealer,
 		Services: service.NewClient(service.Options{}), Operations: s.operations, Retrier: s.retrier,
 		Hedger:   retry.NewHedger(retry.DefaultHedgeOptions(), s.retrier.Budget()),
-		Circuits: circuits, Leaving: s.leaving, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
+		Circuits: circuits, Leaving: s.leaving, Refresh: s.refresh, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
 		Observer: in.Observer,
 	})
 	start(in.Lifecycle, s.engines)
@@ -104,6 +107,10 @@
 	})
 }
 
+// refresh asks for a new report of a target. Its own requests are the only ones that
+// know that the last report no longer holds.
+func (s *serving) refresh(id core.TargetID) { s.watcher.Refresh(id) }
+
 // markLeaving follows a target's own report that it leaves or stays.
 func (s *serving) markLeaving(now core.Instant, state core.TargetState) {
 	if state.Report.Leaving || state.Drained {
--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -130,7 +130,11 @@
 			NotRun: last.result.Outcome == core.OutcomeNotRun, Attempt: n, Expected: decision.Estimate.Total,
 		}
 		verdict := d.Retrier.Next(d.Clock.Now(), a.req, failure)
-		if !verdict.Retry || !wait(ctx, verdict.After) {
+		if !verdict.Retry {
+			d.notRetried(a.req, decision.Target, verdict)
+			break
+		}
+		if !wait(ctx, verdict.After) {
 			break
 		}
 		next := a.route(d.Clock.Now(), exclude)
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -57,7 +57,9 @@
 	ctx        context.Context
 	completion core.CompletionRequest
 	attempts   int
-	load       estimate.Load
+	// notRun counts the attempts that certainly did not run.
+	notRun int
+	load   estimate.Load
 	// backlog is the prompt work, in tokens, that the request found on its target.
 	backlog  float64
 	finished func()
@@ -86,8 +88,11 @@
 	r.release()
 	r.attempts++
 	if r.attempts > 1 {
-		failure := retry.Failure{Attempt: r.attempts - 1, Expected: r.decision.Estimate.FirstToken}
-		if !d.Retrier.Next(d.Clock.Now(), r.req, failure).Retry {
+		// An attempt that did not run cost its target nothing and doesn't count.
+		failure := retry.Failure{Attempt: max(1, r.attempts-1-r.notRun), Expected: r.decision.Estimate.FirstToken}
+		verdict := d.Retrier.Next(d.Clock.Now(), r.req, failure)
+		if !verdict.Retry {
+			d.notRetried(r.req, r.decision.Target, verdict)
 			return stream.Candidate{}, false
 		}
 		r.decision = r.route(d.Clock.Now(), exclude)
@@ -146,16 +151,35 @@
 	if !known {
 		return "", false
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, r.req.Remaining(d.Clock.Now()))
+	began := d.Clock.Now()
+	load := estimate.LoadAt(began, &engine)
+	ctx, cancel := context.WithTimeout(r.ctx, r.req.Remaining(began))
 	defer cancel()
 	prefill := r.completion
 	prefill.PrefillOnly = true
 	err := runPrefill(ctx, d.Completer, engine.Address, prefill)
-	d.Circuits.Ended(engine.ID, err == nil || r.ctx.Err() != nil)
+	d.Circuits.Ended(engine.ID, err == nil || ctx.Err() != nil)
+	if err == nil {
+		d.Fleet.Observe(engine.ID, estimate.Observation{
+			Backlog:    load.Wait.Seconds() * estimate.PrefillRate(&engine),
+			Computed:   r.computed(),
+			FirstToken: d.Clock.Now().Sub(began),
+			Sequences:  load.Sequences + 1,
+		})
+	}
 	return engine.Address, err == nil
 }
 
+// prefillSilence is how long an engine may give no sign of life while it computes a
+// prompt. Engines send a heartbeat every second.
+const prefillSilence = 3 * time.Second
+
+// runPrefill runs a completion without output to its end.
 func runPrefill(ctx context.Context, completer core.Completer, address string, completion core.CompletionRequest) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(prefillSilence, func() { cancel(core.ErrSilent) })
+	defer watchdog.Stop()
 	reader, err := completer.Complete(ctx, address, completion)
 	if err != nil {
 		return err
@@ -163,12 +187,15 @@
 	defer reader.Close()
 	for {
 		piece, err := reader.Next(ctx)
-		if err != nil {
+		switch {
+		case err != nil && errors.Is(context.Cause(ctx), core.ErrSilent):
+			return core.ErrSilent
+		case err != nil:
 			return err
-		}
-		if piece.Final {
+		case piece.Final:
 			return nil
 		}
+		watchdog.Reset(prefillSilence)
 	}
 }
 
@@ -176,21 +203,35 @@
 	if attempt.Abandoned {
 		return
 	}
-	r.dispatcher.Circuits.Ended(attempt.Target, attempt.Err == nil || errors.Is(attempt.Err, core.ErrUnknownStream))
+	d := r.dispatcher
+	if errors.Is(attempt.Err, core.ErrNotRun) {
+		// The target refused: its role or state is not what the last report said.
+		r.notRun++
+		d.Refresh(attempt.Target)
+	}
+	d.Circuits.Ended(attempt.Target, attempt.Err == nil || errors.Is(attempt.Err, core.ErrUnknownStream))
 }
 
-// learn passes what an undisturbed answer showed to the estimates.
+// learn passes what an undisturbed answer showed to the estimates. A prompt that was
+// computed elsewhere says nothing about the target's prompt rate.
 func (r *completionRun) learn(result stream.Result) {
-	undisturbed := result.Resumes == 0 && result.Reruns == 0 && r.decision.Prefill == ""
+	undisturbed := result.Resumes == 0 && result.Reruns == 0
 	if result.Outcome != core.OutcomeDone || !undisturbed || result.Tokens < 2 {
 		return
 	}
 	whole := r.dispatcher.Clock.Now().Sub(r.req.Arrived)
-	r.dispatcher.Fleet.Observe(result.Target, estimate.Observation{
-		Backlog:       r.backlog,
-		Computed:      max(0, r.req.PromptTokens-r.decision.Estimate.PrefixTokens),
-		FirstToken:    result.FirstToken,
+	observed := estimate.Observation{
 		Sequences:     r.load.Sequences + 1,
 		BetweenTokens: (whole - result.FirstToken) / time.Duration(result.Tokens-1),
-	})
+	}
+	if r.decision.Prefill == "" || r.decision.Prefill == r.decision.Target {
+		observed.Backlog, observed.FirstToken = r.backlog, result.FirstToken
+		observed.Computed = r.computed()
+	}
+	r.dispatcher.Fleet.Observe(result.Target, observed)
+}
+
+// computed is the part of the prompt that was expected to be in no cache, in tokens.
+func (r *completionRun) computed() int {
+	return max(0, r.req.PromptTokens-r.decision.Estimate.PrefixTokens)
 }
--- /dev/null
+++ b/core/dispatch/completion_test.go
@@ -0,0 +1,156 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+	"gorseline/core/dispatch"
+	"gorseline/core/drain"
+	"gorseline/core/policy"
+	"gorseline/core/retry"
+	"gorseline/core/routing"
+	"gorseline/core/stream"
+	"gorseline/core/timeline"
+)
+
+// fakeEngines answers each address with an error or with one token.
+type fakeEngines struct {
+	errors map[string]error
+	called []string
+	asked  []core.CompletionRequest
+}
+
+func (f *fakeEngines) Complete(_ context.Context, address string, r core.CompletionRequest) (core.PieceReader, error) {
+	f.called = append(f.called, address)
+	f.asked = append(f.asked, r)
+	if err := f.errors[address]; err != nil {
+		return nil, err
+	}
+	return &oneToken{attempt: r.Attempt}, nil
+}
+
+func (f *fakeEngines) Resume(context.Context, string, string, int) (core.PieceReader, error) {
+	return nil, core.ErrUnknownStream
+}
+
+func (f *fakeEngines) Cancel(context.Context, string, string) error { return nil }
+
+// oneToken is a whole answer of one token.
+type oneToken struct {
+	attempt core.AttemptID
+	sent    bool
+}
+
+func (r *oneToken) Next(context.Context) (core.Piece, error) {
+	if r.sent {
+		return core.Piece{}, io.EOF
+	}
+	r.sent = true
+	return core.Piece{Stream: "s", Attempt: r.attempt, Text: "word ", Tokens: 1, Final: true, Total: 1}, nil
+}
+
+func (r *oneToken) Close() error { return nil }
+
+// fakeSink keeps what a caller gets.
+type fakeSink struct {
+	text    string
+	whole   bool
+	refusal *core.Refusal
+}
+
+func (s *fakeSink) Write(text, _ []byte, _ int) error    { s.text += string(text); return nil }
+func (s *fakeSink) Flush() error                         { return nil }
+func (s *fakeSink) Heartbeat() error                     { return nil }
+func (s *fakeSink) Finish(int) error                     { s.whole = true; return nil }
+func (s *fakeSink) Fail(r *core.Refusal, _ []byte) error { s.refusal = r; return nil }
+func (s *fakeSink) Interrupt()                           {}
+
+// complete runs one completion on a fleet of engines with the given roles.
+func complete(t *testing.T, engines *fakeEngines, policyType string, roles ...core.Role) (*fakeSink, []core.TargetID) {
+	t.Helper()
+	clock := core.NewProcessClock()
+	fleet := routing.NewStore(routing.StoreOptions{})
+	var targets []core.Target
+	for i, role := range roles {
+		name := string(rune('a' + i))
+		targets = append(targets, core.Target{
+			ID: core.TargetID(name), Service: "llm", Address: name, Models: []core.Model{"m"}, Role: role,
+		})
+	}
+	fleet.SetTargets(targets)
+	for _, target := range targets {
+		fleet.Report(clock.Now(), target.ID, core.LoadReport{Role: target.Role, Model: "m", KVCapacity: 1 << 20})
+	}
+	policies := policy.NewSet(func(core.Preset) core.Placer { return nil }, 1)
+	err := policies.Apply(core.Configuration{
+		PresetInForce: "day", Presets: map[string]core.Preset{"day": {Name: "day", Policy: "p"}},
+		Policies: map[string]core.PolicyDocument{"p": {Name: "p", Type: policyType}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	sealer, err := stream.NewSealer([]byte("0123456789abcdef"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorder := timeline.New("test", timeline.NewClock(timeline.SystemWall), 64)
+	retrier := retry.NewRetrier(retry.DefaultOptions(), random.New(1))
+	var refreshed []core.TargetID
+	d := dispatch.New(dispatch.Options{
+		Policies: policies, Fleet: fleet, Completer: engines, Sealer: sealer, Retrier: retrier,
+		Relay:    stream.NewRelay(stream.Options{Completer: engines, Clock: clock, Sealer: sealer}),
+		Circuits: dispatch.NewCircuits(fleet, clock, random.New(1)), Leaving: drain.NewTargets(),
+		Clock: clock, Recorder: recorder, Attempts: func() core.AttemptID { return "attempt" },
+		Refresh: func(id core.TargetID) { refreshed = append(refreshed, id) },
+	})
+	sink := &fakeSink{}
+	now := clock.Now()
+	req := &core.Request{
+		ID: "r", Organisation: "o", Model: "m", PromptTokens: 3000, OutputTokens: 1, Arrived: now,
+		Deadline: now.Add(90 * time.Second), Kind: core.Kind{Name: "Review", Weight: 8, Repeatable: true},
+	}
+	d.Complete(context.Background(), req, core.CompletionRequest{Request: "r", Model: "m", MaxTokens: 1}, sink)
+	return sink, refreshed
+}
+
+// Guards against a planned role change that costs requests: engines that have changed
+// their role refuse until the next load report, and two such refusals used up the
+// three attempts of a request.
+func TestRefusalsThatDidNotRunAreNoAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given four engines of which three refuse", t, func() {
+			engines := &fakeEngines{errors: map[string]error{"a": core.ErrNotRun, "b": core.ErrNotRun, "c": core.ErrNotRun}}
+			sink, refreshed := complete(t, engines, "RoundRobin",
+				core.RoleMixed, core.RoleMixed, core.RoleMixed, core.RoleMixed)
+			So(sink.refusal, ShouldBeNil)
+			So(sink.whole, ShouldBeTrue)
+			So(sink.text, ShouldEqual, "word ")
+			So(len(refreshed), ShouldEqual, len(engines.called)-1)
+		})
+	})
+}
+
+// Guards against a prompt that is computed twice or nowhere when the roles are pure,
+// and against a failed prefill engine that takes its requests with it.
+func TestPromptIsComputedOnAPrefillEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given two prefill engines, of which one fails, and a decode engine", t, func() {
+			engines := &fakeEngines{errors: map[string]error{"a": core.ErrUnavailable}}
+			sink, _ := complete(t, engines, "Full", core.RolePrefill, core.RolePrefill, core.RoleDecode)
+			So(sink.whole, ShouldBeTrue)
+			last := len(engines.called) - 1
+			So(engines.called[last], ShouldEqual, "c")
+			So(engines.asked[last].ImportFrom, ShouldEqual, "b")
+			So(engines.asked[last].PrefillOnly, ShouldBeFalse)
+			So(engines.called[last-1], ShouldEqual, "b")
+			So(engines.asked[last-1].PrefillOnly, ShouldBeTrue)
+		})
+	})
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -35,6 +35,8 @@
 	Leaving  *drain.Targets
 	Clock    core.ClockProvider
 	Recorder core.Recorder
+	// Refresh asks for a new load report of a target; it returns at once.
+	Refresh func(core.TargetID)
 	// Attempts returns a new ID that no process has used.
 	Attempts func() core.AttemptID
 	// Observer is told how requests end; it may be nil.
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/retry"
 	"gorseline/core/timeline"
 )
 
@@ -12,6 +13,8 @@
 	EventRouted   core.EventKind = "RequestRouted"
 	EventRefused  core.EventKind = "RequestRefused"
 	EventFinished core.EventKind = "RequestFinished"
+	// EventNotRetried tells why a failed request got no further attempt.
+	EventNotRetried core.EventKind = "RequestNotRetried"
 )
 
 // Run describes how the stream of a request went; it is zero for plain services.
@@ -103,3 +106,9 @@
 		in.Int("CachedTokens", int64(e.PrefixTokens))
 	}
 }
+
+func (d *Dispatcher) notRetried(req *core.Request, target core.TargetID, verdict retry.Verdict) {
+	d.Recorder.Record(core.Event{
+		Kind: EventNotRetried, Request: req.ID, Target: target, Reason: core.Reason(verdict.Refusal),
+	})
+}
--- a/core/placement/ratio.go
+++ b/core/placement/ratio.go
@@ -54,24 +54,35 @@
 }
 
 // demandOf converts offered token rates to engine time with the learned speeds of
-// the engines. It reports false when no engine has learned speeds.
+// the engines. An engine in a pure role learns only the speed of that role, so each
+// speed is averaged over the engines that know it. It reports false while no engine
+// knows one of them.
 func demandOf(view *core.PlacementView, batch int) (demand, bool) {
-	var prefillRate, tokenTime float64
-	known := 0
+	var prefill, decode mean
 	for i := range view.Engines {
 		e := &view.Engines[i]
-		if e.PrefillRate <= 0 || e.StepBase+e.StepPerSequence <= 0 {
-			continue
+		if e.PrefillRate > 0 {
+			prefill.add(e.PrefillRate)
+		}
+		if e.StepBase+e.StepPerSequence > 0 {
+			decode.add(e.StepBase.Seconds()/float64(batch) + e.StepPerSequence.Seconds())
 		}
-		known++
-		prefillRate += e.PrefillRate
-		tokenTime += e.StepBase.Seconds()/float64(batch) + e.StepPerSequence.Seconds()
 	}
-	if known == 0 {
+	if prefill.count == 0 || decode.count == 0 {
 		return demand{}, false
 	}
-	return demand{
-		prefill: view.PromptRate * float64(known) / prefillRate,
-		decode:  view.OutputRate * tokenTime / float64(known),
-	}, true
+	return demand{prefill: view.PromptRate / prefill.value(), decode: view.OutputRate * decode.value()}, true
+}
+
+// mean is an arithmetic mean.
+type mean struct {
+	sum   float64
+	count int
 }
+
+func (m *mean) add(v float64) {
+	m.sum += v
+	m.count++
+}
+
+func (m *mean) value() float64 { return m.sum / float64(m.count) }
--- a/core/placement/rules_test.go
+++ b/core/placement/rules_test.go
@@ -159,3 +159,21 @@
 		}
 	}
 }
+
+// An engine in a pure role learns the speed of that role only. Guards against a
+// planner that waits for an engine which knows both and never acts.
+func TestPureRolesAreEnoughToPlan(t *testing.T) {
+	view := fleetOf(0, 2, 8)
+	demandFor(view, 48, 3.5, 3)
+	for i := range view.Engines {
+		e := &view.Engines[i]
+		if e.Report.Role == core.RolePrefill {
+			e.StepBase, e.StepPerSequence = 0, 0
+		} else {
+			e.PrefillRate = 0
+		}
+	}
+	if _, change := planAt(New(Options{}), view, 0, core.Instant(time.Minute)); change == nil {
+		t.Error("no change was planned")
+	}
+}
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -40,6 +40,7 @@
 type Watcher struct {
 	options Options
 	work    chan core.TargetState
+	refresh chan core.TargetState
 	done    chan struct{}
 
 	mu     sync.Mutex
@@ -52,7 +53,8 @@
 		options.Interval = DefaultInterval
 	}
 	return &Watcher{
-		options: options, work: make(chan core.TargetState, pollers), done: make(chan struct{}),
+		options: options, work: make(chan core.TargetState, pollers),
+		refresh: make(chan core.TargetState, pollers), done: make(chan struct{}),
 		events: map[core.TargetID]uint64{},
 	}
 }
@@ -68,7 +70,6 @@
 		group.Go(func() { w.loop(ctx) })
 	}
 	defer group.Wait()
-	defer close(w.work)
 	for {
 		w.round(ctx)
 		// Jitter keeps the instances from polling a target at the same moment. Its
@@ -97,9 +98,25 @@
 	}
 }
 
+// Refresh polls a target soon, as after an answer that its last report does not
+// explain. It does nothing while all pollers are busy, or outside Run.
+func (w *Watcher) Refresh(id core.TargetID) {
+	if state, known := w.options.Fleet.State(id); known {
+		select {
+		case w.refresh <- state:
+		default:
+		}
+	}
+}
+
 func (w *Watcher) loop(ctx context.Context) {
-	for state := range w.work {
-		if ctx.Err() == nil {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case state := <-w.refresh:
+			w.poll(ctx, state)
+		case state := <-w.work:
 			w.poll(ctx, state)
 		}
 	}
