Carry out intents that are recorded late; withdraw waiting writes

A caller that gave up in the group's queue was told that its claim may exist. Change: while such a write can still commit, the holder reads the row at each turn. The group withdraws writes that wait and says that nothing was done.

--- a/cmd/check/fleet_test.go
+++ b/cmd/check/fleet_test.go
@@ -98,11 +98,15 @@
 				callers.Go(func() {
 					for call := 0; time.Since(start) < 20*time.Second; call++ {
 						key := core.OperationKey(fmt.Sprintf("%d/%d", n, call))
-						if r := e.Execute(ctx, operation.Call{Organisation: "o", Key: key}, answer); r.Outcome == core.OutcomeDone {
+						switch r := e.Execute(ctx, operation.Call{Organisation: "o", Key: key}, answer); r.Outcome {
+						case core.OutcomeDone:
 							ended.Add(1)
-						} else {
+						case core.OutcomeNotRun:
 							refused.Add(1)
 							time.Sleep(r.RetryAfter)
+						default:
+							t.Errorf("an operation that waited for the budget: %+v", r)
+							time.Sleep(time.Second)
 						}
 					}
 				})
--- a/core/authority/commander.go
+++ b/core/authority/commander.go
@@ -30,6 +30,26 @@
 	quietAt  core.Instant
 	sent     bool
 	answered bool
+	// reload says that the row must be read again before the next decision.
+	reload bool
+	// unclear is the shard's version that a write with an unknown outcome expects. The
+	// write may still commit until a renewal has changed that version.
+	unclear uint64
+}
+
+// inherit takes over what an earlier reading under the same fence knows about
+// deliveries.
+func (p *progress) inherit(earlier *progress, shardVersion uint64) {
+	if earlier == nil || earlier.fence != p.fence {
+		return
+	}
+	p.quietAt = earlier.quietAt
+	if earlier.intent.Sequence == p.intent.Sequence {
+		p.sentAt, p.sent, p.answered = earlier.sentAt, earlier.sent, earlier.answered
+	}
+	if earlier.unclear == shardVersion {
+		p.unclear, p.reload = shardVersion, true
+	}
 }
 
 // NewCommander returns a commander. The options should be those of the keeper.
@@ -62,13 +82,15 @@
 		return nil, SubmitBusy
 	}
 	t := &turn{target: target, lease: lease, progress: known}
-	if known != nil && known.fence == lease.Fence {
+	if known != nil && known.fence == lease.Fence && !known.reload {
 		return t, SubmitAccepted
 	}
+	_, version, _ := c.keeper.lease(lease.Shard) // read before the row
 	if t.progress = c.load(ctx, target.ID, lease.Fence); t.progress == nil {
 		c.end(t)
 		return nil, SubmitRefused
 	}
+	t.inherit(known, version)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.known[target.ID] = t.progress
@@ -216,7 +238,7 @@
 		case core.TransactUnavailable:
 			return SubmitRefused
 		default:
-			c.forget(t) // the next turn reads what was recorded
+			t.reload, t.unclear = true, shardVersion
 			return SubmitUnknown
 		}
 	}
@@ -228,7 +250,7 @@
 func (c *Commander) resolve(t *turn, conflicts []core.Row) bool {
 	for _, row := range conflicts {
 		if row.Key != ShardKey(t.lease.Shard) {
-			c.forget(t)
+			t.reload = true
 			return false
 		}
 		if !c.keeper.reconcile(row) {
@@ -238,12 +260,6 @@
 	return true
 }
 
-func (c *Commander) forget(t *turn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.known, t.target.ID)
-}
-
 // deliver sends the recorded intent. The order may leave this process only until
 // limit, which is before the lease ends; the orderer sets it as write deadline.
 func (c *Commander) deliver(ctx context.Context, t *turn) SubmitResult {
@@ -271,7 +287,7 @@
 	case core.OrderStale:
 		t.quietAt = 0
 		c.record(EventOrderStale, t, "")
-		c.forget(t)
+		t.reload = true
 		c.keeper.Drop(t.lease.Shard, t.lease.Fence)
 		return SubmitRefused
 	case core.OrderRejected:
--- a/core/authority/fake_test.go
+++ b/core/authority/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,12 +13,16 @@
 	"gorseline/core/authority"
 )
 
-// memory is a table without failures.
+// memory is a table that loses no reply, except that withhold delays the next write of
+// an intent: its caller gets no reply, and it runs when withheld is called.
 type memory struct {
+	withhold     atomic.Bool
+	withheld     func()
 	mu           sync.Mutex
 	rows         map[string]core.Row
 	version      uint64
 	transactions int
+	orderReads   int
 	written      int
 }
 
@@ -25,6 +30,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	rows := make([]core.Row, len(keys))
+	if strings.HasPrefix(keys[0], "Order/") {
+		m.orderReads++
+	}
 	for i, key := range keys {
 		rows[i] = m.rows[key]
 		rows[i].Key = key
@@ -34,9 +42,13 @@
 
 func (m *memory) Scan(context.Context, string, string, int) ([]core.Row, error) { return nil, nil }
 
-func (m *memory) Transact(_ context.Context, _ core.AttemptID, writes []core.Write) core.TransactResult {
+func (m *memory) Transact(ctx context.Context, attempt core.AttemptID, writes []core.Write) core.TransactResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if writes[0].CheckOnly && m.withhold.Swap(false) {
+		m.withheld = func() { m.Transact(ctx, attempt, writes) }
+		return core.TransactResult{Kind: core.TransactUnknown}
+	}
 	var conflicts []core.Row
 	for _, w := range writes {
 		if row := m.rows[w.Key]; row.Version != w.Expected {
@@ -67,6 +79,12 @@
 	return m.transactions, m.written
 }
 
+func (m *memory) reads() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.orderReads
+}
+
 func (m *memory) intent(t *testing.T, target core.TargetID) authority.Intent {
 	rows, _ := m.Read(t.Context(), authority.OrderKey(target))
 	intent, err := authority.DecodeIntent(rows[0])
--- a/core/authority/keeper.go
+++ b/core/authority/keeper.go
@@ -259,6 +259,16 @@
 	return leases
 }
 
+// Holds reports whether this instance holds the lease of a target's shard. Its load
+// reports must then reach Commander.Observe.
+func (k *Keeper) Holds(target core.TargetID) bool {
+	now := k.opts.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h, found := k.held[ShardOf(target, k.opts.Shards)]
+	return found && now < h.Until
+}
+
 // lease returns the lease of a shard if an order may start under it now, and the
 // version of its row.
 func (k *Keeper) lease(shard int) (lease Lease, version uint64, ok bool) {
--- a/core/authority/order_test.go
+++ b/core/authority/order_test.go
@@ -182,6 +182,41 @@
 	})
 }
 
+// Guards against an intent that is recorded late, after its writer has read the row
+// again, and is then never carried out.
+func TestLateIntentIsCarriedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, target := newFleet(1, "a"), &received{}
+		a := f.instance(t, "a", target)
+		time.Sleep(4 * time.Second)
+		f.table.withhold.Store(true)
+		if got := a.commander.Submit(t.Context(), checking, decode); got != authority.SubmitUnknown {
+			t.Fatalf("lost reply: %v", got)
+		}
+		observe := func() { a.commander.Observe(t.Context(), checking, core.LoadReport{}, a.Clock.Now()) }
+		observe()
+		f.table.withheld()
+		observe()
+		if len(target.orders) != 1 {
+			t.Fatalf("%d orders after the intent was recorded", len(target.orders))
+		}
+		f.table.withhold.Store(true)
+		time.Sleep(3 * time.Second)
+		a.commander.Observe(t.Context(), checking, shown(target.last()), a.Clock.Now())
+		time.Sleep(6 * time.Second) // a renewal changes the shard's version
+		reads := f.table.reads()
+		observe()
+		f.table.withheld()
+		for range 5 {
+			observe()
+		}
+		if got := f.table.reads() - reads; got != 1 {
+			t.Errorf("%d reads after the late write could no longer commit", got)
+		}
+		a.stop()
+	})
+}
+
 // Guards against a second order while the first is not answered or not finished.
 func TestOneOrderInFlight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -224,6 +259,16 @@
 		if got := forwarder.Order(t.Context(), "e", core.Order{Target: "e", Fence: fence - 1}); got != core.OrderStale {
 			t.Errorf("earlier fence: %v", got)
 		}
+		direct := &received{}
+		opts := a.Options
+		opts.Orderer, opts.Second = direct, forwarder
+		commander := authority.NewCommander(opts, a.keeper)
+		if got := commander.Submit(t.Context(), ignoring, decode); got != authority.SubmitAccepted || len(direct.orders) != 0 || len(target.orders) != 2 {
+			t.Errorf("through the second instance: %v, %d direct, %d forwarded", got, len(direct.orders), len(target.orders))
+		}
+		if !a.keeper.Holds("e") {
+			t.Error("the holder does not know that it holds the target's shard")
+		}
 		a.stop()
 	})
 }
--- a/io/table/group.go
+++ b/io/table/group.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,10 +57,12 @@
 
 // member is one caller's transaction.
 type member struct {
-	ctx     context.Context
 	attempt core.AttemptID
 	writes  []core.Write
 	result  chan core.TransactResult
+	// taken is set once, by the group that sends the writes or by a caller that gives up
+	// before.
+	taken atomic.Bool
 }
 
 // NewGroup returns a group. Writes wait until Run is called.
@@ -80,9 +84,10 @@
 }
 
 // Transact queues the writes and waits for their result. When ctx ends first, the
-// result is Unknown, because the group may be on its way.
+// result is Unavailable if the writes were still waiting, and Unknown if the group is on
+// its way.
 func (g *Group) Transact(ctx context.Context, attempt core.AttemptID, writes []core.Write) core.TransactResult {
-	m := &member{ctx: ctx, attempt: attempt, writes: writes, result: make(chan core.TransactResult, 1)}
+	m := &member{attempt: attempt, writes: writes, result: make(chan core.TransactResult, 1)}
 	select {
 	case <-g.done:
 		return core.TransactResult{Kind: core.TransactUnavailable, Err: core.ErrUnavailable}
@@ -97,6 +102,9 @@
 	case result := <-m.result:
 		return result
 	case <-ctx.Done():
+		if m.taken.CompareAndSwap(false, true) {
+			return core.TransactResult{Kind: core.TransactUnavailable, Err: ctx.Err()}
+		}
 		return core.TransactResult{Kind: core.TransactUnknown, Err: ctx.Err()}
 	case <-g.done:
 		// Run has answered every member that it took.
@@ -203,7 +211,7 @@
 func (g *Group) commit(ctx context.Context, members []*member) {
 	ctx, cancel := context.WithTimeout(ctx, g.opts.Timeout)
 	defer cancel()
-	members = waiting(members)
+	members = take(members)
 	for round := 0; len(members) > 0; round++ {
 		if round > 0 {
 			if err := g.await(ctx); err != nil {
@@ -266,17 +274,9 @@
 	return rest
 }
 
-// waiting answers the members whose caller is gone and returns the others.
-func waiting(members []*member) []*member {
-	var rest []*member
-	for _, m := range members {
-		if err := m.ctx.Err(); err != nil {
-			m.result <- core.TransactResult{Kind: core.TransactUnavailable, Err: err}
-			continue
-		}
-		rest = append(rest, m)
-	}
-	return rest
+// take returns the members whose caller still waits; they will be sent.
+func take(members []*member) []*member {
+	return slices.DeleteFunc(members, func(m *member) bool { return !m.taken.CompareAndSwap(false, true) })
 }
 
 func answerAll(members []*member, result core.TransactResult) {
--- a/standin/table/group_test.go
+++ b/standin/table/group_test.go
@@ -100,6 +100,41 @@
 	})
 }
 
+// Guards against a caller that gives up in the queue and is told that its write may have
+// run, and against a write that runs after its caller was told that it did not.
+func TestGroupWithdrawsWaitingWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := table.New()
+		tab.SetFaults(table.Faults{ReplyLatency: time.Second})
+		ctx, cancel := context.WithCancel(t.Context())
+		group := client.NewGroup(client.GroupOptions{
+			Table: tab, Attempts: attempts(),
+			Await: func(context.Context) error { time.Sleep(time.Second); return nil },
+		})
+		go group.Run(ctx)
+		for key, c := range map[string]struct {
+			wait time.Duration
+			want core.TransactKind
+		}{
+			"waiting": {100 * time.Millisecond, core.TransactUnavailable},
+			"sent":    {1500 * time.Millisecond, core.TransactUnknown},
+			"patient": {3 * time.Second, core.TransactCommitted},
+		} {
+			limited, stop := context.WithTimeout(ctx, c.wait)
+			if got := group.Transact(limited, core.AttemptID(key), create(key)); got.Kind != c.want {
+				t.Errorf("%s: %v", key, got.Kind)
+			}
+			stop()
+			time.Sleep(5 * time.Second)
+			if rows, _ := tab.Read(ctx, key); (rows[0].Version > 0) != (c.want != core.TransactUnavailable) {
+				t.Errorf("%s: row at version %d", key, rows[0].Version)
+			}
+		}
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // Guards against a refusal of a repeat that hides an earlier try which may have run.
 func TestSettlerKeepsUncertainty(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
