Add the benchmark scenario Overload and check its bound

The bound equalled the offered weight in all six scenarios, so the share of the bound said no more than the goodput.

--- a/standin/bench/scenario.go
+++ b/standin/bench/scenario.go
@@ -61,7 +61,12 @@
 	stale.ReportEvery, stale.ReportLag = 4*time.Second, 8*time.Second
 	drained := base("Drained", dayLoad)
 	drained.Drains = []Outage{{Engine: 2, From: 0.2, To: 0.7}, {Engine: 6, From: 0.35, To: 0.85}}
-	return []Scenario{day, peak, swing, crash, stale, drained}
+	// The longest deadline lets work of the last 90 s be answered after the last
+	// arrival. At 16 minutes this tail is a tenth of the engines' time, so that the
+	// offered work exceeds what the bound can place.
+	overload := base("Overload", constantLoad(1.2))
+	overload.Duration = 16 * time.Minute
+	return []Scenario{day, peak, swing, crash, stale, drained, overload}
 }
 
 func constantLoad(load float64) func(float64) float64 {
