Bound the polls of load reports per instance

Cause: each instance polled all targets every 2 s; at the design size that is 2,250 polls a second per instance against a bound of 3 KB/s for all control. Change: a round polls at most a limit of targets: those under the instance's own leases first, then those it has sent work to, then the rest, oldest report first. Result (test in virtual time): with 4,500 targets and a limit of 8 in 2 s at most 112 polls in 20 s, held targets in every round; four silent targets of 18 delay no other report beyond 3 s.

--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -2,7 +2,9 @@
 package watch
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,18 +20,22 @@
 	Events core.CacheEventReader
 	Clock  core.ClockProvider
 	Random *random.Source
-	// Watched selects the targets that this instance polls; nil polls all.
-	Watched func(core.TargetID) bool
+	// Held reports whether this instance gives orders to a target; it may be nil.
+	Held func(core.Target) bool
 	// OnReport is told of each report, or of a failed poll with an error; it may be
 	// nil.
 	OnReport func(core.TargetState, error)
-	// Interval is the time between two polls of a target.
+	// Interval is the time between two rounds of polls; 0 uses DefaultInterval.
 	Interval time.Duration
+	// Limit bounds the polls of a round; 0 uses DefaultLimit.
+	Limit int
 }
 
 const (
-	// DefaultInterval is the time between two polls of a target.
+	// DefaultInterval is the time between two rounds of polls.
 	DefaultInterval = 2 * time.Second
+	// DefaultLimit covers all targets of a fleet of today's size in each round.
+	DefaultLimit = 64
 	// pollers bounds the polls under way, so that silent targets can't hold up all.
 	pollers = 8
 	// pollTimeout is short against the interval: a report that takes longer is stale.
@@ -52,6 +58,9 @@
 	if options.Interval == 0 {
 		options.Interval = DefaultInterval
 	}
+	if options.Limit == 0 {
+		options.Limit = DefaultLimit
+	}
 	return &Watcher{
 		options: options, work: make(chan core.TargetState, pollers),
 		refresh: make(chan core.TargetState, pollers), done: make(chan struct{}),
@@ -86,10 +95,7 @@
 }
 
 func (w *Watcher) round(ctx context.Context) {
-	for _, state := range w.options.Fleet.States() {
-		if w.options.Watched != nil && !w.options.Watched(state.ID) {
-			continue
-		}
+	for _, state := range w.due() {
 		select {
 		case w.work <- state:
 		case <-ctx.Done():
@@ -98,6 +104,33 @@
 	}
 }
 
+// due returns the targets to poll in this round: first those whose orders this
+// instance is responsible for, then those that it has sent work to, then the rest, and
+// in each class the one with the oldest report first.
+func (w *Watcher) due() []core.TargetState {
+	states := w.options.Fleet.States()
+	classes := make(map[core.TargetID]int, len(states))
+	for i := range states {
+		classes[states[i].ID] = w.class(&states[i])
+	}
+	slices.SortFunc(states, func(a, b core.TargetState) int {
+		return cmp.Or(
+			cmp.Compare(classes[a.ID], classes[b.ID]), cmp.Compare(a.ReportedAt, b.ReportedAt), cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return states[:min(len(states), w.options.Limit)]
+}
+
+func (w *Watcher) class(state *core.TargetState) int {
+	switch {
+	case w.options.Held != nil && state.IsEngine() && w.options.Held(state.Target):
+		return 0
+	case state.InFlight > 0 || state.SentRequests > 0:
+		return 1
+	}
+	return 2
+}
+
 // Refresh polls a target soon, as after an answer that its last report does not
 // explain. It does nothing while all pollers are busy, or outside Run.
 func (w *Watcher) Refresh(id core.TargetID) {
--- /dev/null
+++ b/core/watch/watch_test.go
@@ -0,0 +1,110 @@
+package watch_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+	"gorseline/core/routing"
+	"gorseline/core/watch"
+)
+
+// fakeTargets answers load requests, but never those of silent targets.
+type fakeTargets struct {
+	mu     sync.Mutex
+	silent map[string]bool
+	polls  map[string][]core.Instant
+	clock  core.ClockProvider
+}
+
+func (f *fakeTargets) Load(ctx context.Context, address string) (core.LoadReport, error) {
+	f.mu.Lock()
+	f.polls[address] = append(f.polls[address], f.clock.Now())
+	silent := f.silent[address]
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return core.LoadReport{}, ctx.Err()
+	}
+	return core.LoadReport{Role: core.RoleMixed, Model: "m"}, nil
+}
+
+func (f *fakeTargets) CacheEvents(context.Context, string, uint64) ([]core.CacheEvent, error) {
+	return nil, nil
+}
+
+func (f *fakeTargets) count(address string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.polls[address])
+}
+
+// run watches n engines for a while.
+func run(n int, d time.Duration, options watch.Options, silent ...string) (*fakeTargets, *routing.Store) {
+	clock := core.NewProcessClock()
+	targets := &fakeTargets{silent: map[string]bool{}, polls: map[string][]core.Instant{}, clock: clock}
+	for _, address := range silent {
+		targets.silent[address] = true
+	}
+	fleet := routing.NewStore(routing.StoreOptions{})
+	var all []core.Target
+	for i := range n {
+		name := fmt.Sprintf("t%03d", i)
+		all = append(all, core.Target{ID: core.TargetID(name), Service: "llm", Address: name, Models: []core.Model{"m"}})
+	}
+	fleet.SetTargets(all)
+	options.Fleet, options.Load, options.Events = fleet, targets, targets
+	options.Clock, options.Random = clock, random.New(1)
+	w := watch.New(options)
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	w.Run(ctx)
+	<-w.Done()
+	return targets, fleet
+}
+
+// Guards against silent targets that hold up the reports of all others: a target that
+// leaves must be noticed within 3 s.
+func TestSilentTargetsDoNotHoldUpOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets, _ := run(18, time.Minute, watch.Options{}, "t000", "t001", "t002", "t003")
+		polls := targets.polls["t017"]
+		if len(polls) < 20 {
+			t.Fatalf("%d polls in a minute", len(polls))
+		}
+		for i := 1; i < len(polls); i++ {
+			if gap := polls[i].Sub(polls[i-1]); gap > 3*time.Second {
+				t.Errorf("no poll for %v", gap)
+			}
+		}
+	})
+}
+
+// Guards against control traffic that grows with the fleet: with 4,500 targets and 8
+// polls in 2 s, held targets must still be polled in every round.
+func TestPollsKeepToTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := []core.TargetID{"t100", "t200", "t300"}
+		targets, _ := run(4500, 20*time.Second, watch.Options{
+			Limit: 8, Held: func(target core.Target) bool { return slices.Contains(held, target.ID) },
+		})
+		total := 0
+		for _, polls := range targets.polls {
+			total += len(polls)
+		}
+		if total > 8*14 {
+			t.Errorf("%d polls in 20 s", total)
+		}
+		for _, id := range held {
+			if n := targets.count(string(id)); n < 10 {
+				t.Errorf("held target %s was polled %d times in 20 s", id, n)
+			}
+		}
+	})
+}
