Deliver orders through a second instance

Cause: the setting for delivery through a second instance had no effect. Change: a peer procedure that passes an order to the receiver's forwarder, which reads the fence again; a sender that picks a random live peer. Result: an order arrives whole over loopback; a peer that does not answer gives an unknown result, so that the order is repeated.

--- a/cmd/instance/authority.go
+++ b/cmd/instance/authority.go
@@ -8,6 +8,7 @@
 	"gorseline/core"
 	"gorseline/core/authority"
 	"gorseline/core/common/random"
+	"gorseline/core/membership"
 	"gorseline/core/watch"
 )
 
@@ -16,6 +17,8 @@
 	keeper    *authority.Keeper
 	commander *authority.Commander
 	options   authority.Options
+	// forwarder delivers orders of other instances.
+	forwarder *authority.Forwarder
 	// release gives up all leases.
 	release func(context.Context) error
 }
@@ -40,8 +43,12 @@
 		Table: in.Platform.table.Leases, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
 		Members: in.Control.members, Orderer: in.Serving.engines, Timing: authority.DefaultTiming(),
 	}
+	forwarder := authority.NewForwarder(options)
+	if in.Settings.SecondSender {
+		options.Second = &secondSender{in.Control, options.Self, in.Random}
+	}
 	keeper := authority.NewKeeper(options)
-	a := &authorities{keeper: keeper, commander: authority.NewCommander(options, keeper), options: options}
+	a := &authorities{forwarder: forwarder, keeper: keeper, commander: authority.NewCommander(options, keeper), options: options}
 	watcher := watch.New(watch.Options{
 		Fleet: in.Serving.fleet, Load: in.Serving.engines, Events: in.Serving.engines,
 		Clock: in.Clock, Random: in.Random, Held: keeper.Holds, Limit: in.Settings.LoadPolls,
@@ -81,3 +88,27 @@
 	}
 	return shards
 }
+
+// secondSender delivers orders through another instance, which reads the fence again.
+type secondSender struct {
+	control *control
+	self    core.InstanceID
+	random  *random.Source
+}
+
+var _ core.Orderer = (*secondSender)(nil)
+
+// Order sends the order through a random live peer. Without one the order is repeated
+// later.
+func (s *secondSender) Order(ctx context.Context, address string, order core.Order) core.OrderResult {
+	var peers []string
+	for _, r := range s.control.member.Members() {
+		if r.Status == membership.StatusAlive && r.ID != s.self {
+			peers = append(peers, r.Address)
+		}
+	}
+	if len(peers) == 0 {
+		return core.OrderUnknown
+	}
+	return s.control.peers.Forward(ctx, peers[s.random.Below(len(peers))], address, order)
+}
--- a/cmd/instance/control.go
+++ b/cmd/instance/control.go
@@ -23,6 +23,7 @@
 	store   *configuration.Store
 	applier *configuration.Applier
 	member  *peer.Member
+	peers   *peer.Client
 }
 
 type controlInputs struct {
@@ -65,6 +66,7 @@
 		Transport: transport, Store: c.store, Lister: in.Platform.instances,
 		Clock: in.Clock, Applier: c.applier, Seed: in.Random.Uint64(), Log: in.Log,
 	})
+	c.peers = transport
 	start(in.Lifecycle, c.member)
 	return c, nil
 }
--- a/cmd/instance/servers.go
+++ b/cmd/instance/servers.go
@@ -97,6 +97,8 @@
 		in.Control.member, connect.WithInterceptors(peer.NewClockInterceptor(in.Stamps)),
 	))
 
+	peers.Handle(peer.PathForward, peer.NewForwardHandler(in.Authorities.forwarder))
+
 	s.serve(in, in.Listeners.callers, in.Leaving.counted(callers), in.Secure.Callers(), &http.Server{
 		ReadHeaderTimeout: in.Settings.HeaderWait, ReadTimeout: in.Settings.BodyWait,
 		IdleTimeout: in.Settings.IdleWait, MaxHeaderBytes: in.Settings.MaxHeader,
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -76,6 +76,7 @@
 	push                    *connect.Client[propagation.Push, propagation.PushReply]
 	pull                    *connect.Client[propagation.Pull, propagation.PullReply]
 	status                  *connect.Client[propagation.StatusRequest, propagation.StatusReply]
+	forward                 *connect.Client[ForwardRequest, ForwardReply]
 }
 
 // NewClient returns a client. It opens connections when they are needed.
@@ -120,6 +121,7 @@
 		push:      procedure[propagation.Push, propagation.PushReply](c, client, base, pathPush),
 		pull:      procedure[propagation.Pull, propagation.PullReply](c, client, base, pathPull),
 		status:    procedure[propagation.StatusRequest, propagation.StatusReply](c, client, base, pathStatus),
+		forward:   procedure[ForwardRequest, ForwardReply](c, client, base, PathForward),
 	}
 	// Another call may have added the peer meanwhile.
 	if earlier, found, _ := c.peers.PeekOrAdd(address, p); found {
--- a/io/peer/client_test.go
+++ b/io/peer/client_test.go
@@ -214,3 +214,42 @@
 		}
 	})
 }
+
+// recorder keeps the orders that a second instance is asked to deliver.
+type recorder struct{ orders []core.Order }
+
+func (r *recorder) Order(_ context.Context, _ string, o core.Order) core.OrderResult {
+	r.orders = append(r.orders, o)
+	return core.OrderStale
+}
+
+// Guards against an order that loses its fence or shard on the way to the second
+// instance, and against a missing answer that reads like a delivery.
+func TestOrderIsForwardedWhole(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	orders := &recorder{}
+	server := peer.NewHTTPServer(peer.NewForwardHandler(orders))
+	go func() { _ = server.Serve(listener) }()
+	client, err := peer.NewClient(peer.ClientOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	order := core.Order{
+		Target: "e1", Shard: 3, Role: core.RoleDecode, Model: "m", WeightsVersion: "v7", Fence: 9, Sequence: 4, Attempt: "a",
+	}
+	address := listener.Addr().String()
+	if got := client.Forward(t.Context(), address, "10.0.0.1:1", order); got != core.OrderStale {
+		t.Errorf("result %v", got)
+	}
+	if diff := cmp.Diff([]core.Order{order}, orders.orders); diff != "" {
+		t.Error(diff)
+	}
+	_ = server.Close()
+	if got := client.Forward(t.Context(), address, "10.0.0.1:1", order); got != core.OrderUnknown {
+		t.Errorf("result without an answer: %v", got)
+	}
+}
