Compare the intent at a second instance and wait for late forwards

Change: the second instance also compares the recorded intent; after any forward without answer the holder waits the order lifetime and margin before it sends the next intent. Half of the histories deliver through a second instance.

--- a/cmd/check/check.go
+++ b/cmd/check/check.go
@@ -106,6 +106,7 @@
 		random: rand.New(rand.NewPCG(seed, uint64(history))), table: table.New(), faults: map[string]int{}, activity: map[string]int{},
 		intents: map[string]authority.Intent{}, fences: map[int]uint64{}, mutation: m,
 	}
+	w.second = w.chance(0.5)
 	if m.ignoreVersions != "" {
 		w.table.IgnoreVersions(m.ignoreVersions)
 	}
--- a/cmd/check/instance.go
+++ b/cmd/check/instance.go
@@ -39,6 +39,7 @@
 
 	keeper    *authority.Keeper
 	commander *authority.Commander
+	forwarder *authority.Forwarder
 	executor  *operation.Executor
 }
 
@@ -63,6 +64,10 @@
 		Self: i.id, Shards: shards, Table: view, Clock: i.clock, Recorder: i,
 		Attempts: w.attempt, Members: i.members, Orderer: orderView{i}, Timing: authority.DefaultTiming(),
 	}
+	i.forwarder = authority.NewForwarder(opts)
+	if w.second {
+		opts.Second = secondView{i}
+	}
 	i.keeper = authority.NewKeeper(opts)
 	i.commander = authority.NewCommander(opts, i.keeper)
 	calls := operation.DefaultOptions()
--- a/cmd/check/world.go
+++ b/cmd/check/world.go
@@ -41,8 +41,10 @@
 	// outage is when the table answers again.
 	outage time.Duration
 	// quiet is set when no new faults, orders and calls are brought about.
-	quiet      bool
-	mutation   mutation
+	quiet    bool
+	mutation mutation
+	// second has targets that ignore fences served through a second instance.
+	second     bool
 	violations []string
 }
 
--- a/core/authority/commander.go
+++ b/core/authority/commander.go
@@ -30,6 +30,8 @@
 	quietAt  core.Instant
 	sent     bool
 	answered bool
+	// forwarded says that a second instance may still hold a delivery of this intent.
+	forwarded bool
 	// reload says that the row must be read again before the next decision.
 	reload bool
 	// unclear is the shard's version that a write with an unknown outcome expects. The
@@ -39,13 +41,15 @@
 
 // inherit takes over what an earlier reading under the same fence knows about
 // deliveries.
-func (p *progress) inherit(earlier *progress, shardVersion uint64) {
+func (p *progress) inherit(earlier *progress, shardVersion uint64, quietAt core.Instant) {
 	if earlier == nil || earlier.fence != p.fence {
 		return
 	}
 	p.quietAt = earlier.quietAt
 	if earlier.intent.Sequence == p.intent.Sequence {
-		p.sentAt, p.sent, p.answered = earlier.sentAt, earlier.sent, earlier.answered
+		p.sentAt, p.sent, p.answered, p.forwarded = earlier.sentAt, earlier.sent, earlier.answered, earlier.forwarded
+	} else if earlier.forwarded {
+		p.quietAt = quietAt
 	}
 	if earlier.unclear == shardVersion {
 		p.unclear, p.reload = shardVersion, true
@@ -90,7 +94,7 @@
 		c.end(t)
 		return nil, SubmitRefused
 	}
-	t.inherit(known, version)
+	t.inherit(known, version, c.forwardsEnd())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.known[target.ID] = t.progress
@@ -227,7 +231,10 @@
 			same := next.Sequence == t.intent.Sequence
 			t.version, t.intent = result.Versions[1], next
 			if !same {
-				t.sent, t.answered = false, false
+				if t.forwarded {
+					t.quietAt = c.forwardsEnd()
+				}
+				t.sent, t.answered, t.forwarded = false, false, false
 			}
 			c.record(event, t, string(next.State))
 			return SubmitRecorded
@@ -245,6 +252,12 @@
 	return SubmitRefused
 }
 
+// forwardsEnd returns when a second instance can no longer pass on an intent that was
+// replaced before now: it has read the row before that.
+func (c *Commander) forwardsEnd() core.Instant {
+	return c.opts.Clock.Now().Add(c.opts.OrderLifetime + c.opts.Margin)
+}
+
 // resolve reports whether a conflicting write may be tried again: only a renewal of
 // the own lease came between.
 func (c *Commander) resolve(t *turn, conflicts []core.Row) bool {
@@ -276,28 +289,40 @@
 	defer cancel()
 	t.sent, t.sentAt, t.quietAt, t.answered = true, now, limit, false
 	c.record(EventOrderSent, t, "")
-	orderer := c.opts.Orderer
-	if !t.target.ChecksFence && c.opts.Second != nil {
-		orderer = c.opts.Second
+	result := c.send(ctx, t)
+	if result == core.OrderUnknown {
+		return SubmitRecorded
 	}
-	switch orderer.Order(ctx, t.target.Address, t.intent.Order) {
+	t.quietAt = 0
+	switch result {
 	case core.OrderAccepted:
-		t.answered, t.quietAt = true, 0
+		t.answered = true
 		return SubmitAccepted
-	case core.OrderStale:
-		t.quietAt = 0
-		c.record(EventOrderStale, t, "")
-		t.reload = true
-		c.keeper.Drop(t.lease.Shard, t.lease.Fence)
-		return SubmitRefused
 	case core.OrderRejected:
-		t.quietAt = 0
 		rejected := t.intent
 		rejected.State = IntentRejected
 		c.write(ctx, t, rejected, EventOrderRejected)
 		return SubmitRejected
 	}
-	return SubmitRecorded
+	c.record(EventOrderStale, t, "")
+	t.reload = true
+	c.keeper.Drop(t.lease.Shard, t.lease.Fence)
+	return SubmitRefused
+}
+
+// send sends the order, through a second instance if the target ignores fences and there
+// is one. A forward without answer may be passed on later.
+func (c *Commander) send(ctx context.Context, t *turn) core.OrderResult {
+	if t.target.ChecksFence || c.opts.Second == nil {
+		return c.opts.Orderer.Order(ctx, t.target.Address, t.intent.Order)
+	}
+	before := t.forwarded
+	t.forwarded = true
+	result := c.opts.Second.Order(ctx, t.target.Address, t.intent.Order)
+	if result != core.OrderUnknown {
+		t.forwarded = before
+	}
+	return result
 }
 
 func (c *Commander) record(kind core.EventKind, t *turn, detail string) {
