--- a/io/peer/client_test.go
+++ b/io/peer/client_test.go
@@ -215,10 +215,10 @@
 	})
 }
 
-// recorder keeps the orders that a second instance is asked to deliver.
-type recorder struct{ orders []core.Order }
+// orderLog keeps the orders that a second instance is asked to deliver.
+type orderLog struct{ orders []core.Order }
 
-func (r *recorder) Order(_ context.Context, _ string, o core.Order) core.OrderResult {
+func (r *orderLog) Order(_ context.Context, _ string, o core.Order) core.OrderResult {
 	r.orders = append(r.orders, o)
 	return core.OrderStale
 }
@@ -230,7 +230,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	orders := &recorder{}
+	orders := &orderLog{}
 	server := peer.NewHTTPServer(peer.NewForwardHandler(orders))
 	go func() { _ = server.Serve(listener) }()
 	client, err := peer.NewClient(peer.ClientOptions{})
