Decode engines' events with goccy/go-json

encoding/json took most of the relay's time with one token per event. goccy/go-json fills the same structs by the same rules and is the faster of the two declared libraries; gjson would leave null, doubled names, number ranges and invalid UTF-8 to code of our own.

--- a/io/engine/pieces.go
+++ b/io/engine/pieces.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -116,7 +115,7 @@
 	}
 	wire := &r.wire
 	*wire = wirePiece{}
-	if err := json.Unmarshal(data, wire); err != nil {
+	if err := decodePiece(data, wire); err != nil {
 		return core.Piece{}, errors.Wrapf(core.ErrStreamCut, "undecodable event: %v", err)
 	}
 	if wire.Error != nil {
