Probe members in rounds and measure the headers of the busiest instance

Change: each round of probes goes through all members in random order; slopes reports the computed IP and TCP headers of the instance with most.

--- a/cmd/commands/slopes.go
+++ b/cmd/commands/slopes.go
@@ -106,8 +106,9 @@
 		{Name: "table reads", Unit: "rows/s", Target: 1000},
 		{Name: "table writes", Unit: "rows/s", Target: 200},
 		{Name: "traffic per instance", Unit: "B/s", Target: 3000},
-		{Name: "traffic of the busiest", Unit: "B/s"},
+		{Name: "traffic of the busiest", Unit: "B/s", Target: 3000},
 		{Name: "IP and TCP headers", Unit: "B/s"},
+		{Name: "the same, most", Unit: "B/s"},
 		{Name: "calls made", Unit: "1/s"},
 		{Name: "processor per instance", Unit: "% core", Target: 1.1},
 		{Name: "of which HTTP calls", Unit: "% core"},
@@ -141,7 +142,7 @@
 // values returns the figures in the order of the lines.
 func values(f fleet.Figures) []float64 {
 	return []float64{
-		f.TableReads, f.TableWrites, f.Bytes, f.BusiestBytes, f.PacketBytes, f.Calls,
+		f.TableReads, f.TableWrites, f.Bytes, f.BusiestBytes, f.PacketBytes, f.BusiestPacketBytes, f.Calls,
 		f.Core * 100, f.HTTPCore * 100, f.Memory / 1e6, f.ConnectionMemory / 1e6, f.InForce, f.InForceLost,
 	}
 }
--- a/core/membership/protocol.go
+++ b/core/membership/protocol.go
@@ -68,6 +68,8 @@
 	nextProbe  core.Instant
 	nextDigest core.Instant
 	nextRejoin core.Instant
+	// round lists the members still to be probed in this round.
+	round []Record
 	// urgent are quiet probes for the next tick.
 	urgent []Record
 	// pending counts the indirect probes under way per target.
@@ -128,7 +130,7 @@
 		if p.nextProbe < now {
 			p.nextProbe = now.Add(ProbeInterval)
 		}
-		if target, ok := p.view.random(p.rng, p.isPeer); ok {
+		if target, ok := p.nextTarget(); ok {
 			calls = append(calls, p.probe(now, target, false))
 		}
 		// One notification may be lost, so every member repeats it.
@@ -154,6 +156,25 @@
 	return calls
 }
 
+// nextTarget returns a random member to probe. Each round goes through all members
+// in a random order, which bounds the time until a silent one is probed.
+func (p *Protocol) nextTarget() (Record, bool) {
+	for len(p.round) > 0 {
+		r, ok := p.view.get(p.round[0])
+		p.round = p.round[1:]
+		if ok && p.isPeer(r) {
+			return r, true
+		}
+	}
+	p.round = p.view.sample(p.rng, p.view.local(), p.isPeer)
+	if len(p.round) == 0 {
+		return Record{}, false
+	}
+	r := p.round[0]
+	p.round = p.round[1:]
+	return r, true
+}
+
 // start spreads the first probes and digests of instances that start together.
 func (p *Protocol) start(now core.Instant) {
 	p.started = true
--- a/standin/fleet/measure.go
+++ b/standin/fleet/measure.go
@@ -45,10 +45,12 @@
 	// Bytes are sent and received per instance and second, with HTTP headers, head
 	// reads and JoinBytes at the design rate of restarts. BusiestBytes is the
 	// instance with most, without joins. PacketBytes are the IP and TCP headers on
-	// top.
+	// top, on average, and BusiestPacketBytes those of the instance with most.
 	Bytes        float64
 	BusiestBytes float64
 	PacketBytes  float64
+
+	BusiestPacketBytes float64
 	// Calls are calls that an instance makes per second.
 	Calls float64
 	// Core is the part of a core per instance, of which HTTPCore is for the calls.
@@ -231,7 +233,9 @@
 		bytes := float64(now.Bytes-before.Bytes) + ends*w.Overhead.CallBytes + store*w.Overhead.HeadBytes
 		w.BusiestBytes = max(w.BusiestBytes, bytes/seconds)
 		w.Bytes += bytes / seconds / n
-		w.PacketBytes += (ends + store) * w.Overhead.PacketBytes / seconds / n
+		packets := (ends + store) * w.Overhead.PacketBytes / seconds
+		w.PacketBytes += packets / n
+		w.BusiestPacketBytes = max(w.BusiestPacketBytes, packets)
 		requests += made
 		storeCalls += store
 	}
