--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -104,17 +104,21 @@
 	if exceeded(options.ModelLimits[req.Model], g.inFlight) && req.Service == "" {
 		return core.ReasonConcurrency
 	}
-	limit := g.limit
-	if !req.Kind.Urgent {
+	limit, held := g.limit, g.inFlight
+	if req.Kind.Urgent {
+		// Urgent requests pass the queue that late answers come from, so they
+		// compete for the limit only with each other.
+		held = g.urgentInFlight
+	} else {
 		limit *= 1 - options.UrgentShare
 	}
-	if float64(g.inFlight+1) > max(1, limit) {
+	if float64(held+1) > max(1, limit) {
 		return core.ReasonConcurrency
 	}
 	if options.EarlyRefusal && c.isTooLate(now, req, expected, g, budget) {
 		return core.ReasonDeadline
 	}
-	contended := float64(g.inFlight) > slotContention*limit ||
+	contended := float64(held) > slotContention*limit ||
 		float64(expected.Queue) > options.Contention*max(float64(budget), leastBudget*float64(req.Kind.Deadline))
 	if options.FairShares && contended && g.exceedsShare(req, member) {
 		return core.ReasonOrganisationLimit
--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -200,3 +200,31 @@
 		t.Errorf("limit %d, the capacity is 150", limit)
 	}
 }
+
+// Late answers of requests that queue must not refuse the urgent ones, which pass the queue:
+// in a lasting overload the lowered limit refused a tenth of them.
+func TestLateQueueLeavesUrgentAlone(t *testing.T) {
+	options := admission.DefaultOptions()
+	options.FairShares = false
+	c := admission.NewController(options, random.New(1))
+	long := &core.Request{Model: "m", Organisation: "a", Kind: core.Kind{Name: "Long", Weight: 5, Deadline: 90 * time.Second}}
+	long.Deadline = core.Instant(time.Hour)
+	urgent := &core.Request{Model: "m", Organisation: "b", Kind: core.Kind{Name: "Short", Weight: 1, Deadline: 5 * time.Second, Urgent: true}}
+	urgent.Deadline = core.Instant(time.Hour)
+	for range 400 {
+		c.Admit(0, long, core.Estimate{})
+	}
+	for second := range 10 {
+		now := core.Instant(second) * core.Instant(time.Second)
+		if !c.Admit(now, urgent, core.Estimate{}).Admitted {
+			t.Fatalf("urgent request refused after %d s", second)
+		}
+		c.Finish(now, urgent, true)
+		if second == 2 && c.Admit(now, long, core.Estimate{}).Admitted {
+			t.Error("a long request was admitted although all were late")
+		}
+		for range 20 {
+			c.Finish(now, long, false)
+		}
+	}
+}
--- a/core/admission/group.go
+++ b/core/admission/group.go
@@ -9,6 +9,8 @@
 // group is the state of one model or service.
 type group struct {
 	inFlight int
+	// urgentInFlight counts the urgent ones among them.
+	urgentInFlight int
 	// held is the work of the requests in flight, in tokens of KV memory.
 	held    int
 	limit   float64
@@ -60,6 +62,9 @@
 	g.inFlight++
 	g.peak = max(g.peak, g.inFlight)
 	g.held += work(req)
+	if req.Kind.Urgent {
+		g.urgentInFlight++
+	}
 	m.inFlight++
 	m.held += work(req)
 }
@@ -71,6 +76,9 @@
 		m.held -= work(req)
 		g.inFlight--
 		g.held -= work(req)
+		if req.Kind.Urgent {
+			g.urgentInFlight--
+		}
 	}
 	g.answers++
 	if req.Kind.Urgent {
