Correct the expected queueing delay while answers stay late

Admission now learns the error of the time until an answer and adds it and three mean deviations once more than 1.5% of the answers that queue are late.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -47,6 +47,10 @@
 	g.advance(now, &c.options)
 	member := g.member(now, req.Organisation)
 	g.noteWeight(req.Kind.Weight)
+	promised := expected
+	if c.options.Calibrate {
+		expected = g.waits.corrected(req, expected, c.options.SafetyMargin)
+	}
 	budget := waitBudget(now, req, &expected)
 	if reason := c.refusal(now, req, &expected, g, member, budget); reason != "" {
 		return core.Admission{Reason: reason, RetryAfter: c.retryAfter(reason, &expected, budget)}
@@ -54,6 +58,9 @@
 	c.kinds[req.Kind.Name]++
 	c.organisations[req.Organisation]++
 	g.add(req, member)
+	if c.options.Calibrate {
+		g.waits.admitted(now, req, &promised)
+	}
 	return core.Admission{Admitted: true, Reason: core.ReasonAdmitted}
 }
 
--- a/core/admission/group.go
+++ b/core/admission/group.go
@@ -15,6 +15,7 @@
 	held    int
 	limit   float64
 	members map[core.Organisation]*member
+	waits   calibration
 
 	// holdUntil is when a lowered limit may fall again; earlier requests still answer
 	// late until then.
@@ -40,7 +41,10 @@
 }
 
 func newGroup(limit float64) *group {
-	return &group{limit: limit, members: make(map[core.Organisation]*member)}
+	return &group{
+		limit: limit, members: make(map[core.Organisation]*member),
+		waits: calibration{promises: make(map[core.RequestID]promise)},
+	}
 }
 
 // work returns what a request occupies, in tokens of KV memory. Memory is what requests
@@ -70,6 +74,7 @@
 }
 
 func (g *group) remove(now core.Instant, req *core.Request, inTime bool) {
+	g.waits.finished(now, req, inTime)
 	m := g.member(now, req.Organisation)
 	if m.inFlight > 0 {
 		m.inFlight--
--- a/core/admission/options.go
+++ b/core/admission/options.go
@@ -31,6 +31,10 @@
 	// WeightMargin is the part of the affordable waiting time that a request of weight 0
 	// may not use. Requests of the greatest weight may use all of it.
 	WeightMargin float64
+	// Calibrate corrects the expected queueing delay by what earlier answers showed, as
+	// far as answers are late, and SafetyMargin adds so many mean deviations to it.
+	Calibrate    bool
+	SafetyMargin float64
 	// KindLimits, ModelLimits and OrganisationLimits bound requests in flight; a missing
 	// entry or 0 means no limit.
 	KindLimits         map[core.KindName]int
@@ -51,6 +55,8 @@
 		Contention:      0.6,
 		EarlyRefusal:    true,
 		WeightMargin:    0.3,
+		Calibrate:       true,
+		SafetyMargin:    3,
 	}
 }
 
--- a/core/policy/full.go
+++ b/core/policy/full.go
@@ -33,6 +33,8 @@
 	Contention      float64
 	EarlyRefusal    bool
 	WeightMargin    float64
+	Calibrate       bool
+	SafetyMargin    float64
 	KindLimits      map[core.KindName]int
 	ModelLimits     map[core.Model]int
 }
@@ -62,6 +64,7 @@
 		within(path, "UrgentShare", p.UrgentShare, 0, 0.9),
 		within(path, "Contention", p.Contention, 0, 1),
 		within(path, "WeightMargin", p.WeightMargin, 0, 1),
+		within(path, "SafetyMargin", p.SafetyMargin, 0, 10),
 		limits(path, "KindLimits", p.KindLimits),
 		limits(path, "ModelLimits", p.ModelLimits),
 	)
@@ -79,8 +82,8 @@
 			MaxConcurrent: a.MaxConcurrent, MinConcurrent: a.MinConcurrent, Adaptive: a.Adaptive,
 			LateShare: a.LateShare, UrgentLateShare: a.UrgentLateShare, UrgentShare: a.UrgentShare,
 			FairShares: a.FairShares, Contention: a.Contention, EarlyRefusal: a.EarlyRefusal,
-			WeightMargin: a.WeightMargin,
-			KindLimits:   map[core.KindName]int{}, ModelLimits: map[core.Model]int{},
+			WeightMargin: a.WeightMargin, Calibrate: a.Calibrate, SafetyMargin: a.SafetyMargin,
+			KindLimits: map[core.KindName]int{}, ModelLimits: map[core.Model]int{},
 		},
 	}, newFull)
 }
@@ -100,7 +103,8 @@
 		MaxConcurrent: p.MaxConcurrent, MinConcurrent: p.MinConcurrent, Adaptive: p.Adaptive,
 		LateShare: p.LateShare, UrgentLateShare: p.UrgentLateShare, UrgentShare: urgentShare,
 		FairShares: p.FairShares, Contention: p.Contention, EarlyRefusal: p.EarlyRefusal,
-		WeightMargin: p.WeightMargin, KindLimits: p.KindLimits, ModelLimits: p.ModelLimits,
+		WeightMargin: p.WeightMargin, Calibrate: p.Calibrate, SafetyMargin: p.SafetyMargin,
+		KindLimits: p.KindLimits, ModelLimits: p.ModelLimits,
 		OrganisationLimits: organisationLimits(options),
 	}, source)
 }
