Count offered work on arrival and keep streams of live readers

Cause: the drill MixShift again. (1) 15 of 420 requests ended as NoTarget: the stand-in engine took a client without a stream for 30 s as dead and cancelled its next stream at once; the retries used up the budget (events RequestNotRetried, which now name the cause). (2) The planner saw the traffic of requests that ended, which never exceeds capacity, so a shortage stayed hidden. Ruled out: the silent-connection check (0 silent) and the import of KV cache. Change: opening a stream is a sign of life and readers are tracked by their own client; traffic counts at arrival; an order's connection is closed with linger 0 once its deadline is over.

--- a/cmd/commands/drill.go
+++ b/cmd/commands/drill.go
@@ -85,6 +85,7 @@
 		fmt.Fprintln(os.Stdout, "   violation:", v)
 	}
 	if c.Verbose {
+		fmt.Fprintln(os.Stdout, "   not retried:", r.NotRetried)
 		for _, p := range r.Problems {
 			fmt.Fprintln(os.Stdout, "  ", p)
 		}
--- a/cmd/drill/drill.go
+++ b/cmd/drill/drill.go
@@ -19,6 +19,8 @@
 	"gorseline/core"
 	"gorseline/core/authority"
 	"gorseline/core/configuration"
+	"gorseline/core/dispatch"
+	"gorseline/core/timeline"
 	"gorseline/io/operator"
 	"gorseline/standin/deployment"
 	"gorseline/standin/engine"
@@ -41,6 +43,8 @@
 type Report struct {
 	Scenario string
 	workload.Account
+	// NotRetried counts failed requests without a further attempt, by reason.
+	NotRetried map[core.Reason]int `json:",omitempty"`
 	// Violations lists what must never happen and did.
 	Violations []string
 }
@@ -62,6 +66,8 @@
 	processes []*process
 	centres   []core.DataCentre
 
+	unretried map[core.Reason]int
+
 	mu         sync.Mutex
 	violations []string
 }
@@ -84,7 +90,7 @@
 		return Report{}, err
 	}
 	r.judge(s, account)
-	return Report{Scenario: name, Account: account, Violations: r.violations}, nil
+	return Report{Scenario: name, Account: account, NotRetried: r.unretried, Violations: r.violations}, nil
 }
 
 func (r *run) start(ctx context.Context, s scenario) error {
@@ -180,25 +186,33 @@
 	if injected != nil {
 		return account, injected
 	}
-	account.RoleChanges = r.roleChanges(ctx)
+	account.RoleChanges = len(r.events(ctx, authority.EventOrderApplied))
+	r.unretried = r.notRetried(ctx)
 	return account, nil
 }
 
-// roleChanges counts the role changes that took effect, over all instances.
-func (r *run) roleChanges(ctx context.Context) int {
-	seen := map[string]bool{}
+// events returns the events of a kind that the running instances hold.
+func (r *run) events(ctx context.Context, kind core.EventKind) []core.Event {
+	var lists [][]core.Event
 	for i := range r.processes {
 		request := operator.TimelineRequest{}
-		request.Kind = authority.EventOrderApplied
+		request.Kind = kind
 		answer, err := r.operator(i).Timeline(ctx, request)
 		if err != nil {
 			continue // an instance that has left took its share to the object store
 		}
-		for _, e := range answer.Events {
-			seen[fmt.Sprint(e.Target, e.At)] = true
-		}
+		lists = append(lists, answer.Events)
+	}
+	return timeline.Merge(lists...)
+}
+
+// notRetried counts why failed requests got no further attempt.
+func (r *run) notRetried(ctx context.Context) map[core.Reason]int {
+	counts := map[core.Reason]int{}
+	for _, e := range r.events(ctx, dispatch.EventNotRetried) {
+		counts[core.Reason(fmt.Sprintf("%s on %s, %s", e.Reason, e.Target, e.Detail))]++
 	}
-	return len(seen)
+	return counts
 }
 
 // judge turns what must never happen into violations.
--- a/cmd/drill/mix.go
+++ b/cmd/drill/mix.go
@@ -72,7 +72,10 @@
 			if err := r.processes[holder].signal(syscall.SIGKILL); err != nil {
 				return err
 			}
-			return r.replace(ctx, holder)
+			if err := r.replace(ctx, holder); err != nil {
+				return err
+			}
+			return r.awaitApplied(ctx)
 		}
 		if !workload.Wait(ctx, readyPoll) {
 			return errors.New("no role change was ordered")
@@ -80,6 +83,16 @@
 	}
 }
 
+// awaitApplied waits until a successor has seen an order carried out.
+func (r *run) awaitApplied(ctx context.Context) error {
+	for len(r.events(ctx, authority.EventOrderApplied)) == 0 {
+		if !workload.Wait(ctx, readyPoll) {
+			return errors.New("no successor finished the order")
+		}
+	}
+	return nil
+}
+
 // holder returns the instance that gives orders to the engines.
 func (r *run) holder(ctx context.Context) (int, error) {
 	var first core.Target
--- a/core/dispatch/account.go
+++ b/core/dispatch/account.go
@@ -18,7 +18,7 @@
 // Traffic holds the totals of the requests of one model, in tokens and weight.
 type Traffic struct {
 	PromptTokens, OutputTokens float64
-	// Offered counts all requests, Goodput those answered in time.
+	// Offered counts all requests when they arrive, Goodput those answered in time.
 	Offered, Goodput float64
 }
 
@@ -56,18 +56,25 @@
 	weight := req.Kind.Weight
 	k := entry(&a.kinds, req.Kind.Name)
 	k.Offered += weight
-	t := entry(&a.models, req.Model)
-	t.PromptTokens += float64(req.PromptTokens)
-	t.OutputTokens += float64(req.OutputTokens)
-	t.Offered += weight
 	if inTime {
 		k.InTime++
 		k.Goodput += weight
-		t.Goodput += weight
+		entry(&a.models, req.Model).Goodput += weight
 	}
 	change(k)
 }
 
+// arrived counts the offered work. Requests that end tell only what was served, which
+// never exceeds the capacity that placement is to judge.
+func (a *Account) arrived(req *core.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := entry(&a.models, req.Model)
+	t.PromptTokens += float64(req.PromptTokens)
+	t.OutputTokens += float64(req.OutputTokens)
+	t.Offered += req.Kind.Weight
+}
+
 func (a *Account) refused(req *core.Request) {
 	a.update(req, false, func(k *KindAccount) { k.Refused++ })
 }
--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -131,7 +131,7 @@
 		}
 		verdict := d.Retrier.Next(d.Clock.Now(), a.req, failure)
 		if !verdict.Retry {
-			d.notRetried(a.req, decision.Target, verdict)
+			d.notRetried(a.req, decision.Target, verdict, last.result.Err)
 			break
 		}
 		if !wait(ctx, verdict.After) {
--- a/core/dispatch/call_test.go
+++ b/core/dispatch/call_test.go
@@ -189,6 +189,27 @@
 	})
 }
 
+// Guards against a planner that sees only what was served: work counts as offered when it
+// arrives, also while it waits and when it is refused.
+func TestTrafficCountsOfferedWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Given a call that is still running", t, func() {
+			release := make(chan struct{})
+			f := newFixture(t, 10, func(_ context.Context, address string) core.ServiceResult {
+				<-release
+				return done(address)
+			})
+			go func() { _, _ = f.call(true) }()
+			synctest.Wait()
+			So(f.Traffic()[""].Offered, ShouldEqual, 4)
+			So(f.Traffic()[""].Goodput, ShouldEqual, 0)
+			close(release)
+			synctest.Wait()
+			So(f.Traffic()[""].Goodput, ShouldEqual, 4)
+		})
+	})
+}
+
 // Guards against outcomes that are told to callers as something else.
 func TestOutcomesOfOperations(t *testing.T) {
 	for _, c := range []struct {
--- a/core/dispatch/completion.go
+++ b/core/dispatch/completion.go
@@ -57,6 +57,8 @@
 	ctx        context.Context
 	completion core.CompletionRequest
 	attempts   int
+	// cause is the error of the latest failed attempt.
+	cause error
 	// notRun counts the attempts that certainly did not run.
 	notRun int
 	load   estimate.Load
@@ -92,7 +94,7 @@
 		failure := retry.Failure{Attempt: max(1, r.attempts-1-r.notRun), Expected: r.decision.Estimate.FirstToken}
 		verdict := d.Retrier.Next(d.Clock.Now(), r.req, failure)
 		if !verdict.Retry {
-			d.notRetried(r.req, r.decision.Target, verdict)
+			d.notRetried(r.req, r.decision.Target, verdict, r.cause)
 			return stream.Candidate{}, false
 		}
 		r.decision = r.route(d.Clock.Now(), exclude)
@@ -203,6 +205,7 @@
 	if attempt.Abandoned {
 		return
 	}
+	r.cause = attempt.Err
 	d := r.dispatcher
 	if errors.Is(attempt.Err, core.ErrNotRun) {
 		// The target refused: its role or state is not what the last report said.
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -70,6 +70,7 @@
 
 // admit routes the request and asks for admission.
 func (d *Dispatcher) admit(req *core.Request) (*admitted, *core.Refusal) {
+	d.account.arrived(req)
 	now := d.Clock.Now()
 	policy := d.Policies.Policy(req.Organisation)
 	decision := policy.Route(now, req, d.Fleet)
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -107,8 +107,12 @@
 	}
 }
 
-func (d *Dispatcher) notRetried(req *core.Request, target core.TargetID, verdict retry.Verdict) {
+func (d *Dispatcher) notRetried(req *core.Request, target core.TargetID, verdict retry.Verdict, cause error) {
+	var in timeline.Inputs
+	if cause != nil {
+		in.Text("Cause", cause.Error())
+	}
 	d.Recorder.Record(core.Event{
-		Kind: EventNotRetried, Request: req.ID, Target: target, Reason: core.Reason(verdict.Refusal),
+		Kind: EventNotRetried, Request: req.ID, Target: target, Reason: core.Reason(verdict.Refusal), Detail: in.String(),
 	})
 }
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -46,7 +46,7 @@
 }
 
 // run watches n engines for a while.
-func run(n int, d time.Duration, options watch.Options, silent ...string) (*fakeTargets, *routing.Store) {
+func run(n int, d time.Duration, options watch.Options, silent ...string) *fakeTargets {
 	clock := core.NewProcessClock()
 	targets := &fakeTargets{silent: map[string]bool{}, polls: map[string][]core.Instant{}, clock: clock}
 	for _, address := range silent {
@@ -66,14 +66,14 @@
 	defer cancel()
 	w.Run(ctx)
 	<-w.Done()
-	return targets, fleet
+	return targets
 }
 
 // Guards against silent targets that hold up the reports of all others: a target that
 // leaves must be noticed within 3 s.
 func TestSilentTargetsDoNotHoldUpOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		targets, _ := run(18, time.Minute, watch.Options{}, "t000", "t001", "t002", "t003")
+		targets := run(18, time.Minute, watch.Options{}, "t000", "t001", "t002", "t003")
 		polls := targets.polls["t017"]
 		if len(polls) < 20 {
 			t.Fatalf("%d polls in a minute", len(polls))
@@ -91,7 +91,7 @@
 func TestPollsKeepToTheLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		held := []core.TargetID{"t100", "t200", "t300"}
-		targets, _ := run(4500, 20*time.Second, watch.Options{
+		targets := run(4500, 20*time.Second, watch.Options{
 			Limit: 8, Held: func(target core.Target) bool { return slices.Contains(held, target.ID) },
 		})
 		total := 0
--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -71,8 +71,15 @@
 	return c.Conn.Write(b)
 }
 
-// Close closes the connection and forgets it.
+// Close closes the connection and forgets it. A request that reached its deadline must
+// not arrive later: bytes that wait in the socket, as in a partition, are discarded.
 func (c *conn) Close() error {
 	c.once.Do(func() { c.transport.forget(c) })
+	c.mu.Lock()
+	late := !c.deadline.IsZero() && !time.Now().Before(c.deadline)
+	c.mu.Unlock()
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && late {
+		_ = tcp.SetLinger(0) // the connection is closed in any case
+	}
 	return c.Conn.Close()
 }
--- /dev/null
+++ b/io/target/conn_test.go
@@ -0,0 +1,45 @@
+package target
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// lingerConn notes the linger that a connection was closed with.
+type lingerConn struct {
+	net.Conn
+	linger []int
+}
+
+func (c *lingerConn) SetLinger(seconds int) error {
+	c.linger = append(c.linger, seconds)
+	return nil
+}
+
+// Guards against an order that waits in the socket's buffer during a partition and
+// arrives after its deadline, when a successor may have given another one.
+func TestLateRequestIsDiscardedFromTheSocket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			name    string
+			wait    time.Duration
+			discard bool
+		}{
+			{"answered in time", 0, false},
+			{"deadline over", 2 * time.Second, true},
+		} {
+			near, far := net.Pipe()
+			raw := &lingerConn{Conn: near}
+			connection := &conn{Conn: raw, transport: NewTransport(Options{SingleUse: true})}
+			connection.begin(time.Now().Add(time.Second))
+			time.Sleep(c.wait)
+			_ = connection.Close()
+			_ = far.Close()
+			if discarded := len(raw.linger) == 1 && raw.linger[0] == 0; discarded != c.discard {
+				t.Errorf("%s: linger %v", c.name, raw.linger)
+			}
+		}
+	})
+}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -198,3 +198,50 @@
 		}
 	})
 }
+
+// Guards against streams that are cancelled under their readers: one whose client had
+// no stream here for long, and one that another client than the first resumes.
+func TestStreamsOfLiveReadersGoOn(t *testing.T) {
+	inBubble(t, engine.Options{OrphanAfter: 5 * time.Second}, func(t *testing.T, f fixture) {
+		ctx := t.Context()
+		first, err := f.client.Complete(ctx, address, completion("one", 200))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := readAll(ctx, t, first, 0); err != nil {
+			t.Fatal(err)
+		}
+		first.Close()
+		time.Sleep(time.Minute)
+		second, err := f.client.Complete(ctx, address, completion("two", 1000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := readAll(ctx, t, second, 0); err != nil {
+			t.Errorf("after a minute without streams: %v", err)
+		}
+		second.Close()
+		killed := client.NewClient(client.Options{Connections: target.Options{Dial: f.network.Dial}, Name: "killed"})
+		defer killed.Close()
+		life, kill := context.WithCancel(ctx)
+		go killed.Run(life)
+		third, err := killed.Complete(ctx, address, completion("three", 2000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		kill() // its stream stays open
+		<-killed.Done()
+		other := client.NewClient(client.Options{Connections: target.Options{Dial: f.network.Dial}, Name: "other"})
+		defer other.Close()
+		resumed, err := other.Resume(t.Context(), address, "engine-0-3", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := readAll(t.Context(), t, resumed, 0); err != nil {
+			t.Errorf("resumed by another client: %v", err)
+		}
+		resumed.Close()
+		third.Close()
+	})
+}
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -92,7 +92,7 @@
 	if body.ImportFrom != "" {
 		e.importKV(r.Context(), body.ImportFrom, body.Model, body.Prompt, blocks)
 	}
-	q, status, kind := e.start(body, blocks, r.Header.Get("X-Client"))
+	q, status, kind := e.start(body, blocks)
 	if kind != "" {
 		writeError(w, status, kind, "the completion was not run")
 		return
@@ -101,7 +101,7 @@
 }
 
 // start accepts a completion, or says why it was not run.
-func (e *Engine) start(body wireCompletion, blocks []uint64, client string) (q *sequence, status int, kind string) {
+func (e *Engine) start(body wireCompletion, blocks []uint64) (q *sequence, status int, kind string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
@@ -122,11 +122,11 @@
 	seed := seedOf(body.Model, body.Prompt)
 	q = &sequence{
 		id:      string(e.options.ID) + "-" + strconv.Itoa(e.life) + "-" + strconv.Itoa(e.nextID),
-		request: body.Request, attempt: body.Attempt, client: client, life: e.life,
+		request: body.Request, attempt: body.Attempt, life: e.life,
 		seed: seed, length: lengthOf(seed, body.MaxTokens),
 		promptTokens: core.CountTokens(body.Prompt), blocks: blocks,
 		priority: body.Priority, prefillOnly: body.PrefillOnly,
-		readers: map[chan struct{}]struct{}{}, detachedAt: time.Now(),
+		readers: map[chan struct{}]string{}, detachedAt: time.Now(),
 	}
 	if q.prefillOnly {
 		q.length = 1
--- a/standin/engine/sequence.go
+++ b/standin/engine/sequence.go
@@ -22,7 +22,6 @@
 	id      string
 	request core.RequestID
 	attempt core.AttemptID
-	client  string
 	life    int
 
 	seed         uint64
@@ -37,7 +36,7 @@
 	remaining    int // prompt tokens still to compute
 	produced     int // tokens of output
 
-	readers    map[chan struct{}]struct{}
+	readers    map[chan struct{}]string
 	detachedAt time.Time // when the last reader left
 	endedAt    time.Time
 }
@@ -67,10 +66,15 @@
 	e.wakeUp()
 }
 
-// attach adds a reader; the returned channel gets a value after each change.
-func (e *Engine) attach(q *sequence) chan struct{} {
+// attach adds a reader; the returned channel gets a value after each change. Opening a
+// stream is a sign of life of its client, whose last heartbeat may be old because it
+// had no stream here.
+func (e *Engine) attach(q *sequence, client string) chan struct{} {
 	reader := make(chan struct{}, 1)
-	q.readers[reader] = struct{}{}
+	q.readers[reader] = client
+	if _, announced := e.clients[client]; announced {
+		e.clients[client] = time.Now()
+	}
 	return reader
 }
 
@@ -126,8 +130,13 @@
 	if len(q.readers) == 0 {
 		return now.Sub(q.detachedAt) > e.options.OrphanAfter
 	}
-	last, announced := e.clients[q.client]
-	return announced && now.Sub(last) > e.options.OrphanAfter
+	for _, client := range q.readers {
+		last, announced := e.clients[client]
+		if !announced || now.Sub(last) <= e.options.OrphanAfter {
+			return false
+		}
+	}
+	return true
 }
 
 func (e *Engine) takeSnapshot(now time.Time) {
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -26,7 +26,7 @@
 // stream writes q from a token offset on until its terminal event.
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, q *sequence, offset int) {
 	e.mu.Lock()
-	changes := e.attach(q)
+	changes := e.attach(q, r.Header.Get("X-Client"))
 	cutAfter := -1
 	if e.faults.cuts > 0 {
 		e.faults.cuts--
