--- a/cmd/instance/settings.go
+++ b/cmd/instance/settings.go
@@ -34,7 +34,7 @@
 
 	Shards       int           `long:"shards" env:"SHARDS" description:"Number of shards that targets are spread over; the same on all instances" default:"4"`
 	Groups       int           `long:"groups" env:"GROUPS" description:"Number of groups of a service's targets whose roles are planned together; the same on all instances" default:"1"`
-	LoadPolls    int           `long:"load-polls" env:"LOAD_POLLS" description:"Most load reports read in 2 s; 8 keep to 3 KB/s" default:"64"`
+	LoadPolls    int           `long:"load-polls" env:"LOAD_POLLS" description:"Most load reports read in 2 s; 4 cost 1.3 KB/s" default:"64"`
 	MaxBody      int64         `long:"max-body" env:"MAX_BODY" description:"Largest request body in bytes" default:"8388608"`
 	MaxHeader    int           `long:"max-header" env:"MAX_HEADER" description:"Largest request header in bytes" default:"65536"`
 	HeaderWait   time.Duration `long:"header-timeout" env:"HEADER_TIMEOUT" description:"Time for a caller to send its header" default:"10s"`
