Log the load that placement sees

Cause: a drill in which no role change was planned could not be explained from the log. Change: one debug line per look at a group, with its rates.

--- a/cmd/instance/placement.go
+++ b/cmd/instance/placement.go
@@ -90,6 +90,10 @@
 			PromptRate: rate.PromptTokens * part, OutputRate: rate.OutputTokens * part,
 			Goodput: rate.Goodput * part, Offered: rate.Offered * part,
 		}
+		l.log.WithFields(log.Fields{
+			"model": view.Model, "engines": len(view.Engines), "offered": view.Offered,
+			"promptRate": view.PromptRate, "outputRate": view.OutputRate,
+		}).Debug("placement: group looked at")
 		for _, change := range policy.Plan(now, &view) {
 			l.submit(ctx, &view, change)
 		}
