Learn the speed of an unknown target from its first answers

Its log showed learned rates of 8,000 tokens/s (the default) falling to 3,700 over 40 s, against about 2,400: each observation had a weight of a tenth, the first ones too, and three instances share the observations. Ruled out: the offered rates, which were right, and the warm-up of 20 s. Change: observations are weighed as a plain mean until ten are in, and as the exponential mean afterwards. The debug log shows the learned rates.

--- a/cmd/instance/placement.go
+++ b/cmd/instance/placement.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -92,7 +93,7 @@
 		}
 		l.log.WithFields(log.Fields{
 			"model": view.Model, "engines": len(view.Engines), "offered": view.Offered,
-			"promptRate": view.PromptRate, "outputRate": view.OutputRate,
+			"promptRate": view.PromptRate, "outputRate": view.OutputRate, "speeds": fmt.Sprint(speeds(view.Engines)),
 		}).Debug("placement: group looked at")
 		for _, change := range policy.Plan(now, &view) {
 			l.submit(ctx, &view, change)
@@ -140,6 +141,15 @@
 	return groups
 }
 
+// speeds returns the learned prompt rates of engines, for the log.
+func speeds(engines []core.TargetState) []int {
+	rates := make([]int, len(engines))
+	for i := range engines {
+		rates[i] = int(engines[i].PrefillRate)
+	}
+	return rates
+}
+
 func (l *placementLoop) submit(ctx context.Context, view *core.PlacementView, change core.RoleChange) {
 	engines := view.Engines
 	i := slices.IndexFunc(engines, func(s core.TargetState) bool { return s.ID == change.Target })
--- a/core/estimate/estimate_test.go
+++ b/core/estimate/estimate_test.go
@@ -111,3 +111,16 @@
 		t.Errorf("service call: %v", got.Total)
 	}
 }
+
+// Guards against a fleet whose speeds are believed to be those of the default for
+// minutes: a target with a third of the default rate must be known within ten answers.
+func TestRateOfAnUnknownTargetIsLearnedFast(t *testing.T) {
+	state := &core.TargetState{}
+	const rate = estimate.DefaultPrefillRate / 3.2
+	for range 10 {
+		estimate.Learn(state, estimate.Observation{Computed: 4000, FirstToken: time.Duration(4000 / rate * float64(time.Second)), Sequences: 1})
+	}
+	if state.PrefillRate < rate*0.9 || state.PrefillRate > rate*1.1 {
+		t.Errorf("learned %.0f tokens/s, want %.0f", state.PrefillRate, rate)
+	}
+}
--- a/core/estimate/learn.go
+++ b/core/estimate/learn.go
@@ -57,9 +57,18 @@
 		seen = min(max(work/delay, known/outlierFactor), known*outlierFactor)
 	}
 	// Rates spread by factors, so the mean is taken of their logarithms.
-	state.PrefillRate = known * math.Pow(seen/known, learningRate)
+	state.PrefillRate = known * math.Pow(seen/known, weight(state.PrefillSamples))
+	state.PrefillSamples = min(state.PrefillSamples+1, maximumSamples)
 }
 
+// maximumSamples is where the weight of an observation reaches learningRate.
+const maximumSamples = int(1 / learningRate)
+
+// weight returns the weight of an observation after a number of earlier ones: a plain
+// mean at first, so that the default of an unknown target is forgotten at once, and an
+// exponential one later.
+func weight(samples int) float64 { return max(learningRate, 1/float64(samples+1)) }
+
 // learnStep is a normalised least-mean-squares update of base + per × sequences.
 func learnStep(state *core.TargetState, observed Observation) {
 	if observed.BetweenTokens <= 0 || observed.Sequences <= 0 {
--- a/core/target.go
+++ b/core/target.go
@@ -127,6 +127,8 @@
 	FinishedRequests int
 	// InFlight counts requests from this instance that are not finished.
 	InFlight int
+	// PrefillSamples counts the observations that PrefillRate rests on, up to a bound.
+	PrefillSamples int
 	// PrefillRate is the learned prompt rate in tokens per second.
 	PrefillRate float64
 	// StepBase and StepPerSequence give the learned time between tokens as
