Share the ticker loop of an instance and the context of commands

Cause: three loops of an instance and the set-up of five commands stood several times in the same form. Change: every() runs a step per interval; untilInterrupted() and logsIf() serve the commands. Behaviour stays, except that check also ends with SIGTERM.

--- a/cmd/commands/check.go
+++ b/cmd/commands/check.go
@@ -1,12 +1,10 @@
 package commands
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"slices"
 
 	"gorseline/cmd/check"
@@ -27,7 +25,7 @@
 
 // Execute runs the histories and prints the report. A violation is a failure.
 func (c *checkCommand) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := untilInterrupted()
 	defer stop()
 	report := check.Run(ctx, check.Options{Histories: c.Histories, Seed: c.Seed, Workers: c.Workers})
 	if err := c.print(os.Stdout, report); err != nil {
--- a/cmd/commands/demo.go
+++ b/cmd/commands/demo.go
@@ -4,10 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,15 +40,11 @@
 	if c.Duration < time.Second || c.Duration > 5*time.Minute {
 		return invalidSetting("--duration", c.Duration, "1s to 5m")
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilInterrupted()
 	defer stop()
-	logs := io.Discard
-	if c.Verbose {
-		logs = os.Stderr
-	}
 	run, err := demo.Start(ctx, demo.Options{
 		Deployment: c.Deployment, Rounds: c.Rounds, Duration: c.Duration, Seed: demoSeed,
-		Progress: os.Stderr, Logs: logs,
+		Progress: os.Stderr, Logs: logsIf(c.Verbose),
 	})
 	if err != nil {
 		return failure{err}
--- a/cmd/commands/drill.go
+++ b/cmd/commands/drill.go
@@ -1,13 +1,9 @@
 package commands
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,16 +44,12 @@
 	if c.Duration < time.Second || c.Duration > time.Minute {
 		return invalidSetting("--duration", c.Duration, "1s to 1m")
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilInterrupted()
 	defer stop()
-	logs := io.Discard
-	if c.Verbose {
-		logs = os.Stderr
-	}
 	violations := 0
 	for _, name := range selected {
 		report, err := drill.Run(ctx, name, drill.Options{
-			Deployment: c.Deployment, Instances: c.Instances, Seed: c.Seed, Rounds: c.Rounds, Duration: c.Duration, Logs: logs,
+			Deployment: c.Deployment, Instances: c.Instances, Seed: c.Seed, Rounds: c.Rounds, Duration: c.Duration, Logs: logsIf(c.Verbose),
 		})
 		if err != nil {
 			return failure{errors.Wrap(err, name)}
--- a/cmd/commands/load.go
+++ b/cmd/commands/load.go
@@ -1,14 +1,11 @@
 package commands
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/signal"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"gorseline/cmd/load"
@@ -64,7 +61,7 @@
 	if err := options.Validate(); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilInterrupted()
 	defer stop()
 	report, err := load.Run(ctx, options)
 	if err != nil {
--- a/cmd/commands/main.go
+++ b/cmd/commands/main.go
@@ -1,11 +1,14 @@
 package commands
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
@@ -147,3 +150,16 @@
 func invalidSetting(name string, value any, accepted string) error {
 	return &core.InvalidValueError{Path: name, Value: fmt.Sprint(value), Accepted: []string{accepted}}
 }
+
+// untilInterrupted returns a context that ends with SIGINT or SIGTERM.
+func untilInterrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+// logsIf returns where instances in this process write their log lines.
+func logsIf(verbose bool) io.Writer {
+	if verbose {
+		return os.Stderr
+	}
+	return io.Discard
+}
--- a/cmd/commands/standin.go
+++ b/cmd/commands/standin.go
@@ -1,11 +1,8 @@
 package commands
 
 import (
-	"context"
 	"encoding/json"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -50,7 +47,7 @@
 	if c.ListLag < 0 || c.ListLag > time.Hour {
 		return invalidSetting("--list-lag", c.ListLag, "0s to 1h")
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := untilInterrupted()
 	defer stop()
 	sample, err := workload.LoadSample(c.Deployment)
 	if err != nil {
--- a/cmd/instance/experiment.go
+++ b/cmd/instance/experiment.go
@@ -64,17 +64,10 @@
 }
 
 func (l *experimentLoop) run(ctx context.Context) {
-	ticker := time.NewTicker(experimentInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			accounts, since := l.Serving.dispatcher.PolicyAccounts()
-			l.judge(ctx, l.Control.applier.Configuration(), accounts, since)
-		}
-	}
+	every(ctx, experimentInterval, func(ctx context.Context) {
+		accounts, since := l.Serving.dispatcher.PolicyAccounts()
+		l.judge(ctx, l.Control.applier.Configuration(), accounts, since)
+	})
 }
 
 // judge ends the experiment of the preset in force if one of its policies does harm.
--- a/cmd/instance/observer.go
+++ b/cmd/instance/observer.go
@@ -51,16 +51,7 @@
 }
 
 func (o *observer) run(ctx context.Context) {
-	ticker := time.NewTicker(observeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			o.look()
-		}
-	}
+	every(ctx, observeInterval, func(context.Context) { o.look() })
 }
 
 func (o *observer) look() {
--- a/cmd/instance/placement.go
+++ b/cmd/instance/placement.go
@@ -59,18 +59,7 @@
 }
 
 // run plans until ctx ends.
-func (l *placementLoop) run(ctx context.Context) {
-	ticker := time.NewTicker(placementInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			l.plan(ctx)
-		}
-	}
-}
+func (l *placementLoop) run(ctx context.Context) { every(ctx, placementInterval, l.plan) }
 
 func (l *placementLoop) plan(ctx context.Context) {
 	policy := l.serving.policies.InForce()
