Add the stand-in of the weight store

Cause: model loads of the stand-in engines had no limit, so the platform's rate-limited store and its outages could not be brought about. Change: a store that lets one fetch begin per interval; engines take their place in it before a load. One store serves all engines of a deployment. Result: a load behind another waits 10 s, and one in an outage begins after it.

--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -18,6 +18,7 @@
 	"gorseline/standin/object"
 	"gorseline/standin/service"
 	"gorseline/standin/table"
+	"gorseline/standin/weights"
 )
 
 // Options choose the speed of the targets.
@@ -45,6 +46,9 @@
 	return o
 }
 
+// weightInterval is the time between two fetches that the weight store lets begin.
+const weightInterval = 10 * time.Second
+
 // Deployment is a set of running stand-ins.
 type Deployment struct {
 	// Configuration holds the targets with their loopback addresses.
@@ -53,8 +57,10 @@
 	Table     *table.Table
 	Objects   *object.Store
 	Instances *instancelist.List
-	Engines   map[core.TargetID]*engine.Engine
-	Services  map[core.TargetID]*service.Service
+	// Weights is the store that all engines fetch from.
+	Weights  *weights.Store
+	Engines  map[core.TargetID]*engine.Engine
+	Services map[core.TargetID]*service.Service
 
 	TableURL, ObjectsURL, InstancesURL string
 
@@ -70,6 +76,7 @@
 	d := &Deployment{
 		Configuration: c, Table: table.New(), Objects: object.New(),
 		Instances: instancelist.New(instancelist.Faults{Lag: options.ListLag}),
+		Weights:   weights.New(weightInterval),
 		Engines:   map[core.TargetID]*engine.Engine{}, Services: map[core.TargetID]*service.Service{},
 		cancel: cancel, nextPort: options.FirstPort,
 	}
@@ -118,6 +125,7 @@
 	o := options.Engine
 	o.ID, o.Role, o.Model, o.Models = target.ID, target.Role, target.Models[0], target.Models
 	o.ChecksFence = target.ChecksFence
+	o.Weights = d.Weights
 	e := engine.New(o)
 	d.Engines[target.ID] = e
 	d.running.Go(func() { e.Run(ctx) })
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -15,6 +15,7 @@
 	"gorseline/io/target"
 	"gorseline/standin/engine"
 	"gorseline/standin/network"
+	"gorseline/standin/weights"
 )
 
 const address = "10.0.0.1:8000"
@@ -245,3 +246,33 @@
 		third.Close()
 	})
 }
+
+// Guards against model loads that pass the weight store's limit or its outage: the
+// second of two loads waits its turn, and one in an outage begins after it.
+func TestModelLoadsWaitForTheWeightStore(t *testing.T) {
+	store := weights.New(10 * time.Second)
+	options := engine.Options{ModelLoad: time.Second, RoleChange: time.Second, Weights: store}
+	inBubble(t, options, func(t *testing.T, f fixture) {
+		order := core.Order{Role: core.RoleMixed, Model: "ledger-7b", WeightsVersion: "v2", Fence: 1, Sequence: 1}
+		if _, ok := store.Fetch(time.Now()); !ok {
+			t.Fatal("the store refused the first fetch")
+		}
+		store.SetOutage(true)
+		if got := f.client.Order(t.Context(), address, order); got != core.OrderAccepted {
+			t.Fatalf("order: %v", got)
+		}
+		time.Sleep(5 * time.Second)
+		if version := f.engine.Load().WeightsVersion; version != "v1" {
+			t.Errorf("version %s during the outage", version)
+		}
+		store.SetOutage(false)
+		time.Sleep(4 * time.Second)
+		if version := f.engine.Load().WeightsVersion; version != "v1" {
+			t.Errorf("version %s before the store's turn", version)
+		}
+		time.Sleep(5 * time.Second)
+		if version := f.engine.Load().WeightsVersion; version != "v2" || store.Fetches() != 2 {
+			t.Errorf("version %s after %d fetches", version, store.Fetches())
+		}
+	})
+}
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/standin/weights"
 )
 
 // Options configures a stand-in engine. Zero fields get the defaults of
@@ -54,6 +55,9 @@
 	RoleChange time.Duration
 	ModelLoad  time.Duration
 
+	// Weights is the weight store that model loads fetch from; nil has no limit.
+	Weights *weights.Store
+
 	// Heartbeat is the time between heartbeat comments on an idle stream.
 	Heartbeat time.Duration
 	// OrphanAfter is how long a stream runs on without a reader, and how long its
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -84,7 +84,10 @@
 	}
 	to := e.pending.to
 	if e.pending.readyAt.IsZero() {
-		wait := e.changeTime(to)
+		wait, ok := e.changeTime(to, now)
+		if !ok {
+			return // the weight store has an outage; the next look tries again
+		}
 		e.pending.readyAt = now.Add(wait)
 		time.AfterFunc(wait, e.wakeUp)
 	}
@@ -106,13 +109,19 @@
 	return to.model != e.applied.model || to.version != e.applied.version || to.adapter != e.applied.adapter
 }
 
-func (e *Engine) changeTime(to state) time.Duration {
-	var total time.Duration
+// changeTime returns how long a change takes. It returns false if the weights that it
+// needs can't be fetched now.
+func (e *Engine) changeTime(to state, now time.Time) (total time.Duration, ok bool) {
 	if to.role != e.applied.role {
 		total += e.options.RoleChange
 	}
-	if e.loads(to) {
-		total += e.options.ModelLoad
+	if !e.loads(to) {
+		return total, true
+	}
+	total += e.options.ModelLoad
+	if e.options.Weights == nil {
+		return total, true
 	}
-	return total
+	queue, ok := e.options.Weights.Fetch(now)
+	return total + queue, ok
 }
