--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -71,10 +71,6 @@
 	case core.OutcomeNotRun:
 		refused = refusal(req, result.Reason)
 		refused.RetryAfterMs = result.RetryAfter.Milliseconds()
-		if result.Reason == operation.ReasonKeyReused {
-			refused.Status = http.StatusUnprocessableEntity
-			refused.Message = "the operation key was used with another request"
-		}
 	case core.OutcomeInProgress:
 		refused.Kind, refused.Status = "InProgress", http.StatusConflict
 		refused.Message = "a call with this operation key is still running"
--- a/core/dispatch/refusal.go
+++ b/core/dispatch/refusal.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"gorseline/core"
+	"gorseline/core/operation"
 )
 
 // refusal returns the answer to a request that was refused before it ran.
@@ -20,6 +21,15 @@
 		r.Message = "the deadline can't be met now"
 	case core.ReasonStoreUnavailable:
 		r.Message = "the store that records calls that may not be repeated is unavailable"
+	case operation.ReasonKeyReused:
+		r.Status = http.StatusUnprocessableEntity
+		r.Message = "the operation key was used with another request"
+	case operation.ReasonClaimUnsettled:
+		r.Message = "the store did not confirm the claim of the operation key"
+	case operation.ReasonDeadlineBeforeSend:
+		r.Message = "the deadline passed before the call was sent"
+	case operation.ReasonTargetNotReached:
+		r.Message = "the target could not be reached"
 	default:
 		r.Message = "no target can take the request now"
 	}
