Spread the default kind and let kinds run at most once by default

Cause: found in the read-through. The default kind is a field of the accepted configuration, but no document carried it, so every instance dropped it without a word; and a kind that left out Repeatable was retried, so that a forgotten field could double a posting. Change: a document section for defaults, validation of the default kind, a test that fills every field of a configuration and compares what an instance applies; kinds are not repeatable unless they say so. Result: the test failed before (DefaultKind empty on the instance) and passes.

--- a/core/configuration/decode.go
+++ b/core/configuration/decode.go
@@ -48,9 +48,11 @@
 	}
 }
 
-// DefaultKind returns the values of a kind that a document leaves out.
+// DefaultKind returns the values of a kind that a document leaves out. A kind that does
+// not say that it is repeatable runs at most once: a forgotten field must not double a
+// posting.
 func DefaultKind() core.Kind {
-	return core.Kind{Weight: 1, Deadline: time.Minute, Repeatable: true, OutputTokens: 256}
+	return core.Kind{Weight: 1, Deadline: time.Minute, OutputTokens: 256}
 }
 
 // defaults fills values of these types before their fields are decoded.
--- a/core/configuration/document.go
+++ b/core/configuration/document.go
@@ -24,8 +24,13 @@
 	SectionTargets       Section = "Targets"
 	SectionOrganisations Section = "Organisations"
 	SectionDrained       Section = "Drained"
+	// SectionDefaults holds the values that requests without one get.
+	SectionDefaults Section = "Defaults"
 )
 
+// defaultKindName names the document of the default kind.
+const defaultKindName = "Kind"
+
 // Document is one named part of a configuration. An empty Value removes it.
 type Document struct {
 	Section Section `cbor:"1,keyasint"`
@@ -74,6 +79,7 @@
 	compare(&d, SectionTargets, targetsByID(before.Targets), targetsByID(after.Targets))
 	compare(&d, SectionOrganisations, before.Organisations, after.Organisations)
 	compare(&d, SectionDrained, onlyTrue(before.Drained), onlyTrue(after.Drained))
+	compare(&d, SectionDefaults, defaultsOf(before), defaultsOf(after))
 	slices.SortFunc(d.changes, func(a, b documentChange) int {
 		return compareNames(a.Section, b.Section, a.Name, b.Name)
 	})
@@ -128,6 +134,13 @@
 	return byID
 }
 
+func defaultsOf(c core.Configuration) map[string]core.KindName {
+	if c.DefaultKind == "" {
+		return nil
+	}
+	return map[string]core.KindName{defaultKindName: c.DefaultKind}
+}
+
 func onlyTrue(drained map[core.TargetID]bool) map[core.TargetID]bool {
 	only := make(map[core.TargetID]bool, len(drained))
 	for id, is := range drained {
@@ -189,6 +202,11 @@
 			e.targets = targetsByID(c.Targets)
 		}
 		return setEntry(&e.targets, false, core.TargetID(d.Name), d.Value)
+	case SectionDefaults:
+		defaults := defaultsOf(*c)
+		err := setEntry(&defaults, first, d.Name, d.Value)
+		c.DefaultKind = defaults[defaultKindName]
+		return err
 	}
 	return errors.Errorf("unknown section")
 }
--- a/core/configuration/store_test.go
+++ b/core/configuration/store_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"reflect"
+	"strings"
 	"sync"
 	"testing"
 
@@ -191,3 +193,53 @@
 		}
 	}
 }
+
+// Guards against a kind without the field Repeatable, such as a grant, that is retried
+// and runs twice.
+func TestKindIsNotRepeatableByDefault(t *testing.T) {
+	kind, err := configuration.Decode[core.Kind]([]byte(`{"Name": "Grant", "Deadline": "10s"}`), "Kinds.Grant")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if kind.Repeatable {
+		t.Error("a kind that does not say so is repeatable")
+	}
+}
+
+// Guards against an accepted configuration that loses a field on its way to other
+// instances, as the default kind did.
+func TestEveryFieldIsSpread(t *testing.T) {
+	want := sample()
+	for name := range want.Kinds {
+		want.DefaultKind = name
+	}
+	want.Revision = 3
+	want.Organisations = map[core.Organisation]core.OrganisationDocument{"chess": {MaxConcurrent: 2}}
+	fields := reflect.ValueOf(want)
+	for i := range fields.NumField() {
+		if name := fields.Type().Field(i).Name; fields.Field(i).IsZero() && name != "Drained" {
+			t.Errorf("the sample leaves %s empty", name)
+		}
+	}
+	want.Drained = map[core.TargetID]bool{want.Targets[0].ID: true}
+	update, err := configuration.FullUpdate(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	applier := configuration.NewApplier()
+	if got := applier.Apply(update); got != configuration.ApplyDone {
+		t.Fatalf("apply: %v", got)
+	}
+	if diff := cmp.Diff(want, applier.Configuration(), cmpopts.EquateEmpty()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a default kind that no request can have.
+func TestDefaultKindMustExist(t *testing.T) {
+	c := sample()
+	c.DefaultKind = "Poem"
+	if err := configuration.Validate(c, nil); err == nil || !strings.Contains(err.Error(), "DefaultKind") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/core/configuration/validate.go
+++ b/core/configuration/validate.go
@@ -31,6 +31,9 @@
 	if _, ok := c.Presets[c.PresetInForce]; !ok {
 		v.add("PresetInForce", c.PresetInForce, presets...)
 	}
+	if _, ok := c.Kinds[c.DefaultKind]; !ok && c.DefaultKind != "" {
+		v.add("DefaultKind", string(c.DefaultKind), kindNames(c)...)
+	}
 	for name, p := range c.Presets {
 		v.preset("Presets."+name, name, p)
 	}
@@ -45,6 +48,14 @@
 	return v.err()
 }
 
+func kindNames(c core.Configuration) []string {
+	var names []string
+	for _, kind := range slices.Sorted(maps.Keys(c.Kinds)) {
+		names = append(names, string(kind))
+	}
+	return names
+}
+
 type validation struct {
 	Problems
 	configuration core.Configuration
