--- a/core/admission/calibration.go
+++ b/core/admission/calibration.go
@@ -12,13 +12,14 @@
 	// past in 35 answers, a few seconds of load.
 	errorRate = 0.02
 	// lateRate is the weight of one answer in the part of late ones, which forgets half of
-	// the past in 1,400 answers. Only a lasting overload may shorten the queue: a peak
+	// the past in 2,800 answers. Only a lasting overload may shorten the queue: a peak
 	// that ends leaves room for all that was queued, and a margin would refuse it.
-	lateRate = 0.0005
+	lateRate = 0.00025
 	// toleratedLate is the part of late answers up to which nothing is corrected, and
-	// fullCorrection how far above it the whole error is applied. At a peak of some
-	// minutes the part stays near 0.01.
-	toleratedLate  = 0.015
+	// fullCorrection how far above it the whole error is applied. At a
+	// peak of some minutes 0.01 to 0.025 of the answers are late, and the slow average
+	// stays below.
+	toleratedLate  = 0.02
 	fullCorrection = 0.01
 	// leastQueueShare is the least expected queue, as a part of the time allowed, that
 	// teaches. The error of a shorter one is mostly that of the answer's length.
