Look a model up without listing all models for each request

Each completion built and sorted the list of all models of all targets, which only the refusal of an unknown model needs; tokens were counted through a slice of all words; a leaving instance wrote refusals by code of its own, beside the one of the callers' API. Change: the lookup stops at the first target that serves the model; words are counted one by one; WriteRefusal and the header's name serve both places. The refusal of a leaving instance thereby also has the error object that client libraries read; nothing else that callers see changes.

--- a/cmd/instance/leaving.go
+++ b/cmd/instance/leaving.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 	"gorseline/core/configuration"
 	"gorseline/core/drain"
 	"gorseline/core/membership"
+	"gorseline/io/caller"
 )
 
 // leaving takes an instance out of service without cutting a request.
@@ -88,14 +88,10 @@
 
 // refuse sends a caller to another instance. A stream that is resumed has run before.
 func (l *leaving) refuse(w http.ResponseWriter, r *http.Request) {
-	const retryAfter = 100 * time.Millisecond
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Retry-After", "1")
 	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusServiceUnavailable)
 	refusal := core.Refusal{
 		Kind: "Leaving", Message: "this instance is leaving; ask /addresses for another",
-		NotRun: r.Header.Get("Last-Event-ID") == "",
+		NotRun: r.Header.Get(caller.HeaderLastEvent) == "", Status: http.StatusServiceUnavailable,
 	}
-	_ = json.NewEncoder(w).Encode(refusal.WithRetryAfter(retryAfter)) // a caller that went away can't be told
+	_ = caller.WriteRefusal(w, refusal.WithRetryAfter(100*time.Millisecond)) // a caller that went away can't be told
 }
--- a/cmd/workload/client.go
+++ b/cmd/workload/client.go
@@ -136,7 +136,7 @@
 		return Result{Outcome: core.OutcomeNotRun, Reason: err.Error()}, nil
 	}
 	if *token != "" {
-		req.Header.Set("Last-Event-ID", *token)
+		req.Header.Set(caller.HeaderLastEvent, *token)
 	}
 	again := (core.Refusal{Kind: "NoConnection"}).WithRetryAfter(100 * time.Millisecond)
 	resp, err := c.http.Do(req)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -56,7 +56,7 @@
 // Kinds returns the totals of the requests that ended here.
 func (d *Dispatcher) Kinds() map[core.KindName]KindAccount { return d.account.Kinds() }
 
-// Traffic returns the totals of the requests that ended here, by model.
+// Traffic returns the totals of the requests that arrived here, by model.
 func (d *Dispatcher) Traffic() map[core.Model]Traffic { return d.account.Traffic() }
 
 // admitted is a request that a policy has taken on. It keeps the policy, so that a
--- a/core/prefix.go
+++ b/core/prefix.go
@@ -3,7 +3,13 @@
 import "strings"
 
 // CountTokens returns the number of tokens of a text: one per word.
-func CountTokens(text string) int { return len(strings.Fields(text)) }
+func CountTokens(text string) int {
+	count := 0
+	for range strings.FieldsSeq(text) {
+		count++
+	}
+	return count
+}
 
 // AppendPrefixBlocks appends the cumulative hashes of the prompt's full blocks of
 // PrefixBlockTokens tokens to into. Engines name blocks in cache events by the
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -81,7 +81,7 @@
 
 // Fail sends the refusal. Nothing was sent before, so it has a status of its own.
 func (c *collector) Fail(refusal *core.Refusal, _ []byte) error {
-	return writeRefusal(c.response, refusal)
+	return WriteRefusal(c.response, refusal)
 }
 
 // Interrupt makes a blocked write fail.
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -86,7 +86,7 @@
 	cfg := h.Configuration.Configuration()
 	req, completion, body, refusal := h.decode(w, r, cfg, chat)
 	if refusal != nil {
-		_ = writeRefusal(w, refusal)
+		_ = WriteRefusal(w, refusal)
 		return
 	}
 	w.Header().Set(HeaderRequest, string(req.ID))
@@ -95,7 +95,7 @@
 	if body.Stream {
 		sink = sse.NewWriter(w, format)
 	}
-	if token := r.Header.Get(headerLastEvent); token != "" {
+	if token := r.Header.Get(HeaderLastEvent); token != "" {
 		h.Dispatcher.Resume(r.Context(), req, completion, token, sink)
 		return
 	}
@@ -139,7 +139,7 @@
 // gate refuses new work while the instance takes none; a stream that is resumed
 // isn't new work.
 func (h *Handler) gate(r *http.Request) *core.Refusal {
-	if r.Header.Get(headerLastEvent) != "" {
+	if r.Header.Get(HeaderLastEvent) != "" {
 		return nil
 	}
 	return h.Gate.Gate()
@@ -149,7 +149,7 @@
 	cfg := h.Configuration.Configuration()
 	answer, refusal := h.callService(w, r, cfg)
 	if refusal != nil {
-		_ = writeRefusal(w, refusal)
+		_ = WriteRefusal(w, refusal)
 		return
 	}
 	w.Header().Set("Content-Type", answer.ContentType)
@@ -222,10 +222,11 @@
 }
 
 func checkModel(cfg core.Configuration, model core.Model) *core.Refusal {
-	models := modelsOf(cfg)
-	if slices.Contains(models, model) {
+	serves := func(t core.Target) bool { return slices.Contains(t.Models, model) }
+	if slices.ContainsFunc(cfg.Targets, serves) {
 		return nil
 	}
+	models := modelsOf(cfg)
 	names := make([]string, len(models))
 	for i, m := range models {
 		names[i] = string(m)
@@ -268,13 +269,13 @@
 }
 
 func notFound(w http.ResponseWriter, r *http.Request) {
-	_ = writeRefusal(w, &core.Refusal{
+	_ = WriteRefusal(w, &core.Refusal{
 		Kind: "UnknownPath", Message: "no such path: " + r.URL.Path, NotRun: true, Status: http.StatusNotFound,
 	})
 }
 
 func methodNotAllowed(w http.ResponseWriter, r *http.Request) {
-	_ = writeRefusal(w, &core.Refusal{
+	_ = WriteRefusal(w, &core.Refusal{
 		Kind: "MethodNotAllowed", Message: r.Method + " is not accepted on " + r.URL.Path,
 		NotRun: true, Status: http.StatusMethodNotAllowed,
 	})
--- a/io/caller/refusal.go
+++ b/io/caller/refusal.go
@@ -28,7 +28,9 @@
 	Code    string `json:"code"`
 }
 
-func writeRefusal(w http.ResponseWriter, r *core.Refusal) error {
+// WriteRefusal answers a caller with a refusal. It returns an error if the caller went
+// away.
+func WriteRefusal(w http.ResponseWriter, r *core.Refusal) error {
 	if r.RetryAfterMs > 0 {
 		wait := time.Duration(r.RetryAfterMs) * time.Millisecond
 		seconds := int64((wait + time.Second - 1) / time.Second)
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -24,7 +24,7 @@
 	HeaderDeadline     = "X-Deadline-Ms"
 	HeaderKey          = "Idempotency-Key"
 	HeaderRequest      = "X-Request-Id"
-	headerLastEvent    = "Last-Event-ID"
+	HeaderLastEvent    = "Last-Event-ID"
 )
 
 const maxKeyLength = 200
