--- /dev/null
+++ b/cmd/entry/node/module.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"net"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"gorseline/core"
+	"gorseline/core/assign"
+	"gorseline/core/common/random"
+	"gorseline/core/load"
+	"gorseline/core/membership"
+	"gorseline/core/retry"
+	"gorseline/core/roster"
+	"gorseline/core/route"
+	"gorseline/io/digest"
+	"gorseline/io/forward"
+	"gorseline/io/logline"
+	"gorseline/io/target"
+	"gorseline/platform"
+)
+
+// identity is what tells this process from others, also from an earlier one of the same
+// instance.
+type identity struct {
+	sender uint32
+	seed   uint64
+}
+
+// module lists the parts of an instance.
+func module(options Options, settings platform.Settings, output io.Writer) fx.Option {
+	return fx.Options(
+		fx.Supply(options, settings),
+		fx.Provide(
+			func() identity { return newIdentity() },
+			func(lc fx.Lifecycle) log.Interface { return newLog(lc, settings, output) },
+			core.NewProcessClock,
+			metrics.NewRegistry,
+			newInstruments,
+			newStore,
+			platform.NewInstances,
+			func(s *platform.Store) core.Table { return s },
+			func(i identity) *random.Source { return random.New(i.seed) },
+			load.NewBoard,
+			roster.New,
+			func(r *random.Source) *retry.Health { return retry.NewHealth(retry.DefaultHealthOptions(), r) },
+			newAssigner,
+			newBudgets,
+			func() *target.Pool { return target.NewPool(target.PoolOptions{}) },
+			newDigests,
+			newForwarder,
+			newWatcher,
+			newNode,
+		),
+	)
+}
+
+func newIdentity() identity {
+	var b [12]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(b[:])
+	return identity{binary.LittleEndian.Uint32(b[:4]), binary.LittleEndian.Uint64(b[4:])}
+}
+
+func newLog(lc fx.Lifecycle, settings platform.Settings, output io.Writer) log.Interface {
+	writer := logline.New(logline.Options{Output: output, Instance: string(settings.Instance)})
+	start(lc, writer)
+	return &log.Logger{Handler: writer, Level: log.InfoLevel}
+}
+
+func newStore(settings platform.Settings) *platform.Store { return platform.NewStore(settings.Store.Address) }
+
+func newAssigner(settings platform.Settings, b *load.Board, h *retry.Health, r *random.Source) *assign.Assigner {
+	return assign.New(assign.Options{
+		Board: b, Health: h, Random: r, Home: settings.DataCentre, Tuning: assign.DefaultTuning(),
+	})
+}
+
+// assumedInstances shares the retry budget until the other instances are known.
+const assumedInstances = 16
+
+func newBudgets(settings platform.Settings) *forward.Budgets {
+	return forward.NewBudgets(forward.BudgetOptions{
+		Ratio: settings.Bounds.RetryRatio, Slack: settings.Bounds.RetrySlack, Instances: assumedInstances,
+	})
+}
+
+func newDigests(
+	lc fx.Lifecycle, settings platform.Settings, id identity, b *load.Board, list *platform.Instances,
+	clock core.ClockProvider, l log.Interface,
+) (*digest.Node, error) {
+	conn, err := net.ListenPacket("udp4", settings.Peers)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	n := digest.New(digest.Options{
+		Self: membership.Record{
+			ID: settings.Instance, Address: settings.Peers, DataCentre: settings.DataCentre, Callers: settings.Callers,
+		},
+		Conn: conn, Sender: id.sender, Board: b, Lister: list, Clock: clock, Seed: id.seed, Log: l,
+	})
+	start(lc, n)
+	return n, nil
+}
+
+// defaultMaxBody bounds request bodies until the configuration does, in bytes.
+const defaultMaxBody = 4 << 20
+
+func newForwarder(
+	id identity, pool *target.Pool, a *assign.Assigner, b *load.Board, r *roster.Roster, h *retry.Health,
+	budgets *forward.Budgets, clock core.ClockProvider, digests *digest.Node, i *instruments, l log.Interface,
+) *forward.Forwarder {
+	return forward.New(forward.Options{
+		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Board: b, Roster: r, Health: h, Budgets: budgets,
+		Clock: clock, Sharer: digests, Observer: i, Log: l, Sender: id.sender, MaxBody: defaultMaxBody,
+	})
+}
+
+func newWatcher(
+	lc fx.Lifecycle, options Options, store *platform.Store, l log.Interface, clock core.ClockProvider,
+	r *roster.Roster, f *forward.Forwarder, b *load.Board, h *retry.Health, pool *target.Pool,
+) *platform.Watcher {
+	beliefs := &beliefs{forwarder: f, board: b, health: h, pool: pool, roster: r, log: l}
+	w := platform.NewWatcher(platform.WatchOptions{
+		Store: store, Log: l, Clock: clock, Configured: beliefs.configured, Roster: r, Changed: beliefs.changed,
+		Interval: options.Roster,
+	})
+	start(lc, w)
+	return w
+}
+
+// beliefs keeps the parts of an instance in step with configuration and registry.
+type beliefs struct {
+	forwarder *forward.Forwarder
+	board     *load.Board
+	health    *retry.Health
+	pool      *target.Pool
+	roster    *roster.Roster
+	log       log.Interface
+}
+
+// configured brings a newer configuration into force.
+func (b *beliefs) configured(c *core.Forwarding) {
+	if !b.forwarder.Configure(route.NewTable(c)) {
+		return
+	}
+	b.log.WithFields(log.Fields{"Configuration": c.Version, "Routes": len(c.Routes)}).Info("ConfigurationInForce")
+	for e := range b.roster.View().All {
+		b.setCapacity(&e.Registration)
+	}
+}
+
+func (b *beliefs) setCapacity(r *core.Registration) {
+	table := b.forwarder.Table()
+	if table == nil {
+		return
+	}
+	if engine := table.Configuration().Services[r.Service].Engine; engine != nil {
+		b.board.SetCapacity(r.ID, engine.CacheTokens)
+	}
+}
+
+// changed follows changes of targets. What was learned about an earlier start of a target
+// does not hold for the next.
+func (b *beliefs) changed(changes []roster.Change) {
+	for i := range changes {
+		c := &changes[i]
+		switch c.Kind {
+		case roster.Restarted, roster.Removed, roster.Moved:
+			b.board.Forget(c.Registration.ID)
+			b.health.Forget(c.Registration.ID)
+			b.pool.DiscardIdle(c.Registration.Address)
+		}
+		if c.Kind != roster.Removed {
+			b.setCapacity(&c.Registration)
+		}
+	}
+}
+
+// part is a component that runs until its context ends.
+type part interface {
+	Run(ctx context.Context)
+	Done() <-chan struct{}
+}
+
+// start runs a part between the start and the stop of the application.
+func start(lc fx.Lifecycle, p part) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go p.Run(ctx)
+			return nil
+		},
+		OnStop: func(limit context.Context) error {
+			cancel()
+			select {
+			case <-p.Done():
+				return nil
+			case <-limit.Done():
+				return limit.Err()
+			}
+		},
+	})
+}
--- /dev/null
+++ b/cmd/entry/node/node.go
@@ -0,0 +1,89 @@
+// Package node assembles an instance that forwards requests on the operators' platform.
+package node
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"go.uber.org/fx"
+
+	"gorseline/platform"
+)
+
+// Options are the settings of the program itself. What the platform tells is in the
+// settings file.
+type Options struct {
+	Settings    string        `long:"settings" env:"GORSELINE_NODE_FILE" required:"true" description:"Path of the platform's settings file"`
+	MetricsPort int           `long:"metrics-port" env:"GORSELINE_METRICS_PORT" default:"9464" description:"Port of GET /metrics on the address of the peers; 0 serves none"`
+	AnswerKeep  time.Duration `long:"answer-keep" env:"GORSELINE_ANSWER_KEEP" default:"1s" description:"How long callers may keep an answer of the directory"`
+	Roster      time.Duration `long:"roster-interval" env:"GORSELINE_ROSTER_INTERVAL" default:"800ms" description:"Time between two reads of the registry of targets"`
+	CheckOnly   bool          `long:"check" description:"Check the settings and exit"`
+}
+
+// memoryShare is the part of the allowed memory at which the collector works harder.
+const memoryShare = 0.7
+
+// Run runs an instance until SIGTERM or SIGINT.
+func Run(options Options, output io.Writer) error {
+	settings, err := platform.ReadSettings(options.Settings)
+	if err != nil {
+		return err
+	}
+	if options.CheckOnly {
+		return nil
+	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
+	var n *node
+	app := fx.New(fx.NopLogger, module(options, settings, output), fx.Populate(&n))
+	if err := app.Err(); err != nil {
+		return errors.Wrap(err, "assemble")
+	}
+	if err := app.Start(context.Background()); err != nil {
+		return errors.Wrap(err, "start")
+	}
+	n.log.WithFields(log.Fields{
+		"DataCentre": settings.DataCentre, "Callers": settings.Callers, "Peers": settings.Peers, "Store": settings.Store.Address,
+	}).Info("Started")
+	n.untilStopped()
+	n.leave()
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	return errors.Wrap(app.Stop(ctx), "stop")
+}
+
+// stopLimit bounds the end of the parts after the last request.
+const stopLimit = 2 * time.Second
+
+// untilStopped returns with SIGTERM or SIGINT. SIGHUP reads the settings again.
+func (n *node) untilStopped() {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			n.log.WithField("Signal", s.String()).Info("Leaving")
+			return
+		}
+		n.reload()
+	}
+}
+
+// reload reads the settings file again. What can't change while the process runs is
+// logged and stays as it was.
+func (n *node) reload() {
+	settings, err := platform.ReadSettings(n.options.Settings)
+	if err != nil {
+		n.log.WithError(err).Error("SettingsRejected")
+		return
+	}
+	n.log.WithField("RetrySlack", settings.Bounds.RetrySlack).Info("SettingsReloaded")
+}
--- a/cmd/instance/servers.go
+++ b/cmd/instance/servers.go
@@ -17,6 +17,7 @@
 	"gorseline/core/timeline"
 	"gorseline/io/caller"
 	"gorseline/io/certificate"
+	"gorseline/io/exposition"
 	"gorseline/io/operator"
 	"gorseline/io/peer"
 )
@@ -89,7 +90,7 @@
 	})
 	operators := http.NewServeMux()
 	operators.Handle("/gorseline.Operator/", operator.NewHandler(newConsole(in)))
-	operators.Handle("/metrics", operator.NewMetricsHandler(in.Metrics))
+	operators.Handle("/metrics", exposition.NewHandler(in.Metrics))
 	operators.Handle("/health", operator.NewHealthHandler(func() *core.Refusal { return nil }))
 	operators.Handle("/ready", operator.NewHealthHandler(in.Leaving.ready))
 	peers := http.NewServeMux()
--- /dev/null
+++ b/core/assign/assign.go
@@ -0,0 +1,304 @@
+// Package assign chooses the targets of forwarded requests and refuses those that
+// can't be answered in time.
+//
+// Prompts are computed on an engine for prompts and imported by one that generates, or
+// computed where they are generated, whichever promises the first token sooner at the
+// least work. Decisions rest on the outstanding work of all instances, on learned costs
+// and on what engines are believed to hold in their caches.
+package assign
+
+import (
+	"sync"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+	"gorseline/core/load"
+	"gorseline/core/prompt"
+	"gorseline/core/retry"
+	"gorseline/core/roster"
+)
+
+// Options are the parts and settings of an Assigner.
+type Options struct {
+	Board  *load.Board
+	Health *retry.Health
+	Random *random.Source
+	Home   core.DataCentre
+	Tuning
+}
+
+// Tuning holds the weights of decisions.
+type Tuning struct {
+	// OnTime is the share of a request's objective within which the first token must be
+	// expected. The rest covers the way to the caller and the error of the estimate.
+	OnTime float64
+	// Late is the share of the remaining time that a request which can't be on time may
+	// be expected to take.
+	Late float64
+	// WorkWeight is how much computing time on an engine counts beside the time until the
+	// first token: it is taken from other requests.
+	WorkWeight float64
+	// Remote is the time that a target in another data centre must save. It stands for the
+	// price of the bytes between data centres.
+	Remote time.Duration
+	// LongestRetry is the share of the remaining time that a caller may be asked to wait.
+	LongestRetry float64
+}
+
+// DefaultTuning returns the weights in use; docs/POLICIES.md has their comparison.
+func DefaultTuning() Tuning {
+	return Tuning{
+		OnTime: 0.75, Late: 0.6, WorkWeight: 1, Remote: 10 * time.Millisecond, LongestRetry: 0.33,
+	}
+}
+
+// Request is what a decision needs of a request.
+type Request struct {
+	Service core.Service
+	Engine  *core.EngineLimits
+	Prompt  *core.Prompt
+	Chain   prompt.Chain
+	// Objective is the time left to answer on time, Remaining the time left at all.
+	Objective time.Duration
+	Remaining time.Duration
+	// Returned requests were refused before and can't be on time any more.
+	Returned bool
+	// Exclude holds targets that were tried already.
+	Exclude []core.TargetID
+}
+
+// Decision is the outcome of an assignment. Target is nil for a refusal.
+type Decision struct {
+	Target *roster.Entry
+	// Kind is load.Prefill for a prompt that another engine imports, or load.Whole.
+	Kind load.WorkKind
+	// Work is what the target computes, Compute how long it should take alone.
+	Work    prompt.Work
+	Compute time.Duration
+	// Expected is the time until the first token; Backlog the part spent waiting.
+	Expected time.Duration
+	Backlog  time.Duration
+	// Held is the part of the prompt that the target should have cached, in tokens.
+	Held int
+	// Limit is the bound that Expected was held against.
+	Limit      time.Duration
+	Candidates int
+	Reason     core.Reason
+	RetryAfter time.Duration
+}
+
+// ReasonBacklog refuses a request because every engine has too much prompt work.
+const ReasonBacklog core.Reason = "Backlog"
+
+// Assigner decides for one instance. It is safe for concurrent use.
+type Assigner struct {
+	opts Options
+
+	mu     sync.Mutex
+	models map[core.Service]*model
+}
+
+// model is what was learned about the engines of one service.
+type model struct {
+	prefill *prompt.Cost
+	// wholeRatio is how much longer a generating engine takes for a prompt.
+	wholeRatio float64
+	// handover is the time from an import's start to the first token beyond the transfer.
+	handover time.Duration
+}
+
+// Starting values of a model, replaced by what answers show: generating engines compute
+// prompts at half the speed.
+const (
+	startWholeRatio = 2.0
+	startHandover   = 5 * time.Millisecond
+	// learning is the weight of a new sample in the running means.
+	learning = 0.1
+)
+
+// New returns an assigner that has learned nothing.
+func New(opts Options) *Assigner {
+	return &Assigner{opts: opts, models: map[core.Service]*model{}}
+}
+
+func (a *Assigner) model(service core.Service) *model {
+	m, ok := a.models[service]
+	if !ok {
+		m = &model{prefill: prompt.NewCost(), wholeRatio: startWholeRatio, handover: startHandover}
+		a.models[service] = m
+	}
+	return m
+}
+
+// candidate is one way to serve a request.
+type candidate struct {
+	Decision
+	score time.Duration
+}
+
+// Assign chooses where the prompt of a request is computed.
+func (a *Assigner) Assign(now core.Instant, view *roster.View, req *Request) Decision {
+	a.mu.Lock()
+	m := a.model(req.Service)
+	best, shortest, count := a.best(now, view, req, m)
+	a.mu.Unlock()
+	if count == 0 {
+		return a.refuse(req, Decision{Reason: core.ReasonNoTarget}, req.Objective)
+	}
+	limit := a.limit(req, shortest)
+	best.Candidates, best.Limit = count, limit
+	if best.Expected > limit {
+		best.Target, best.Reason = nil, ReasonBacklog
+		return a.refuse(req, best.Decision, best.Expected-limit)
+	}
+	best.Reason = core.ReasonLeastDelay
+	if best.Held > 0 {
+		best.Reason = core.ReasonPrefixHit
+	}
+	return best.Decision
+}
+
+// limit returns how long the first token may take. A prompt that is too long to be on
+// time even on an idle engine may take as much longer, and a returned request may use the
+// time that callers wait for late answers.
+func (a *Assigner) limit(req *Request, shortest time.Duration) time.Duration {
+	onTime := time.Duration(a.opts.OnTime * float64(req.Objective))
+	late := time.Duration(a.opts.Late * float64(req.Remaining))
+	if shortest > onTime/2 {
+		onTime = shortest + onTime/2
+	}
+	return min(onTime, late)
+}
+
+// best returns the candidate with the least score, the shortest time on an idle engine
+// and the number of candidates.
+func (a *Assigner) best(
+	now core.Instant, view *roster.View, req *Request, m *model,
+) (best candidate, shortest time.Duration, count int) {
+	generators := 0
+	for _, e := range view.Ready(req.Service) {
+		if e.Role.AcceptsDecode() && a.usable(now, e, req.Exclude) {
+			generators++
+		}
+	}
+	for _, e := range view.Ready(req.Service) {
+		if !a.usable(now, e, req.Exclude) || e.Role == core.RolePrefill && generators == 0 {
+			continue
+		}
+		c, ok := a.candidate(now, e, req, m)
+		if !ok {
+			continue
+		}
+		alone := c.Expected - c.Backlog
+		if count == 0 || alone < shortest {
+			shortest = alone
+		}
+		if count == 0 || c.score < best.score {
+			best = c
+		}
+		count++
+	}
+	return best, shortest, count
+}
+
+func (a *Assigner) usable(now core.Instant, e *roster.Entry, exclude []core.TargetID) bool {
+	for _, id := range exclude {
+		if id == e.ID {
+			return false
+		}
+	}
+	return a.opts.Health.Usable(now, e.ID)
+}
+
+func (a *Assigner) candidate(now core.Instant, e *roster.Entry, req *Request, m *model) (candidate, bool) {
+	state := a.opts.Board.State(now, e.ID, req.Chain.Shared())
+	if e.Slots > 0 && state.Running >= e.Slots {
+		return candidate{}, false
+	}
+	c := candidate{Decision: Decision{Target: e, Held: state.Held, Backlog: state.Backlog}}
+	c.Work = prompt.NewWork(req.Prompt.Tokens, state.Held)
+	c.Compute = m.prefill.Time(c.Work)
+	c.Kind = load.Prefill
+	if e.Role != core.RolePrefill {
+		c.Kind = load.Whole
+		c.Compute = time.Duration(m.wholeRatio * float64(c.Compute))
+	}
+	c.Expected = state.Backlog + c.Compute
+	if c.Kind == load.Prefill {
+		c.Expected += prompt.TransferTime(req.Engine, req.Prompt.Tokens, true) + m.handover
+	}
+	c.score = c.Expected + time.Duration(a.opts.WorkWeight*float64(c.Compute))
+	if e.DataCentre != a.opts.Home {
+		c.score += a.opts.Remote
+	}
+	return c, true
+}
+
+// refuse fills in when the caller should come back. The time is spread over the upper
+// part of what callers wait, so that they neither return together nor into the same queue.
+func (a *Assigner) refuse(req *Request, d Decision, excess time.Duration) Decision {
+	longest := time.Duration(a.opts.LongestRetry * float64(req.Remaining))
+	after := max(excess, longest/2)
+	d.RetryAfter = min(longest, after+time.Duration(a.opts.Random.Unit()*float64(longest/2)))
+	return d
+}
+
+// Generator chooses the engine that imports a prompt from source and generates.
+func (a *Assigner) Generator(now core.Instant, view *roster.View, req *Request, source *roster.Entry) (*roster.Entry, bool) {
+	var best *roster.Entry
+	var least time.Duration
+	a.mu.Lock()
+	handover := a.model(req.Service).handover
+	a.mu.Unlock()
+	for _, e := range view.Ready(req.Service) {
+		if !e.Role.AcceptsDecode() || !a.usable(now, e, req.Exclude) {
+			continue
+		}
+		state := a.opts.Board.State(now, e.ID, nil)
+		if e.Slots > 0 && state.Running >= e.Slots {
+			continue
+		}
+		isLocal := e.DataCentre == source.DataCentre
+		score := prompt.TransferTime(req.Engine, req.Prompt.Tokens, isLocal)*time.Duration(1+state.Generating) +
+			state.Backlog/4 + handover*time.Duration(state.Generating)/8
+		if e.DataCentre != a.opts.Home {
+			score += a.opts.Remote
+		}
+		if best == nil || score < least {
+			best, least = e, score
+		}
+	}
+	return best, best != nil
+}
+
+// ObservePrompt takes in how long an engine computed a prompt alone.
+func (a *Assigner) ObservePrompt(service core.Service, kind load.WorkKind, w prompt.Work, took time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := a.model(service)
+	if kind == load.Prefill {
+		m.prefill.Observe(w, took)
+		return
+	}
+	expected := m.prefill.Time(w)
+	if m.prefill.Samples() == 0 || expected <= 0 {
+		return
+	}
+	ratio := min(maximumWholeRatio, max(1, float64(took)/float64(expected)))
+	m.wholeRatio += learning * (ratio - m.wholeRatio)
+}
+
+// maximumWholeRatio bounds what a single stalled answer can teach.
+const maximumWholeRatio = 6
+
+// ObserveHandover takes in the time from an import's start to the first token.
+func (a *Assigner) ObserveHandover(req *Request, isLocal bool, took time.Duration) {
+	extra := took - prompt.TransferTime(req.Engine, req.Prompt.Tokens, isLocal)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := a.model(req.Service)
+	// A stalled import says nothing about the next one.
+	extra = min(max(0, extra), 10*startHandover)
+	m.handover += time.Duration(learning * float64(extra-m.handover))
+}
--- /dev/null
+++ b/core/assign/balance.go
@@ -0,0 +1,77 @@
+package assign
+
+import (
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/load"
+	"gorseline/core/roster"
+)
+
+// CallRequest is what the choice for a request without a prompt needs.
+type CallRequest struct {
+	Service   core.Service
+	Remaining time.Duration
+	Exclude   []core.TargetID
+}
+
+// CallDecision is the target of a request without a prompt. Target is nil for a refusal.
+type CallDecision struct {
+	Target     *roster.Entry
+	Running    int
+	Candidates int
+	Reason     core.Reason
+	RetryAfter time.Duration
+}
+
+// queuePerSlot is how many requests may wait for each slot of a plain target before new
+// ones are refused. Calls take some ten milliseconds, so that one waiting call per slot
+// stays within common objectives.
+const queuePerSlot = 2
+
+// Call chooses a target of a plain service: the one with the fewest outstanding requests
+// per slot, in the own data centre if it has free slots.
+func (a *Assigner) Call(now core.Instant, view *roster.View, req *CallRequest) CallDecision {
+	d := CallDecision{Reason: core.ReasonNoTarget}
+	least := 0.0
+	for _, e := range view.Ready(req.Service) {
+		if !a.usable(now, e, req.Exclude) {
+			continue
+		}
+		state := a.opts.Board.State(now, e.ID, nil)
+		slots := max(1, e.Slots)
+		d.Candidates++
+		if state.Running >= slots*(1+queuePerSlot) {
+			continue
+		}
+		score := float64(state.Running) / float64(slots)
+		if e.DataCentre != a.opts.Home {
+			// Half of the slots in the own data centre fill up first.
+			score += 0.5
+		}
+		if e.ColdLeft > 0 {
+			score += 0.5
+		}
+		// Instances that know the same loads must not all choose the same target.
+		score += 0.05 * a.opts.Random.Unit()
+		if d.Target == nil || score < least {
+			d.Target, d.Running, least = e, state.Running, score
+		}
+	}
+	switch {
+	case d.Target != nil:
+		d.Reason = core.ReasonLeastDelay
+	default:
+		if d.Candidates > 0 {
+			d.Reason = core.ReasonConcurrency
+		}
+		longest := time.Duration(a.opts.LongestRetry * float64(req.Remaining))
+		d.RetryAfter = longest/4 + time.Duration(a.opts.Random.Unit()*float64(longest/2))
+	}
+	return d
+}
+
+// Sent returns the item of a call for the board.
+func (d CallDecision) Sent(key load.Key) load.Item {
+	return load.Item{Key: key, Target: d.Target.ID, Kind: load.Call}
+}
--- /dev/null
+++ b/core/load/board.go
@@ -0,0 +1,237 @@
+// Package load tracks the work that all instances have given to targets and that is
+// not finished.
+//
+// An instance knows its own sends exactly and those of its peers from their digests,
+// about a millisecond late. That is far newer than the load reports of the targets and
+// keeps instances from sending to the same idle target at once.
+package load
+
+import (
+	"sync"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/prompt"
+)
+
+// WorkKind says what a target does with a request.
+type WorkKind uint8
+
+// Kinds of work.
+const (
+	// Call is a request of a plain service.
+	Call WorkKind = iota
+	// Prefill computes a prompt only.
+	Prefill
+	// Generate continues from an imported prompt.
+	Generate
+	// Whole computes a prompt and generates.
+	Whole
+)
+
+var kindNames = [...]string{"Call", "Prefill", "Generate", "Whole"}
+
+// String returns the kind's name.
+func (k WorkKind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "Unknown"
+}
+
+// computes reports whether the work occupies the target's processor before it generates.
+func (k WorkKind) computes() bool { return k == Prefill || k == Whole }
+
+// Key names one send: the instance and its serial number.
+type Key struct {
+	Sender uint32
+	Serial uint32
+}
+
+// Item is work that was sent to a target.
+type Item struct {
+	Key    Key
+	Target core.TargetID
+	Kind   WorkKind
+	// Compute is the expected time for the prompt on the idle target.
+	Compute time.Duration
+	// Chain is what the target holds in its cache afterwards.
+	Chain prompt.Chain
+}
+
+// lostAfter is when an item whose end was not heard counts as finished: above the
+// longest deadline of short kinds, and far above the time of a prompt.
+const lostAfter = 20 * time.Second
+
+// lostCompute is the same for work that only computes a prompt.
+const lostCompute = 3 * time.Second
+
+// Board holds the outstanding work per target. It is safe for concurrent use.
+type Board struct {
+	mu      sync.Mutex
+	targets map[core.TargetID]*target
+}
+
+type target struct {
+	items []open
+	// progress is when the first computing item began to be computed.
+	progress core.Instant
+	cache    *prompt.Cache
+}
+
+type open struct {
+	Item
+	sent core.Instant
+	// computed is set once the prompt of a Whole item is done.
+	computed bool
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board { return &Board{targets: map[core.TargetID]*target{}} }
+
+func (b *Board) target(id core.TargetID) *target {
+	t, ok := b.targets[id]
+	if !ok {
+		t = &target{}
+		b.targets[id] = t
+	}
+	return t
+}
+
+// SetCapacity gives a target a cache model of a capacity in tokens. It keeps an
+// existing one.
+func (b *Board) SetCapacity(id core.TargetID, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.target(id); t.cache == nil {
+		t.cache = prompt.NewCache(tokens)
+	}
+}
+
+// Forget drops all that is known about a target, as after its restart.
+func (b *Board) Forget(id core.TargetID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.targets, id)
+}
+
+// Sent notes that work was sent to its target.
+func (b *Board) Sent(now core.Instant, item Item) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.target(item.Target)
+	t.expire(now)
+	if item.Kind.computes() && !t.isComputing() {
+		t.progress = now
+	}
+	t.items = append(t.items, open{Item: item, sent: now})
+	if t.cache != nil && item.Kind != Call {
+		t.cache.Add(item.Chain)
+	}
+}
+
+// Computed notes that the prompt of an item is done. It returns the time that the
+// target spent on it alone, and false if that is unknown.
+func (b *Board) Computed(now core.Instant, id core.TargetID, key Key) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.target(id).computed(now, key, false)
+}
+
+// Finished notes the end of an item. It returns as Computed does.
+func (b *Board) Finished(now core.Instant, id core.TargetID, key Key) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.target(id).computed(now, key, true)
+}
+
+// computed ends the computation of an item, and removes the item if it is over.
+func (t *target) computed(now core.Instant, key Key, isOver bool) (took time.Duration, ok bool) {
+	for i := range t.items {
+		item := &t.items[i]
+		if item.Key != key {
+			continue
+		}
+		if item.Kind.computes() && !item.computed {
+			took, ok = now.Sub(max(t.progress, item.sent)), true
+			item.computed = true
+			t.progress = now
+		}
+		if isOver {
+			t.items = append(t.items[:i], t.items[i+1:]...)
+		}
+		return took, ok
+	}
+	return 0, false
+}
+
+func (t *target) isComputing() bool {
+	for i := range t.items {
+		if t.items[i].Kind.computes() && !t.items[i].computed {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *target) expire(now core.Instant) {
+	kept := t.items[:0]
+	for _, item := range t.items {
+		limit := lostAfter
+		if item.Kind == Prefill {
+			limit = lostCompute
+		}
+		if now.Sub(item.sent) < limit {
+			kept = append(kept, item)
+		}
+	}
+	t.items = kept
+}
+
+// State is the outstanding work of one target.
+type State struct {
+	// Backlog is the expected time until the target has computed all prompts.
+	Backlog time.Duration
+	// Prompts is the number of prompts in the backlog.
+	Prompts int
+	// Running is the number of all outstanding requests, Generating that of
+	// generations and whole requests.
+	Running    int
+	Generating int
+	// Oldest is how long the first unfinished prompt has been computed.
+	Oldest time.Duration
+	// Held is how many leading tokens of the chain are believed cached.
+	Held int
+}
+
+// State returns the state of a target for a prompt with the given chain, which may be nil.
+func (b *Board) State(now core.Instant, id core.TargetID, chain prompt.Chain) State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t, ok := b.targets[id]
+	if !ok {
+		return State{}
+	}
+	var s State
+	s.Running = len(t.items)
+	for i := range t.items {
+		item := &t.items[i]
+		if item.Kind == Generate || item.Kind == Whole {
+			s.Generating++
+		}
+		if !item.Kind.computes() || item.computed {
+			continue
+		}
+		left := item.Compute
+		if s.Prompts == 0 {
+			s.Oldest = now.Sub(max(t.progress, item.sent))
+			left = max(0, left-s.Oldest)
+		}
+		s.Backlog += left
+		s.Prompts++
+	}
+	if t.cache != nil && len(chain) > 0 {
+		s.Held = t.cache.Held(chain)
+	}
+	return s
+}
--- a/core/membership/addresses.go
+++ b/core/membership/addresses.go
@@ -80,3 +80,35 @@
 
 // Version changes whenever the view changes.
 func (p *Protocol) Version() uint64 { return p.view.version }
+
+// CallerAddresses returns the addresses of all live members of the caller's data centre,
+// or of all live members if there are none or the data centre is unknown. Callers that
+// keep to their own data centre send fewer bytes between data centres. Members that are
+// suspected are left out as long as others remain.
+func (p *Protocol) CallerAddresses(rng *rand.Rand, caller core.DataCentre) []string {
+	var near, far, suspects []Record
+	for h := range p.view.all {
+		switch {
+		case h.Callers == "" || h.Status == StatusLeaving || h.Status == StatusDead:
+		case h.Status == StatusSuspect:
+			suspects = append(suspects, h.Record)
+		case h.DataCentre == caller:
+			near = append(near, h.Record)
+		default:
+			far = append(far, h.Record)
+		}
+	}
+	chosen := near
+	if len(chosen) == 0 {
+		chosen = far
+	}
+	if len(chosen) == 0 {
+		chosen = suspects
+	}
+	shuffle(rng, chosen)
+	addresses := make([]string, len(chosen))
+	for i, r := range chosen {
+		addresses[i] = r.Callers
+	}
+	return addresses
+}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -42,3 +42,11 @@
 	defer b.mutex.Unlock()
 	b.ratio = ratio
 }
+
+// SetBurst changes how many unused attempts are kept.
+func (b *Budget) SetBurst(burst float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
+}
--- /dev/null
+++ b/core/retry/health.go
@@ -0,0 +1,131 @@
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+)
+
+// HealthOptions are the settings of a Health.
+type HealthOptions struct {
+	// Silent is the breaker for targets that don't answer.
+	Silent BreakerOptions
+	// Decay is the weight of a new answer in a target's failure share.
+	Decay float64
+	// Excess is by how much a target's failure share may exceed the mean of its service
+	// before it is avoided.
+	Excess float64
+	// Samples is the number of answers needed before the share counts.
+	Samples int
+	// Avoid is how long an outlier gets no work before it is tried again.
+	Avoid time.Duration
+}
+
+// DefaultHealthOptions returns settings that avoid a silent target after two attempts
+// without answer, and a target that fails 25 in 100 requests more than its peers.
+func DefaultHealthOptions() HealthOptions {
+	return HealthOptions{
+		Silent: BreakerOptions{
+			Failures: 2, Share: 0.5, Samples: 20, Window: 5 * time.Second,
+			Open: 500 * time.Millisecond, MaxOpen: 4 * time.Second,
+		},
+		Decay: 0.1, Excess: 0.25, Samples: 8, Avoid: 3 * time.Second,
+	}
+}
+
+// Health judges targets by the answers they give: one that falls silent is avoided by
+// its breaker, one that answers but fails more often than its peers for a while. Failures
+// that all targets of a service share say nothing about one of them. Health is safe for
+// concurrent use.
+type Health struct {
+	options HealthOptions
+	random  *random.Source
+
+	mu       sync.Mutex
+	targets  map[core.TargetID]*targetHealth
+	services map[core.Service]float64
+}
+
+type targetHealth struct {
+	breaker    *Breaker
+	share      float64
+	samples    int
+	avoidUntil core.Instant
+}
+
+// NewHealth returns a Health that knows no target.
+func NewHealth(options HealthOptions, source *random.Source) *Health {
+	return &Health{
+		options: options, random: source,
+		targets: map[core.TargetID]*targetHealth{}, services: map[core.Service]float64{},
+	}
+}
+
+func (h *Health) target(id core.TargetID) *targetHealth {
+	t, ok := h.targets[id]
+	if !ok {
+		t = &targetHealth{breaker: NewBreaker(h.options.Silent)}
+		h.targets[id] = t
+	}
+	return t
+}
+
+// Usable reports whether new work may go to a target.
+func (h *Health) Usable(now core.Instant, id core.TargetID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t, ok := h.targets[id]
+	return !ok || now >= t.avoidUntil && t.breaker.Ready(now)
+}
+
+// Sending notes that work goes to a target. It uses up the probe of an open breaker.
+func (h *Health) Sending(now core.Instant, id core.TargetID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t, ok := h.targets[id]; ok {
+		t.breaker.Allow(now)
+	}
+}
+
+// Silent notes that an attempt got no answer. It returns true if the target is avoided
+// from now on.
+func (h *Health) Silent(now core.Instant, id core.TargetID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.target(id)
+	before := t.breaker.State()
+	t.breaker.Failed(now, h.random.Unit())
+	return before == CircuitClosed && t.breaker.State() == CircuitOpen
+}
+
+// Answered notes an answer, and whether it was a failure of the target itself. It returns
+// true if the target is avoided from now on.
+func (h *Health) Answered(now core.Instant, id core.TargetID, service core.Service, failed bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.target(id)
+	t.breaker.Succeeded(now)
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	t.share += h.options.Decay * (value - t.share)
+	t.samples++
+	// The mean moves slower, so that one bad target of four doesn't count as normal.
+	h.services[service] += h.options.Decay / 5 * (value - h.services[service])
+	if !failed || t.samples < h.options.Samples || t.share <= h.services[service]+h.options.Excess {
+		return false
+	}
+	t.samples, t.share = 0, h.services[service]
+	t.avoidUntil = now.Add(h.options.Avoid)
+	return true
+}
+
+// Forget drops what is known about a target, as after its restart.
+func (h *Health) Forget(id core.TargetID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.targets, id)
+}
--- /dev/null
+++ b/io/digest/node.go
@@ -0,0 +1,434 @@
+// Package digest exchanges datagrams between instances: digests of the work that each
+// has given to targets, and the probes of the membership protocol.
+//
+// A lost datagram does no lasting harm: work whose end was not heard expires, and the
+// membership protocol repeats itself.
+package digest
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+	"gorseline/core/load"
+	"gorseline/core/membership"
+)
+
+// Options are the parts of a Node. All are required.
+type Options struct {
+	// Self is the own record; its address receives datagrams.
+	Self   membership.Record
+	Conn   net.PacketConn
+	Sender uint32
+	Board  *load.Board
+	Lister core.InstanceLister
+	Clock  core.ClockProvider
+	Seed   uint64
+	Log    log.Interface
+}
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// seedInterval is the time between two readings of the list of instances, and
+	// aloneInterval that while no other member is known.
+	seedInterval  = 30 * time.Second
+	aloneInterval = time.Second
+	// batchInterval is the least time between two digests. It bounds an instance to 500
+	// of them a second and delays what peers know by at most as much.
+	batchInterval = 2 * time.Millisecond
+	// fanOut bounds the peers that get the digests. Larger data centres get them in part,
+	// and learn the rest from the targets' own refusals.
+	fanOut = 24
+	// queueLength bounds the events that wait; more are dropped and counted.
+	queueLength = 4096
+	// eventsPerPacket keeps a digest within one frame.
+	eventsPerPacket = 12
+)
+
+// Node exchanges datagrams with the other instances.
+type Node struct {
+	opts   Options
+	events chan event
+	// Dropped counts the events that found the queue full.
+	dropped atomic.Uint64
+	serial  atomic.Uint32
+	peers   atomic.Pointer[[]netip.AddrPort]
+	done    chan struct{}
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	members *membership.Protocol
+	pending map[uint32]pendingCall
+}
+
+// pendingCall is a call whose reply is awaited until due.
+type pendingCall struct {
+	call membership.Call
+	due  core.Instant
+	// answer is called for indirect probes, with whether there was a reply.
+	answer func(reached bool)
+}
+
+// New returns a node that knows only itself. It starts with Run.
+func New(o Options) *Node {
+	n := &Node{
+		opts: o, events: make(chan event, queueLength), done: make(chan struct{}),
+		rng: rand.New(rand.NewPCG(o.Seed, 1)), pending: map[uint32]pendingCall{},
+	}
+	header := func(core.Instant) (applied, head core.Revision, ageMs uint32) { return 0, 0, 0 }
+	n.members = membership.New(o.Self, rand.New(rand.NewPCG(o.Seed, 0)), header, n.changed)
+	n.peers.Store(&[]netip.AddrPort{})
+	return n
+}
+
+// changed logs what is newly believed about a member.
+func (n *Node) changed(r membership.Record) {
+	n.opts.Log.WithFields(log.Fields{
+		"Member": r.ID, "DataCentre": r.DataCentre, "Status": r.Status, "Incarnation": r.Incarnation,
+	}).Info("MemberChanged")
+}
+
+// Sent tells peers that work was sent to a target.
+func (n *Node) Sent(item load.Item) { n.queue(sentEvent(item)) }
+
+// Computed tells peers that a target has computed the prompt of an item.
+func (n *Node) Computed(id core.TargetID, key load.Key) {
+	n.queue(event{Operation: opComputed, Target: id, Serial: key.Serial})
+}
+
+// Finished tells peers that work has ended.
+func (n *Node) Finished(id core.TargetID, key load.Key) {
+	n.queue(event{Operation: opFinished, Target: id, Serial: key.Serial})
+}
+
+func (n *Node) queue(e event) {
+	select {
+	case n.events <- e:
+	default:
+		n.dropped.Add(1)
+	}
+}
+
+// Dropped returns the number of load events that were not sent to peers.
+func (n *Node) Dropped() uint64 { return n.dropped.Load() }
+
+// Run exchanges datagrams until ctx ends, and then closes the connection.
+func (n *Node) Run(ctx context.Context) {
+	defer close(n.done)
+	var loops sync.WaitGroup
+	loops.Go(func() { n.loopRead(ctx) })
+	loops.Go(func() { n.loopTicks(ctx) })
+	loops.Go(func() { n.loopSeeds(ctx) })
+	loops.Go(func() { n.loopEvents(ctx) })
+	<-ctx.Done()
+	_ = n.opts.Conn.Close() // ends loopRead
+	loops.Wait()
+}
+
+// Done is closed when Run has ended.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+func (n *Node) loopSeeds(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, err := n.opts.Lister.Instances(ctx)
+		if err != nil && ctx.Err() == nil {
+			n.opts.Log.WithError(err).Warn("InstancesNotRead")
+		}
+		n.mu.Lock()
+		if err == nil {
+			n.members.Seed(list)
+		}
+		isAlone := len(n.members.Members()) < 2
+		n.mu.Unlock()
+		pause := seedInterval
+		if err != nil || isAlone {
+			pause = aloneInterval
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (n *Node) loopTicks(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.tick()
+		}
+	}
+}
+
+func (n *Node) tick() {
+	n.mu.Lock()
+	now := n.opts.Clock.Now()
+	calls := n.members.Tick(now)
+	var answers []func(bool)
+	for serial, p := range n.pending {
+		if now < p.due {
+			continue
+		}
+		delete(n.pending, serial)
+		if p.answer != nil {
+			answers = append(answers, p.answer)
+			continue
+		}
+		calls = append(calls, n.members.Failed(now, p.call)...)
+	}
+	packets := n.register(now, calls)
+	n.updatePeers()
+	n.mu.Unlock()
+	n.sendAll(packets)
+	for _, answer := range answers {
+		answer(false)
+	}
+}
+
+// addressed is a packet and where it goes.
+type addressed struct {
+	to string
+	packet
+}
+
+// register notes calls as pending and returns their packets. The lock must be held.
+func (n *Node) register(now core.Instant, calls []membership.Call) []addressed {
+	packets := make([]addressed, 0, len(calls))
+	for _, call := range calls {
+		serial := n.serial.Add(1)
+		n.pending[serial] = pendingCall{call: call, due: now.Add(call.Timeout)}
+		message := call.Message
+		packets = append(packets, addressed{call.To.Address, packet{
+			Kind: packetCall, Serial: serial, Call: call.Kind, Message: &message,
+		}})
+	}
+	return packets
+}
+
+func (n *Node) sendAll(packets []addressed) {
+	for i := range packets {
+		to, err := netip.ParseAddrPort(packets[i].to)
+		if err != nil {
+			n.opts.Log.WithFields(log.Fields{"Address": packets[i].to, "Error": err.Error()}).Warn("PeerAddressInvalid")
+			continue
+		}
+		n.send(to, &packets[i].packet)
+	}
+}
+
+func (n *Node) send(to netip.AddrPort, p *packet) {
+	data, err := cbor.Marshal(p)
+	if err != nil {
+		n.opts.Log.WithError(err).Error("DatagramNotEncoded")
+		return
+	}
+	// A datagram that can't be sent counts as lost, which the protocol allows for.
+	_, _ = n.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(to))
+}
+
+// updatePeers chooses who gets the digests: all members if they are few, else those of the
+// own data centre first. The lock must be held.
+func (n *Node) updatePeers() {
+	var near, far []netip.AddrPort
+	for _, r := range n.members.Members() {
+		to, err := netip.ParseAddrPort(r.Address)
+		if err != nil || r.ID == n.opts.Self.ID {
+			continue
+		}
+		if r.DataCentre == n.opts.Self.DataCentre {
+			near = append(near, to)
+		} else {
+			far = append(far, to)
+		}
+	}
+	peers := near
+	if len(near)+len(far) <= fanOut {
+		peers = append(peers, far...)
+	}
+	peers = peers[:min(len(peers), fanOut)]
+	n.peers.Store(&peers)
+}
+
+// loopEvents sends digests. Events that come together share a datagram.
+func (n *Node) loopEvents(ctx context.Context) {
+	batch := make([]event, 0, eventsPerPacket)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-n.events:
+			batch = n.collect(append(batch[:0], e))
+			data, err := cbor.Marshal(&packet{Kind: packetLoad, Sender: n.opts.Sender, Events: batch})
+			if err != nil {
+				n.opts.Log.WithError(err).Error("DatagramNotEncoded")
+				continue
+			}
+			for _, to := range *n.peers.Load() {
+				_, _ = n.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(to)) // may be lost
+			}
+			if len(batch) < eventsPerPacket {
+				sleep(ctx, batchInterval)
+			}
+		}
+	}
+}
+
+// collect adds the events that wait, as far as they fit.
+func (n *Node) collect(batch []event) []event {
+	for len(batch) < eventsPerPacket {
+		select {
+		case e := <-n.events:
+			batch = append(batch, e)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (n *Node) loopRead(ctx context.Context) {
+	buffer := make([]byte, 64<<10)
+	for {
+		size, from, err := n.opts.Conn.ReadFrom(buffer)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			n.opts.Log.WithError(err).Warn("DatagramNotRead")
+			sleep(ctx, tickInterval)
+			continue
+		}
+		p, err := decodePacket(buffer[:size])
+		if err != nil {
+			n.opts.Log.WithFields(log.Fields{"From": from.String(), "Error": err.Error()}).Warn("DatagramRejected")
+			continue
+		}
+		n.handle(p, from)
+	}
+}
+
+func (n *Node) handle(p *packet, from net.Addr) {
+	switch p.Kind {
+	case packetLoad:
+		n.load(p)
+	case packetCall:
+		n.answer(p, from)
+	case packetReply:
+		n.replied(p)
+	}
+}
+
+// load takes in the digest of a peer.
+func (n *Node) load(p *packet) {
+	now := n.opts.Clock.Now()
+	for i := range p.Events {
+		e := &p.Events[i]
+		key := load.Key{Sender: p.Sender, Serial: e.Serial}
+		switch e.Operation {
+		case opSent:
+			n.opts.Board.Sent(now, e.item(p.Sender))
+		case opComputed:
+			n.opts.Board.Computed(now, e.Target, key)
+		case opFinished:
+			n.opts.Board.Finished(now, e.Target, key)
+		}
+	}
+}
+
+// answer replies to a call of a peer.
+func (n *Node) answer(p *packet, from net.Addr) {
+	reply := func(m membership.Message) {
+		data, err := cbor.Marshal(&packet{Kind: packetReply, Serial: p.Serial, Message: &m})
+		if err != nil {
+			n.opts.Log.WithError(err).Error("DatagramNotEncoded")
+			return
+		}
+		_, _ = n.opts.Conn.WriteTo(data, from) // may be lost
+	}
+	n.mu.Lock()
+	now := n.opts.Clock.Now()
+	switch p.Call {
+	case membership.CallIndirectProbe:
+		n.relayProbe(now, *p.Message, reply)
+		return
+	case membership.CallDigest:
+		m := n.members.HandleDigest(now, *p.Message)
+		n.mu.Unlock()
+		reply(m)
+	default:
+		m := n.members.HandleProbe(now, *p.Message)
+		n.mu.Unlock()
+		reply(m)
+	}
+}
+
+// relayProbe probes a member for another one. The lock must be held; it is released.
+func (n *Node) relayProbe(now core.Instant, m membership.Message, reply func(membership.Message)) {
+	call := n.members.HandleIndirectProbe(now, m)
+	packets := n.register(now, []membership.Call{call})
+	p := n.pending[packets[0].Serial]
+	p.answer = func(reached bool) {
+		n.mu.Lock()
+		answer := n.members.AnswerIndirectProbe(n.opts.Clock.Now(), m, reached)
+		n.mu.Unlock()
+		reply(answer)
+	}
+	n.pending[packets[0].Serial] = p
+	n.mu.Unlock()
+	n.sendAll(packets)
+}
+
+// replied takes in the reply to a call.
+func (n *Node) replied(p *packet) {
+	n.mu.Lock()
+	pending, ok := n.pending[p.Serial]
+	delete(n.pending, p.Serial)
+	if ok {
+		n.members.Replied(n.opts.Clock.Now(), pending.call, *p.Message)
+	}
+	n.mu.Unlock()
+	if ok && pending.answer != nil {
+		pending.answer(true)
+	}
+}
+
+// Leave announces that this instance leaves.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	packets := n.register(n.opts.Clock.Now(), n.members.Leave(n.opts.Clock.Now()))
+	n.mu.Unlock()
+	n.sendAll(packets)
+}
+
+// Members returns the members that are not dropped, this one included.
+func (n *Node) Members() []membership.Record {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Members()
+}
+
+// CallerAddresses returns the addresses for a caller in a data centre.
+func (n *Node) CallerAddresses(dc core.DataCentre) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.CallerAddresses(n.rng, dc)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/io/forward/call.go
@@ -0,0 +1,241 @@
+package forward
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+	"gorseline/core/assign"
+	"gorseline/core/roster"
+	"gorseline/io/target"
+)
+
+const (
+	// maximumSends bounds the targets that are tried for one request when they refuse it.
+	maximumSends = 4
+	// patientShare is the part of the objective after which a repeatable call that got no
+	// answer is tried elsewhere. It is above the time of nearly all calls.
+	patientShare = 0.6
+	// bufferedAnswer is the length up to which a body is read before it is relayed, so
+	// that a broken one can be noticed first, in bytes.
+	bufferedAnswer = 256 << 10
+)
+
+// serveCall forwards a request that carries no prompt.
+func (r *run) serveCall() {
+	for {
+		d := r.Assigner.Call(r.Clock.Now(), r.Roster.View(), &assign.CallRequest{
+			Service: r.service, Remaining: r.remaining(), Exclude: r.exclude,
+		})
+		r.logCall(d)
+		if d.Target == nil {
+			r.giveUp(d.Reason, d.RetryAfter)
+			return
+		}
+		if r.callOnce(d) {
+			return
+		}
+		if !r.tryAgain() {
+			return
+		}
+	}
+}
+
+// callOnce sends the request to one target and relays its answer. It returns false if
+// another target may be tried.
+func (r *run) callOnce(d assign.CallDecision) (done bool) {
+	e := d.Target
+	r.exclude = append(r.exclude, e.ID)
+	key := r.key()
+	item := d.Sent(key)
+	r.Board.Sent(r.Clock.Now(), item)
+	r.Sharer.Sent(item)
+	defer func() {
+		r.Board.Finished(r.Clock.Now(), e.ID, key)
+		r.Sharer.Finished(e.ID, key)
+	}()
+	answer, result := r.send(e, core.Attempt{}, r.callLimit())
+	if result != sendAnswered {
+		return false
+	}
+	failed := answer.Status >= http.StatusInternalServerError
+	if r.Health.Answered(r.Clock.Now(), e.ID, r.service, failed) {
+		r.Log.WithFields(log.Fields{"Target": e.ID, "Service": r.service, "Reason": "Failures"}).Warn("TargetAvoided")
+	}
+	// A repeatable request that the target failed may succeed elsewhere.
+	if failed && r.mayRunAgain() && r.remaining() > r.route.Objective/4 && r.Budgets.Take(r.service) {
+		drain(answer)
+		r.logAttempt(e, &core.Attempt{}, "Failed", answer.Status, nil)
+		d := r.Assigner.Call(r.Clock.Now(), r.Roster.View(), &assign.CallRequest{
+			Service: r.service, Remaining: r.remaining(), Exclude: r.exclude,
+		})
+		if d.Target == nil {
+			r.fail(core.ReasonNoTarget)
+			return true
+		}
+		r.logCall(d)
+		return r.callOnce(d)
+	}
+	if isEventStream(answer) {
+		return r.relayStream(e, answer)
+	}
+	return r.relay(answer)
+}
+
+// callLimit returns how long to wait for the answer to one send.
+func (r *run) callLimit() time.Duration {
+	if r.route.Kind != core.RouteRepeatable || r.runs+1 >= r.route.Attempts {
+		return r.remaining()
+	}
+	return max(time.Duration(patientShare*float64(r.route.Objective)), r.remaining()/4)
+}
+
+// tryAgain decides whether the request is sent once more. It answers the request if not.
+func (r *run) tryAgain() bool {
+	switch {
+	case r.ctx.Err() != nil:
+		r.fail(ReasonNoAnswer)
+	case !r.mayRunAgain():
+		r.fail(ReasonNoAnswer)
+	case r.sends >= maximumSends:
+		r.fail(ReasonTargetsRefused)
+	case !r.Budgets.Take(r.service):
+		r.fail(ReasonBudget)
+	default:
+		return true
+	}
+	return false
+}
+
+// giveUp ends a request for which there is no target.
+func (r *run) giveUp(reason core.Reason, after time.Duration) {
+	if r.runs > 0 || r.in.Context().Err() != nil {
+		r.fail(reason)
+		return
+	}
+	r.refuse(reason, after)
+}
+
+// relay passes a whole answer on. It returns false if the answer broke off before any of
+// it was passed on and the request may run again.
+func (r *run) relay(answer *target.Answer) (done bool) {
+	var body []byte
+	isWhole := answer.Length >= 0 && answer.Length <= bufferedAnswer
+	if isWhole {
+		var err error
+		if body, err = readAll(answer.Body, answer.Length); err != nil {
+			_ = answer.Close() // it is broken
+			r.Observer.Attempted(r.service, "Broken")
+			if r.mayRunAgain() {
+				return false
+			}
+			r.fail(ReasonBroken)
+			return true
+		}
+		answer.Finish()
+	}
+	r.first = r.Clock.Now().Sub(r.arrived)
+	r.writeHead(answer)
+	if isWhole {
+		// A caller that left can't be told.
+		_, _ = r.w.Write(body)
+		r.ended(core.OutcomeDone, ReasonAnswered, answer.Status)
+		return true
+	}
+	r.copyBody(answer)
+	return true
+}
+
+// copyBody relays a long body, or one of unknown length, as it arrives.
+func (r *run) copyBody(answer *target.Answer) {
+	_, err := io.Copy(flushed{r.w}, answer.Body)
+	if err != nil {
+		_ = answer.Close() // it is broken, or the caller left
+		r.ended(core.OutcomeCut, ReasonBroken, answer.Status)
+		panic(http.ErrAbortHandler)
+	}
+	answer.Finish()
+	r.ended(core.OutcomeDone, ReasonAnswered, answer.Status)
+}
+
+// flushed passes on each write at once.
+type flushed struct{ http.ResponseWriter }
+
+// Write writes and flushes b.
+func (f flushed) Write(b []byte) (int, error) {
+	n, err := f.ResponseWriter.Write(b)
+	if err == nil {
+		err = http.NewResponseController(f.ResponseWriter).Flush()
+	}
+	return n, err
+}
+
+// writeHead passes on status and header.
+func (r *run) writeHead(answer *target.Answer) {
+	header := r.w.Header()
+	for name, values := range r.Dialect.Relayed(answer.Header) {
+		header[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil // keeps the server from guessing one
+	}
+	r.w.WriteHeader(answer.Status)
+}
+
+func isEventStream(answer *target.Answer) bool {
+	return answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
+}
+
+func (r *run) logCall(d assign.CallDecision) {
+	fields := log.Fields{
+		"Request": r.req.ID, "Route": r.route.Name, "Service": r.service, "Reason": d.Reason,
+		"Running": d.Running, "Candidates": d.Candidates, "Roster": r.Roster.View().Version,
+		"LeftMs": r.remaining().Milliseconds(),
+	}
+	if d.Target == nil {
+		fields["RetryAfterMs"] = d.RetryAfter.Milliseconds()
+		r.Log.WithFields(fields).Warn("RequestRefused")
+		return
+	}
+	fields["Target"] = d.Target.ID
+	r.Log.WithFields(fields).Info("RequestAssigned")
+}
+
+// release frees an exported KV cache that nobody imports. It doesn't wait for the answer.
+func (r *run) release(e *roster.Entry, handle string) {
+	method, uri := r.Dialect.Release(handle)
+	r.releases.Go(func() {
+		answer, err := r.Pool.Do(r.in.Context(), &target.Request{
+			Address: e.Address, Method: method, URI: uri, Host: e.Address,
+			Header: http.Header{}, Deadline: time.Now().Add(releaseTimeout),
+		})
+		if err != nil {
+			r.Log.WithFields(log.Fields{"Target": e.ID, "Handle": handle, "Error": err.Error()}).Warn("ReleaseFailed")
+			return
+		}
+		drain(answer)
+	})
+}
+
+// releaseTimeout bounds a call that frees an export. The export expires by itself.
+const releaseTimeout = time.Second
+
+// readHandle reads the answer to a prefill.
+func (r *run) readHandle(answer *target.Answer) (string, error) {
+	body, err := readAll(io.LimitReader(answer.Body, drainLimit), answer.Length)
+	if err != nil {
+		_ = answer.Close() // it is broken
+		return "", errors.Wrap(err, "read prefill answer")
+	}
+	answer.Finish()
+	if answer.Status != http.StatusOK {
+		return "", errors.Errorf("prefill answered status %d: %.100s", answer.Status, bytes.TrimSpace(body))
+	}
+	return r.Dialect.Handle(body)
+}
--- /dev/null
+++ b/io/forward/prompt.go
@@ -0,0 +1,178 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"gorseline/core"
+	"gorseline/core/assign"
+	"gorseline/core/load"
+	"gorseline/core/prompt"
+	"gorseline/core/roster"
+	"gorseline/io/target"
+)
+
+const (
+	// slowFactor and slowExtra bound the wait for a prefill: beyond the expected time
+	// several times over, the engine is stalled and the prompt goes elsewhere.
+	slowFactor = 4
+	slowExtra  = 250 * time.Millisecond
+)
+
+// servePrompt forwards a request whose prompt engines compute.
+func (r *run) servePrompt() {
+	chain := prompt.NewChain(r.req.Prompt)
+	for {
+		req := &assign.Request{
+			Service: r.service, Engine: r.engine(), Prompt: r.req.Prompt, Chain: chain,
+			Objective: r.objective(), Remaining: r.remaining(), Returned: r.returned, Exclude: r.exclude,
+		}
+		d := r.Assigner.Assign(r.Clock.Now(), r.Roster.View(), req)
+		r.logPrompt(&d)
+		if d.Target == nil {
+			r.giveUp(d.Reason, d.RetryAfter)
+			return
+		}
+		var done bool
+		if d.Kind == load.Prefill {
+			done = r.inTwoStages(&d, req)
+		} else {
+			done = r.inOneStage(&d, req)
+		}
+		if done || !r.tryAgain() {
+			return
+		}
+	}
+}
+
+// inTwoStages has the prompt computed on one engine and imported by another. It returns
+// false if another way may be tried.
+func (r *run) inTwoStages(d *assign.Decision, req *assign.Request) (done bool) {
+	handle, ok := r.prefill(d, req)
+	if !ok {
+		r.exclude = append(r.exclude, d.Target.ID)
+		return false
+	}
+	req.Exclude = r.exclude
+	generator, ok := r.Assigner.Generator(r.Clock.Now(), r.Roster.View(), req, d.Target)
+	if !ok {
+		r.release(d.Target, handle)
+		r.giveUp(core.ReasonNoTarget, r.remaining()/4)
+		return true
+	}
+	source := core.CacheSource{Address: d.Target.Address, Handle: handle}
+	began := r.Clock.Now()
+	key := r.start(load.Item{Target: generator.ID, Kind: load.Generate, Chain: req.Chain})
+	defer r.finish(generator.ID, key)
+	answer, result := r.send(generator, core.Attempt{Source: source}, r.generateLimit(d))
+	if result != sendAnswered {
+		r.exclude = append(r.exclude, generator.ID)
+		r.release(d.Target, handle)
+		return false
+	}
+	isLocal := generator.DataCentre == d.Target.DataCentre
+	r.Assigner.ObserveHandover(req, isLocal, r.Clock.Now().Sub(began))
+	return r.answer(generator, answer)
+}
+
+// generateLimit is how long to wait for the first event. A stream that may run again is
+// tried elsewhere when it stalls.
+func (r *run) generateLimit(d *assign.Decision) time.Duration {
+	if !r.route.Repeatable() || r.runs+1 >= r.route.Attempts {
+		return r.remaining()
+	}
+	return max(slowFactor*d.Expected+slowExtra, r.remaining()/4)
+}
+
+// prefill has the prompt computed and returns the handle of its KV cache.
+func (r *run) prefill(d *assign.Decision, req *assign.Request) (handle string, ok bool) {
+	key := r.start(promptItem(d, req))
+	defer r.finish(d.Target.ID, key)
+	limit := slowFactor*d.Expected + slowExtra
+	attempt := core.Attempt{PrefillOnly: true}
+	answer, result := r.send(d.Target, attempt, limit)
+	if result != sendAnswered {
+		return "", false
+	}
+	handle, err := r.readHandle(answer)
+	now := r.Clock.Now()
+	r.Health.Answered(now, d.Target.ID, r.service, err != nil)
+	if err != nil {
+		r.logAttempt(d.Target, &attempt, "Failed", answer.Status, err)
+		return "", false
+	}
+	if took, known := r.Board.Computed(now, d.Target.ID, key); known {
+		r.Assigner.ObservePrompt(r.service, load.Prefill, d.Work, took)
+	}
+	return handle, true
+}
+
+// inOneStage sends the request to an engine that computes the prompt itself.
+func (r *run) inOneStage(d *assign.Decision, req *assign.Request) (done bool) {
+	e := d.Target
+	key := r.start(promptItem(d, req))
+	defer r.finish(e.ID, key)
+	answer, result := r.send(e, core.Attempt{}, r.generateLimit(d))
+	if result != sendAnswered {
+		r.exclude = append(r.exclude, e.ID)
+		return false
+	}
+	if took, known := r.Board.Computed(r.Clock.Now(), e.ID, key); known {
+		r.Assigner.ObservePrompt(r.service, load.Whole, d.Work, took)
+	}
+	r.Sharer.Computed(e.ID, key)
+	return r.answer(e, answer)
+}
+
+// answer relays the answer of the engine that generates.
+func (r *run) answer(e *roster.Entry, answer *target.Answer) (done bool) {
+	failed := answer.Status >= http.StatusInternalServerError
+	r.Health.Answered(r.Clock.Now(), e.ID, r.service, failed)
+	if failed && r.mayRunAgain() {
+		drain(answer)
+		r.exclude = append(r.exclude, e.ID)
+		r.logAttempt(e, &core.Attempt{}, "Failed", answer.Status, nil)
+		return false
+	}
+	if isEventStream(answer) {
+		return r.relayStream(e, answer)
+	}
+	return r.relay(answer)
+}
+
+// promptItem returns the item of a prompt for the board.
+func promptItem(d *assign.Decision, req *assign.Request) load.Item {
+	return load.Item{Target: d.Target.ID, Kind: d.Kind, Compute: d.Compute, Chain: req.Chain}
+}
+
+// start notes work on the board, tells peers and returns its key.
+func (r *run) start(item load.Item) load.Key {
+	item.Key = r.key()
+	r.Board.Sent(r.Clock.Now(), item)
+	r.Sharer.Sent(item)
+	return item.Key
+}
+
+func (r *run) finish(id core.TargetID, key load.Key) {
+	r.Board.Finished(r.Clock.Now(), id, key)
+	r.Sharer.Finished(id, key)
+}
+
+func (r *run) logPrompt(d *assign.Decision) {
+	fields := log.Fields{
+		"Request": r.req.ID, "Route": r.route.Name, "Service": r.service, "Reason": d.Reason,
+		"Tokens": r.req.Prompt.Tokens, "Held": d.Held, "ComputeMs": d.Compute.Milliseconds(),
+		"BacklogMs": d.Backlog.Milliseconds(), "ExpectedMs": d.Expected.Milliseconds(),
+		"LimitMs": d.Limit.Milliseconds(), "Candidates": d.Candidates, "Returned": r.returned,
+		"Roster": r.Roster.View().Version, "LeftMs": r.remaining().Milliseconds(),
+	}
+	if d.Target == nil {
+		fields["RetryAfterMs"] = d.RetryAfter.Milliseconds()
+		r.Log.WithFields(fields).Warn("RequestRefused")
+		return
+	}
+	fields["Target"], fields["Kind"] = d.Target.ID, d.Kind
+	r.Log.WithFields(fields).Info("RequestAssigned")
+}
--- a/io/operator/health.go
+++ b/io/operator/health.go
@@ -2,11 +2,7 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
-	"strings"
-
-	"github.com/rcrowley/go-metrics"
 
 	"gorseline/core"
 )
@@ -24,34 +20,3 @@
 		_ = json.NewEncoder(w).Encode(refusal)
 	})
 }
-
-// NewMetricsHandler serves a registry in the text format that monitoring systems
-// commonly read. Dots in names become underscores.
-func NewMetricsHandler(registry metrics.Registry) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		var b strings.Builder
-		registry.Each(func(name string, metric any) { writeMetric(&b, "gorseline_"+metricName(name), metric) })
-		_, _ = w.Write([]byte(b.String()))
-	})
-}
-
-func metricName(name string) string { return strings.NewReplacer(".", "_", "-", "_").Replace(name) }
-
-func writeMetric(b *strings.Builder, name string, metric any) {
-	switch m := metric.(type) {
-	case metrics.Counter:
-		fmt.Fprintf(b, "# TYPE %s counter\n%s %d\n", name, name, m.Count())
-	case metrics.Gauge:
-		fmt.Fprintf(b, "# TYPE %s gauge\n%s %d\n", name, name, m.Value())
-	case metrics.GaugeFloat64:
-		fmt.Fprintf(b, "# TYPE %s gauge\n%s %g\n", name, name, m.Value())
-	case metrics.Histogram:
-		s := m.Snapshot()
-		fmt.Fprintf(b, "# TYPE %s summary\n", name)
-		for _, q := range [...]float64{0.5, 0.95, 0.99} {
-			fmt.Fprintf(b, "%s{quantile=\"%g\"} %g\n", name, q, s.Percentile(q))
-		}
-		fmt.Fprintf(b, "%s_count %d\n", name, s.Count())
-	}
-}
