Order the roles of engines by demand and keep long prompts off busy generators

Cause: with two thirds of the engines generating, prompts were computed there at half speed between the tokens of up to 16 streams; streams needed 120 ms an event and clerk-queries ran into their deadlines (29 of 462).

--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -57,6 +57,7 @@
 			newDigests,
 			newForwarder,
 			newWatcher,
+			newRoles,
 			newNode,
 		),
 	)
@@ -75,7 +76,9 @@
 	return &log.Logger{Handler: writer, Level: log.InfoLevel}
 }
 
-func newStore(settings platform.Settings) *platform.Store { return platform.NewStore(settings.Store.Address) }
+func newStore(settings platform.Settings) *platform.Store {
+	return platform.NewStore(settings.Store.Address)
+}
 
 func newAssigner(settings platform.Settings, b *load.Board, h *retry.Health, r *random.Source) *assign.Assigner {
 	return assign.New(assign.Options{
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -52,6 +52,7 @@
 	Pool      *target.Pool
 	List      *platform.Instances
 	Watcher   *platform.Watcher
+	Roles     *roles
 	Registry  metrics.Registry
 }
 
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -49,7 +49,7 @@
 // DefaultTuning returns the weights in use; docs/POLICIES.md has their comparison.
 func DefaultTuning() Tuning {
 	return Tuning{
-		OnTime: 0.75, Late: 0.6, WorkWeight: 1, Remote: 10 * time.Millisecond, LongestRetry: 0.33,
+		OnTime: 0.88, Late: 0.6, WorkWeight: 1, Remote: 10 * time.Millisecond, LongestRetry: 0.33,
 	}
 }
 
@@ -216,6 +216,9 @@
 	if e.Slots > 0 && state.Running >= e.Slots {
 		return candidate{}, false
 	}
+	if e.Role != core.RolePrefill && c0(a, state, e, req, m) {
+		return candidate{}, false
+	}
 	c := candidate{Decision: Decision{Target: e, Held: state.Held, Backlog: state.Backlog}}
 	c.Work = prompt.NewWork(req.Prompt.Tokens, state.Held)
 	c.Compute = m.prefill.Time(c.Work)
@@ -235,6 +238,14 @@
 	return c, true
 }
 
+func c0(a *Assigner, s load.State, e *roster.Entry, req *Request, m *model) bool {
+	w := prompt.NewWork(req.Prompt.Tokens, s.Held)
+	if m.prefill.Time(w) < 4*time.Millisecond {
+		return false
+	}
+	return s.Prompts > 0 || s.Generating > e.Slots/4
+}
+
 // refuse fills in when the caller should come back. The time is spread over the upper
 // part of what callers wait, so that they neither return together nor into the same queue.
 func (a *Assigner) refuse(req *Request, d Decision, excess time.Duration) Decision {
--- a/core/load/board.go
+++ b/core/load/board.go
@@ -156,6 +156,7 @@
 			took, ok = now.Sub(max(t.progress, item.sent)), true
 			item.computed = true
 			t.progress = now
+			t.overtake(item.sent)
 		}
 		if isOver {
 			t.items = append(t.items[:i], t.items[i+1:]...)
@@ -165,6 +166,21 @@
 	return 0, false
 }
 
+// overtakeMargin covers the difference of the ways that two instances' sends and digests
+// take.
+const overtakeMargin = 10 * time.Millisecond
+
+// overtake marks the prompts as computed that were sent before one that is done. Targets
+// compute prompts in the order of their arrival, so the digests that told of their ends
+// were lost.
+func (t *target) overtake(sent core.Instant) {
+	for i := range t.items {
+		if item := &t.items[i]; item.sent.Add(overtakeMargin) < sent {
+			item.computed = true
+		}
+	}
+}
+
 func (t *target) isComputing() bool {
 	for i := range t.items {
 		if t.items[i].Kind.computes() && !t.items[i].computed {
--- /dev/null
+++ b/core/placement/demand.go
@@ -0,0 +1,287 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"gorseline/core"
+)
+
+// Reasons of the role changes of a DemandPlanner.
+const (
+	ReasonStart       core.Reason = "StartingShare"
+	ReasonPrompts     core.Reason = "PromptsWait"
+	ReasonGenerations core.Reason = "GenerationsWait"
+)
+
+// DemandOptions are the settings of a DemandPlanner. Zero values take the defaults that
+// are stated per field.
+type DemandOptions struct {
+	// StartShare is the share of engines that compute prompts until a demand was seen;
+	// 0.7. Prompts of the known kinds take many times longer than their answers.
+	StartShare float64
+	// Busy is the share of prompt engines with work at which more are wanted; 0.6.
+	Busy float64
+	// Full is the share of generation slots in use at which more generating engines are
+	// wanted, Spare the share that the others may have after one is taken away; 0.95, 0.8.
+	Full, Spare float64
+	// Smoothing is the time constant of the averages; 4 s.
+	Smoothing time.Duration
+	// MinimumStay is the least time between two changes of an engine; 15 s.
+	MinimumStay time.Duration
+	// Reversal is the least time between changes in opposite directions; 10 s.
+	Reversal time.Duration
+	// AtOnce is the share of engines that may change together; 0.25. Before there is any
+	// demand all may.
+	AtOnce float64
+	// ChangeTimeout gives up waiting for a change; 15 s.
+	ChangeTimeout time.Duration
+}
+
+func (o DemandOptions) withDefaults() DemandOptions {
+	o.StartShare = orDefault(o.StartShare, 0.7)
+	o.Busy = orDefault(o.Busy, 0.6)
+	o.Full = orDefault(o.Full, 0.95)
+	o.Spare = orDefault(o.Spare, 0.8)
+	o.Smoothing = orDefault(o.Smoothing, 4*time.Second)
+	o.MinimumStay = orDefault(o.MinimumStay, 15*time.Second)
+	o.Reversal = orDefault(o.Reversal, 10*time.Second)
+	o.AtOnce = orDefault(o.AtOnce, 0.25)
+	o.ChangeTimeout = orDefault(o.ChangeTimeout, 15*time.Second)
+	return o
+}
+
+// EngineLoad is what a DemandPlanner needs of one engine.
+type EngineLoad struct {
+	ID         core.TargetID
+	DataCentre core.DataCentre
+	Role       core.Role
+	Slots      int
+	// Prompts and Generating are the requests that the engine has now.
+	Prompts    int
+	Generating int
+}
+
+// DemandPlanner plans the roles of the engines of one service by what waits: it moves
+// engines to prompts while those that have this role are busy and the others idle, and
+// back when generations fill their slots. It answers mixes whose share of prompts shifts
+// within seconds, and a start in which most engines have the role that little needs. It
+// is not safe for concurrent use.
+type DemandPlanner struct {
+	options DemandOptions
+	mu      sync.Mutex
+	// busy and full are running averages of the shares in use.
+	busy, full float64
+	at         core.Instant
+	isStarted  bool
+	// seen is set with the first demand.
+	seen    bool
+	pending map[core.TargetID]pendingRole
+	changed map[core.TargetID]core.Instant
+	last    core.Role
+	lastAt  core.Instant
+}
+
+type pendingRole struct {
+	to    core.Role
+	since core.Instant
+}
+
+// NewDemandPlanner returns a planner that has seen nothing.
+func NewDemandPlanner(options DemandOptions) *DemandPlanner {
+	return &DemandPlanner{
+		options: options.withDefaults(), pending: map[core.TargetID]pendingRole{}, changed: map[core.TargetID]core.Instant{},
+	}
+}
+
+// Plan returns the role changes that should begin now. It is called about once a second
+// with all engines of the service that take work.
+func (p *DemandPlanner) Plan(now core.Instant, engines []EngineLoad) []core.RoleChange {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settle(now, engines)
+	p.observe(now, engines)
+	free := p.settled(engines)
+	if len(engines) < 2 {
+		return nil
+	}
+	wanted, reason := p.wanted(engines, free)
+	if wanted == 0 {
+		return nil
+	}
+	to := core.RolePrefill
+	if wanted < 0 {
+		to, wanted = core.RoleDecode, -wanted
+	}
+	if p.last != core.RoleNone && p.last != to && now.Sub(p.lastAt) < p.options.Reversal {
+		return nil
+	}
+	limit := len(engines)
+	if p.seen {
+		limit = max(1, int(p.options.AtOnce*float64(len(engines))))
+	}
+	return p.change(now, free, to, min(wanted, limit-len(p.pending)), reason)
+}
+
+// settle ends the changes that are visible or overdue.
+func (p *DemandPlanner) settle(now core.Instant, engines []EngineLoad) {
+	for id, change := range p.pending {
+		i := slices.IndexFunc(engines, func(e EngineLoad) bool { return e.ID == id })
+		if i >= 0 && engines[i].Role != change.to && now.Sub(change.since) < p.options.ChangeTimeout {
+			continue
+		}
+		delete(p.pending, id)
+		p.changed[id] = now
+	}
+}
+
+// observe updates the averages.
+func (p *DemandPlanner) observe(now core.Instant, engines []EngineLoad) {
+	var readers, reading, slots, generating float64
+	for _, e := range engines {
+		if e.Role == core.RolePrefill {
+			readers++
+			reading += min(1, float64(e.Prompts))
+			continue
+		}
+		slots += float64(max(1, e.Slots))
+		generating += float64(e.Generating)
+	}
+	if reading+generating > 0 {
+		p.seen = true
+	}
+	busy, full := 1.0, 1.0
+	if readers > 0 {
+		busy = reading / readers
+	}
+	if slots > 0 {
+		full = generating / slots
+	}
+	weight := 1.0
+	if p.isStarted {
+		weight = min(1, now.Sub(p.at).Seconds()/p.options.Smoothing.Seconds())
+	}
+	p.busy += weight * (busy - p.busy)
+	p.full += weight * (full - p.full)
+	p.at, p.isStarted = now, true
+}
+
+// settled returns the engines without a change under way.
+func (p *DemandPlanner) settled(engines []EngineLoad) []EngineLoad {
+	free := make([]EngineLoad, 0, len(engines))
+	for _, e := range engines {
+		if _, ok := p.pending[e.ID]; !ok {
+			free = append(free, e)
+		}
+	}
+	return free
+}
+
+// wanted returns how many engines should move to prompts, or, if negative, from them.
+// Changes under way count as done.
+func (p *DemandPlanner) wanted(engines, free []EngineLoad) (int, core.Reason) {
+	readers := 0
+	for _, e := range free {
+		if e.Role == core.RolePrefill {
+			readers++
+		}
+	}
+	for _, change := range p.pending {
+		if change.to == core.RolePrefill {
+			readers++
+		}
+	}
+	generators := len(engines) - readers
+	floor := generatorFloor(engines)
+	switch {
+	case generators < floor:
+		return generators - floor, ReasonFloorViolation
+	case !p.seen:
+		start := min(int(p.options.StartShare*float64(len(engines))), len(engines)-floor)
+		return max(0, start-readers), ReasonStart
+	case len(p.pending) > 0:
+		// The averages don't show what the changes under way will do.
+		return 0, ""
+	case p.full > p.options.Full && readers > 1:
+		return -1, ReasonGenerations
+	case p.busy > p.options.Busy && generators > floor:
+		spare := float64(generators) * (1 - p.full/p.options.Spare)
+		return min(generators-floor, int(spare)), ReasonPrompts
+	}
+	return 0, ""
+}
+
+// generatorFloor is the least number of generating engines: two, so that the loss of one
+// leaves another, and at least a fifth of all.
+func generatorFloor(engines []EngineLoad) int {
+	if len(engines) < 4 {
+		return 1
+	}
+	return max(2, (len(engines)+4)/5)
+}
+
+// change chooses the engines to move: from the data centre with most of their role, those
+// with the least work first.
+func (p *DemandPlanner) change(
+	now core.Instant, free []EngineLoad, to core.Role, count int, reason core.Reason,
+) []core.RoleChange {
+	var changes []core.RoleChange
+	for range count {
+		i := p.candidate(now, free, to)
+		if i < 0 {
+			break
+		}
+		e := free[i]
+		free = slices.Delete(slices.Clone(free), i, i+1)
+		p.pending[e.ID] = pendingRole{to, now}
+		p.last, p.lastAt = to, now
+		changes = append(changes, core.RoleChange{Target: e.ID, From: e.Role, To: to, Reason: reason})
+	}
+	return changes
+}
+
+// candidate returns the index of the engine to move next, or -1.
+func (p *DemandPlanner) candidate(now core.Instant, free []EngineLoad, to core.Role) int {
+	local := map[core.DataCentre]int{}
+	for _, e := range free {
+		if e.Role != to {
+			local[e.DataCentre]++
+		}
+	}
+	best := -1
+	for i, e := range free {
+		at, moved := p.changed[e.ID]
+		if e.Role == to || e.Role == core.RoleNone || moved && now.Sub(at) < p.options.MinimumStay {
+			continue
+		}
+		if best < 0 || before(e, free[best], local) {
+			best = i
+		}
+	}
+	return best
+}
+
+func before(a, b EngineLoad, local map[core.DataCentre]int) bool {
+	return cmp.Or(
+		cmp.Compare(local[b.DataCentre], local[a.DataCentre]),
+		cmp.Compare(a.Prompts+a.Generating, b.Prompts+b.Generating),
+		cmp.Compare(a.ID, b.ID),
+	) < 0
+}
+
+// Averages returns the shares of prompt engines and of generation slots in use, which
+// the plans rest on.
+func (p *DemandPlanner) Averages() (busy, full float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.busy, p.full
+}
+
+// Failed notes that a change could not be ordered.
+func (p *DemandPlanner) Failed(id core.TargetID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pending, id)
+}
--- a/core/retry/health.go
+++ b/core/retry/health.go
@@ -21,6 +21,9 @@
 	Samples int
 	// Avoid is how long an outlier gets no work before it is tried again.
 	Avoid time.Duration
+	// Refused and MaxRefused bound how long a target gets no work that has refused some.
+	// The time doubles with each refusal in a row.
+	Refused, MaxRefused time.Duration
 }
 
 // DefaultHealthOptions returns settings that avoid a silent target after two attempts
@@ -32,6 +35,8 @@
 			Open: 500 * time.Millisecond, MaxOpen: 4 * time.Second,
 		},
 		Decay: 0.1, Excess: 0.25, Samples: 8, Avoid: 3 * time.Second,
+		// A full queue drains within some 50 ms; a role change takes seconds.
+		Refused: 50 * time.Millisecond, MaxRefused: time.Second,
 	}
 }
 
@@ -53,6 +58,7 @@
 	share      float64
 	samples    int
 	avoidUntil core.Instant
+	refusals   int
 }
 
 // NewHealth returns a Health that knows no target.
@@ -107,6 +113,7 @@
 	defer h.mu.Unlock()
 	t := h.target(id)
 	t.breaker.Succeeded(now)
+	t.refusals = 0
 	value := 0.0
 	if failed {
 		value = 1
@@ -123,6 +130,20 @@
 	return true
 }
 
+// Refused notes that a target answered that it did not run a request, as with a full
+// queue or during a role change.
+func (h *Health) Refused(now core.Instant, id core.TargetID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.target(id)
+	t.breaker.Succeeded(now)
+	if now < t.avoidUntil {
+		return // sent before an earlier refusal was known
+	}
+	t.avoidUntil = now.Add(min(h.options.MaxRefused, h.options.Refused<<min(t.refusals, 10)))
+	t.refusals++
+}
+
 // Forget drops what is known about a target, as after its restart.
 func (h *Health) Forget(id core.TargetID) {
 	h.mu.Lock()
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -261,14 +261,17 @@
 
 // loopEvents sends digests. Events that come together share a datagram.
 func (n *Node) loopEvents(ctx context.Context) {
-	batch := make([]event, 0, eventsPerPacket)
+	batch := make([]event, 0, 2*eventsPerPacket)
+	var repeats []event
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-n.events:
 			batch = n.collect(append(batch[:0], e))
-			data, err := cbor.Marshal(&packet{Kind: packetLoad, Sender: n.opts.Sender, Events: batch})
+			data, err := cbor.Marshal(&packet{Kind: packetLoad, Sender: n.opts.Sender, Events: append(batch, repeats...)})
+			// An end that was lost would count as work for long, so it is told twice.
+			repeats = ends(repeats[:0], batch)
 			if err != nil {
 				n.opts.Log.WithError(err).Error("DatagramNotEncoded")
 				continue
@@ -283,6 +286,16 @@
 	}
 }
 
+// ends appends the ends of work among events to into.
+func ends(into, events []event) []event {
+	for _, e := range events {
+		if e.Operation == opFinished {
+			into = append(into, e)
+		}
+	}
+	return into
+}
+
 // collect adds the events that wait, as far as they fit.
 func (n *Node) collect(batch []event) []event {
 	for len(batch) < eventsPerPacket {
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -66,7 +66,7 @@
 		return answer, sendAnswered
 	}
 	drain(answer)
-	r.Health.Answered(r.Clock.Now(), e.ID, r.service, false)
+	r.Health.Refused(r.Clock.Now(), e.ID)
 	if kind == gio.AnswerMisdirected {
 		r.Pool.DiscardIdle(e.Address)
 	}
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -160,6 +160,14 @@
 	returned bool
 	first    time.Duration
 	last     core.TargetID
+	// events counts the events of a stream that were passed on, latest is when the last
+	// one arrived, after the request.
+	events int
+	latest time.Duration
+	// prefilled and imported are the times that the two stages of a prompt took until
+	// their answers began.
+	prefilled time.Duration
+	imported  time.Duration
 }
 
 func (r *run) serve() {
@@ -319,6 +327,12 @@
 		"Status": status, "Sends": r.sends, "Runs": r.runs, "TookMs": took.Milliseconds(),
 		"FirstMs": r.first.Milliseconds(), "Target": r.last, "Returned": r.returned,
 	}
+	if r.prefilled > 0 {
+		fields["PrefillMs"], fields["ImportMs"] = r.prefilled.Milliseconds(), r.imported.Milliseconds()
+	}
+	if r.events > 0 {
+		fields["Events"], fields["LastEventMs"] = r.events, r.latest.Milliseconds()
+	}
 	if r.table != nil {
 		fields["Configuration"] = r.table.Version()
 	}
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -50,7 +50,9 @@
 // inTwoStages has the prompt computed on one engine and imported by another. It returns
 // false if another way may be tried.
 func (r *run) inTwoStages(d *assign.Decision, req *assign.Request) (done bool) {
+	began := r.Clock.Now()
 	handle, ok := r.prefill(d, req)
+	r.prefilled = r.Clock.Now().Sub(began)
 	if !ok {
 		r.exclude = append(r.exclude, d.Target.ID)
 		return false
@@ -63,7 +65,7 @@
 		return true
 	}
 	source := core.CacheSource{Address: d.Target.Address, Handle: handle}
-	began := r.Clock.Now()
+	began = r.Clock.Now()
 	key := r.start(load.Item{Target: generator.ID, Kind: load.Generate, Chain: req.Chain})
 	defer r.finish(generator.ID, key)
 	answer, result := r.send(generator, core.Attempt{Source: source}, r.generateLimit(d))
@@ -73,7 +75,8 @@
 		return false
 	}
 	isLocal := generator.DataCentre == d.Target.DataCentre
-	r.Assigner.ObserveHandover(req, isLocal, r.Clock.Now().Sub(began))
+	r.imported = r.Clock.Now().Sub(began)
+	r.Assigner.ObserveHandover(req, isLocal, r.imported)
 	return r.answer(generator, answer)
 }
 
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -100,6 +100,7 @@
 		if id != "" {
 			s.lastID = id
 		}
+		s.events, s.latest = s.events+1, s.Clock.Now().Sub(s.arrived)
 		if reader.Buffered()+answer.Buffered() > 0 {
 			continue
 		}
--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -17,15 +17,16 @@
 	sealed   bool // no further byte may be written
 	idle     bool
 	deadline time.Time
+	guard    func() bool
 	once     sync.Once
 }
 
 // begin marks the start of a request.
-func (c *conn) begin(deadline time.Time) {
+func (c *conn) begin(deadline time.Time, guard func() bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.started, c.idle = false, false
-	c.deadline = deadline
+	c.deadline, c.guard = deadline, guard
 	if !deadline.IsZero() {
 		// A failure shows in the write itself.
 		_ = c.SetWriteDeadline(deadline)
@@ -57,10 +58,11 @@
 	return !started
 }
 
-// Write writes b unless the connection is sealed or its write deadline is over.
+// Write writes b unless the connection is sealed, its write deadline is over or its
+// guard refuses.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	refused := c.sealed || !c.deadline.IsZero() && !time.Now().Before(c.deadline)
+	refused := c.sealed || !c.deadline.IsZero() && !time.Now().Before(c.deadline) || c.guard != nil && !c.guard()
 	if !refused {
 		c.started = true
 	}
--- a/io/target/transport.go
+++ b/io/target/transport.go
@@ -124,6 +124,7 @@
 // Attempt follows one request through the transport.
 type Attempt struct {
 	writeDeadline time.Time
+	writeGuard    func() bool
 	repeatable    bool
 	mu            sync.Mutex
 	conns         []*conn
@@ -143,6 +144,13 @@
 	return a
 }
 
+// WithWriteGuard makes the connection ask allowed before each write and refuse to write
+// if it returns false. It needs a transport for single use, as WithWriteDeadline does.
+func (a *Attempt) WithWriteGuard(allowed func() bool) *Attempt {
+	a.writeGuard = allowed
+	return a
+}
+
 // Do sends req once, or possibly again after a connection error if the attempt
 // is repeatable.
 func (t *Transport) Do(a *Attempt, req *http.Request) (*http.Response, error) {
@@ -153,7 +161,7 @@
 			if !ok {
 				return
 			}
-			c.begin(a.writeDeadline)
+			c.begin(a.writeDeadline, a.writeGuard)
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			a.conns = append(a.conns, c)
