--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -39,7 +39,7 @@
 	return fx.Options(
 		fx.Supply(options, settings),
 		fx.Provide(
-			func() identity { return newIdentity() },
+			newIdentity,
 			func(lc fx.Lifecycle) log.Interface { return newLog(lc, settings, output) },
 			core.NewProcessClock,
 			metrics.NewRegistry,
@@ -49,7 +49,7 @@
 			func(s *platform.Store) core.Table { return s },
 			func(i identity) *random.Source { return random.New(i.seed) },
 			load.NewBoard,
-			roster.New,
+			func() *roster.Roster { return roster.New(settings.Heartbeat) },
 			func(r *random.Source) *retry.Health { return retry.NewHealth(retry.DefaultHealthOptions(), r) },
 			newAssigner,
 			newBudgets,
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -42,6 +42,12 @@
 	// Remote is the time that a target in another data centre must save. It stands for the
 	// price of the bytes between data centres.
 	Remote time.Duration
+	// ShortPrompt is the computing time up to which a prompt is computed on any generating
+	// engine: it holds up the streams there by little more than a step.
+	ShortPrompt time.Duration
+	// MixedShare is the share of a generating engine's slots in use up to which it also
+	// computes a long prompt.
+	MixedShare float64
 	// LongestRetry is the share of the remaining time that a caller may be asked to wait.
 	LongestRetry float64
 }
@@ -49,7 +55,8 @@
 // DefaultTuning returns the weights in use; docs/POLICIES.md has their comparison.
 func DefaultTuning() Tuning {
 	return Tuning{
-		OnTime: 0.88, Late: 0.6, WorkWeight: 1, Remote: 10 * time.Millisecond, LongestRetry: 0.33,
+		OnTime: 0.88, Late: 0.6, WorkWeight: 1, Remote: 10 * time.Millisecond,
+		ShortPrompt: 4 * time.Millisecond, MixedShare: 0.25, LongestRetry: 0.33,
 	}
 }
 
@@ -176,14 +183,9 @@
 func (a *Assigner) best(
 	now core.Instant, view *roster.View, req *Request, m *model,
 ) (best candidate, shortest time.Duration, count int) {
-	generators := 0
+	hasGenerator := a.hasGenerator(now, view, req)
 	for _, e := range view.Ready(req.Service) {
-		if e.Role.AcceptsDecode() && a.usable(now, e, req.Exclude) {
-			generators++
-		}
-	}
-	for _, e := range view.Ready(req.Service) {
-		if !a.usable(now, e, req.Exclude) || e.Role == core.RolePrefill && generators == 0 {
+		if !a.usable(now, e, req.Exclude) || e.Role == core.RolePrefill && !hasGenerator {
 			continue
 		}
 		c, ok := a.candidate(now, e, req, m)
@@ -211,12 +213,27 @@
 	return a.opts.Health.Usable(now, e.ID)
 }
 
+// hasGenerator reports whether an engine with a free slot could generate an answer.
+func (a *Assigner) hasGenerator(now core.Instant, view *roster.View, req *Request) bool {
+	for _, e := range view.Ready(req.Service) {
+		if !e.Role.AcceptsDecode() || !a.usable(now, e, req.Exclude) {
+			continue
+		}
+		if state := a.opts.Board.State(now, e.ID, nil); hasSlot(e, &state) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSlot reports whether a request would not wait for a slot. Answers hold slots for
+// seconds, so that a wait for one takes longer than most objectives allow.
+func hasSlot(e *roster.Entry, state *load.State) bool { return e.Slots <= 0 || state.Running < e.Slots }
+
+// candidate rates one engine.
 func (a *Assigner) candidate(now core.Instant, e *roster.Entry, req *Request, m *model) (candidate, bool) {
 	state := a.opts.Board.State(now, e.ID, req.Chain.Shared())
-	if e.Slots > 0 && state.Running >= e.Slots {
-		return candidate{}, false
-	}
-	if e.Role != core.RolePrefill && c0(a, state, e, req, m) {
+	if !hasSlot(e, &state) {
 		return candidate{}, false
 	}
 	c := candidate{Decision: Decision{Target: e, Held: state.Held, Backlog: state.Backlog}}
@@ -224,6 +241,9 @@
 	c.Compute = m.prefill.Time(c.Work)
 	c.Kind = load.Prefill
 	if e.Role != core.RolePrefill {
+		if c.Compute > a.opts.ShortPrompt && a.hasStreams(e, &state) {
+			return candidate{}, false
+		}
 		c.Kind = load.Whole
 		c.Compute = time.Duration(m.wholeRatio * float64(c.Compute))
 	}
@@ -238,12 +258,10 @@
 	return c, true
 }
 
-func c0(a *Assigner, s load.State, e *roster.Entry, req *Request, m *model) bool {
-	w := prompt.NewWork(req.Prompt.Tokens, s.Held)
-	if m.prefill.Time(w) < 4*time.Millisecond {
-		return false
-	}
-	return s.Prompts > 0 || s.Generating > e.Slots/4
+// hasStreams reports whether a long prompt on a generating engine would hold up others:
+// it is computed between their tokens, in many pieces.
+func (a *Assigner) hasStreams(e *roster.Entry, state *load.State) bool {
+	return state.Prompts > 0 || float64(state.Generating) > a.opts.MixedShare*float64(e.Slots)
 }
 
 // refuse fills in when the caller should come back. The time is spread over the upper
@@ -267,7 +285,7 @@
 			continue
 		}
 		state := a.opts.Board.State(now, e.ID, nil)
-		if e.Slots > 0 && state.Running >= e.Slots {
+		if !hasSlot(e, &state) {
 			continue
 		}
 		isLocal := e.DataCentre == source.DataCentre
--- a/core/load/board.go
+++ b/core/load/board.go
@@ -42,6 +42,9 @@
 // computes reports whether the work occupies the target's processor before it generates.
 func (k WorkKind) computes() bool { return k == Prefill || k == Whole }
 
+// generates reports whether the work holds one of the target's slots for its answer.
+func (k WorkKind) generates() bool { return k == Generate || k == Whole }
+
 // Key names one send: the instance and its serial number.
 type Key struct {
 	Sender uint32
@@ -232,7 +235,7 @@
 	s.Running = len(t.items)
 	for i := range t.items {
 		item := &t.items[i]
-		if item.Kind == Generate || item.Kind == Whole {
+		if item.Kind.generates() {
 			s.Generating++
 		}
 		if !item.Kind.computes() || item.computed {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -3,7 +3,7 @@
 // The registry removes the entry of a target that left or fell silent. While the
 // registry is out of reach, entries may lapse that belong to live targets; they come
 // back shortly after its return. Roster therefore keeps an entry for a while that
-// disappears just after an outage.
+// disappears just after an outage, and uses it only where too few others are left.
 package roster
 
 import (
@@ -20,9 +20,15 @@
 // take to come back after it, as the platform promises.
 const ReturnGrace = 2 * time.Second
 
+// lapsedShare is the share of a service's entries above which lapsed ones are used: that
+// many targets hardly left together, while a single one probably did.
+const lapsedShare = 1.0 / 3
+
 // Entry is one target of a view.
 type Entry struct {
 	core.Registration
+	// Lapsed entries disappeared just after an outage of the registry.
+	Lapsed bool
 }
 
 // View is an immutable list of the targets at one moment.
@@ -91,12 +97,16 @@
 	lapsed map[core.TargetID]core.Instant
 	// backAt is when the registry was reached again after an outage.
 	backAt core.Instant
-	outage bool
+	// lostAt is when an outage began that has not ended.
+	lostAt core.Instant
+	isLost bool
+	lapse  time.Duration
 }
 
-// New returns an empty roster.
-func New() *Roster {
-	r := &Roster{lapsed: map[core.TargetID]core.Instant{}, backAt: -core.Instant(time.Hour)}
+// New returns an empty roster. Entries can lapse in outages of the registry that last
+// for at least lapse.
+func New(lapse time.Duration) *Roster {
+	r := &Roster{lapsed: map[core.TargetID]core.Instant{}, backAt: -core.Instant(time.Hour), lapse: lapse}
 	r.view.Store(&View{entries: map[core.TargetID]*Entry{}, services: map[core.Service][]*Entry{}})
 	return r
 }
@@ -105,10 +115,12 @@
 func (r *Roster) View() *View { return r.view.Load() }
 
 // Unreachable notes that the registry could not be read.
-func (r *Roster) Unreachable() {
+func (r *Roster) Unreachable(now core.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.outage = true
+	if !r.isLost {
+		r.isLost, r.lostAt = true, now
+	}
 }
 
 // Apply takes in rows that changed up to a version and returns what is different.
@@ -179,8 +191,11 @@
 	if version < old.Version {
 		return nil
 	}
-	if r.outage {
-		r.outage, r.backAt = false, now
+	if r.isLost {
+		r.isLost = false
+		if now.Sub(r.lostAt) >= r.lapse {
+			r.backAt = now
+		}
 	}
 	entries := make(map[core.TargetID]*Entry, len(old.entries)+1)
 	for id, e := range old.entries {
@@ -193,8 +208,16 @@
 
 func newView(version uint64, entries map[core.TargetID]*Entry) *View {
 	v := &View{Version: version, entries: entries, services: map[core.Service][]*Entry{}}
+	all, lapsed := map[core.Service]int{}, map[core.Service]int{}
+	for _, e := range entries {
+		all[e.Service]++
+		if e.Lapsed {
+			lapsed[e.Service]++
+		}
+	}
 	for _, e := range entries {
-		if !e.Leaving {
+		isMissing := e.Lapsed && float64(lapsed[e.Service]) <= lapsedShare*float64(all[e.Service])
+		if !e.Leaving && !isMissing {
 			v.services[e.Service] = append(v.services[e.Service], e)
 		}
 	}
@@ -215,6 +238,7 @@
 		if now.Sub(r.backAt) < ReturnGrace && !old.Leaving {
 			if _, lapsed := r.lapsed[u.ID]; !lapsed {
 				r.lapsed[u.ID] = r.backAt
+				entries[u.ID] = &Entry{Registration: old.Registration, Lapsed: true}
 				changes = append(changes, Change{old.Registration, Lapsed})
 			}
 			return changes
@@ -223,6 +247,9 @@
 		delete(r.lapsed, u.ID)
 		return append(changes, Change{old.Registration, Removed})
 	}
+	if known && isOlder(u.Registration, &old.Registration) {
+		return changes
+	}
 	delete(r.lapsed, u.ID)
 	entries[u.ID] = &Entry{Registration: *u.Registration}
 	if kind, changed := difference(old, u.Registration); changed {
@@ -231,6 +258,12 @@
 	return changes
 }
 
+// isOlder reports whether an entry was written before the one known, by the same start of
+// the target.
+func isOlder(r, known *core.Registration) bool {
+	return r.Started < known.Started || r.Started == known.Started && r.Started != 0 && r.Beat < known.Beat
+}
+
 func difference(old *Entry, now *core.Registration) (kind ChangeKind, changed bool) {
 	switch {
 	case old == nil:
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -59,8 +59,9 @@
 	Tokens []uint32 `cbor:"7,keyasint,omitempty"`
 }
 
-// maximumChain bounds the links of a chain that are sent.
-const maximumChain = 16
+// maximumChain bounds the links of a chain that are sent. The first parts are the ones
+// that prompts share.
+const maximumChain = 4
 
 func sentEvent(item load.Item) event {
 	e := event{
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -269,7 +269,7 @@
 			return
 		case e := <-n.events:
 			batch = n.collect(append(batch[:0], e))
-			data, err := cbor.Marshal(&packet{Kind: packetLoad, Sender: n.opts.Sender, Events: append(batch, repeats...)})
+			data, err := n.encode(batch, repeats)
 			// An end that was lost would count as work for long, so it is told twice.
 			repeats = ends(repeats[:0], batch)
 			if err != nil {
@@ -286,6 +286,17 @@
 	}
 }
 
+// encode returns a digest of events and, as far as they fit, of repeated ones.
+func (n *Node) encode(events, repeats []event) ([]byte, error) {
+	p := &packet{Kind: packetLoad, Sender: n.opts.Sender, Events: append(events, repeats...)}
+	data, err := cbor.Marshal(p)
+	if err == nil && len(data) > maximumPacket {
+		p.Events = events
+		data, err = cbor.Marshal(p)
+	}
+	return data, errors.Wrap(err, "encode digest")
+}
+
 // ends appends the ends of work among events to into.
 func ends(into, events []event) []event {
 	for _, e := range events {
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -162,6 +162,7 @@
 	method := &http.Request{Method: r.Method}
 	for skipped := 0; ; {
 		a.conn.reader.limit(maximumHeader)
+		//nolint:bodyclose // the body ends with its connection, which the answer closes
 		response, err := http.ReadResponse(a.conn.reader.Reader, method)
 		a.conn.reader.limit(-1)
 		if err != nil {
