Take configuration and targets from a peer where the platform refuses an instance

Cause: an instance that the store refuses for many seconds knew neither a new configuration nor a leaving target, though the others did.

--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -14,12 +14,12 @@
 
 	"gorseline/core"
 	"gorseline/core/assign"
+	"gorseline/core/catchup"
 	"gorseline/core/common/random"
 	"gorseline/core/load"
 	"gorseline/core/membership"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
-	"gorseline/core/route"
 	"gorseline/io/digest"
 	"gorseline/io/forward"
 	"gorseline/io/logline"
@@ -54,6 +54,8 @@
 			newAssigner,
 			newBudgets,
 			func() *target.Pool { return target.NewPool(target.PoolOptions{}) },
+			catchup.New,
+			newBeliefs,
 			newDigests,
 			newForwarder,
 			newWatcher,
@@ -97,7 +99,7 @@
 
 func newDigests(
 	lc fx.Lifecycle, settings platform.Settings, id identity, b *load.Board, list *platform.Instances,
-	clock core.ClockProvider, l log.Interface,
+	clock core.ClockProvider, l log.Interface, tracker *catchup.Tracker, beliefs *beliefs,
 ) (*digest.Node, error) {
 	conn, err := net.ListenPacket("udp4", settings.Peers)
 	if err != nil {
@@ -108,7 +110,9 @@
 			ID: settings.Instance, Address: settings.Peers, DataCentre: settings.DataCentre, Callers: settings.Callers,
 		},
 		Conn: conn, Sender: id.sender, Board: b, Lister: list, Clock: clock, Seed: id.seed, Log: l,
+		Tracker: tracker, Snapshots: beliefs,
 	})
+	beliefs.digests = n
 	start(lc, n)
 	return n, nil
 }
@@ -128,65 +132,18 @@
 
 func newWatcher(
 	lc fx.Lifecycle, options Options, store *platform.Store, l log.Interface, clock core.ClockProvider,
-	r *roster.Roster, f *forward.Forwarder, b *load.Board, h *retry.Health, pool *target.Pool,
+	r *roster.Roster, f *forward.Forwarder, beliefs *beliefs, tracker *catchup.Tracker,
 ) *platform.Watcher {
-	beliefs := &beliefs{forwarder: f, board: b, health: h, pool: pool, roster: r, log: l}
+	beliefs.forwarder = f
 	w := platform.NewWatcher(platform.WatchOptions{
-		Store: store, Log: l, Clock: clock, Configured: beliefs.configured, Roster: r, Changed: beliefs.changed,
-		Interval: options.Roster,
+		Store: store, Log: l, Clock: clock, Configured: beliefs.TakeConfiguration, Roster: r, Changed: beliefs.changed,
+		Interval: options.Roster, Tracker: tracker,
 	})
+	beliefs.watcher = w
 	start(lc, w)
 	return w
 }
 
-// beliefs keeps the parts of an instance in step with configuration and registry.
-type beliefs struct {
-	forwarder *forward.Forwarder
-	board     *load.Board
-	health    *retry.Health
-	pool      *target.Pool
-	roster    *roster.Roster
-	log       log.Interface
-}
-
-// configured brings a newer configuration into force.
-func (b *beliefs) configured(c *core.Forwarding) {
-	if !b.forwarder.Configure(route.NewTable(c)) {
-		return
-	}
-	b.log.WithFields(log.Fields{"Configuration": c.Version, "Routes": len(c.Routes)}).Info("ConfigurationInForce")
-	for e := range b.roster.View().All {
-		b.setCapacity(&e.Registration)
-	}
-}
-
-func (b *beliefs) setCapacity(r *core.Registration) {
-	table := b.forwarder.Table()
-	if table == nil {
-		return
-	}
-	if engine := table.Configuration().Services[r.Service].Engine; engine != nil {
-		b.board.SetCapacity(r.ID, engine.CacheTokens)
-	}
-}
-
-// changed follows changes of targets. What was learned about an earlier start of a target
-// does not hold for the next.
-func (b *beliefs) changed(changes []roster.Change) {
-	for i := range changes {
-		c := &changes[i]
-		switch c.Kind {
-		case roster.Restarted, roster.Removed, roster.Moved:
-			b.board.Forget(c.Registration.ID)
-			b.health.Forget(c.Registration.ID)
-			b.pool.DiscardIdle(c.Registration.Address)
-		}
-		if c.Kind != roster.Removed {
-			b.setCapacity(&c.Registration)
-		}
-	}
-}
-
 // part is a component that runs until its context ends.
 type part interface {
 	Run(ctx context.Context)
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -53,6 +53,7 @@
 	List      *platform.Instances
 	Watcher   *platform.Watcher
 	Roles     *roles
+	Beliefs   *beliefs
 	Registry  metrics.Registry
 }
 
@@ -74,6 +75,9 @@
 			return nil, err
 		}
 	}
+	if err := n.serve(lc, p.Settings.Peers, newServer(digest.NewSnapshotHandler(p.Beliefs))); err != nil {
+		return nil, err
+	}
 	if p.Options.MetricsPort == 0 {
 		return n, nil
 	}
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -19,6 +19,7 @@
 	packetLoad packetKind = iota + 1
 	packetCall
 	packetReply
+	packetVersions
 )
 
 // maximumPacket bounds a datagram in bytes, so that it fits one frame.
@@ -35,6 +36,11 @@
 	Serial  uint32              `cbor:"4,keyasint,omitempty"`
 	Call    membership.CallKind `cbor:"5,keyasint,omitempty"`
 	Message *membership.Message `cbor:"6,keyasint,omitempty"`
+	// Configuration and Targets are the versions that the sender has, and Address is where
+	// it gives them.
+	Configuration uint64 `cbor:"7,keyasint,omitempty"`
+	Targets       uint64 `cbor:"8,keyasint,omitempty"`
+	Address       string `cbor:"9,keyasint,omitempty"`
 }
 
 // operation says what happened to an item.
@@ -102,7 +108,7 @@
 		return nil, errors.Wrap(err, "decode datagram")
 	}
 	switch p.Kind {
-	case packetLoad:
+	case packetLoad, packetVersions:
 		return p, nil
 	case packetCall, packetReply:
 		if p.Message == nil {
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/core/catchup"
 	"gorseline/core/load"
 	"gorseline/core/membership"
 )
@@ -34,6 +35,9 @@
 	Clock  core.ClockProvider
 	Seed   uint64
 	Log    log.Interface
+	// Tracker and Snapshots keep this instance in step with its peers.
+	Tracker   *catchup.Tracker
+	Snapshots Snapshots
 }
 
 const (
@@ -129,6 +133,7 @@
 	loops.Go(func() { n.loopTicks(ctx) })
 	loops.Go(func() { n.loopSeeds(ctx) })
 	loops.Go(func() { n.loopEvents(ctx) })
+	loops.Go(func() { n.loopPulls(ctx) })
 	<-ctx.Done()
 	_ = n.opts.Conn.Close() // ends loopRead
 	loops.Wait()
@@ -226,7 +231,31 @@
 	}
 }
 
+// Announce tells peers at once which versions this instance has.
+func (n *Node) Announce() {
+	for _, to := range *n.peers.Load() {
+		n.send(to, &packet{Kind: packetVersions})
+	}
+}
+
+// stamp adds the own versions to a packet.
+func (n *Node) stamp(p *packet) {
+	p.Configuration, p.Targets = n.opts.Tracker.Versions()
+	p.Address = n.opts.Self.Address
+}
+
+// heard takes in the versions of a peer.
+func (n *Node) heard(p *packet) {
+	if p.Address == "" {
+		return
+	}
+	now := n.opts.Clock.Now()
+	n.opts.Tracker.Heard(now, catchup.Configuration, p.Address, p.Configuration)
+	n.opts.Tracker.Heard(now, catchup.Targets, p.Address, p.Targets)
+}
+
 func (n *Node) send(to netip.AddrPort, p *packet) {
+	n.stamp(p)
 	data, err := cbor.Marshal(p)
 	if err != nil {
 		n.opts.Log.WithError(err).Error("DatagramNotEncoded")
@@ -342,6 +371,7 @@
 }
 
 func (n *Node) handle(p *packet, from net.Addr) {
+	n.heard(p)
 	switch p.Kind {
 	case packetLoad:
 		n.load(p)
@@ -372,7 +402,9 @@
 // answer replies to a call of a peer.
 func (n *Node) answer(p *packet, from net.Addr) {
 	reply := func(m membership.Message) {
-		data, err := cbor.Marshal(&packet{Kind: packetReply, Serial: p.Serial, Message: &m})
+		answer := &packet{Kind: packetReply, Serial: p.Serial, Message: &m}
+		n.stamp(answer)
+		data, err := cbor.Marshal(answer)
 		if err != nil {
 			n.opts.Log.WithError(err).Error("DatagramNotEncoded")
 			return
--- /dev/null
+++ b/io/digest/snapshot.go
@@ -0,0 +1,154 @@
+package digest
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+	"gorseline/core/catchup"
+	"gorseline/core/roster"
+	"gorseline/io/target"
+)
+
+// Snapshots is what an instance gives to and takes from its peers.
+type Snapshots interface {
+	// Configuration returns the configuration in force, or nil.
+	Configuration() *core.Forwarding
+	// TakeConfiguration brings a configuration into force unless it has a newer one.
+	TakeConfiguration(*core.Forwarding)
+	// Targets returns the list of targets.
+	Targets() *roster.View
+	// TakeTargets replaces the list of targets unless it is newer.
+	TakeTargets(TargetList)
+}
+
+// TargetList is the list of targets as of a version of the registry.
+type TargetList struct {
+	Version uint64
+	Targets []core.Registration
+}
+
+// Paths of the snapshots.
+const (
+	pathConfiguration = "/configuration"
+	pathTargets       = "/targets"
+	// maximumSnapshot bounds a snapshot in bytes: 4,500 targets or some thousand routes.
+	maximumSnapshot = 8 << 20
+	// snapshotTimeout bounds the taking of a snapshot.
+	snapshotTimeout = time.Second
+)
+
+// NewSnapshotHandler serves snapshots to peers.
+func NewSnapshotHandler(s Snapshots) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathConfiguration, func(w http.ResponseWriter, _ *http.Request) {
+		c := s.Configuration()
+		if c == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		writeSnapshot(w, c)
+	})
+	mux.HandleFunc("GET "+pathTargets, func(w http.ResponseWriter, _ *http.Request) {
+		view := s.Targets()
+		list := TargetList{Version: view.Version, Targets: make([]core.Registration, 0, view.Len())}
+		for e := range view.All {
+			list.Targets = append(list.Targets, e.Registration)
+		}
+		writeSnapshot(w, list)
+	})
+	return mux
+}
+
+func writeSnapshot[T any](w http.ResponseWriter, value T) {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/cbor")
+	_, _ = w.Write(data) // a peer that left asks another one
+}
+
+// snapshotDecoding bounds what a snapshot may hold.
+var snapshotDecoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 16}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}()
+
+// snapshotClient takes snapshots from peers.
+var snapshotClient = &http.Client{Transport: &http.Transport{
+	DialContext: target.NewDialer().DialContext, DisableKeepAlives: true, DisableCompression: true,
+}}
+
+func readSnapshot[T any](ctx context.Context, peer, path string) (value T, err error) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+path, nil)
+	if err != nil {
+		return value, errors.Wrap(err, "form request")
+	}
+	resp, err := snapshotClient.Do(req)
+	if err != nil {
+		return value, errors.Wrap(err, "ask peer")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return value, errors.Errorf("peer answered status %d", resp.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maximumSnapshot))
+	if err != nil {
+		return value, errors.Wrap(err, "read snapshot")
+	}
+	return value, errors.Wrap(snapshotDecoding.Unmarshal(data, &value), "decode snapshot")
+}
+
+// loopPulls takes from peers what the platform does not tell.
+func (n *Node) loopPulls(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, pull := range n.opts.Tracker.Due(n.opts.Clock.Now()) {
+				n.pull(ctx, pull)
+			}
+		}
+	}
+}
+
+func (n *Node) pull(ctx context.Context, p catchup.Pull) {
+	var err error
+	switch p.Subject {
+	case catchup.Configuration:
+		var c core.Forwarding
+		if c, err = readSnapshot[core.Forwarding](ctx, p.Peer, pathConfiguration); err == nil {
+			n.opts.Snapshots.TakeConfiguration(&c)
+		}
+	case catchup.Targets:
+		var list TargetList
+		if list, err = readSnapshot[TargetList](ctx, p.Peer, pathTargets); err == nil {
+			n.opts.Snapshots.TakeTargets(list)
+		}
+	}
+	entry := n.opts.Log.WithFields(log.Fields{
+		"Subject": p.Subject, "Peer": p.Peer, "PeerVersion": p.Version, "OwnVersion": p.Own,
+	})
+	if err != nil {
+		n.opts.Tracker.Failed(p)
+		entry.WithError(err).Warn("PeerSnapshotFailed")
+		return
+	}
+	entry.Info("PeerSnapshotTaken")
+}
