Test forwarding before misbehaving targets; release unused prompts after the request

The stand-in of the platform's targets shows their faults; the tests found that the call that frees an unused prompt ended with its request and often was never sent.

--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -210,8 +211,10 @@
 // release frees an exported KV cache that nobody imports. It doesn't wait for the answer.
 func (r *run) release(e *roster.Entry, handle string) {
 	method, uri := r.Dialect.Release(handle)
+	// The request may be over, or its caller gone, before the call ends.
+	ctx := context.WithoutCancel(r.in.Context())
 	r.releases.Go(func() {
-		answer, err := r.Pool.Do(r.in.Context(), &target.Request{
+		answer, err := r.Pool.Do(ctx, &target.Request{
 			Address: e.Address, Method: method, URI: uri, Host: e.Address,
 			Header: http.Header{}, Deadline: time.Now().Add(releaseTimeout),
 		})
--- /dev/null
+++ b/standin/platform/rig_test.go
@@ -0,0 +1,183 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"gorseline/core"
+	"gorseline/core/assign"
+	"gorseline/core/common/random"
+	"gorseline/core/load"
+	"gorseline/core/retry"
+	"gorseline/core/roster"
+	"gorseline/core/route"
+	"gorseline/io/forward"
+	"gorseline/io/target"
+	client "gorseline/platform"
+	"gorseline/standin/platform"
+)
+
+// Times of the rig's routes. They leave room for a busy machine.
+const (
+	routeTimeout   = 3 * time.Second
+	routeObjective = 400 * time.Millisecond
+)
+
+// rig is a forwarder before stand-ins of targets.
+type rig struct {
+	t         *testing.T
+	forwarder *forward.Forwarder
+	roster    *roster.Roster
+	server    *httptest.Server
+	targets   []*platform.Target
+}
+
+type noSharer struct{}
+
+func (noSharer) Sent(load.Item)                   {}
+func (noSharer) Computed(core.TargetID, load.Key) {}
+func (noSharer) Finished(core.TargetID, load.Key) {}
+
+type noObserver struct{}
+
+func (noObserver) Ended(core.RouteKind, core.OutcomeKind, core.Reason, time.Duration, time.Duration) {
+}
+
+func (noObserver) Attempted(core.Service, string) {}
+
+// newRig starts a forwarder before targets with the given phases; an empty phase is a
+// plain target.
+func newRig(t *testing.T, phases ...string) *rig {
+	t.Helper()
+	r := &rig{t: t, roster: roster.New(time.Second)}
+	var list []core.Registration
+	for i, phase := range phases {
+		tg, err := platform.NewTarget("i-"+string(rune('a'+i)), phase)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(tg.Close)
+		r.targets = append(r.targets, tg)
+		list = append(list, registration(tg, phase))
+	}
+	r.roster.Replace(0, 1, list)
+	source := random.New(7)
+	board := load.NewBoard()
+	health := retry.NewHealth(retry.DefaultHealthOptions(), source)
+	r.forwarder = forward.New(forward.Options{
+		Dialect: client.Dialect{}, Pool: target.NewPool(target.PoolOptions{}),
+		Assigner: assign.New(assign.Options{
+			Board: board, Health: health, Random: source, Home: "here", Tuning: assign.DefaultTuning(),
+		}),
+		Board: board, Roster: r.roster, Health: health,
+		Budgets: forward.NewBudgets(forward.BudgetOptions{Ratio: 1, Slack: 1000}),
+		Clock:   core.NewProcessClock(), Sharer: noSharer{}, Observer: noObserver{},
+		Log: &log.Logger{Handler: discard.Default}, Sender: 1, MaxBody: 1 << 20,
+	})
+	r.forwarder.Configure(route.NewTable(configuration(1)))
+	r.server = httptest.NewServer(r.forwarder)
+	t.Cleanup(r.server.Close)
+	return r
+}
+
+func registration(tg *platform.Target, phase string) core.Registration {
+	r := core.Registration{
+		Target: core.Target{ID: core.TargetID(tg.ID()), Service: "calls", Address: tg.Address(), DataCentre: "here"}, Slots: 8,
+	}
+	switch phase {
+	case "prefill":
+		r.Service, r.Role = "models", core.RolePrefill
+	case "decode":
+		r.Service, r.Role = "models", core.RoleDecode
+	}
+	return r
+}
+
+func configuration(version core.Revision) *core.Forwarding {
+	stream := func(name string, resumable bool) core.Route {
+		return core.Route{
+			Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: core.RouteStream, Timeout: routeTimeout,
+			Objective: routeObjective, PauseObjective: 50 * time.Millisecond, Attempts: 2, Prompted: true, Resumable: resumable,
+			Splits: []core.Split{{Service: "models", Weight: 1}},
+		}
+	}
+	call := func(name string, kind core.RouteKind) core.Route {
+		return core.Route{
+			Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, Timeout: routeTimeout,
+			Objective: routeObjective, Attempts: 2, Splits: []core.Split{{Service: "calls", Weight: 1}},
+		}
+	}
+	return &core.Forwarding{
+		Version: version,
+		Routes: []core.Route{
+			call("once", core.RouteOnce), call("safe", core.RouteRepeatable), stream("resumable", true), stream("single", false),
+		},
+		Services: map[core.Service]core.ServiceLimits{
+			"calls": {Name: "calls"},
+			"models": {Name: "models", Engine: &core.EngineLimits{
+				Slots: 8, CacheTokens: 100_000, CacheTokenBytes: 1000, LinkBytes: 1e12,
+			}},
+		},
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is set if the answer broke off.
+	err error
+}
+
+// do sends a request with an ID.
+func (r *rig) do(ctx context.Context, method, path, id, body string, header ...string) answer {
+	r.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, r.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", id)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := r.server.Client().Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(data), err}
+}
+
+// prompt sends a request with a prompt of two parts.
+func (r *rig) prompt(ctx context.Context, path, id string) answer {
+	r.t.Helper()
+	return r.do(ctx, http.MethodPost, path, id, "the prompt", "X-Model", "m", "X-Token-Count", "3000,8",
+		"X-Prompt-Prefix", "ab:2500,"+id+":500")
+}
+
+// runs returns all runs of a request.
+func (r *rig) runs(id string) []platform.Run {
+	var runs []platform.Run
+	for _, tg := range r.targets {
+		for _, run := range tg.Runs() {
+			if run.ID == id {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+func isBroken(err error) bool { return err != nil && !errors.Is(err, context.DeadlineExceeded) }
