Share loads within cells, read the store by few, move roles only after lasting need

Change: up to 24 instances share all loads, larger fleets those of their data centre; three readers per data centre tell the others; callers get addresses by capacity; a role moves after 6 s of busy prompt engines or 2 s of full slots.

--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -82,9 +82,11 @@
 	return platform.NewStore(settings.Store.Address)
 }
 
-func newAssigner(settings platform.Settings, b *load.Board, h *retry.Health, r *random.Source) *assign.Assigner {
+func newAssigner(
+	settings platform.Settings, b *load.Board, h *retry.Health, r *random.Source, digests *digest.Node,
+) *assign.Assigner {
 	return assign.New(assign.Options{
-		Board: b, Health: h, Random: r, Home: settings.DataCentre, Tuning: assign.DefaultTuning(),
+		Board: b, Health: h, Random: r, Home: settings.DataCentre, Cells: digests, Tuning: assign.DefaultTuning(),
 	})
 }
 
@@ -97,6 +99,19 @@
 	})
 }
 
+// linkPerCore is the link, in bits per second, that a busy core fills with forwarded
+// requests of some kilobytes.
+const linkPerCore = 100e6
+
+// capacity returns the share of callers that an instance takes, in hundredths.
+func capacity(settings platform.Settings) uint32 {
+	cores := settings.Cores
+	if settings.LinkBits > 0 {
+		cores = min(cores, settings.LinkBits/linkPerCore)
+	}
+	return uint32(100 * cores)
+}
+
 func newDigests(
 	lc fx.Lifecycle, settings platform.Settings, id identity, b *load.Board, list *platform.Instances,
 	clock core.ClockProvider, l log.Interface, tracker *catchup.Tracker, beliefs *beliefs,
@@ -108,6 +123,7 @@
 	n := digest.New(digest.Options{
 		Self: membership.Record{
 			ID: settings.Instance, Address: settings.Peers, DataCentre: settings.DataCentre, Callers: settings.Callers,
+			Capacity: capacity(settings),
 		},
 		Conn: conn, Sender: id.sender, Board: b, Lister: list, Clock: clock, Seed: id.seed, Log: l,
 		Tracker: tracker, Snapshots: beliefs,
--- a/cmd/entry/node/node.go
+++ b/cmd/entry/node/node.go
@@ -24,7 +24,7 @@
 	MetricsPort int           `long:"metrics-port" env:"GORSELINE_METRICS_PORT" default:"9464" description:"Port of GET /metrics on the address of the peers; 0 serves none"`
 	AnswerKeep  time.Duration `long:"answer-keep" env:"GORSELINE_ANSWER_KEEP" default:"1s" description:"How long callers may keep an answer of the directory"`
 	Roster      time.Duration `long:"roster-interval" env:"GORSELINE_ROSTER_INTERVAL" default:"100ms" description:"Least time between two reads of the registry of targets"`
-	StartShare  float64       `long:"start-share" env:"GORSELINE_START_SHARE" default:"0.7" description:"Share of engines that compute prompts until a demand was seen"`
+	StartShare  float64       `long:"start-share" env:"GORSELINE_START_SHARE" default:"0.64" description:"Share of engines that compute prompts until a demand was seen"`
 	CheckOnly   bool          `long:"check" description:"Check the settings and exit"`
 }
 
--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,13 @@
 	maximumRepeats = 3
 )
 
+// planKey names a group of engines whose roles are planned together: those of one service
+// and one cell.
+type planKey struct {
+	service core.Service
+	cell    core.DataCentre
+}
+
 // roles plans the roles of engines and orders them while this instance holds the lease.
 type roles struct {
 	keeper    *authority.Keeper
@@ -47,7 +55,11 @@
 	log       log.Interface
 	options   placement.DemandOptions
 	staleness time.Duration
-	planners  map[core.Service]*placement.DemandPlanner
+	planners  map[planKey]*placement.DemandPlanner
+	cells     load.CellProvider
+	reporter  core.LoadReporter
+	reported  map[core.TargetID]core.LoadReport
+	reportAt  core.Instant
 	// ordered holds when an order of this instance was accepted.
 	ordered map[core.TargetID]core.Instant
 	done    chan struct{}
@@ -76,11 +88,12 @@
 		k := keeper.Load()
 		return k != nil && len(k.Leases()) > 0
 	}
+	orders := platform.NewOrders(p.Settings.Instance, p.Log, mayOrder)
 	options := authority.Options{
 		Self: p.Settings.Instance, Shards: roleShards, Groups: 1, Table: p.Table, Clock: clock,
 		Recorder: eventLog{p.Log}, Attempts: table.NewAttempts(),
 		Members: func() []core.InstanceID { return memberIDs(p.Digests, p.Settings.Instance) },
-		Orderer: platform.NewOrders(p.Settings.Instance, p.Log, mayOrder),
+		Orderer: orders,
 		Timing: authority.Timing{
 			Lease: leaseTime, Renew: renewTime, OrderLifetime: orderLifetime,
 			// Orders of two instances to one target must be further apart than a turn.
@@ -93,9 +106,11 @@
 		options: placement.DemandOptions{StartShare: p.Options.StartShare},
 		// What the registry shows may be two renewals and one read old.
 		staleness: 2*p.Settings.Heartbeat + p.Options.Roster,
-		planners:  map[core.Service]*placement.DemandPlanner{}, ordered: map[core.TargetID]core.Instant{},
+		planners:  map[planKey]*placement.DemandPlanner{}, ordered: map[core.TargetID]core.Instant{},
+		cells: p.Digests, reported: map[core.TargetID]core.LoadReport{},
 		done: make(chan struct{}),
 	}
+	r.reporter = orders
 	keeper.Store(r.keeper)
 	r.commander = authority.NewCommander(options, r.keeper)
 	start(lc, r.keeper)
@@ -149,24 +164,109 @@
 	}
 }
 
+// planService plans the engines of a service, those of each cell by themselves.
 func (r *roles) planService(ctx context.Context, view *roster.View, name core.Service) {
-	planner, ok := r.planners[name]
-	if !ok {
-		planner = placement.NewDemandPlanner(r.options)
-		r.planners[name] = planner
-	}
 	now := r.steady.Now()
-	var engines []placement.EngineLoad
+	cells := r.cells.Cells()
+	groups := map[core.DataCentre][]placement.EngineLoad{}
+	isDue := now >= r.reportAt
+	if isDue {
+		r.reportAt = now.Add(reportInterval)
+	}
+	if isDue {
+		r.askAll(ctx, view.Ready(name), cells)
+	}
 	for _, e := range view.Ready(name) {
-		state := r.board.State(now, e.ID, nil)
-		engines = append(engines, placement.EngineLoad{
-			ID: e.ID, DataCentre: e.DataCentre, Role: e.Role, Slots: e.Slots,
-			Prompts: state.Prompts, Generating: state.Generating,
+		r.observe(ctx, e)
+		cell := cells.Of(e.ID, e.DataCentre)
+		engine := placement.EngineLoad{ID: e.ID, DataCentre: e.DataCentre, Role: e.Role, Slots: e.Slots}
+		if cell == cells.Home {
+			state := r.board.State(now, e.ID, nil)
+			engine.Prompts, engine.Generating = state.Prompts, state.Generating
+		} else {
+			engine = withReport(engine, r.reported[e.ID])
+		}
+		groups[cell] = append(groups[cell], engine)
+	}
+	for cell, engines := range groups {
+		planner := r.planner(planKey{name, cell})
+		for _, change := range planner.Plan(now, engines) {
+			r.order(ctx, view, planner, change)
+		}
+	}
+}
+
+// reportInterval is the time between two reads of the reports of other cells' engines.
+const reportInterval = 2 * time.Second
+
+// reportCalls bounds the reports that are read at once.
+const reportCalls = 8
+
+// askAll reads the reports of the engines whose load this instance does not share.
+func (r *roles) askAll(ctx context.Context, engines []*roster.Entry, cells *load.Cells) {
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	free := make(chan struct{}, reportCalls)
+	for _, e := range engines {
+		if cells.Includes(e.ID, e.DataCentre) {
+			continue
+		}
+		free <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-free }()
+			report, err := r.reporter.Load(ctx, e.Address)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				delete(r.reported, e.ID)
+				r.log.WithFields(log.Fields{"Target": e.ID, "Error": err.Error()}).Warn("ReportNotRead")
+				return
+			}
+			r.reported[e.ID] = report
 		})
 	}
-	for _, change := range planner.Plan(now, engines) {
-		r.order(ctx, view, planner, change)
+	calls.Wait()
+}
+
+// observe lets the commander compare an engine that was ordered with its order, once the
+// registry must show the effect.
+func (r *roles) observe(ctx context.Context, e *roster.Entry) {
+	at, ok := r.ordered[e.ID]
+	now := r.clock.Now()
+	if !ok || now.Sub(at) < r.staleness+r.roleChange(e.Service) {
+		return
+	}
+	delete(r.ordered, e.ID)
+	r.commander.Observe(ctx, e.Target, core.LoadReport{Role: e.Role}, now.Add(-r.staleness))
+}
+
+// roleChange returns how long an engine is away while it changes its role.
+func (r *roles) roleChange(service core.Service) time.Duration {
+	if t := r.forwarder.Table(); t != nil {
+		if engine := t.Configuration().Services[service].Engine; engine != nil {
+			return engine.RoleChange
+		}
+	}
+	return 0
+}
+
+// withReport returns the engine with the load of its report.
+func withReport(e placement.EngineLoad, report core.LoadReport) placement.EngineLoad {
+	if e.Role == core.RolePrefill {
+		e.Prompts = report.Running + report.QueuedRequests
+		return e
+	}
+	e.Generating = report.Running + report.QueuedRequests
+	return e
+}
+
+func (r *roles) planner(key planKey) *placement.DemandPlanner {
+	planner, ok := r.planners[key]
+	if !ok {
+		planner = placement.NewDemandPlanner(r.options)
+		r.planners[key] = planner
 	}
+	return planner
 }
 
 // order submits one change.
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -25,6 +25,8 @@
 	Health *retry.Health
 	Random *random.Source
 	Home   core.DataCentre
+	// Cells says which targets' load is known here; nil means all.
+	Cells load.CellProvider
 	Tuning
 }
 
@@ -104,6 +106,8 @@
 
 	mu     sync.Mutex
 	models map[core.Service]*model
+	// away holds how long work waited in other cells.
+	away map[core.DataCentre]*waiting
 }
 
 // model is what was learned about the engines of one service.
@@ -126,7 +130,9 @@
 
 // New returns an assigner that has learned nothing.
 func New(opts Options) *Assigner {
-	return &Assigner{opts: opts, models: map[core.Service]*model{}}
+	return &Assigner{
+		opts: opts, models: map[core.Service]*model{}, away: map[core.DataCentre]*waiting{},
+	}
 }
 
 func (a *Assigner) model(service core.Service) *model {
@@ -149,11 +155,17 @@
 	a.mu.Lock()
 	m := a.model(req.Service)
 	best, shortest, count := a.best(now, view, req, m)
+	limit := a.limit(req, shortest)
+	if count == 0 || best.Expected > limit {
+		if other, ok := a.elsewhere(now, view, req, m); ok && (count == 0 || other.Expected < best.Expected) {
+			best, count = other, count+1
+			limit = a.limit(req, other.Expected-other.Backlog)
+		}
+	}
 	a.mu.Unlock()
 	if count == 0 {
 		return a.refuse(req, Decision{Reason: core.ReasonNoTarget}, req.Objective)
 	}
-	limit := a.limit(req, shortest)
 	best.Candidates, best.Limit = count, limit
 	if best.Expected > limit {
 		best.Target, best.Reason = nil, ReasonBacklog
@@ -185,7 +197,7 @@
 ) (best candidate, shortest time.Duration, count int) {
 	hasGenerator := a.hasGenerator(now, view, req)
 	for _, e := range view.Ready(req.Service) {
-		if !a.usable(now, e, req.Exclude) || e.Role == core.RolePrefill && !hasGenerator {
+		if !a.knows(e) || !a.usable(now, e, req.Exclude) || e.Role == core.RolePrefill && !hasGenerator {
 			continue
 		}
 		c, ok := a.candidate(now, e, req, m)
@@ -216,7 +228,7 @@
 // hasGenerator reports whether an engine with a free slot could generate an answer.
 func (a *Assigner) hasGenerator(now core.Instant, view *roster.View, req *Request) bool {
 	for _, e := range view.Ready(req.Service) {
-		if !e.Role.AcceptsDecode() || !a.usable(now, e, req.Exclude) {
+		if !e.Role.AcceptsDecode() || !a.knows(e) || !a.usable(now, e, req.Exclude) {
 			continue
 		}
 		if state := a.opts.Board.State(now, e.ID, nil); hasSlot(e, &state) {
@@ -281,7 +293,7 @@
 	handover := a.model(req.Service).handover
 	a.mu.Unlock()
 	for _, e := range view.Ready(req.Service) {
-		if !e.Role.AcceptsDecode() || !a.usable(now, e, req.Exclude) {
+		if !e.Role.AcceptsDecode() || !a.usable(now, e, req.Exclude) || a.cell(e) != a.cell(source) {
 			continue
 		}
 		state := a.opts.Board.State(now, e.ID, nil)
@@ -294,6 +306,10 @@
 		if e.DataCentre != a.opts.Home {
 			score += a.opts.Remote
 		}
+		if !a.knows(e) {
+			// Loads there are unknown, so that the choice is left to chance.
+			score = time.Duration(a.opts.Random.Unit() * float64(time.Second))
+		}
 		if best == nil || score < least {
 			best, least = e, score
 		}
--- a/core/assign/balance.go
+++ b/core/assign/balance.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"gorseline/core"
-	"gorseline/core/load"
 	"gorseline/core/roster"
 )
 
@@ -49,6 +48,9 @@
 			// Half of the slots in the own data centre fill up first.
 			score += 0.5
 		}
+		if !a.knows(e) {
+			score += 0.3 * a.opts.Random.Unit()
+		}
 		if e.ColdLeft > 0 {
 			score += 0.5
 		}
@@ -70,8 +72,3 @@
 	}
 	return d
 }
-
-// Sent returns the item of a call for the board.
-func (d CallDecision) Sent(key load.Key) load.Item {
-	return load.Item{Key: key, Target: d.Target.ID, Kind: load.Call}
-}
--- a/core/catchup/catchup.go
+++ b/core/catchup/catchup.go
@@ -35,6 +35,13 @@
 	patience = 300 * time.Millisecond
 	// spacing is the least time between two takings of a subject.
 	spacing = 500 * time.Millisecond
+	// followSpacing is the same for a follower, which learns all changes this way.
+	followSpacing = 100 * time.Millisecond
+	// ConfirmedFor is how long a follower relies on a reader's word. A change then reaches
+	// it within this time and one read, also when the readers have just died.
+	ConfirmedFor = 1200 * time.Millisecond
+	// readFor is how long a read that succeeded makes an instance's word good.
+	readFor = 2 * time.Second
 	// lostFor is how long the own reads of the targets must have failed. Their version
 	// grows with each renewal of an entry, so that a peer is ahead most of the time.
 	lostFor = time.Second
@@ -44,6 +51,11 @@
 type Tracker struct {
 	mu       sync.Mutex
 	subjects [2]subject
+	// follows is set while others read the platform for this instance.
+	follows bool
+	// confirmedAt is when a reader was last heard of.
+	confirmedAt core.Instant
+	isConfirmed bool
 }
 
 type subject struct {
@@ -55,6 +67,8 @@
 	// lostAt is when the own reads began to fail.
 	lostAt core.Instant
 	isLost bool
+	readAt core.Instant
+	isRead bool
 	nextAt core.Instant
 }
 
@@ -108,6 +122,51 @@
 		own.lostAt = now
 	}
 	own.isLost = !ok
+	if ok {
+		own.isRead, own.readAt = true, now
+	}
+}
+
+// Reads reports whether this instance has read both subjects just now.
+func (t *Tracker) Reads(now core.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.subjects {
+		if own := &t.subjects[i]; own.isLost || !own.isRead || now.Sub(own.readAt) > readFor {
+			return false
+		}
+	}
+	return true
+}
+
+// Follow says whether this instance relies on readers.
+func (t *Tracker) Follow(follows bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.follows = follows
+}
+
+// Confirmed notes that a reader was heard of.
+func (t *Tracker) Confirmed(now core.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isConfirmed, t.confirmedAt = true, now
+}
+
+// MustRead reports whether this instance has to read the platform itself: it is a reader,
+// has read nothing yet, or has heard of no reader for a while.
+func (t *Tracker) MustRead(now core.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.relies(now) {
+		return true
+	}
+	return t.subjects[Configuration].version == 0 || t.subjects[Targets].version == 0
+}
+
+// relies reports whether readers keep this instance up to date. The lock must be held.
+func (t *Tracker) relies(now core.Instant) bool {
+	return t.follows && t.isConfirmed && now.Sub(t.confirmedAt) < ConfirmedFor
 }
 
 // Due returns the takings that should begin now. It is called about ten times a second.
@@ -117,13 +176,17 @@
 	var due []Pull
 	for i := range t.subjects {
 		own := &t.subjects[i]
-		if own.ahead <= own.version || now < own.nextAt || now.Sub(own.aheadAt) < patience {
+		if own.ahead <= own.version || now < own.nextAt {
 			continue
 		}
-		if Subject(i) == Targets && (!own.isLost || now.Sub(own.lostAt) < lostFor) {
+		isLost := own.isLost && now.Sub(own.lostAt) >= lostFor
+		if !t.relies(now) && (now.Sub(own.aheadAt) < patience || Subject(i) == Targets && !isLost) {
 			continue
 		}
 		own.nextAt = now.Add(spacing)
+		if t.relies(now) {
+			own.nextAt = now.Add(followSpacing)
+		}
 		due = append(due, Pull{Subject: Subject(i), Peer: own.peer, Version: own.ahead, Own: own.version})
 	}
 	return due
--- a/core/load/board.go
+++ b/core/load/board.go
@@ -51,11 +51,18 @@
 	Serial uint32
 }
 
-// Item is work that was sent to a target.
-type Item struct {
+// Ref names a send and where it went.
+type Ref struct {
 	Key    Key
 	Target core.TargetID
-	Kind   WorkKind
+	// Cell is the data centre whose instances share the target's load.
+	Cell core.DataCentre
+}
+
+// Item is work that was sent to a target.
+type Item struct {
+	Ref
+	Kind WorkKind
 	// Compute is the expected time for the prompt on the idle target.
 	Compute time.Duration
 	// Chain is what the target holds in its cache afterwards.
@@ -135,17 +142,17 @@
 
 // Computed notes that the prompt of an item is done. It returns the time that the
 // target spent on it alone, and false if that is unknown.
-func (b *Board) Computed(now core.Instant, id core.TargetID, key Key) (time.Duration, bool) {
+func (b *Board) Computed(now core.Instant, ref Ref) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.target(id).computed(now, key, false)
+	return b.target(ref.Target).computed(now, ref.Key, false)
 }
 
 // Finished notes the end of an item. It returns as Computed does.
-func (b *Board) Finished(now core.Instant, id core.TargetID, key Key) (time.Duration, bool) {
+func (b *Board) Finished(now core.Instant, ref Ref) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.target(id).computed(now, key, true)
+	return b.target(ref.Target).computed(now, ref.Key, true)
 }
 
 // computed ends the computation of an item, and removes the item if it is over.
--- a/core/membership/addresses.go
+++ b/core/membership/addresses.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gorseline/core"
@@ -81,10 +82,15 @@
 // Version changes whenever the view changes.
 func (p *Protocol) Version() uint64 { return p.view.version }
 
-// CallerAddresses returns the addresses of all live members of the caller's data centre,
-// or of all live members if there are none or the data centre is unknown. Callers that
-// keep to their own data centre send fewer bytes between data centres. Members that are
-// suspected are left out as long as others remain.
+// callerAddressCount is the number of addresses in an answer for callers that keep it for
+// a second or so: one works unless three instances fail within that time.
+const callerAddressCount = 3
+
+// CallerAddresses returns addresses of live members of the caller's data centre, or of all
+// live members if there are none or the data centre is unknown. Callers that keep to their
+// own data centre send fewer bytes between data centres. Members are drawn in proportion
+// to their capacity, since callers spread evenly over an answer. Suspected members are
+// left out as long as others remain.
 func (p *Protocol) CallerAddresses(rng *rand.Rand, caller core.DataCentre) []string {
 	var near, far, suspects []Record
 	for h := range p.view.all {
@@ -105,10 +111,38 @@
 	if len(chosen) == 0 {
 		chosen = suspects
 	}
-	shuffle(rng, chosen)
-	addresses := make([]string, len(chosen))
-	for i, r := range chosen {
-		addresses[i] = r.Callers
+	addresses := make([]string, 0, callerAddressCount)
+	for len(chosen) > 0 && len(addresses) < callerAddressCount {
+		i := drawByCapacity(rng, chosen)
+		addresses = append(addresses, chosen[i].Callers)
+		chosen = slices.Delete(chosen, i, i+1)
 	}
 	return addresses
 }
+
+// drawByCapacity returns the index of a random record.
+func drawByCapacity(rng *rand.Rand, list []Record) int {
+	total := uint64(0)
+	for _, r := range list {
+		total += capacity(r)
+	}
+	point := rng.Uint64N(total)
+	for i, r := range list {
+		c := capacity(r)
+		if point < c {
+			return i
+		}
+		point -= c
+	}
+	return len(list) - 1
+}
+
+// wholeCapacity is the capacity of a machine with a whole core.
+const wholeCapacity = 100
+
+func capacity(r Record) uint64 {
+	if r.Capacity == 0 {
+		return wholeCapacity
+	}
+	return uint64(r.Capacity)
+}
--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -40,6 +40,9 @@
 	// Callers is the address for callers, where it differs from Address. It is
 	// empty for a member that is known only from the platform's list.
 	Callers string `cbor:"6,keyasint,omitempty"`
+	// Capacity is the member's share of callers relative to others, in hundredths of a
+	// machine with a whole core; 0 counts as 100.
+	Capacity uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // CallerAddress returns the address that callers use.
--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -20,15 +21,23 @@
 // are stated per field.
 type DemandOptions struct {
 	// StartShare is the share of engines that compute prompts until a demand was seen;
-	// 0.7. Prompts of the known kinds take many times longer than their answers.
+	// 0.64. Prompts of the known kinds need about twice as many engines as their answers.
 	StartShare float64
-	// Busy is the share of prompt engines with work at which more are wanted; 0.6.
+	// Busy is the share of prompt engines with work at which more are wanted; 0.85.
 	Busy float64
 	// Full is the share of generation slots in use at which more generating engines are
-	// wanted, Spare the share that the others may have after one is taken away; 0.95, 0.8.
+	// wanted; 0.95. Spare is the share that the highest use lately may come to on the
+	// others after one is taken away; 0.7. Answers hold slots for seconds, so that a
+	// shortage passes slowly.
 	Full, Spare float64
-	// Smoothing is the time constant of the averages; 4 s.
+	// Memory is the time constant with which the highest use is forgotten; 15 s.
+	Memory time.Duration
+	// Smoothing is the time constant of the averages; 2 s.
 	Smoothing time.Duration
+	// PromptsFor and GenerationsFor are how long more engines must have been wanted before
+	// one is moved; 6 s and 2 s. A change takes engines away for seconds and bursts come
+	// and go as fast, while streams that wait for slots delay all others.
+	PromptsFor, GenerationsFor time.Duration
 	// MinimumStay is the least time between two changes of an engine; 15 s.
 	MinimumStay time.Duration
 	// Reversal is the least time between changes in opposite directions; 10 s.
@@ -41,11 +50,14 @@
 }
 
 func (o DemandOptions) withDefaults() DemandOptions {
-	o.StartShare = orDefault(o.StartShare, 0.7)
-	o.Busy = orDefault(o.Busy, 0.6)
+	o.StartShare = orDefault(o.StartShare, 0.64)
+	o.Busy = orDefault(o.Busy, 0.85)
 	o.Full = orDefault(o.Full, 0.95)
-	o.Spare = orDefault(o.Spare, 0.8)
-	o.Smoothing = orDefault(o.Smoothing, 4*time.Second)
+	o.Spare = orDefault(o.Spare, 0.7)
+	o.Memory = orDefault(o.Memory, 15*time.Second)
+	o.Smoothing = orDefault(o.Smoothing, 2*time.Second)
+	o.PromptsFor = orDefault(o.PromptsFor, 6*time.Second)
+	o.GenerationsFor = orDefault(o.GenerationsFor, 2*time.Second)
 	o.MinimumStay = orDefault(o.MinimumStay, 15*time.Second)
 	o.Reversal = orDefault(o.Reversal, 10*time.Second)
 	o.AtOnce = orDefault(o.AtOnce, 0.25)
@@ -74,8 +86,13 @@
 	mu      sync.Mutex
 	// busy and full are running averages of the shares in use.
 	busy, full float64
-	at         core.Instant
-	isStarted  bool
+	// promptsSince and generationsSince are when more engines for either began to be wanted;
+	// 0 while they are not.
+	promptsSince, generationsSince core.Instant
+	// peak is the highest share of slots in use, slowly forgotten.
+	peak      float64
+	at        core.Instant
+	isStarted bool
 	// seen is set with the first demand.
 	seen    bool
 	pending map[core.TargetID]pendingRole
@@ -107,7 +124,7 @@
 	if len(engines) < 2 {
 		return nil
 	}
-	wanted, reason := p.wanted(engines, free)
+	wanted, reason := p.wanted(now, engines, free)
 	if wanted == 0 {
 		return nil
 	}
@@ -165,9 +182,28 @@
 	}
 	p.busy += weight * (busy - p.busy)
 	p.full += weight * (full - p.full)
+	if p.seen {
+		forget := math.Exp(-now.Sub(p.at).Seconds() / p.options.Memory.Seconds())
+		p.peak = max(p.full, p.peak*forget)
+	}
 	p.at, p.isStarted = now, true
+	since(&p.promptsSince, now, p.busy > p.options.Busy)
+	since(&p.generationsSince, now, p.full > p.options.Full)
 }
 
+// since notes when a condition began to hold, or that it doesn't.
+func since(at *core.Instant, now core.Instant, holds bool) {
+	switch {
+	case !holds:
+		*at = 0
+	case *at == 0:
+		*at = now
+	}
+}
+
+// lasted reports whether a condition has held for a time.
+func lasted(at, now core.Instant, least time.Duration) bool { return at != 0 && now.Sub(at) >= least }
+
 // settled returns the engines without a change under way.
 func (p *DemandPlanner) settled(engines []EngineLoad) []EngineLoad {
 	free := make([]EngineLoad, 0, len(engines))
@@ -181,7 +217,7 @@
 
 // wanted returns how many engines should move to prompts, or, if negative, from them.
 // Changes under way count as done.
-func (p *DemandPlanner) wanted(engines, free []EngineLoad) (int, core.Reason) {
+func (p *DemandPlanner) wanted(now core.Instant, engines, free []EngineLoad) (int, core.Reason) {
 	readers := 0
 	for _, e := range free {
 		if e.Role == core.RolePrefill {
@@ -199,16 +235,16 @@
 	case generators < floor:
 		return generators - floor, ReasonFloorViolation
 	case !p.seen:
-		start := min(int(p.options.StartShare*float64(len(engines))), len(engines)-floor)
+		start := min(int(math.Round(p.options.StartShare*float64(len(engines)))), len(engines)-floor)
 		return max(0, start-readers), ReasonStart
 	case len(p.pending) > 0:
 		// The averages don't show what the changes under way will do.
 		return 0, ""
-	case p.full > p.options.Full && readers > 1:
+	case lasted(p.generationsSince, now, p.options.GenerationsFor) && readers > 1:
 		return -1, ReasonGenerations
-	case p.busy > p.options.Busy && generators > floor:
-		spare := float64(generators) * (1 - p.full/p.options.Spare)
-		return min(generators-floor, int(spare)), ReasonPrompts
+	case lasted(p.promptsSince, now, p.options.PromptsFor) && generators > floor:
+		spare := float64(generators) * (1 - p.peak/p.options.Spare)
+		return max(0, min(1, generators-floor, int(spare))), ReasonPrompts
 	}
 	return 0, ""
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -123,10 +123,20 @@
 	}
 }
 
+// Reachable notes that the registry was read.
+func (r *Roster) Reachable(now core.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isLost && now.Sub(r.lostAt) >= r.lapse {
+		r.backAt = now
+	}
+	r.isLost = false
+}
+
 // Apply takes in rows that changed up to a version and returns what is different.
 // Versions that are not newer than the view's are ignored.
 func (r *Roster) Apply(now core.Instant, version uint64, updates []Update) []Change {
-	return r.change(now, version, func(entries map[core.TargetID]*Entry) []Change {
+	return r.change(version, func(entries map[core.TargetID]*Entry) []Change {
 		var changes []Change
 		for _, u := range updates {
 			changes = r.put(now, entries, u, changes)
@@ -137,7 +147,7 @@
 
 // Replace takes in the whole registry as of a version.
 func (r *Roster) Replace(now core.Instant, version uint64, list []core.Registration) []Change {
-	return r.change(now, version, func(entries map[core.TargetID]*Entry) []Change {
+	return r.change(version, func(entries map[core.TargetID]*Entry) []Change {
 		listed := make(map[core.TargetID]bool, len(list))
 		var changes []Change
 		for i := range list {
@@ -167,7 +177,7 @@
 	if due == 0 {
 		return nil
 	}
-	return r.change(now, r.View().Version, func(entries map[core.TargetID]*Entry) []Change {
+	return r.change(r.View().Version, func(entries map[core.TargetID]*Entry) []Change {
 		var changes []Change
 		for id, at := range r.lapsed {
 			if now.Sub(at) < ReturnGrace {
@@ -184,19 +194,13 @@
 }
 
 // change applies edit to a copy of the entries and publishes the result.
-func (r *Roster) change(now core.Instant, version uint64, edit func(map[core.TargetID]*Entry) []Change) []Change {
+func (r *Roster) change(version uint64, edit func(map[core.TargetID]*Entry) []Change) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.view.Load()
 	if version < old.Version {
 		return nil
 	}
-	if r.isLost {
-		r.isLost = false
-		if now.Sub(r.lostAt) >= r.lapse {
-			r.backAt = now
-		}
-	}
 	entries := make(map[core.TargetID]*Entry, len(old.entries)+1)
 	for id, e := range old.entries {
 		entries[id] = e
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -41,6 +41,8 @@
 	Configuration uint64 `cbor:"7,keyasint,omitempty"`
 	Targets       uint64 `cbor:"8,keyasint,omitempty"`
 	Address       string `cbor:"9,keyasint,omitempty"`
+	// Reads says that the sender reads the platform and has done so just now.
+	Reads bool `cbor:"10,keyasint,omitempty"`
 }
 
 // operation says what happened to an item.
@@ -63,6 +65,8 @@
 	// Keys and Tokens are the chain of the prompt.
 	Keys   []uint64 `cbor:"6,keyasint,omitempty"`
 	Tokens []uint32 `cbor:"7,keyasint,omitempty"`
+	// cell is where the target's load is shared; it is not sent.
+	cell core.DataCentre
 }
 
 // maximumChain bounds the links of a chain that are sent. The first parts are the ones
@@ -72,7 +76,7 @@
 func sentEvent(item load.Item) event {
 	e := event{
 		Operation: opSent, Target: item.Target, Serial: item.Key.Serial, Kind: item.Kind,
-		ComputeUs: uint32(min(item.Compute.Microseconds(), 1<<31)),
+		ComputeUs: uint32(min(item.Compute.Microseconds(), 1<<31)), cell: item.Cell,
 	}
 	for _, link := range item.Chain[:min(len(item.Chain), maximumChain)] {
 		e.Keys = append(e.Keys, link.Key)
@@ -81,10 +85,15 @@
 	return e
 }
 
+// ref returns what the event is about.
+func (e *event) ref(sender uint32) load.Ref {
+	return load.Ref{Key: load.Key{Sender: sender, Serial: e.Serial}, Target: e.Target}
+}
+
 // item returns the item of a sent event.
 func (e *event) item(sender uint32) load.Item {
 	item := load.Item{
-		Key: load.Key{Sender: sender, Serial: e.Serial}, Target: e.Target, Kind: e.Kind,
+		Ref: e.ref(sender), Kind: e.Kind,
 		Compute: time.Duration(e.ComputeUs) * time.Microsecond,
 	}
 	for i, key := range e.Keys[:min(len(e.Keys), len(e.Tokens))] {
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,9 +50,9 @@
 	// batchInterval is the least time between two digests. It bounds an instance to 500
 	// of them a second and delays what peers know by at most as much.
 	batchInterval = 2 * time.Millisecond
-	// fanOut bounds the peers that get the digests. Larger data centres get them in part,
+	// fanOut bounds the peers of a cell that get the digests. Larger cells get them in part,
 	// and learn the rest from the targets' own refusals.
-	fanOut = 24
+	fanOut = 32
 	// queueLength bounds the events that wait; more are dropped and counted.
 	queueLength = 4096
 	// eventsPerPacket keeps a digest within one frame.
@@ -65,7 +66,7 @@
 	// Dropped counts the events that found the queue full.
 	dropped atomic.Uint64
 	serial  atomic.Uint32
-	peers   atomic.Pointer[[]netip.AddrPort]
+	peers   atomic.Pointer[peers]
 	done    chan struct{}
 
 	mu      sync.Mutex
@@ -90,10 +91,30 @@
 	}
 	header := func(core.Instant) (applied, head core.Revision, ageMs uint32) { return 0, 0, 0 }
 	n.members = membership.New(o.Self, rand.New(rand.NewPCG(o.Seed, 0)), header, n.changed)
-	n.peers.Store(&[]netip.AddrPort{})
+	n.peers.Store(&peers{cells: load.NewCells(o.Self.DataCentre, map[core.DataCentre]int{o.Self.DataCentre: 1})})
 	return n
 }
 
+// peers are the addresses of the other instances. It is immutable.
+type peers struct {
+	cells *load.Cells
+	// near get all digests, far holds those of each other cell.
+	near []netip.AddrPort
+	far  map[core.DataCentre][]netip.AddrPort
+	// isReader is set on instances that read the platform for their data centre, and
+	// hasFollowers if there are others.
+	isReader     bool
+	hasFollowers bool
+}
+
+var _ load.CellProvider = (*Node)(nil)
+
+// Cells returns the cells as the members are now.
+func (n *Node) Cells() *load.Cells { return n.peers.Load().cells }
+
+// IsReader reports whether this instance reads the platform for its data centre.
+func (n *Node) IsReader() bool { return n.peers.Load().isReader }
+
 // changed logs what is newly believed about a member.
 func (n *Node) changed(r membership.Record) {
 	n.opts.Log.WithFields(log.Fields{
@@ -105,13 +126,13 @@
 func (n *Node) Sent(item load.Item) { n.queue(sentEvent(item)) }
 
 // Computed tells peers that a target has computed the prompt of an item.
-func (n *Node) Computed(id core.TargetID, key load.Key) {
-	n.queue(event{Operation: opComputed, Target: id, Serial: key.Serial})
+func (n *Node) Computed(ref load.Ref) {
+	n.queue(event{Operation: opComputed, Target: ref.Target, Serial: ref.Key.Serial, cell: ref.Cell})
 }
 
 // Finished tells peers that work has ended.
-func (n *Node) Finished(id core.TargetID, key load.Key) {
-	n.queue(event{Operation: opFinished, Target: id, Serial: key.Serial})
+func (n *Node) Finished(ref load.Ref) {
+	n.queue(event{Operation: opFinished, Target: ref.Target, Serial: ref.Key.Serial, cell: ref.Cell})
 }
 
 func (n *Node) queue(e event) {
@@ -134,6 +155,7 @@
 	loops.Go(func() { n.loopSeeds(ctx) })
 	loops.Go(func() { n.loopEvents(ctx) })
 	loops.Go(func() { n.loopPulls(ctx) })
+	loops.Go(func() { n.loopAnnounce(ctx) })
 	<-ctx.Done()
 	_ = n.opts.Conn.Close() // ends loopRead
 	loops.Wait()
@@ -231,17 +253,39 @@
 	}
 }
 
-// Announce tells peers at once which versions this instance has.
+// Announce tells the peers of the own cell which versions this instance has.
 func (n *Node) Announce() {
-	for _, to := range *n.peers.Load() {
+	for _, to := range n.peers.Load().near {
 		n.send(to, &packet{Kind: packetVersions})
 	}
 }
 
+// announceInterval is how often a reader tells its versions. Followers that hear of none
+// for catchup.ConfirmedFor read the platform themselves.
+const announceInterval = 400 * time.Millisecond
+
+func (n *Node) loopAnnounce(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p := n.peers.Load()
+			n.opts.Tracker.Follow(!p.isReader)
+			if p.isReader && p.hasFollowers {
+				n.Announce()
+			}
+		}
+	}
+}
+
 // stamp adds the own versions to a packet.
 func (n *Node) stamp(p *packet) {
 	p.Configuration, p.Targets = n.opts.Tracker.Versions()
 	p.Address = n.opts.Self.Address
+	p.Reads = n.opts.Tracker.Reads(n.opts.Clock.Now())
 }
 
 // heard takes in the versions of a peer.
@@ -252,6 +296,9 @@
 	now := n.opts.Clock.Now()
 	n.opts.Tracker.Heard(now, catchup.Configuration, p.Address, p.Configuration)
 	n.opts.Tracker.Heard(now, catchup.Targets, p.Address, p.Targets)
+	if p.Reads {
+		n.opts.Tracker.Confirmed(now)
+	}
 }
 
 func (n *Node) send(to netip.AddrPort, p *packet) {
@@ -265,27 +312,35 @@
 	_, _ = n.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(to))
 }
 
-// updatePeers chooses who gets the digests: all members if they are few, else those of the
-// own data centre first. The lock must be held.
+// updatePeers follows the members. The lock must be held.
 func (n *Node) updatePeers() {
-	var near, far []netip.AddrPort
+	home := n.opts.Self.DataCentre
+	p := &peers{far: map[core.DataCentre][]netip.AddrPort{}, isReader: n.members.IsDelegate()}
+	counts := map[core.DataCentre]int{home: 1}
 	for _, r := range n.members.Members() {
 		to, err := netip.ParseAddrPort(r.Address)
 		if err != nil || r.ID == n.opts.Self.ID {
 			continue
 		}
-		if r.DataCentre == n.opts.Self.DataCentre {
-			near = append(near, to)
+		counts[r.DataCentre]++
+		if r.DataCentre == home {
+			p.near = append(p.near, to)
 		} else {
-			far = append(far, to)
+			p.far[r.DataCentre] = append(p.far[r.DataCentre], to)
 		}
 	}
-	peers := near
-	if len(near)+len(far) <= fanOut {
-		peers = append(peers, far...)
+	p.hasFollowers = counts[home] > membership.Delegates
+	if p.cells = load.NewCells(home, counts); p.cells.IsWide {
+		for _, list := range p.far {
+			p.near = append(p.near, list...)
+		}
+		p.far = nil
 	}
-	peers = peers[:min(len(peers), fanOut)]
-	n.peers.Store(&peers)
+	p.near = p.near[:min(len(p.near), fanOut)]
+	for dc, list := range p.far {
+		p.far[dc] = list[:min(len(list), fanOut)]
+	}
+	n.peers.Store(p)
 }
 
 // loopEvents sends digests. Events that come together share a datagram.
@@ -298,16 +353,9 @@
 			return
 		case e := <-n.events:
 			batch = n.collect(append(batch[:0], e))
-			data, err := n.encode(batch, repeats)
+			n.share(batch, repeats)
 			// An end that was lost would count as work for long, so it is told twice.
 			repeats = ends(repeats[:0], batch)
-			if err != nil {
-				n.opts.Log.WithError(err).Error("DatagramNotEncoded")
-				continue
-			}
-			for _, to := range *n.peers.Load() {
-				_, _ = n.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(to)) // may be lost
-			}
 			if len(batch) < eventsPerPacket {
 				sleep(ctx, batchInterval)
 			}
@@ -315,6 +363,46 @@
 	}
 }
 
+// share sends events to the peers of the own cell, and those about targets of other cells
+// also to the instances there.
+func (n *Node) share(batch, repeats []event) {
+	p := n.peers.Load()
+	n.shareWith(p.near, batch, repeats)
+	var done []core.DataCentre
+	for i := range batch {
+		cell := batch[i].cell
+		if p.cells.IsWide || cell == "" || cell == p.cells.Home || slices.Contains(done, cell) {
+			continue
+		}
+		done = append(done, cell)
+		n.shareWith(p.far[cell], eventsOf(batch, cell), eventsOf(repeats, cell))
+	}
+}
+
+func eventsOf(events []event, cell core.DataCentre) []event {
+	var of []event
+	for _, e := range events {
+		if e.cell == cell {
+			of = append(of, e)
+		}
+	}
+	return of
+}
+
+func (n *Node) shareWith(to []netip.AddrPort, events, repeats []event) {
+	if len(to) == 0 {
+		return
+	}
+	data, err := n.encode(events, repeats)
+	if err != nil {
+		n.opts.Log.WithError(err).Error("DatagramNotEncoded")
+		return
+	}
+	for _, peer := range to {
+		_, _ = n.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(peer)) // may be lost
+	}
+}
+
 // encode returns a digest of events and, as far as they fit, of repeated ones.
 func (n *Node) encode(events, repeats []event) ([]byte, error) {
 	p := &packet{Kind: packetLoad, Sender: n.opts.Sender, Events: append(events, repeats...)}
@@ -387,14 +475,13 @@
 	now := n.opts.Clock.Now()
 	for i := range p.Events {
 		e := &p.Events[i]
-		key := load.Key{Sender: p.Sender, Serial: e.Serial}
 		switch e.Operation {
 		case opSent:
 			n.opts.Board.Sent(now, e.item(p.Sender))
 		case opComputed:
-			n.opts.Board.Computed(now, e.Target, key)
+			n.opts.Board.Computed(now, e.ref(p.Sender))
 		case opFinished:
-			n.opts.Board.Finished(now, e.Target, key)
+			n.opts.Board.Finished(now, e.ref(p.Sender))
 		}
 	}
 }
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -13,6 +13,7 @@
 
 	"gorseline/core"
 	"gorseline/core/assign"
+	"gorseline/core/load"
 	"gorseline/core/roster"
 	"gorseline/io/target"
 )
@@ -53,14 +54,8 @@
 func (r *run) callOnce(d assign.CallDecision) (done bool) {
 	e := d.Target
 	r.exclude = append(r.exclude, e.ID)
-	key := r.key()
-	item := d.Sent(key)
-	r.Board.Sent(r.Clock.Now(), item)
-	r.Sharer.Sent(item)
-	defer func() {
-		r.Board.Finished(r.Clock.Now(), e.ID, key)
-		r.Sharer.Finished(e.ID, key)
-	}()
+	ref := r.start(e, load.Item{Kind: load.Call})
+	defer r.finish(ref)
 	answer, result := r.send(e, core.Attempt{}, r.callLimit())
 	if result != sendAnswered {
 		return false
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -25,8 +25,8 @@
 // Sharer tells peers about work that was sent to targets.
 type Sharer interface {
 	Sent(item load.Item)
-	Computed(id core.TargetID, key load.Key)
-	Finished(id core.TargetID, key load.Key)
+	Computed(ref load.Ref)
+	Finished(ref load.Ref)
 }
 
 // Observer counts what the forwarder does.
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -66,8 +66,8 @@
 	}
 	source := core.CacheSource{Address: d.Target.Address, Handle: handle}
 	began = r.Clock.Now()
-	key := r.start(load.Item{Target: generator.ID, Kind: load.Generate, Chain: req.Chain})
-	defer r.finish(generator.ID, key)
+	ref := r.start(generator, load.Item{Kind: load.Generate, Chain: req.Chain})
+	defer r.finish(ref)
 	answer, result := r.send(generator, core.Attempt{Source: source}, r.generateLimit(d))
 	if result != sendAnswered {
 		r.exclude = append(r.exclude, generator.ID)
@@ -91,8 +91,9 @@
 
 // prefill has the prompt computed and returns the handle of its KV cache.
 func (r *run) prefill(d *assign.Decision, req *assign.Request) (handle string, ok bool) {
-	key := r.start(promptItem(d, req))
-	defer r.finish(d.Target.ID, key)
+	ref := r.start(d.Target, promptItem(d, req))
+	defer r.finish(ref)
+	began := r.Clock.Now()
 	limit := slowFactor*d.Expected + slowExtra
 	attempt := core.Attempt{PrefillOnly: true}
 	answer, result := r.send(d.Target, attempt, limit)
@@ -106,7 +107,8 @@
 		r.logAttempt(d.Target, &attempt, "Failed", answer.Status, err)
 		return "", false
 	}
-	if took, known := r.Board.Computed(now, d.Target.ID, key); known {
+	r.Assigner.ObserveElsewhere(now, d.Target, now.Sub(began)-d.Compute)
+	if took, known := r.Board.Computed(now, ref); known {
 		r.Assigner.ObservePrompt(r.service, load.Prefill, d.Work, took)
 	}
 	return handle, true
@@ -115,17 +117,17 @@
 // inOneStage sends the request to an engine that computes the prompt itself.
 func (r *run) inOneStage(d *assign.Decision, req *assign.Request) (done bool) {
 	e := d.Target
-	key := r.start(promptItem(d, req))
-	defer r.finish(e.ID, key)
+	ref := r.start(e, promptItem(d, req))
+	defer r.finish(ref)
 	answer, result := r.send(e, core.Attempt{}, r.generateLimit(d))
 	if result != sendAnswered {
 		r.exclude = append(r.exclude, e.ID)
 		return false
 	}
-	if took, known := r.Board.Computed(r.Clock.Now(), e.ID, key); known {
+	if took, known := r.Board.Computed(r.Clock.Now(), ref); known {
 		r.Assigner.ObservePrompt(r.service, load.Whole, d.Work, took)
 	}
-	r.Sharer.Computed(e.ID, key)
+	r.Sharer.Computed(ref)
 	return r.answer(e, answer)
 }
 
@@ -147,20 +149,21 @@
 
 // promptItem returns the item of a prompt for the board.
 func promptItem(d *assign.Decision, req *assign.Request) load.Item {
-	return load.Item{Target: d.Target.ID, Kind: d.Kind, Compute: d.Compute, Chain: req.Chain}
+	return load.Item{Kind: d.Kind, Compute: d.Compute, Chain: req.Chain}
 }
 
-// start notes work on the board, tells peers and returns its key.
-func (r *run) start(item load.Item) load.Key {
-	item.Key = r.key()
+// start notes work on the board and tells peers.
+func (r *run) start(e *roster.Entry, item load.Item) load.Ref {
+	item.Ref = r.Assigner.Ref(e, r.key())
 	r.Board.Sent(r.Clock.Now(), item)
 	r.Sharer.Sent(item)
-	return item.Key
+	return item.Ref
 }
 
-func (r *run) finish(id core.TargetID, key load.Key) {
-	r.Board.Finished(r.Clock.Now(), id, key)
-	r.Sharer.Finished(id, key)
+// finish notes the end of work.
+func (r *run) finish(ref load.Ref) {
+	r.Board.Finished(r.Clock.Now(), ref)
+	r.Sharer.Finished(ref)
 }
 
 func (r *run) logPrompt(d *assign.Decision) {
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -190,15 +190,16 @@
 		// The first events have arrived; what counts now is the pause.
 		Objective: s.remaining(), Remaining: s.remaining(), Exclude: s.exclude,
 	}
-	e, found := s.Assigner.Generator(s.Clock.Now(), s.Roster.View(), req, &roster.Entry{})
+	source := &roster.Entry{Registration: core.Registration{Target: core.Target{DataCentre: s.Assigner.Home()}}}
+	e, found := s.Assigner.Generator(s.Clock.Now(), s.Roster.View(), req, source)
 	if !found {
 		return resumed{}, nil, false
 	}
 	s.Log.WithFields(log.Fields{
 		"Request": s.req.ID, "Target": e.ID, "After": s.lastID, "Run": s.runs + 1,
 	}).Warn("StreamResumed")
-	key := s.start(load.Item{Target: e.ID, Kind: load.Generate, Chain: req.Chain})
-	finish = func() { s.finish(e.ID, key) }
+	ref := s.start(e, load.Item{Kind: load.Generate, Chain: req.Chain})
+	finish = func() { s.finish(ref) }
 	answer, result := s.send(e, core.Attempt{ResumeAfter: s.lastID}, s.silence())
 	if result != sendAnswered {
 		finish()
--- a/standin/platform/rig_test.go
+++ b/standin/platform/rig_test.go
@@ -43,9 +43,9 @@
 
 type noSharer struct{}
 
-func (noSharer) Sent(load.Item)                   {}
-func (noSharer) Computed(core.TargetID, load.Key) {}
-func (noSharer) Finished(core.TargetID, load.Key) {}
+func (noSharer) Sent(load.Item)    {}
+func (noSharer) Computed(load.Ref) {}
+func (noSharer) Finished(load.Ref) {}
 
 type noObserver struct{}
 
