--- /dev/null
+++ b/core/assign/assign_test.go
@@ -0,0 +1,211 @@
+package assign_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/assign"
+	"gorseline/core/common/random"
+	"gorseline/core/load"
+	"gorseline/core/prompt"
+	"gorseline/core/retry"
+	"gorseline/core/roster"
+)
+
+func testPrompt(tokens int) *core.Prompt {
+	return &core.Prompt{Model: "m", Tokens: tokens, Parts: []core.PromptPart{{ID: 1, Tokens: tokens / 2}, {ID: 2, Tokens: tokens - tokens/2}}}
+}
+
+func testRequest(tokens int) *assign.Request {
+	p := testPrompt(tokens)
+	return &assign.Request{
+		Service: "models", Engine: engineLimits, Prompt: p, Chain: prompt.NewChain(p), Objective: objective, Remaining: patience,
+	}
+}
+
+// Answers the load of bursts far above what the engines can compute. Guards against queues
+// that make every answer late: most of what the engines can do must be on time, and who is
+// refused must be told when to come back.
+func TestOverloadIsServedOnTimeOrRefused(t *testing.T) {
+	for _, rate := range []float64{400, 800} {
+		for seed := range uint64(3) {
+			list := arrivals(seed, rate, 5*time.Second)
+			got := newWorld(9, 5).play(list, nil)
+			rng := rand.New(rand.NewPCG(seed, 3))
+			naive := newWorld(9, 5)
+			base := naive.play(list, func(_ core.Instant, req *assign.Request) assign.Decision {
+				e, _ := naive.view.Find(core.TargetID([]string{"p0", "p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"}[rng.IntN(9)]))
+				return assign.Decision{Target: e, Kind: load.Prefill, Work: prompt.NewWork(req.Prompt.Tokens, 0)}
+			})
+			t.Logf("rate %v seed %d: on time %d, late %d, refused %d of %d; at random: on time %d",
+				rate, seed, got.onTime, got.late, got.refused, got.total(), base.onTime)
+			if got.total() != len(list) {
+				t.Errorf("rate %v seed %d: %d of %d requests accounted for", rate, seed, got.total(), len(list))
+			}
+			if got.onTime < 2*base.onTime {
+				t.Errorf("rate %v seed %d: %d on time, %d with a random choice", rate, seed, got.onTime, base.onTime)
+			}
+			// Only prompts that take longer than the objective by themselves may be late.
+			if got.late > got.onTime/5 {
+				t.Errorf("rate %v seed %d: %d late, %d on time", rate, seed, got.late, got.onTime)
+			}
+			if got.refused > 0 && got.worstRetry < patience/10 {
+				t.Errorf("rate %v seed %d: a caller was asked back after %v", rate, seed, got.worstRetry)
+			}
+		}
+	}
+}
+
+// Answers a calm load. Guards against refusals while there is room.
+func TestCalmLoadIsNotRefused(t *testing.T) {
+	got := newWorld(9, 5).play(arrivals(1, 150, 5*time.Second), nil)
+	if got.refused > 0 || got.late > got.total()/50 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// Guards against long prompts on engines whose streams they would hold up.
+func TestBusyGeneratorGetsNoLongPrompt(t *testing.T) {
+	board := load.NewBoard()
+	a, view := newAssigner(board), newView(1, 1)
+	for serial := range uint32(8) {
+		board.Sent(0, load.Item{Ref: load.Ref{Key: load.Key{Serial: serial}, Target: "g0"}, Kind: load.Generate})
+	}
+	for serial := range uint32(4) {
+		board.Sent(0, load.Item{
+			Ref: load.Ref{Key: load.Key{Serial: 100 + serial}, Target: "p0"}, Kind: load.Prefill, Compute: 25 * time.Millisecond,
+		})
+	}
+	if d := a.Assign(0, view, testRequest(9000)); d.Target != nil && d.Target.ID == "g0" {
+		t.Errorf("a long prompt goes to a generating engine with 8 streams: %+v", d)
+	}
+	if d := a.Assign(0, view, testRequest(100)); d.Target == nil || d.Target.ID != "g0" {
+		t.Errorf("a short prompt waits behind long ones: %+v", d)
+	}
+}
+
+// Guards against prompts that are computed with nobody to generate from them.
+func TestNoGeneratorMeansNoTarget(t *testing.T) {
+	a, view := newAssigner(load.NewBoard()), newView(2, 0)
+	if d := a.Assign(0, view, testRequest(5000)); d.Target != nil || d.Reason != core.ReasonNoTarget || d.RetryAfter <= 0 {
+		t.Errorf("%+v", d)
+	}
+}
+
+// Guards against a prompt that is computed again although an engine holds most of it.
+func TestPromptGoesWhereItsPartsAre(t *testing.T) {
+	board := load.NewBoard()
+	a, view := newAssigner(board), newView(4, 1)
+	for e := range view.All {
+		board.SetCapacity(e.ID, engineLimits.CacheTokens)
+	}
+	req := testRequest(8000)
+	board.Sent(0, load.Item{Ref: load.Ref{Target: "p2"}, Kind: load.Prefill, Chain: req.Chain})
+	board.Finished(0, load.Ref{Target: "p2"})
+	next := *req
+	next.Prompt = &core.Prompt{Model: "m", Tokens: 8000, Parts: []core.PromptPart{req.Prompt.Parts[0], {ID: 9, Tokens: 4000}}}
+	next.Chain = prompt.NewChain(next.Prompt)
+	d := a.Assign(core.Instant(time.Second), view, &next)
+	if d.Target == nil || d.Target.ID != "p2" || d.Held != 4000 || d.Reason != core.ReasonPrefixHit {
+		t.Errorf("%+v", d)
+	}
+}
+
+// cells is a fleet of more than one cell.
+type cells struct{ cells *load.Cells }
+
+func (c cells) Cells() *load.Cells { return c.cells }
+
+// Guards against instances that take engines whose load they don't know for idle, and
+// against refusals while another cell has room.
+func TestOtherCellsAreUsedOnlyForWhatIsTooMuch(t *testing.T) {
+	board := load.NewBoard()
+	source := random.New(3)
+	a := assign.New(assign.Options{
+		Board: board, Health: retry.NewHealth(retry.DefaultHealthOptions(), source), Random: source, Home: "here",
+		Cells:  cells{load.NewCells("here", map[core.DataCentre]int{"here": 20, "there": 20})},
+		Tuning: assign.DefaultTuning(),
+	})
+	r := roster.New(time.Second)
+	var list []core.Registration
+	for _, e := range []struct {
+		id   core.TargetID
+		dc   core.DataCentre
+		role core.Role
+	}{{"near-p", "here", core.RolePrefill}, {"near-g", "here", core.RoleDecode}, {"far-p", "there", core.RolePrefill}, {"far-g", "there", core.RoleDecode}} {
+		list = append(list, core.Registration{
+			Target: core.Target{ID: e.id, Service: "models", DataCentre: e.dc, Role: e.role}, Slots: slots,
+		})
+	}
+	r.Replace(0, 1, list)
+	for serial := range uint32(8) {
+		board.Sent(0, load.Item{Ref: load.Ref{Key: load.Key{Serial: 100 + serial}, Target: "near-g"}, Kind: load.Generate})
+	}
+	if d := a.Assign(0, r.View(), testRequest(6000)); d.Target == nil || d.Target.ID != "near-p" {
+		t.Fatalf("%+v", d)
+	}
+	for serial := range uint32(8) {
+		board.Sent(0, load.Item{
+			Ref: load.Ref{Key: load.Key{Serial: serial}, Target: "near-p"}, Kind: load.Prefill, Compute: 40 * time.Millisecond,
+		})
+	}
+	d := a.Assign(0, r.View(), testRequest(6000))
+	if d.Target == nil || d.Target.ID != "far-p" {
+		t.Fatalf("the own cell is full: %+v", d)
+	}
+	if g, ok := a.Generator(0, r.View(), testRequest(6000), d.Target); !ok || g.ID != "far-g" {
+		t.Errorf("the cache would move between data centres: %+v", g)
+	}
+	// The other cell turned out to be full, too.
+	far, _ := r.View().Find("far-p")
+	a.ObserveElsewhere(0, far, time.Second)
+	if d := a.Assign(0, r.View(), testRequest(6000)); d.Target != nil {
+		t.Errorf("goes on to a cell where prompts wait a second: %+v", d)
+	}
+	if d := a.Assign(core.Instant(5*time.Second), r.View(), testRequest(6000)); d.Target == nil {
+		t.Errorf("the other cell is never tried again: %+v", d)
+	}
+}
+
+// Guards against calls that wait at one target while another has free slots, and against
+// calls that are sent to targets without room.
+func TestCallsGoWhereSlotsAreFree(t *testing.T) {
+	board := load.NewBoard()
+	a := newAssigner(board)
+	r := roster.New(time.Second)
+	r.Replace(0, 1, []core.Registration{
+		{Target: core.Target{ID: "c0", Service: "calls", DataCentre: "here"}, Slots: 2},
+		{Target: core.Target{ID: "c1", Service: "calls", DataCentre: "here"}, Slots: 2},
+	})
+	counts := map[core.TargetID]int{}
+	serial := uint32(0)
+	send := func() bool {
+		d := a.Call(0, r.View(), &assign.CallRequest{Service: "calls", Remaining: time.Second})
+		if d.Target == nil {
+			if d.RetryAfter <= 0 || d.RetryAfter > time.Second/3 {
+				t.Errorf("asked back after %v", d.RetryAfter)
+			}
+			return false
+		}
+		serial++
+		counts[d.Target.ID]++
+		board.Sent(0, load.Item{Ref: load.Ref{Key: load.Key{Serial: serial}, Target: d.Target.ID}, Kind: load.Call})
+		return true
+	}
+	for range 4 {
+		send()
+	}
+	if counts["c0"] != 2 || counts["c1"] != 2 {
+		t.Errorf("sends %v", counts)
+	}
+	for range 20 {
+		if !send() {
+			break
+		}
+	}
+	if total := counts["c0"] + counts["c1"]; total != 12 {
+		t.Errorf("%d calls taken on by two targets with two slots, want 12", total)
+	}
+}
--- /dev/null
+++ b/core/catchup/catchup_test.go
@@ -0,0 +1,93 @@
+package catchup_test
+
+import (
+	"testing"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/catchup"
+)
+
+func at(ms int) core.Instant { return core.Instant(time.Duration(ms) * time.Millisecond) }
+
+// Guards against an instance that the platform refuses and that never learns of a new
+// configuration, and against needless copies where the platform tells in time.
+func TestConfigurationIsTakenFromAPeerThatIsAhead(t *testing.T) {
+	c := catchup.New()
+	c.Have(catchup.Configuration, 4)
+	c.Heard(at(1000), catchup.Configuration, "p1", 6)
+	if due := c.Due(at(1200)); len(due) > 0 {
+		t.Errorf("due after 200 ms: %+v", due)
+	}
+	due := c.Due(at(1300))
+	if len(due) != 1 || due[0].Peer != "p1" || due[0].Subject != catchup.Configuration {
+		t.Fatalf("due %+v", due)
+	}
+	if again := c.Due(at(1400)); len(again) > 0 {
+		t.Errorf("taken twice within 100 ms: %+v", again)
+	}
+	c.Failed(due[0])
+	c.Heard(at(1900), catchup.Configuration, "p2", 6)
+	if due := c.Due(at(2200)); len(due) != 1 || due[0].Peer != "p2" {
+		t.Errorf("no other peer after a failure: %+v", due)
+	}
+	c.Have(catchup.Configuration, 6)
+	if due := c.Due(at(9000)); len(due) > 0 {
+		t.Errorf("due although up to date: %+v", due)
+	}
+}
+
+// Guards against copies of the target list on each renewal of an entry.
+func TestTargetsAreTakenOnlyWhileOwnReadsFail(t *testing.T) {
+	c := catchup.New()
+	c.Have(catchup.Targets, 10)
+	c.Heard(at(0), catchup.Targets, "p", 20)
+	if due := c.Due(at(5000)); len(due) > 0 {
+		t.Errorf("due %+v", due)
+	}
+	c.Reachable(at(5000), catchup.Targets, false)
+	if due := c.Due(at(6000)); len(due) != 1 {
+		t.Errorf("due %+v", due)
+	}
+}
+
+// Guards against followers that go on relying on readers that have died.
+func TestFollowerReadsWhenNoReaderIsHeardOf(t *testing.T) {
+	c := catchup.New()
+	c.Follow(true)
+	if !c.MustRead(at(0)) {
+		t.Error("a new follower relies on readers it has not heard of")
+	}
+	c.Have(catchup.Configuration, 1)
+	c.Have(catchup.Targets, 1)
+	c.Confirmed(at(1000))
+	if c.MustRead(at(1500)) {
+		t.Error("reads although a reader was just heard of")
+	}
+	if !c.MustRead(at(2300)) {
+		t.Error("still relies on a reader that was silent for 1.3 s")
+	}
+	c.Heard(at(2300), catchup.Targets, "p", 2)
+	c.Confirmed(at(2300))
+	if due := c.Due(at(2300)); len(due) != 1 {
+		t.Errorf("a follower waits for its own read: %+v", due)
+	}
+}
+
+// Guards against a reader whose word counts although its reads fail.
+func TestReaderWithoutReadsIsNoReader(t *testing.T) {
+	c := catchup.New()
+	if c.Reads(at(0)) {
+		t.Error("reads before the first one succeeded")
+	}
+	c.Reachable(at(0), catchup.Configuration, true)
+	c.Reachable(at(0), catchup.Targets, true)
+	if !c.Reads(at(1000)) || c.Reads(at(3000)) {
+		t.Error("a successful read is good for 2 s")
+	}
+	c.Reachable(at(3000), catchup.Configuration, true)
+	c.Reachable(at(3000), catchup.Targets, false)
+	if c.Reads(at(3100)) {
+		t.Error("reads although the registry is out of reach")
+	}
+}
--- /dev/null
+++ b/core/placement/demand_test.go
@@ -0,0 +1,131 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/placement"
+)
+
+// fleet is a set of engines that take on the roles they are ordered to after a delay.
+type fleet struct {
+	planner *placement.DemandPlanner
+	engines []placement.EngineLoad
+	changes []core.RoleChange
+	now     core.Instant
+	due     map[core.TargetID]core.Instant
+	to      map[core.TargetID]core.Role
+}
+
+func newFleet(prefill, decode int) *fleet {
+	f := &fleet{
+		planner: placement.NewDemandPlanner(placement.DemandOptions{}),
+		due:     map[core.TargetID]core.Instant{}, to: map[core.TargetID]core.Role{},
+	}
+	for i := range prefill + decode {
+		e := placement.EngineLoad{
+			ID: core.TargetID(fmt.Sprintf("e%02d", i)), DataCentre: core.DataCentre(rune('a' + i%3)), Role: core.RolePrefill, Slots: 16,
+		}
+		if i >= prefill {
+			e.Role = core.RoleDecode
+		}
+		f.engines = append(f.engines, e)
+	}
+	return f
+}
+
+// run plays seconds with a share of busy prompt engines and of slots in use.
+func (f *fleet) run(seconds int, busy, full float64) {
+	for range seconds {
+		f.now = f.now.Add(time.Second)
+		for i := range f.engines {
+			e := &f.engines[i]
+			if at, ok := f.due[e.ID]; ok && f.now >= at {
+				e.Role = f.to[e.ID]
+				delete(f.due, e.ID)
+			}
+			e.Prompts, e.Generating = 0, 0
+			if e.Role == core.RoleDecode {
+				e.Generating = int(full * 16)
+			} else if float64(i%10) < busy*10 {
+				e.Prompts = 3
+			}
+		}
+		for _, change := range f.planner.Plan(f.now, f.engines) {
+			f.changes = append(f.changes, change)
+			f.due[change.Target], f.to[change.Target] = f.now.Add(4*time.Second), change.To
+		}
+	}
+}
+
+func (f *fleet) readers() int {
+	n := 0
+	for _, e := range f.engines {
+		if e.Role == core.RolePrefill {
+			n++
+		}
+	}
+	return n
+}
+
+// Answers a start in which most engines generate. Guards against a fleet that begins the
+// day with a third of its engines for prompts.
+func TestStartingShareIsOrderedAtOnce(t *testing.T) {
+	f := newFleet(5, 9)
+	f.run(6, 0, 0)
+	if f.readers() != 9 || len(f.changes) != 4 {
+		t.Errorf("%d engines for prompts after %d changes", f.readers(), len(f.changes))
+	}
+}
+
+// Answers bursts of some seconds. Guards against changes that begin when the burst is
+// already over.
+func TestShortBurstsMoveNoRoles(t *testing.T) {
+	f := newFleet(9, 5)
+	for range 8 {
+		f.run(3, 1, 0.2)
+		f.run(3, 0.2, 0.9)
+	}
+	if len(f.changes) > 0 {
+		t.Errorf("changes %+v", f.changes)
+	}
+}
+
+// Answers a lasting shift of the mix. Guards against a split that stays while one side
+// waits, and against the loss of all engines of one side.
+func TestLastingShiftMovesRoles(t *testing.T) {
+	f := newFleet(9, 5)
+	f.run(90, 1, 0.1)
+	if got := f.readers(); got <= 9 || got > 12 {
+		t.Errorf("%d of 14 engines for prompts while these wait and slots are free", got)
+	}
+	f.run(90, 0.1, 1.2)
+	if got := f.readers(); got > 8 || got < 1 {
+		t.Errorf("%d of 14 engines for prompts while answers wait for slots", got)
+	}
+}
+
+// Guards against engines that all change back and forth under a steady load.
+func TestSteadyLoadEndsChanges(t *testing.T) {
+	f := newFleet(9, 5)
+	f.run(120, 0.5, 0.5)
+	if len(f.changes) > 0 {
+		t.Errorf("changes %+v", f.changes)
+	}
+}
+
+// Guards against a service of a single engine, or of two, that is ordered around.
+func TestFewEnginesKeepBothRoles(t *testing.T) {
+	one := newFleet(0, 1)
+	one.run(20, 1, 1)
+	if len(one.changes) > 0 {
+		t.Errorf("changes of the only engine: %+v", one.changes)
+	}
+	two := newFleet(0, 2)
+	two.run(20, 1, 0.1)
+	if got := two.readers(); got != 1 {
+		t.Errorf("%d of 2 engines for prompts", got)
+	}
+}
--- /dev/null
+++ b/core/retry/health_test.go
@@ -0,0 +1,86 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/common/random"
+	"gorseline/core/retry"
+)
+
+func newHealth() *retry.Health {
+	return retry.NewHealth(retry.DefaultHealthOptions(), random.New(1))
+}
+
+// Guards against a target that fails half of its requests and still gets its full share,
+// and against avoiding targets for failures that all of them have.
+func TestOutlierIsAvoided(t *testing.T) {
+	h := newHealth()
+	rng := rand.New(rand.NewPCG(1, 1))
+	avoided := map[core.TargetID]int{}
+	for i := range 2000 {
+		now := core.Instant(i) * core.Instant(10*time.Millisecond)
+		for _, id := range []core.TargetID{"good1", "good2", "good3", "bad"} {
+			if !h.Usable(now, id) {
+				avoided[id]++
+				continue
+			}
+			share := 0.14
+			if id == "bad" {
+				share = 0.6
+			}
+			h.Answered(now, id, "s", rng.Float64() < share)
+		}
+	}
+	if avoided["bad"] < 1000 {
+		t.Errorf("the failing target was avoided in %d of 2000 steps", avoided["bad"])
+	}
+	for _, id := range []core.TargetID{"good1", "good2", "good3"} {
+		if avoided[id] > 500 {
+			t.Errorf("%s was avoided in %d of 2000 steps", id, avoided[id])
+		}
+	}
+}
+
+// Guards against more requests for a target that does not answer.
+func TestSilentTargetIsAvoidedAndTriedAgain(t *testing.T) {
+	h := newHealth()
+	h.Silent(0, "t")
+	if !h.Usable(0, "t") {
+		t.Error("avoided after one attempt")
+	}
+	if !h.Silent(0, "t") || h.Usable(0, "t") {
+		t.Error("not avoided after two attempts")
+	}
+	later := core.Instant(time.Second)
+	if !h.Usable(later, "t") {
+		t.Error("never tried again")
+	}
+	h.Sending(later, "t")
+	if h.Usable(later, "t") {
+		t.Error("more than one request tries the target")
+	}
+	h.Answered(later, "t", "s", false)
+	if !h.Usable(later, "t") {
+		t.Error("avoided although it answers")
+	}
+}
+
+// Guards against a stream of requests to a target that refuses all, as during a role
+// change.
+func TestRefusingTargetIsLeftAloneLonger(t *testing.T) {
+	h := newHealth()
+	sends := 0
+	for ms := range 3000 {
+		now := core.Instant(ms) * core.Instant(time.Millisecond)
+		if h.Usable(now, "t") {
+			sends++
+			h.Refused(now, "t")
+		}
+	}
+	if sends > 8 {
+		t.Errorf("%d sends within 3 s to a target that refuses all", sends)
+	}
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,59 @@
+package route_test
+
+import (
+	"strconv"
+	"testing"
+
+	"gorseline/core"
+	"gorseline/core/route"
+)
+
+func testTable() *route.Table {
+	one := []core.Split{{Service: "s", Weight: 1}}
+	return route.NewTable(&core.Forwarding{Version: 3, Routes: []core.Route{
+		{Name: "root", Host: "a.example", Prefix: "/", Splits: one},
+		{Name: "deep", Host: "a.example", Prefix: "/x/y/", Splits: one},
+		{Name: "short", Host: "a.example", Prefix: "/x/", Splits: one},
+		{Name: "other", Host: "B.example", Prefix: "/x/", Splits: one},
+		{Name: "nowhere", Host: "c.example", Prefix: "/"},
+	}})
+}
+
+// Guards against requests that reach another route's service.
+func TestLongestPrefixOfTheHostMatches(t *testing.T) {
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "deep"},
+		{"a.example", "/x/yz", "short"},
+		{"a.example", "/x", "root"},
+		{"A.EXAMPLE:8080", "/x/y/", "deep"},
+		{"b.example", "/x/1", "other"},
+		{"b.example", "/y/1", ""},
+		{"c.example", "/", ""},
+		{"", "/", ""},
+	}
+	for _, test := range tests {
+		name := ""
+		if r, ok := testTable().Match(test.host, test.path); ok {
+			name = r.Name
+		}
+		if name != test.want {
+			t.Errorf("%s%s: route %q, want %q", test.host, test.path, name, test.want)
+		}
+	}
+}
+
+// Guards against a split that ignores its weights, and against instances that disagree.
+func TestSplitFollowsItsWeights(t *testing.T) {
+	r := &core.Route{Splits: []core.Split{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
+	counts := map[core.Service]int{}
+	for i := range 10_000 {
+		id := core.RequestID(strconv.Itoa(i))
+		counts[route.SelectService(r, id)]++
+		if route.SelectService(r, id) != route.SelectService(r, id) {
+			t.Fatal("the same request has two services")
+		}
+	}
+	if counts["c"] != 0 || counts["b"] < 850 || counts["b"] > 1150 {
+		t.Errorf("counts %v", counts)
+	}
+}
