Test the platform's adapter, the datagrams, the log and the whole path

The end of a process no longer waits for a silent store: the release of the lease is bounded by a second, as the tests of a refusing store showed.

--- a/cmd/entry/node/node.go
+++ b/cmd/entry/node/node.go
@@ -43,10 +43,9 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
-	var n *node
-	app := fx.New(fx.NopLogger, module(options, settings, output), fx.Populate(&n))
-	if err := app.Err(); err != nil {
-		return errors.Wrap(err, "assemble")
+	app, n, err := assemble(options, settings, output)
+	if err != nil {
+		return err
 	}
 	if err := app.Start(context.Background()); err != nil {
 		return errors.Wrap(err, "start")
@@ -58,7 +57,18 @@
 	n.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
-	return errors.Wrap(app.Stop(ctx), "stop")
+	if err := app.Stop(ctx); err != nil {
+		// All requests have ended; what is left are calls of a dependency that is silent.
+		n.log.WithError(err).Warn("StoppedEarly")
+	}
+	return nil
+}
+
+// assemble wires the parts of an instance. It starts nothing.
+func assemble(options Options, settings platform.Settings, output io.Writer) (*fx.App, *node, error) {
+	var n *node
+	app := fx.New(fx.NopLogger, module(options, settings, output), fx.Populate(&n))
+	return app, n, errors.Wrap(app.Err(), "assemble")
 }
 
 // stopLimit bounds the end of the parts after the last request.
--- /dev/null
+++ b/cmd/entry/node/node_test.go
@@ -0,0 +1,302 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/fx"
+
+	"gorseline/core"
+	"gorseline/platform"
+	stand "gorseline/standin/platform"
+)
+
+// site is a stand-in of the platform with instances on loopback.
+type site struct {
+	t       *testing.T
+	store   *stand.Store
+	server  *httptest.Server
+	targets []*stand.Target
+}
+
+const siteConfiguration = `{"version":%d,"routes":[
+	{"name":"once","host":"h.example","prefix":"/once/","kind":"unsafe","timeout_ms":2000,"slo_ms":300,"service":"calls","attempts":1},
+	{"name":"stream","host":"h.example","prefix":"/stream/","kind":"stream","timeout_ms":2000,"slo_ms":300,"service":"models",
+	 "attempts":2,"sticky":true,"can_resume":true,"gap_slo_ms":100}],
+	"services":[{"name":"calls"},{"name":"models","engine":{"slots":8,"kv_tokens":100000,"kv_bytes":1000,"link_mbps":100000,"switch_s":0.1}}],
+	"limits":{"max_header_bytes":16384,"max_body_bytes":1048576}}`
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, store: stand.NewStore()}
+	s.server = httptest.NewServer(s.store.Handler())
+	t.Cleanup(s.server.Close)
+	for i, phase := range []string{"", "", "prefill", "decode"} {
+		tg, err := stand.NewTarget(fmt.Sprintf("i-%d", i), phase)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(tg.Close)
+		s.targets = append(s.targets, tg)
+		service := "models"
+		if phase == "" {
+			service = "calls"
+		}
+		s.store.Put("servers", tg.ID(), tg.Entry(service, "a", "ready"))
+	}
+	s.configure(1)
+	return s
+}
+
+func (s *site) configure(version int) {
+	s.store.Put("op", "config", []byte(fmt.Sprintf(siteConfiguration, version)))
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// output collects what a process logs.
+type output struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(b)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// instance is a running instance.
+type instance struct {
+	*node
+	app    *fx.App
+	output *output
+}
+
+func (s *site) start(name string) *instance {
+	s.t.Helper()
+	settings := platform.Settings{
+		Instance: core.InstanceID(name), DataCentre: "a", Callers: freeAddress(s.t), Ready: freeAddress(s.t),
+		Directory: freeAddress(s.t), Peers: freeAddress(s.t), Heartbeat: 200 * time.Millisecond,
+		Store: platform.StoreSettings{Address: strings.TrimPrefix(s.server.URL, "http://")},
+		Bounds: platform.Bounds{
+			StopGrace: 3 * time.Second, RetryRatio: 0.5, RetrySlack: 100, OrderTurn: 100 * time.Millisecond, AnswerKept: time.Second,
+		},
+	}
+	options := Options{AnswerKeep: 100 * time.Millisecond, Roster: 10 * time.Millisecond, StartShare: 0.5}
+	i := &instance{output: &output{}}
+	var err error
+	if i.app, i.node, err = assemble(options, settings, i.output); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := i.app.Start(s.t.Context()); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := i.app.Stop(ctx); err != nil {
+			s.t.Errorf("stop %s: %v", name, err)
+		}
+	})
+	s.within(3*time.Second, name+" is ready", func() bool { return get(s.t, "http://"+settings.Ready+"/-/readyz").status == 200 })
+	return i
+}
+
+func (s *site) within(limit time.Duration, what string, holds func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(limit)
+	for !holds() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("%s: not within %v", what, limit)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+type reply struct {
+	status int
+	body   string
+	close  bool
+}
+
+func get(t *testing.T, url string) reply {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return do(req)
+}
+
+func do(req *http.Request) reply {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}
+	}
+	return reply{resp.StatusCode, string(body), resp.Close}
+}
+
+// call sends a request to an instance.
+func (i *instance) call(t *testing.T, path, id string, header ...string) reply {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+i.settings.Callers+path, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Request-Id", id)
+	for n := 0; n+1 < len(header); n += 2 {
+		req.Header.Set(header[n], header[n+1])
+	}
+	return do(req)
+}
+
+// Guards against parts that work by themselves but not together: the way of a caller from
+// the directory to the answers of plain targets and engines.
+func TestWholePath(t *testing.T) {
+	s := newSite(t)
+	one, two := s.start("n1"), s.start("n2")
+	var answer struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl_s"`
+	}
+	s.within(3*time.Second, "both instances in the directory", func() bool {
+		got := get(t, "http://"+one.settings.Directory+"/-/resolve?name=h.example&zone=a")
+		return got.status == 200 && json.Unmarshal([]byte(got.body), &answer) == nil && len(answer.Addresses) == 2
+	})
+	if answer.TTL != 0.1 {
+		t.Errorf("ttl %v", answer.TTL)
+	}
+	for n, i := range []*instance{one, two} {
+		id := fmt.Sprintf("r%d", n)
+		if got := i.call(t, "/once/x", id); got.status != 200 || got.body != "answer to "+id {
+			t.Errorf("call: %+v", got)
+		}
+		got := i.call(t, "/stream/x", id, "X-Model", "m", "X-Token-Count", "5000,8", "X-Prompt-Prefix", "ab:4000,cd:1000")
+		if got.status != 200 || strings.Count(got.body, "id: ") != 4 {
+			t.Errorf("stream: %+v", got)
+		}
+		if !strings.Contains(i.output.String(), "Event=RequestEnded") {
+			t.Error("no log line for the end of a request")
+		}
+	}
+	if got := one.call(t, "/none/x", "r9"); got.status != 404 {
+		t.Errorf("status %d without a route", got.status)
+	}
+}
+
+// Guards against an instance that does not learn of a configuration because the platform
+// refuses it.
+func TestConfigurationReachesARefusedInstance(t *testing.T) {
+	s := newSite(t)
+	one, two := s.start("n1"), s.start("n2")
+	s.within(3*time.Second, "the instances know each other", func() bool {
+		return len(one.digests.Members()) == 2 && len(two.digests.Members()) == 2
+	})
+	// Both lose the store; one of them has just got the configuration.
+	s.store.SetFaults(stand.Faults{Status: 503})
+	s.configure(5)
+	var c core.Forwarding
+	c = *two.forwarder.Table().Configuration()
+	c.Version = 5
+	one.beliefs.TakeConfiguration(&c)
+	s.within(2*time.Second, "configuration from the peer", func() bool { return two.forwarder.Table().Version() == 5 })
+}
+
+// Guards against requests that are cut when their instance leaves.
+func TestLeavingInstanceFinishesItsRequests(t *testing.T) {
+	s := newSite(t)
+	one, two := s.start("n1"), s.start("n2")
+	s.within(3*time.Second, "the instances know each other", func() bool { return len(two.digests.Members()) == 2 })
+	for _, tg := range s.targets[:2] {
+		tg.SetWork(700 * time.Millisecond)
+	}
+	var calls sync.WaitGroup
+	for n := range 6 {
+		calls.Go(func() {
+			if got := one.call(t, "/once/x", fmt.Sprintf("r%d", n)); got.status != 200 {
+				t.Errorf("request %d: %+v", n, got)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		one.leave()
+	}()
+	s.within(time.Second, "the leaving instance is not ready", func() bool {
+		return get(t, "http://"+one.settings.Ready+"/-/readyz").status == 503
+	})
+	s.within(2*time.Second, "the leaving instance is in no answer", func() bool {
+		got := get(t, "http://"+two.settings.Directory+"/-/resolve?zone=a")
+		return got.status == 200 && !strings.Contains(got.body, one.settings.Callers)
+	})
+	if got := one.call(t, "/once/x", "late"); got.status != 200 || !got.close {
+		t.Errorf("a caller that has not yet heard: %+v", got)
+	}
+	calls.Wait()
+	<-left
+}
+
+// Guards against engines whose roles nobody orders, and against two instances that order.
+func TestOneInstanceOrdersRoles(t *testing.T) {
+	s := newSite(t)
+	for i := range 4 {
+		tg, err := stand.NewTarget(fmt.Sprintf("e-%d", i), "decode")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(tg.Close)
+		s.targets = append(s.targets, tg)
+		s.store.Put("servers", tg.ID(), tg.Entry("models", "a", "ready"))
+	}
+	one, two := s.start("n1"), s.start("n2")
+	ordered := func() int {
+		n := 0
+		for _, tg := range s.targets {
+			n += len(tg.Orders())
+		}
+		return n
+	}
+	s.within(10*time.Second, "orders for half of six engines", func() bool { return ordered() == 2 })
+	holders := 0
+	for _, i := range []*instance{one, two} {
+		if strings.Contains(i.output.String(), "Event=OrderSent") {
+			holders++
+		}
+	}
+	if holders != 1 {
+		t.Errorf("%d instances gave orders", holders)
+	}
+}
--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -32,6 +32,9 @@
 	renewTime = 3 * time.Second
 	// orderLifetime bounds the delivery of an order.
 	orderLifetime = time.Second
+	// releaseLimit bounds the release of the lease when the process ends. It is below
+	// stopLimit.
+	releaseLimit = time.Second
 	// maximumRepeats bounds the orders that an engine does not carry out.
 	maximumRepeats = 3
 )
@@ -98,6 +101,7 @@
 			Lease: leaseTime, Renew: renewTime, OrderLifetime: orderLifetime,
 			// Orders of two instances to one target must be further apart than a turn.
 			Margin: p.Settings.Bounds.OrderTurn, MaxRepeats: maximumRepeats,
+			ReleaseLimit: releaseLimit,
 		},
 	}
 	r := &roles{
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -33,6 +33,7 @@
 	budgets   *forward.Budgets
 	pool      *target.Pool
 	list      *platform.Instances
+	beliefs   *beliefs
 	leaving   atomic.Bool
 	callers   *http.Server
 	servers   []*http.Server
@@ -60,7 +61,7 @@
 func newNode(lc fx.Lifecycle, p nodeParts) (*node, error) {
 	n := &node{
 		options: p.Options, settings: p.Settings, log: p.Log, forwarder: p.Forwarder, digests: p.Digests,
-		roster: p.Roster, budgets: p.Budgets, pool: p.Pool, list: p.List, done: make(chan struct{}),
+		roster: p.Roster, budgets: p.Budgets, pool: p.Pool, list: p.List, beliefs: p.Beliefs, done: make(chan struct{}),
 	}
 	start(lc, n)
 	n.callers = newServer(p.Forwarder)
--- a/core/authority/keeper.go
+++ b/core/authority/keeper.go
@@ -1,6 +1,7 @@
 package authority
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -59,11 +60,11 @@
 	}
 }
 
-// Run keeps leases until ctx ends and then releases them, for at most one lease.
+// Run keeps leases until ctx ends and then releases them, for at most ReleaseLimit.
 func (k *Keeper) Run(ctx context.Context) {
 	defer close(k.done)
 	k.loop(ctx)
-	limit := k.opts.Clock.Now().Add(k.opts.Lease)
+	limit := k.opts.Clock.Now().Add(cmp.Or(k.opts.ReleaseLimit, k.opts.Lease))
 	ctx, cancel := k.opts.Clock.WithDeadline(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	ticker := time.NewTicker(k.opts.OrderLifetime / 10)
--- a/core/membership/protocol_test.go
+++ b/core/membership/protocol_test.go
@@ -126,3 +126,43 @@
 		t.Errorf("%+v", answer)
 	}
 }
+
+// Guards against answers that send callers to another data centre, to members that leave
+// or are silent, or to small machines as often as to large ones.
+func TestCallerAddressesAreNearAndByCapacity(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	header := func(core.Instant) (core.Revision, core.Revision, uint32) { return 0, 0, 0 }
+	p := New(Record{ID: "self", DataCentre: "a", Callers: "self"}, rng, header, nil)
+	add := func(id core.InstanceID, dc core.DataCentre, status Status, capacity uint32) {
+		p.learn(0, Record{ID: id, DataCentre: dc, Callers: string(id), Status: status, Incarnation: 1, Capacity: capacity})
+	}
+	add("big", "a", StatusAlive, 100)
+	for _, id := range []core.InstanceID{"s1", "s2", "s3", "s4", "s5", "s6"} {
+		add(id, "a", StatusAlive, 10)
+	}
+	add("suspect", "a", StatusSuspect, 100)
+	add("leaving", "a", StatusLeaving, 100)
+	add("far", "b", StatusAlive, 100)
+	counts := map[string]int{}
+	for range 1000 {
+		answer := p.CallerAddresses(rng, "a")
+		if len(answer) != callerAddressCount {
+			t.Fatalf("answer %v", answer)
+		}
+		for _, address := range answer {
+			counts[address]++
+		}
+	}
+	if counts["suspect"]+counts["leaving"]+counts["far"] > 0 {
+		t.Errorf("counts %v", counts)
+	}
+	if counts["big"] < 2*counts["s1"] || counts["s1"] == 0 {
+		t.Errorf("counts %v: not by capacity", counts)
+	}
+	if answer := p.CallerAddresses(rng, "b"); len(answer) != 1 || answer[0] != "far" {
+		t.Errorf("answer %v", answer)
+	}
+	if answer := p.CallerAddresses(rng, "elsewhere"); len(answer) != callerAddressCount {
+		t.Errorf("answer %v", answer)
+	}
+}
--- /dev/null
+++ b/io/digest/digest_test.go
@@ -0,0 +1,154 @@
+package digest
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/fxamacker/cbor/v2"
+
+	"gorseline/core"
+	"gorseline/core/catchup"
+	"gorseline/core/load"
+	"gorseline/core/membership"
+	"gorseline/core/prompt"
+	"gorseline/core/roster"
+)
+
+type fixedList []core.ListedInstance
+
+func (l fixedList) Instances(context.Context) ([]core.ListedInstance, error) { return l, nil }
+
+type noSnapshots struct{}
+
+func (noSnapshots) Configuration() *core.Forwarding    { return nil }
+func (noSnapshots) TakeConfiguration(*core.Forwarding) {}
+func (noSnapshots) Targets() *roster.View              { return roster.New(time.Second).View() }
+func (noSnapshots) TakeTargets(TargetList)             {}
+
+// newNodes starts nodes that are listed to each other.
+func newNodes(t *testing.T, count int) ([]*Node, []*load.Board) {
+	t.Helper()
+	var list fixedList
+	var conns []net.PacketConn
+	for i := range count {
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, conn)
+		list = append(list, core.ListedInstance{
+			ID: core.InstanceID(rune('a' + i)), Address: conn.LocalAddr().String(), DataCentre: "dc",
+		})
+	}
+	var nodes []*Node
+	var boards []*load.Board
+	ctx, cancel := context.WithCancel(context.Background())
+	for i, conn := range conns {
+		board := load.NewBoard()
+		n := New(Options{
+			Self: membership.Record{ID: list[i].ID, Address: list[i].Address, DataCentre: "dc", Callers: "c"},
+			Conn: conn, Sender: uint32(i + 1), Board: board, Lister: list, Clock: core.NewProcessClock(), Seed: uint64(i),
+			Log: &log.Logger{Handler: discard.Default}, Tracker: catchup.New(), Snapshots: noSnapshots{},
+		})
+		nodes, boards = append(nodes, n), append(boards, board)
+		go n.Run(ctx)
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, n := range nodes {
+			<-n.Done()
+		}
+	})
+	return nodes, boards
+}
+
+func within(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %v", what, limit)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// Guards against instances that don't find each other or don't learn what the others send
+// to targets.
+func TestPeersShareTheirLoad(t *testing.T) {
+	nodes, boards := newNodes(t, 3)
+	within(t, 5*time.Second, "members", func() bool {
+		for _, n := range nodes {
+			if len(n.Members()) != 3 || len(n.peers.Load().near) != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	item := load.Item{
+		Ref: load.Ref{Key: load.Key{Sender: 1, Serial: 7}, Target: "t"}, Kind: load.Prefill, Compute: 30 * time.Millisecond,
+		Chain: prompt.Chain{{Key: 5, Tokens: 100}},
+	}
+	nodes[0].Sent(item)
+	for _, b := range boards[1:] {
+		within(t, time.Second, "the sent work", func() bool { return b.State(0, "t", nil).Running == 1 })
+	}
+	nodes[0].Finished(item.Ref)
+	for _, b := range boards[1:] {
+		within(t, time.Second, "its end", func() bool { return b.State(0, "t", nil).Running == 0 })
+	}
+}
+
+// Guards against a member that leaves and is still given to callers.
+func TestLeavingMemberIsInNoAnswer(t *testing.T) {
+	nodes, _ := newNodes(t, 2)
+	within(t, 5*time.Second, "members", func() bool {
+		return len(nodes[0].CallerAddresses("dc")) == 2 && len(nodes[1].CallerAddresses("dc")) == 2
+	})
+	nodes[0].Leave()
+	within(t, time.Second, "the leaving member is left out", func() bool { return len(nodes[1].CallerAddresses("dc")) == 1 })
+}
+
+// Guards against work that differs after its way through a datagram.
+func TestEventsKeepTheirItems(t *testing.T) {
+	item := load.Item{
+		Ref: load.Ref{Key: load.Key{Sender: 3, Serial: 9}, Target: "t"}, Kind: load.Whole, Compute: 1234 * time.Microsecond,
+		Chain: prompt.Chain{{Key: 1 << 60, Tokens: 2500}, {Key: 7, Tokens: 1}},
+	}
+	data, err := cbor.Marshal(&packet{Kind: packetLoad, Sender: 3, Events: []event{sentEvent(item)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := decodePacket(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := p.Events[0].item(p.Sender)
+	if got.Key != item.Key || got.Target != "t" || got.Kind != load.Whole || got.Compute != item.Compute ||
+		len(got.Chain) != 2 || got.Chain[0] != item.Chain[0] {
+		t.Errorf("%+v", got)
+	}
+}
+
+// Guards against datagrams of others that end the process or its loops.
+func FuzzDecodePacket(f *testing.F) {
+	data, err := cbor.Marshal(&packet{Kind: packetLoad, Events: []event{{Operation: opSent, Keys: []uint64{1}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{0xa1, 0x01, 0x02})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		p, err := decodePacket(data)
+		if err != nil {
+			return
+		}
+		for i := range p.Events {
+			p.Events[i].item(p.Sender)
+		}
+	})
+}
--- /dev/null
+++ b/standin/platform/order_test.go
@@ -0,0 +1,58 @@
+package platform_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"gorseline/core"
+	client "gorseline/platform"
+	"gorseline/standin/platform"
+)
+
+func newOrders(allowed *bool) *client.Orders {
+	return client.NewOrders("n1", &log.Logger{Handler: discard.Default}, func() bool { return *allowed })
+}
+
+// Guards against orders without holder, fence or condition, and against an order that is
+// sent after the authority has ended.
+func TestOrdersOfRoles(t *testing.T) {
+	engine, err := platform.NewTarget("i-1", "decode")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer engine.Close()
+	allowed := true
+	orders := newOrders(&allowed)
+	order := core.Order{Target: "i-1", Role: core.RolePrefill, Fence: 41}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	if got := orders.Order(ctx, engine.Address(), order); got != core.OrderAccepted {
+		t.Fatalf("result %v", got)
+	}
+	given := engine.Orders()
+	if len(given) != 1 || !strings.Contains(given[0], `"if_revision":0`) || !strings.Contains(given[0], `"fence":41`) {
+		t.Errorf("orders %v", given)
+	}
+	report, err := orders.Load(ctx, engine.Address())
+	if err != nil || report.Role != core.RolePrefill {
+		t.Errorf("report %+v, error %v", report, err)
+	}
+	allowed = false
+	order.Role = core.RoleDecode
+	if got := orders.Order(ctx, engine.Address(), order); got != core.OrderUnknown {
+		t.Errorf("result %v after the authority ended", got)
+	}
+	if len(engine.Orders()) != 1 {
+		t.Error("an order was carried out after the authority ended")
+	}
+	order.Target = "i-2"
+	allowed = true
+	if got := orders.Order(ctx, engine.Address(), order); got == core.OrderAccepted {
+		t.Error("another target has accepted the order")
+	}
+}
