--- a/cmd/entry/node/node_test.go
+++ b/cmd/entry/node/node_test.go
@@ -226,8 +226,7 @@
 	// Both lose the store; one of them has just got the configuration.
 	s.store.SetFaults(stand.Faults{Status: 503})
 	s.configure(5)
-	var c core.Forwarding
-	c = *two.forwarder.Table().Configuration()
+	c := *two.forwarder.Table().Configuration()
 	c.Version = 5
 	one.beliefs.TakeConfiguration(&c)
 	s.within(2*time.Second, "configuration from the peer", func() bool { return two.forwarder.Table().Version() == 5 })
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -47,9 +47,9 @@
 	// ShortPrompt is the computing time up to which a prompt is computed on any generating
 	// engine: it holds up the streams there by little more than a step.
 	ShortPrompt time.Duration
-	// MixedShare is the share of a generating engine's slots in use up to which it also
-	// computes a long prompt.
-	MixedShare float64
+	// MixedStreams is the number of streams up to which a generating engine also computes a
+	// long prompt. Each of them waits for a piece of the prompt at every token.
+	MixedStreams int
 	// LongestRetry is the share of the remaining time that a caller may be asked to wait.
 	LongestRetry float64
 }
@@ -58,7 +58,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		OnTime: 0.88, Late: 0.6, WorkWeight: 1, Remote: 10 * time.Millisecond,
-		ShortPrompt: 4 * time.Millisecond, MixedShare: 0.25, LongestRetry: 0.33,
+		ShortPrompt: 4 * time.Millisecond, MixedStreams: 4, LongestRetry: 0.33,
 	}
 }
 
@@ -253,7 +253,7 @@
 	c.Compute = m.prefill.Time(c.Work)
 	c.Kind = load.Prefill
 	if e.Role != core.RolePrefill {
-		if c.Compute > a.opts.ShortPrompt && a.hasStreams(e, &state) {
+		if c.Compute > a.opts.ShortPrompt && a.hasStreams(&state) {
 			return candidate{}, false
 		}
 		c.Kind = load.Whole
@@ -272,8 +272,8 @@
 
 // hasStreams reports whether a long prompt on a generating engine would hold up others:
 // it is computed between their tokens, in many pieces.
-func (a *Assigner) hasStreams(e *roster.Entry, state *load.State) bool {
-	return state.Prompts > 0 || float64(state.Generating) > a.opts.MixedShare*float64(e.Slots)
+func (a *Assigner) hasStreams(state *load.State) bool {
+	return state.Prompts > 0 || state.Generating > a.opts.MixedStreams
 }
 
 // refuse fills in when the caller should come back. The time is spread over the upper
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -48,9 +48,10 @@
 	counts := map[core.Service]int{}
 	for i := range 10_000 {
 		id := core.RequestID(strconv.Itoa(i))
-		counts[route.SelectService(r, id)]++
-		if route.SelectService(r, id) != route.SelectService(r, id) {
-			t.Fatal("the same request has two services")
+		first := route.SelectService(r, id)
+		counts[first]++
+		if again := route.SelectService(r, id); again != first {
+			t.Fatalf("request %s has the services %s and %s", id, first, again)
 		}
 	}
 	if counts["c"] != 0 || counts["b"] < 850 || counts["b"] > 1150 {
--- a/standin/platform/call_test.go
+++ b/standin/platform/call_test.go
@@ -174,7 +174,8 @@
 		}
 		got := r.do(t.Context(), http.MethodPost, test.path, test.id, body, test.header...)
 		// A client that is still sending when it is refused may not see the answer.
-		if got.status != test.status && !(test.status == 413 && got.err != nil) {
+		isUnseen := test.status == 413 && got.err != nil
+		if got.status != test.status && !isUnseen {
 			t.Errorf("%s: status %d, error %v", name, got.status, got.err)
 		}
 	}
--- a/standin/platform/rig_test.go
+++ b/standin/platform/rig_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -160,11 +159,11 @@
 	return answer{resp.StatusCode, resp.Header, string(data), err}
 }
 
-// prompt sends a request with a prompt of two parts.
-func (r *rig) prompt(ctx context.Context, path, id string) answer {
+// prompt sends the request r1 with a prompt of two parts.
+func (r *rig) prompt(ctx context.Context, path string) answer {
 	r.t.Helper()
-	return r.do(ctx, http.MethodPost, path, id, "the prompt", "X-Model", "m", "X-Token-Count", "3000,8",
-		"X-Prompt-Prefix", "ab:2500,"+id+":500")
+	return r.do(ctx, http.MethodPost, path, "r1", "the prompt", "X-Model", "m", "X-Token-Count", "3000,8",
+		"X-Prompt-Prefix", "ab:2500,cd:500")
 }
 
 // runs returns all runs of a request.
@@ -179,5 +178,3 @@
 	}
 	return runs
 }
-
-func isBroken(err error) bool { return err != nil && !errors.Is(err, context.DeadlineExceeded) }
--- a/standin/platform/stream_test.go
+++ b/standin/platform/stream_test.go
@@ -23,7 +23,7 @@
 // another request's cache.
 func TestPromptIsComputedApart(t *testing.T) {
 	r := newRig(t, "prefill", "decode")
-	got := r.prompt(t.Context(), "/single/x", "r1")
+	got := r.prompt(t.Context(), "/single/x")
 	if got.status != 200 || got.err != nil || got.body != wholeStream("r1") {
 		t.Fatalf("answer %+v", got)
 	}
@@ -69,7 +69,7 @@
 				// Of two idle engines the first one generates.
 				r.targets[2].Misbehave(test.generate)
 			}
-			got := r.prompt(t.Context(), test.path, "r1")
+			got := r.prompt(t.Context(), test.path)
 			isComplete := got.status == 200 && got.err == nil
 			if isComplete && got.body != wholeStream("r1") {
 				t.Fatalf("a stream that looks complete is %q", got.body)
@@ -93,7 +93,7 @@
 			r.targets[1].Misbehave(fault)
 			// The other generating engine is chosen second: it has work.
 			r.targets[2].SetWork(time.Millisecond)
-			got := r.prompt(t.Context(), "/resumable/x", "r1")
+			got := r.prompt(t.Context(), "/resumable/x")
 			if got.status != 200 || got.err != nil || got.body != wholeStream("r1") {
 				t.Fatalf("answer %+v", got)
 			}
@@ -105,7 +105,7 @@
 func TestUnusedPromptIsReleased(t *testing.T) {
 	r := newRig(t, "prefill", "decode")
 	r.targets[1].Misbehave(platform.Shed)
-	got := r.prompt(t.Context(), "/single/x", "r1")
+	got := r.prompt(t.Context(), "/single/x")
 	if got.status != 503 {
 		t.Fatalf("status %d", got.status)
 	}
@@ -124,7 +124,7 @@
 	r.targets[0].Misbehave(platform.Stall)
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
-	if got := r.prompt(ctx, "/single/x", "r1"); got.err == nil {
+	if got := r.prompt(ctx, "/single/x"); got.err == nil {
 		t.Fatalf("answer %+v", got)
 	}
 	deadline := time.Now().Add(time.Second)
