--- /dev/null
+++ b/cmd/commands/explain.go
@@ -0,0 +1,189 @@
+package commands
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"gorseline/io/logline"
+)
+
+type explainCommand struct {
+	terminal terminal
+	Request  string `long:"request" description:"ID of the request to explain; without it, a summary of what failed and why"`
+	Around   bool   `long:"around" description:"Also show what the instances of the request came to believe while it ran"`
+	Files    struct {
+		Logs []string `positional-arg-name:"LOG" description:"Log files of all instances; standard input without any"`
+	} `positional-args:"yes"`
+}
+
+func init() {
+	registerTerminal[explainCommand]("explain", "Explain a forwarded request from the logs",
+		"Reads the log lines of instances that forward requests, and prints those of one request in the order of time, or a "+
+			"summary of refusals and failures by route and reason.")
+}
+
+func (c *explainCommand) setTerminal(t terminal) { c.terminal = t }
+
+// maximumLine bounds a log line in bytes.
+const maximumLine = 1 << 20
+
+// Execute reads the logs and prints what they say.
+func (c *explainCommand) Execute([]string) error {
+	lines, err := c.read()
+	if err != nil {
+		return failure{err}
+	}
+	slices.SortStableFunc(lines, func(a, b logline.Line) int { return a.Time.Compare(b.Time) })
+	if c.Request == "" {
+		c.summarize(lines)
+		return nil
+	}
+	return c.explain(lines)
+}
+
+func (c *explainCommand) read() ([]logline.Line, error) {
+	if len(c.Files.Logs) == 0 {
+		return scan(c.terminal.in, nil)
+	}
+	var lines []logline.Line
+	for _, path := range c.Files.Logs {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "open log")
+		}
+		lines, err = scan(file, lines)
+		_ = file.Close() // it was only read
+		if err != nil {
+			return nil, errors.Wrapf(err, "read %s", path)
+		}
+	}
+	return lines, nil
+}
+
+func scan(r io.Reader, lines []logline.Line) ([]logline.Line, error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maximumLine)
+	for scanner.Scan() {
+		if l, ok := logline.Parse(scanner.Text()); ok {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.Wrap(scanner.Err(), "read log")
+}
+
+// explain prints the lines of one request.
+func (c *explainCommand) explain(lines []logline.Line) error {
+	first, last := -1, -1
+	instances := map[string]bool{}
+	for i := range lines {
+		if lines[i].Get("Request") != c.Request {
+			continue
+		}
+		if first < 0 {
+			first = i
+		}
+		last = i
+		instances[lines[i].Instance] = true
+	}
+	if first < 0 {
+		return failure{errors.Errorf("no line of request %s", c.Request)}
+	}
+	began := lines[first].Time
+	for i := first; i <= last; i++ {
+		l := &lines[i]
+		isOwn := l.Get("Request") == c.Request
+		if !isOwn && !(c.Around && instances[l.Instance] && l.Get("Request") == "") {
+			continue
+		}
+		mark := " "
+		if !isOwn {
+			mark = "|"
+		}
+		fmt.Fprintf(c.terminal.out, "%8.3f s %s %s %s%s\n", l.Time.Sub(began).Seconds(), mark, l.Instance, l.Event, fieldText(l))
+	}
+	fmt.Fprintf(c.terminal.out, "\n%s\n", verdict(lines[first:last+1], c.Request))
+	return nil
+}
+
+// fieldText returns the fields that aren't the same in all lines of a request.
+func fieldText(l *logline.Line) string {
+	var b strings.Builder
+	for _, f := range l.Fields {
+		if f.Name == "Request" || f.Value == "" {
+			continue
+		}
+		b.WriteString(" " + f.Name + "=" + f.Value)
+	}
+	return b.String()
+}
+
+// reasons says what the reason of an end means to who looks for the cause.
+var reasons = map[string]string{
+	"Answered":         "a target answered",
+	"Backlog":          "refused at once: on each engine the prompts ahead of it would have made the first token late",
+	"NoTarget":         "refused at once: the registry lists no usable target with room",
+	"ConcurrencyLimit": "refused at once: all targets have as many requests as they run and queue",
+	"TargetsRefused":   "refused: each target that was tried said that it did not run the request",
+	"RetryBudget":      "given up: a further send would have exceeded the budget that all instances share",
+	"NoConfiguration":  "refused: the instance knew no configuration yet",
+	"NoRoute":          "rejected: no route of the configuration in force matches host and path",
+	"NoAnswer":         "failed: the target gave no answer; the request may have run",
+	"Timeout":          "failed: the time allowed by the caller or the route was over; the request may have run",
+	"AnswerBroken":     "failed: the target broke its answer off",
+	"CallerLeft":       "the caller closed its connection first",
+	"Malformed":        "rejected: the request can't be understood",
+	"BodyTooLarge":     "rejected: the body is larger than the configuration allows",
+}
+
+// verdict says in one line how a request ended.
+func verdict(lines []logline.Line, request string) string {
+	for i := range slices.Backward(lines) {
+		l := &lines[i]
+		if l.Event != "RequestEnded" || l.Get("Request") != request {
+			continue
+		}
+		meaning, ok := reasons[l.Get("Reason")]
+		if !ok {
+			meaning = l.Get("Reason")
+		}
+		return fmt.Sprintf("Ended %s with status %s after %s ms, %s sends, %s runs: %s.",
+			l.Get("Outcome"), l.Get("Status"), l.Get("TookMs"), l.Get("Sends"), l.Get("Runs"), meaning)
+	}
+	return "The logs don't show its end: the instance was killed, or the line is among those that LinesLeftOut counts."
+}
+
+// summaryKey groups the ends of requests.
+type summaryKey struct{ route, outcome, reason string }
+
+// summarize prints how many requests ended how, and one ID of each group.
+func (c *explainCommand) summarize(lines []logline.Line) {
+	counts, example := map[summaryKey]int{}, map[summaryKey]string{}
+	for i := range lines {
+		l := &lines[i]
+		if l.Event != "RequestEnded" {
+			continue
+		}
+		key := summaryKey{l.Get("Route"), l.Get("Outcome"), l.Get("Reason")}
+		if counts[key]++; counts[key] == 1 {
+			example[key] = l.Get("Request")
+		}
+	}
+	keys := make([]summaryKey, 0, len(counts))
+	for key := range counts {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b summaryKey) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a.route+a.outcome+a.reason, b.route+b.outcome+b.reason))
+	})
+	fmt.Fprintf(c.terminal.out, "%8s  %-20s %-10s %-18s %s\n", "Requests", "Route", "Outcome", "Reason", "First")
+	for _, key := range keys {
+		fmt.Fprintf(c.terminal.out, "%8d  %-20s %-10s %-18s %s\n", counts[key], key.route, key.outcome, key.reason, example[key])
+	}
+}
--- a/cmd/commands/reference_test.go
+++ b/cmd/commands/reference_test.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/sebdah/goldie/v2"
 
+	"gorseline/cmd/entry/node"
 	"gorseline/core"
 	"gorseline/core/configuration"
 	"gorseline/core/policy"
@@ -26,11 +27,26 @@
 	var b strings.Builder
 	b.WriteString("# Settings and configuration\n\nGenerated from the code by `go test ./cmd/commands -run TestSettingsPage -update`.\n")
 	settingsPage(&b)
+	entryPage(&b)
 	configurationPage(t, &b)
 	policyPage(t, &b)
 	goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md")).Assert(t, "SETTINGS", []byte(b.String()))
 }
 
+// entryPage lists the settings of the program that runs on the operators' platform.
+func entryPage(b *strings.Builder) {
+	var options node.Options
+	var rows []string
+	for _, group := range flags.NewParser(&options, flags.None).Groups() {
+		for _, o := range group.Options() {
+			rows = append(rows, optionRow(o))
+		}
+	}
+	slices.Sort(rows)
+	fmt.Fprintf(b, "\n### The program entry\n\nRuns one instance on the operators' platform.\n\n"+
+		"| setting | variable | default | meaning |\n| --- | --- | --- | --- |\n%s\n", strings.Join(rows, "\n"))
+}
+
 // settingsPage lists the flags and variables of all commands.
 func settingsPage(b *strings.Builder) {
 	b.WriteString("\n## Settings\n\nA setting is a flag or an environment variable; the flag wins. A list is a repeated flag, or a variable with commas.\n")
--- a/cmd/entry/node/node.go
+++ b/cmd/entry/node/node.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -74,27 +75,60 @@
 // stopLimit bounds the end of the parts after the last request.
 const stopLimit = 2 * time.Second
 
-// untilStopped returns with SIGTERM or SIGINT. SIGHUP reads the settings again.
+// settingsInterval is the time between two looks at the settings file, which may change
+// without a signal.
+const settingsInterval = 2 * time.Second
+
+// untilStopped returns with SIGTERM or SIGINT. SIGHUP, and time, read the settings again.
 func (n *node) untilStopped() {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			n.log.WithField("Signal", s.String()).Info("Leaving")
-			return
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				n.log.WithField("Signal", s.String()).Info("Leaving")
+				return
+			}
+			n.reload()
+		case <-ticker.C:
+			n.reload()
 		}
-		n.reload()
 	}
 }
 
-// reload reads the settings file again. What can't change while the process runs is
-// logged and stays as it was.
+// reload reads the settings file again, and brings into force what may change while the
+// process runs: the retry budget and the time that callers keep addresses. The rest is
+// logged and holds from the next start.
 func (n *node) reload() {
 	settings, err := platform.ReadSettings(n.options.Settings)
 	if err != nil {
 		n.log.WithError(err).Error("SettingsRejected")
 		return
 	}
-	n.log.WithField("RetrySlack", settings.Bounds.RetrySlack).Info("SettingsReloaded")
+	n.mu.Lock()
+	old := n.settings
+	if reflect.DeepEqual(old, settings) {
+		n.mu.Unlock()
+		return
+	}
+	n.settings.Bounds = settings.Bounds
+	n.mu.Unlock()
+	n.budgets.SetLimits(settings.Bounds.RetryRatio, settings.Bounds.RetrySlack)
+	needsStart := old
+	needsStart.Bounds = settings.Bounds
+	n.log.WithFields(log.Fields{
+		"RetryRatio": settings.Bounds.RetryRatio, "RetrySlack": settings.Bounds.RetrySlack,
+		"StopGrace": settings.Bounds.StopGrace, "NeedsRestart": !reflect.DeepEqual(needsStart, settings),
+	}).Info("SettingsReloaded")
+}
+
+// bounds returns the bounds in force.
+func (n *node) bounds() platform.Bounds {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.settings.Bounds
 }
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,7 +25,9 @@
 
 // node is a running instance.
 type node struct {
-	options   Options
+	options Options
+	// mu guards the bounds in settings; the rest doesn't change.
+	mu        sync.Mutex
 	settings  platform.Settings
 	log       log.Interface
 	forwarder *forward.Forwarder
@@ -141,7 +144,7 @@
 
 // CallerAddresses returns the addresses for a caller.
 func (n *node) CallerAddresses(dc core.DataCentre) (addresses []string, keep time.Duration) {
-	return n.digests.CallerAddresses(dc), min(n.options.AnswerKeep, n.settings.Bounds.AnswerKept)
+	return n.digests.CallerAddresses(dc), min(n.options.AnswerKeep, n.bounds().AnswerKept)
 }
 
 // housekeeping is the time between two looks at connections and members.
@@ -199,7 +202,7 @@
 	n.leaving.Store(true)
 	n.forwarder.Leave()
 	n.digests.Leave()
-	end := began.Add(n.settings.Bounds.StopGrace - stopReserve)
+	end := began.Add(n.bounds().StopGrace - stopReserve)
 	_, keep := n.CallerAddresses("")
 	time.Sleep(min(time.Until(end)/2, keptFactor*keep+housekeeping/2))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/io/forward/budgets.go
+++ b/io/forward/budgets.go
@@ -55,6 +55,17 @@
 // Take uses up one further send to a service and reports whether there was one.
 func (b *Budgets) Take(service core.Service) bool { return b.budget(service).Take() }
 
+// SetLimits follows a change of the settings.
+func (b *Budgets) SetLimits(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.options.Ratio, b.options.Slack = ratio, slack
+	for _, budget := range b.services {
+		budget.SetRatio(ratio)
+		budget.SetBurst(b.burst())
+	}
+}
+
 // SetInstances follows the number of live instances, which share the slack.
 func (b *Budgets) SetInstances(n int) {
 	b.mu.Lock()
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -47,6 +47,11 @@
 			r.ended(core.OutcomeUnknown, ReasonCallerLeft, 0)
 			panic(http.ErrAbortHandler)
 		}
+		if r.remaining() <= 0 {
+			// The engine was slow, but not silent.
+			s.cut(answer.Status, ReasonTimeout)
+			return true
+		}
 		r.exclude = append(r.exclude, e.ID)
 		r.Health.Silent(r.Clock.Now(), e.ID)
 		r.logAttempt(e, &core.Attempt{ResumeAfter: s.lastID}, "StreamBroken", answer.Status, err)
@@ -55,7 +60,7 @@
 		}
 		next, finish, ok := s.resume()
 		if !ok {
-			s.cut(answer.Status)
+			s.cut(answer.Status, ReasonBroken)
 			return true
 		}
 		defer finish()
@@ -214,11 +219,11 @@
 }
 
 // cut ends a stream that can't be completed, so that the caller doesn't take it as whole.
-func (s *streamRelay) cut(status int) {
+func (s *streamRelay) cut(status int, reason core.Reason) {
 	if !s.started {
-		s.fail(ReasonBroken)
+		s.fail(reason)
 		return
 	}
-	s.ended(core.OutcomeCut, ReasonBroken, status)
+	s.ended(core.OutcomeCut, reason, status)
 	panic(http.ErrAbortHandler)
 }
