--- a/cmd/entry/node/instruments.go
+++ b/cmd/entry/node/instruments.go
@@ -8,6 +8,7 @@
 
 	"gorseline/core"
 	"gorseline/io/forward"
+	"gorseline/platform"
 )
 
 // instruments count what the forwarder does. docs/METRICS.md lists the names.
@@ -19,7 +20,10 @@
 	samples  map[string]metrics.Histogram
 }
 
-var _ forward.Observer = (*instruments)(nil)
+var (
+	_ forward.Observer      = (*instruments)(nil)
+	_ platform.CallObserver = (*instruments)(nil)
+)
 
 func newInstruments(registry metrics.Registry) *instruments {
 	return &instruments{
@@ -47,6 +51,22 @@
 	i.counter("Sends." + string(service) + "." + result).Inc(1)
 }
 
+// Called counts a call of the platform's store.
+func (i *instruments) Called(call, result string, took time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counter("StoreCalls." + call + "." + result).Inc(1)
+	if result == "Answered" && call != "Follow" {
+		i.sample("StoreMs." + call).Update(took.Milliseconds())
+	}
+}
+
+// gauge serves a value that is read when somebody asks.
+func (i *instruments) gauge(name string, value func() int64) {
+	// The registry is new, so that the name is free.
+	_ = i.registry.Register(name, metrics.NewFunctionalGauge(value))
+}
+
 // counter returns a counter by name. The lock must be held. The number of names is bounded
 // by the services of the configuration and the results and reasons of this program.
 func (i *instruments) counter(name string) metrics.Counter {
--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -78,8 +78,8 @@
 	return &log.Logger{Handler: writer, Level: log.InfoLevel}
 }
 
-func newStore(settings platform.Settings) *platform.Store {
-	return platform.NewStore(settings.Store.Address)
+func newStore(settings platform.Settings, i *instruments) *platform.Store {
+	return platform.NewStore(settings.Store.Address, i)
 }
 
 func newAssigner(
--- a/cmd/entry/node/node_test.go
+++ b/cmd/entry/node/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -107,9 +108,16 @@
 			StopGrace: 3 * time.Second, RetryRatio: 0.5, RetrySlack: 100, OrderTurn: 100 * time.Millisecond, AnswerKept: time.Second,
 		},
 	}
-	options := Options{AnswerKeep: 100 * time.Millisecond, Roster: 10 * time.Millisecond, StartShare: 0.5}
+	_, port, err := net.SplitHostPort(freeAddress(s.t))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	metricsPort, err := strconv.Atoi(port)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	options := Options{MetricsPort: metricsPort, AnswerKeep: 100 * time.Millisecond, Roster: 10 * time.Millisecond, StartShare: 0.5}
 	i := &instance{output: &output{}}
-	var err error
 	if i.app, i.node, err = assemble(options, settings, i.output); err != nil {
 		s.t.Fatal(err)
 	}
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx"
 
 	"gorseline/core"
+	"gorseline/core/catchup"
 	"gorseline/core/roster"
 	"gorseline/io/digest"
 	"gorseline/io/exposition"
@@ -40,32 +41,38 @@
 	leaving   atomic.Bool
 	callers   *http.Server
 	servers   []*http.Server
-	done      chan struct{}
+	registry  metrics.Registry
+	// metricsAddress is empty if no metrics are served.
+	metricsAddress string
+	done           chan struct{}
 }
 
 // nodeParts are the parts that a node is made of.
 type nodeParts struct {
 	fx.In
-	Options   Options
-	Settings  platform.Settings
-	Log       log.Interface
-	Forwarder *forward.Forwarder
-	Digests   *digest.Node
-	Roster    *roster.Roster
-	Budgets   *forward.Budgets
-	Pool      *target.Pool
-	List      *platform.Instances
-	Watcher   *platform.Watcher
-	Roles     *roles
-	Beliefs   *beliefs
-	Registry  metrics.Registry
+	Options     Options
+	Settings    platform.Settings
+	Log         log.Interface
+	Forwarder   *forward.Forwarder
+	Digests     *digest.Node
+	Roster      *roster.Roster
+	Budgets     *forward.Budgets
+	Pool        *target.Pool
+	List        *platform.Instances
+	Watcher     *platform.Watcher
+	Roles       *roles
+	Beliefs     *beliefs
+	Registry    metrics.Registry
+	Instruments *instruments
+	Tracker     *catchup.Tracker
 }
 
 func newNode(lc fx.Lifecycle, p nodeParts) (*node, error) {
 	n := &node{
 		options: p.Options, settings: p.Settings, log: p.Log, forwarder: p.Forwarder, digests: p.Digests,
-		roster: p.Roster, budgets: p.Budgets, pool: p.Pool, list: p.List, beliefs: p.Beliefs, done: make(chan struct{}),
+		roster: p.Roster, budgets: p.Budgets, pool: p.Pool, list: p.List, beliefs: p.Beliefs, registry: p.Registry, done: make(chan struct{}),
 	}
+	n.registerGauges(p.Instruments, p.Roles, p.Tracker)
 	start(lc, n)
 	n.callers = newServer(p.Forwarder)
 	if err := n.serve(lc, p.Settings.Callers, n.callers); err != nil {
@@ -90,9 +97,30 @@
 		return nil, errors.Wrap(err, "address of metrics")
 	}
 	address := net.JoinHostPort(host, strconv.Itoa(p.Options.MetricsPort))
+	n.metricsAddress = address
 	return n, n.serve(lc, address, newServer(exposition.NewHandler(p.Registry)))
 }
 
+// registerGauges serves what the instance believes and does now.
+func (n *node) registerGauges(i *instruments, r *roles, tracker *catchup.Tracker) {
+	i.gauge("RequestsActive", n.forwarder.Active)
+	i.gauge("Members", func() int64 { return int64(len(n.digests.Members())) })
+	i.gauge("Targets", func() int64 { return int64(n.roster.View().Len()) })
+	i.gauge("TargetsVersion", func() int64 { return int64(n.roster.View().Version) })
+	i.gauge("ConfigurationVersion", func() int64 {
+		configuration, _ := tracker.Versions()
+		return int64(configuration)
+	})
+	i.gauge("LoadEventsDropped", func() int64 { return int64(n.digests.Dropped()) })
+	i.gauge("LeasesHeld", func() int64 { return int64(len(r.keeper.Leases())) })
+	i.gauge("Ready", func() int64 {
+		if n.isReady() {
+			return 1
+		}
+		return 0
+	})
+}
+
 const (
 	// headerTimeout bounds the header of a request. Callers may take 3 s by the limits of
 	// today's configurations.
--- a/standin/platform/store_test.go
+++ b/standin/platform/store_test.go
@@ -22,7 +22,7 @@
 	store := platform.NewStore()
 	server := httptest.NewServer(store.Handler())
 	t.Cleanup(server.Close)
-	return store, client.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	return store, client.NewStore(strings.TrimPrefix(server.URL, "http://"), nil)
 }
 
 func put(key, value string, expected uint64) []core.Write {
