--- a/core/prompt/cost.go
+++ b/core/prompt/cost.go
@@ -23,11 +23,13 @@
 	return Work{computed, float64(computed) * (float64(tokens-computed) + float64(computed)/2) / 1e6}
 }
 
-// Cost prior: the rate of a mid-size engine, used until answers have shown better.
+// Cost prior: the rate of a fast engine, used until answers have shown better. A prior that
+// is too slow would refuse requests after each restart; one that is too fast is corrected
+// by the first answers.
 const (
-	priorOverhead = 2.0  // ms a prompt
-	priorToken    = 0.01 // ms a token
-	priorPair     = 0.02 // ms a million pairs
+	priorOverhead = 1.0   // ms a prompt
+	priorToken    = 0.003 // ms a token
+	priorPair     = 0.03  // ms a million pairs
 	// forgetting weighs the last 200 samples or so.
 	forgetting = 0.995
 	// maximumRatio bounds how far one sample may lie from the estimate. Longer times
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -121,8 +121,8 @@
 	ReasonAnswered       core.Reason = "Answered"
 )
 
-// notReadyRetry is when a caller should come back to an instance that has no
-// configuration yet.
+// notReadyRetry is when a caller should come back to an instance that has just started and
+// knows no configuration or no targets yet.
 const notReadyRetry = 300 * time.Millisecond
 
 // ServeHTTP forwards one request.
@@ -194,7 +194,7 @@
 		return false
 	}
 	r.table = r.Forwarder.table.Load()
-	if r.table == nil {
+	if r.table == nil || r.Roster.View().Len() == 0 {
 		r.refuse(ReasonNoConfig, notReadyRetry)
 		return false
 	}
--- a/io/logline/logline.go
+++ b/io/logline/logline.go
@@ -128,13 +128,17 @@
 
 func needsQuotes(r rune) bool { return r <= ' ' || r == '"' || r == '=' || r == '\\' || r > '~' }
 
+// atomicWrite is the size up to which a write to a pipe is not mixed with others
+// (pipe(7)).
+const atomicWrite = 4 << 10
+
 // reportInterval is the time between two lines about dropped lines.
 const reportInterval = time.Second
 
 // Run writes the queued lines until ctx ends and the queue is empty.
 func (w *Writer) Run(ctx context.Context) {
 	defer close(w.done)
-	out := bufio.NewWriterSize(w.opts.Output, 16<<10)
+	out := bufio.NewWriterSize(w.opts.Output, atomicWrite)
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
@@ -153,16 +157,24 @@
 
 // write writes a line and those that wait behind it, and flushes when none is left.
 func (w *Writer) write(out *bufio.Writer, line []byte) {
-	// A log that can't be written has nowhere to be reported.
-	_, _ = out.Write(line)
+	put(out, line)
 	w.drain(out)
 }
 
+// put buffers a line and keeps lines whole within a write. A log that can't be written has
+// nowhere to be reported.
+func put(out *bufio.Writer, line []byte) {
+	if out.Available() < len(line) {
+		_ = out.Flush()
+	}
+	_, _ = out.Write(line)
+}
+
 func (w *Writer) drain(out *bufio.Writer) {
 	for {
 		select {
 		case line := <-w.lines:
-			_, _ = out.Write(line)
+			put(out, line)
 		default:
 			_ = out.Flush()
 			return
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -14,7 +14,9 @@
 type PoolOptions struct {
 	// Dial opens connections; nil uses TCP with the settings of NewDialer.
 	Dial DialFunc
-	// DialTimeout bounds one dial; the default is 500 ms.
+	// DialTimeout bounds one dial; the default is 120 ms, some round trips between regions. A
+	// dial whose first packet was lost would take a second, and another target can be tried
+	// instead.
 	DialTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept if the target states nothing
 	// shorter; the default is 8 s.
@@ -47,7 +49,7 @@
 // NewPool returns a pool without connections.
 func NewPool(o PoolOptions) *Pool {
 	if o.DialTimeout == 0 {
-		o.DialTimeout = 500 * time.Millisecond
+		o.DialTimeout = 120 * time.Millisecond
 	}
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = 8 * time.Second
