--- a/core/prompt/cost.go
+++ b/core/prompt/cost.go
@@ -32,6 +32,10 @@
 	priorPair     = 0.03  // ms a million pairs
 	// forgetting weighs the last 200 samples or so.
 	forgetting = 0.995
+	// slowWeight is the weight of samples that took longer than expected. Work of instances
+	// that this one doesn't know yet lengthens samples, as after a restart, and nothing
+	// shortens them.
+	slowWeight = 0.25
 	// maximumRatio bounds how far one sample may lie from the estimate. Longer times
 	// show a stalled engine or connection, not the cost of the prompt.
 	maximumRatio = 4
@@ -87,8 +91,12 @@
 	}
 	// Measurement noise of 1 ms keeps a first sample from fixing all parameters.
 	denominator++
+	residual := y - expected
+	if residual > 0 {
+		residual *= slowWeight
+	}
 	for i := range px {
-		c.theta[i] += px[i] / denominator * (y - expected)
+		c.theta[i] += px[i] / denominator * residual
 	}
 	for i := range px {
 		for j := range px {
--- a/core/prompt/prompt_test.go
+++ b/core/prompt/prompt_test.go
@@ -37,6 +37,26 @@
 	}
 }
 
+// Guards against refusals after a restart, when other instances' work that is not yet known
+// lengthens most samples.
+func TestUnknownWorkBarelySlowsTheEstimate(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	c := prompt.NewCost()
+	took := func(w prompt.Work) float64 { return 1 + float64(w.Tokens)/331 + 0.0737*w.Pairs }
+	for range 100 {
+		w := prompt.NewWork(3000+rng.IntN(10_000), 0)
+		ms := took(w)
+		if rng.IntN(2) == 0 {
+			ms += 40 * rng.Float64()
+		}
+		c.Observe(w, time.Duration(ms*float64(time.Millisecond)))
+	}
+	w := prompt.NewWork(9000, 0)
+	if ratio := float64(c.Time(w)) / (took(w) * float64(time.Millisecond)); ratio < 0.8 || ratio > 1.35 {
+		t.Errorf("estimate %v, true %.1f ms", c.Time(w), took(w))
+	}
+}
+
 // Guards against a single stalled answer that spoils the estimate.
 func TestStalledAnswerTeachesNothing(t *testing.T) {
 	c := prompt.NewCost()
