--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -57,7 +57,7 @@
 // DefaultTuning returns the weights in use; docs/POLICIES.md has their comparison.
 func DefaultTuning() Tuning {
 	return Tuning{
-		OnTime: 0.88, Late: 0.6, WorkWeight: 1, Remote: 10 * time.Millisecond,
+		OnTime: 0.80, Late: 0.6, WorkWeight: 1, Remote: 10 * time.Millisecond,
 		ShortPrompt: 4 * time.Millisecond, MixedStreams: 4, LongestRetry: 0.33,
 	}
 }
