--- a/cmd/entry/node/node.go
+++ b/cmd/entry/node/node.go
@@ -35,6 +35,10 @@
 
 // Run runs an instance until SIGTERM or SIGINT.
 func Run(options Options, output io.Writer) error {
+	// Signals are taken over first: SIGHUP ends a process that does not expect it.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	settings, err := platform.ReadSettings(options.Settings)
 	if err != nil {
 		return err
@@ -55,7 +59,7 @@
 	n.log.WithFields(log.Fields{
 		"DataCentre": settings.DataCentre, "Callers": settings.Callers, "Peers": settings.Peers, "Store": settings.Store.Address,
 	}).Info("Started")
-	n.untilStopped()
+	n.untilStopped(signals)
 	n.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
@@ -82,10 +86,7 @@
 const settingsInterval = 2 * time.Second
 
 // untilStopped returns with SIGTERM or SIGINT. SIGHUP, and time, read the settings again.
-func (n *node) untilStopped() {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (n *node) untilStopped(signals <-chan os.Signal) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -35,10 +35,18 @@
 	expected bool
 	// generation counts the processes.
 	generation int
+	startedAt  time.Time
 	// surprises counts processes that ended by themselves.
 	surprises int
 }
 
+// signalsTakenAfter is when a new process has taken over its signals at the latest. One
+// that comes before ends it, as it does any program.
+const signalsTakenAfter = 500 * time.Millisecond
+
+// restartAfter is how soon the platform starts a process again that ended by itself.
+const restartAfter = 200 * time.Millisecond
+
 // settingsText is the platform's settings file of an instance. Its placeholders are the
 // name, the data centre, the ports and the retry slack.
 const settingsText = `node_name = %q
@@ -130,6 +138,7 @@
 	}
 	e.process, e.ended, e.expected = cmd, make(chan struct{}), false
 	e.generation++
+	e.startedAt = time.Now()
 	go e.runWait(cmd, e.ended)
 	return nil
 }
@@ -138,12 +147,17 @@
 func (e *entry) runWait(cmd *exec.Cmd, ended chan struct{}) {
 	_ = cmd.Wait() // most processes are killed
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.expected {
+	isSurprise := !e.expected
+	if isSurprise && time.Since(e.startedAt) > signalsTakenAfter {
 		e.surprises++
 	}
 	e.process = nil
 	close(ended)
+	e.mu.Unlock()
+	if isSurprise {
+		time.Sleep(restartAfter)
+		_ = e.start() // the checks show an instance that is missing
+	}
 }
 
 // signal sends a signal to the process, if there is one.
--- a/core/catchup/catchup.go
+++ b/core/catchup/catchup.go
@@ -4,10 +4,12 @@
 package catchup
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/common/random"
 )
 
 // Subject is something that all instances follow.
@@ -47,8 +49,12 @@
 	lostFor = time.Second
 )
 
+// maximumPeers bounds the peers that are remembered for a version.
+const maximumPeers = 8
+
 // Tracker compares the own versions with those of peers. It is safe for concurrent use.
 type Tracker struct {
+	random   *random.Source
 	mu       sync.Mutex
 	subjects [2]subject
 	// follows is set while others read the platform for this instance.
@@ -60,8 +66,8 @@
 
 type subject struct {
 	version uint64
-	// peer has the newest version heard of, known to be ahead since aheadAt.
-	peer    string
+	// peers have the newest version heard of; this instance is behind since aheadAt.
+	peers   []string
 	ahead   uint64
 	aheadAt core.Instant
 	// lostAt is when the own reads began to fail.
@@ -82,7 +88,7 @@
 }
 
 // New returns a tracker that knows nothing.
-func New() *Tracker { return &Tracker{} }
+func New(source *random.Source) *Tracker { return &Tracker{random: source} }
 
 // Have notes the version that this instance has.
 func (t *Tracker) Have(s Subject, version uint64) {
@@ -104,13 +110,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	own := &t.subjects[s]
-	if version <= own.version || version <= own.ahead && own.ahead > own.version {
+	if version <= own.version || version < own.ahead {
 		return
 	}
 	if own.ahead <= own.version {
 		own.aheadAt = now
 	}
-	own.peer, own.ahead = peer, version
+	if version > own.ahead {
+		own.peers, own.ahead = nil, version
+	}
+	if len(own.peers) < maximumPeers && !slices.Contains(own.peers, peer) {
+		own.peers = append(own.peers, peer)
+	}
 }
 
 // Reachable notes whether the platform answered the latest read of a subject.
@@ -176,7 +187,7 @@
 	var due []Pull
 	for i := range t.subjects {
 		own := &t.subjects[i]
-		if own.ahead <= own.version || now < own.nextAt {
+		if own.ahead <= own.version || len(own.peers) == 0 || now < own.nextAt {
 			continue
 		}
 		isLost := own.isLost && now.Sub(own.lostAt) >= lostFor
@@ -187,16 +198,22 @@
 		if t.relies(now) {
 			own.nextAt = now.Add(followSpacing)
 		}
-		due = append(due, Pull{Subject: Subject(i), Peer: own.peer, Version: own.ahead, Own: own.version})
+		// Followers of one reader must not all ask it at once.
+		peer := own.peers[t.random.Below(len(own.peers))]
+		due = append(due, Pull{Subject: Subject(i), Peer: peer, Version: own.ahead, Own: own.version})
 	}
 	return due
 }
 
-// Failed notes that a peer did not give what it has. Another peer is heard of again.
+// Failed notes that a peer did not give what it has. A follower then reads the platform
+// until a reader is heard of again.
 func (t *Tracker) Failed(p Pull) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if own := &t.subjects[p.Subject]; own.peer == p.Peer {
-		own.peer, own.ahead = "", 0
+	t.isConfirmed = false
+	own := &t.subjects[p.Subject]
+	own.peers = slices.DeleteFunc(own.peers, func(peer string) bool { return peer == p.Peer })
+	if len(own.peers) == 0 {
+		own.ahead = 0
 	}
 }
--- a/io/digest/snapshot.go
+++ b/io/digest/snapshot.go
@@ -1,9 +1,12 @@
 package digest
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -47,35 +50,68 @@
 // NewSnapshotHandler serves snapshots to peers.
 func NewSnapshotHandler(s Snapshots) http.Handler {
 	mux := http.NewServeMux()
+	var configuration, targets encoded
 	mux.HandleFunc("GET "+pathConfiguration, func(w http.ResponseWriter, _ *http.Request) {
 		c := s.Configuration()
 		if c == nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		writeSnapshot(w, c)
+		configuration.write(w, uint64(c.Version), func() any { return c })
 	})
 	mux.HandleFunc("GET "+pathTargets, func(w http.ResponseWriter, _ *http.Request) {
 		view := s.Targets()
-		list := TargetList{Version: view.Version, Targets: make([]core.Registration, 0, view.Len())}
-		for e := range view.All {
-			list.Targets = append(list.Targets, e.Registration)
-		}
-		writeSnapshot(w, list)
+		targets.write(w, view.Version, func() any { return listOf(view) })
 	})
 	return mux
 }
 
-func writeSnapshot[T any](w http.ResponseWriter, value T) {
-	data, err := cbor.Marshal(value)
+// listOf returns the list of a view.
+func listOf(view *roster.View) TargetList {
+	list := TargetList{Version: view.Version, Targets: make([]core.Registration, 0, view.Len())}
+	for e := range view.All {
+		list.Targets = append(list.Targets, e.Registration)
+	}
+	return list
+}
+
+// encoded is the latest snapshot of one subject as it goes to peers, compressed: a large
+// configuration goes to a dozen peers at once, over links of 10 Mbit/s.
+type encoded struct {
+	mu      sync.Mutex
+	version uint64
+	data    []byte
+}
+
+func (e *encoded) write(w http.ResponseWriter, version uint64, value func() any) {
+	data, err := e.at(version, value)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Content-Type", "application/cbor")
+	w.Header().Set("Content-Type", "application/cbor+gzip")
 	_, _ = w.Write(data) // a peer that left asks another one
 }
 
+// at returns the snapshot of a version.
+func (e *encoded) at(version uint64, value func() any) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.data != nil && e.version == version {
+		return e.data, nil
+	}
+	var buffer bytes.Buffer
+	zip := gzip.NewWriter(&buffer)
+	if err := cbor.NewEncoder(zip).Encode(value()); err != nil {
+		return nil, errors.Wrap(err, "encode snapshot")
+	}
+	if err := zip.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress snapshot")
+	}
+	e.version, e.data = version, buffer.Bytes()
+	return e.data, nil
+}
+
 // snapshotDecoding bounds what a snapshot may hold.
 var snapshotDecoding = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 16}.DecMode()
@@ -105,7 +141,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return value, errors.Errorf("peer answered status %d", resp.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maximumSnapshot))
+	zip, err := gzip.NewReader(resp.Body)
+	if err != nil {
+		return value, errors.Wrap(err, "read snapshot")
+	}
+	data, err := io.ReadAll(io.LimitReader(zip, maximumSnapshot))
 	if err != nil {
 		return value, errors.Wrap(err, "read snapshot")
 	}
