--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -16,6 +16,38 @@
 	return slices.ContainsFunc(p.DelegatesOf(p.self.DataCentre), func(r Record) bool { return r.ID == p.self.ID })
 }
 
+// IsReader reports whether this instance is among the delegates of its data centre, counting
+// listed instances that are not yet members as live. Instances that start together so agree
+// before they have found each other.
+func (p *Protocol) IsReader() bool {
+	before := 0
+	count := func(id core.InstanceID) {
+		if id != p.self.ID && byRank(id, p.self.ID) < 0 {
+			before++
+		}
+	}
+	for h := range p.view.all {
+		if h.DataCentre == p.self.DataCentre && h.Status == StatusAlive {
+			count(h.ID)
+		}
+	}
+	for _, seed := range p.Unmet() {
+		count(seed.ID)
+	}
+	return before < Delegates
+}
+
+// Unmet returns the listed instances of the own data centre that are not yet members.
+func (p *Protocol) Unmet() []Record {
+	var unmet []Record
+	for id, seed := range p.seeds {
+		if _, known := p.view.get(Record{ID: id}); !known && seed.DataCentre == p.self.DataCentre {
+			unmet = append(unmet, seed)
+		}
+	}
+	return unmet
+}
+
 // DataCentres returns the known data centres in order.
 func (p *Protocol) DataCentres() []core.DataCentre {
 	return slices.Sorted(maps.Keys(p.view.hashes))
--- a/core/membership/protocol_test.go
+++ b/core/membership/protocol_test.go
@@ -166,3 +166,27 @@
 		t.Errorf("answer %v", answer)
 	}
 }
+
+// Guards against a fleet that starts together and of which every instance reads the
+// platform until all have found each other.
+func TestReadersAgreeBeforeInstancesMeet(t *testing.T) {
+	header := func(core.Instant) (core.Revision, core.Revision, uint32) { return 0, 0, 0 }
+	var list []core.ListedInstance
+	for i := range 16 {
+		list = append(list, core.ListedInstance{ID: core.InstanceID(fmt.Sprintf("n%d", i)), Address: "a", DataCentre: "d"})
+	}
+	readers := 0
+	for _, self := range list {
+		p := New(Record{ID: self.ID, DataCentre: "d"}, rand.New(rand.NewPCG(1, 1)), header, nil)
+		p.Seed(list)
+		if p.IsReader() {
+			readers++
+		}
+		if got := p.Unmet(); len(got) != 15 {
+			t.Errorf("%d instances not yet met", len(got))
+		}
+	}
+	if readers != Delegates {
+		t.Errorf("%d readers of 16 instances", readers)
+	}
+}
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -198,13 +198,16 @@
 		return list
 	}
 	list := v.selected(func(r Record) bool { return r.DataCentre == dc && r.Status == StatusAlive })
-	slices.SortFunc(list, func(a, b Record) int {
-		if c := cmp.Compare(xxhash.Sum64String(string(b.ID)), xxhash.Sum64String(string(a.ID))); c != 0 {
-			return c
-		}
-		return strings.Compare(string(a.ID), string(b.ID))
-	})
+	slices.SortFunc(list, func(a, b Record) int { return byRank(a.ID, b.ID) })
 	list = slices.Clip(list[:min(Delegates, len(list))])
 	v.cached[dc] = list
 	return list
 }
+
+// byRank orders instances for duties in their data centre, alike on all of them.
+func byRank(a, b core.InstanceID) int {
+	if c := cmp.Compare(xxhash.Sum64String(string(b)), xxhash.Sum64String(string(a))); c != 0 {
+		return c
+	}
+	return strings.Compare(string(a), string(b))
+}
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -101,6 +101,8 @@
 	// near get all digests, far holds those of each other cell.
 	near []netip.AddrPort
 	far  map[core.DataCentre][]netip.AddrPort
+	// unmet are listed instances of the own data centre that are not yet members.
+	unmet []netip.AddrPort
 	// isReader is set on instances that read the platform for their data centre, and
 	// hasFollowers if there are others.
 	isReader     bool
@@ -255,7 +257,11 @@
 
 // Announce tells the peers of the own cell which versions this instance has.
 func (n *Node) Announce() {
-	for _, to := range n.peers.Load().near {
+	p := n.peers.Load()
+	for _, to := range p.near {
+		n.send(to, &packet{Kind: packetVersions})
+	}
+	for _, to := range p.unmet {
 		n.send(to, &packet{Kind: packetVersions})
 	}
 }
@@ -315,7 +321,7 @@
 // updatePeers follows the members. The lock must be held.
 func (n *Node) updatePeers() {
 	home := n.opts.Self.DataCentre
-	p := &peers{far: map[core.DataCentre][]netip.AddrPort{}, isReader: n.members.IsDelegate()}
+	p := &peers{far: map[core.DataCentre][]netip.AddrPort{}, isReader: n.members.IsReader()}
 	counts := map[core.DataCentre]int{home: 1}
 	for _, r := range n.members.Members() {
 		to, err := netip.ParseAddrPort(r.Address)
@@ -329,7 +335,12 @@
 			p.far[r.DataCentre] = append(p.far[r.DataCentre], to)
 		}
 	}
-	p.hasFollowers = counts[home] > membership.Delegates
+	for _, r := range n.members.Unmet() {
+		if to, err := netip.ParseAddrPort(r.Address); err == nil {
+			p.unmet = append(p.unmet, to)
+		}
+	}
+	p.hasFollowers = counts[home]+len(p.unmet) > membership.Delegates
 	if p.cells = load.NewCells(home, counts); p.cells.IsWide {
 		for _, list := range p.far {
 			p.near = append(p.near, list...)
