Send prompts where most of them is cached, as long as they are on time there

Change: computing time weighs four times instead of once beside the first token; among engines within the limit the best is chosen, and a request is refused only if none is.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -39,7 +39,8 @@
 	// be expected to take.
 	Late float64
 	// WorkWeight is how much computing time on an engine counts beside the time until the
-	// first token: it is taken from other requests.
+	// first token: it is taken from other requests. A high weight sends prompts where most
+	// of them is cached, as long as they are on time there.
 	WorkWeight float64
 	// Remote is the time that a target in another data centre must save. It stands for the
 	// price of the bytes between data centres.
@@ -57,7 +58,7 @@
 // DefaultTuning returns the weights in use; docs/POLICIES.md has their comparison.
 func DefaultTuning() Tuning {
 	return Tuning{
-		OnTime: 0.80, Late: 0.6, WorkWeight: 1, Remote: 10 * time.Millisecond,
+		OnTime: 0.80, Late: 0.6, WorkWeight: 4, Remote: 10 * time.Millisecond,
 		ShortPrompt: 4 * time.Millisecond, MixedStreams: 4, LongestRetry: 0.33,
 	}
 }
@@ -71,8 +72,6 @@
 	// Objective is the time left to answer on time, Remaining the time left at all.
 	Objective time.Duration
 	Remaining time.Duration
-	// Returned requests were refused before and can't be on time any more.
-	Returned bool
 	// Exclude holds targets that were tried already.
 	Exclude []core.TargetID
 }
@@ -106,6 +105,8 @@
 
 	mu     sync.Mutex
 	models map[core.Service]*model
+	// scratch spares an allocation per decision.
+	scratch []candidate
 	// away holds how long work waited in other cells.
 	away map[core.DataCentre]*waiting
 }
@@ -153,21 +154,22 @@
 // Assign chooses where the prompt of a request is computed.
 func (a *Assigner) Assign(now core.Instant, view *roster.View, req *Request) Decision {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	m := a.model(req.Service)
-	best, shortest, count := a.best(now, view, req, m)
+	candidates, shortest := a.candidates(now, view, req, m)
 	limit := a.limit(req, shortest)
-	if count == 0 || best.Expected > limit {
-		if other, ok := a.elsewhere(now, view, req, m); ok && (count == 0 || other.Expected < best.Expected) {
-			best, count = other, count+1
-			limit = a.limit(req, other.Expected-other.Backlog)
+	best, ok := choose(candidates, limit)
+	if !ok {
+		if other, found := a.elsewhere(now, view, req, m); found && (len(candidates) == 0 || other.Expected < best.Expected) {
+			best, limit = other, a.limit(req, other.Expected-other.Backlog)
+			ok = best.Expected <= limit
 		}
 	}
-	a.mu.Unlock()
-	if count == 0 {
+	if best.Target == nil {
 		return a.refuse(req, Decision{Reason: core.ReasonNoTarget}, req.Objective)
 	}
-	best.Candidates, best.Limit = count, limit
-	if best.Expected > limit {
+	best.Candidates, best.Limit = len(candidates), limit
+	if !ok {
 		best.Target, best.Reason = nil, ReasonBacklog
 		return a.refuse(req, best.Decision, best.Expected-limit)
 	}
@@ -179,8 +181,7 @@
 }
 
 // limit returns how long the first token may take. A prompt that is too long to be on
-// time even on an idle engine may take as much longer, and a returned request may use the
-// time that callers wait for late answers.
+// time even on an idle engine may take as much longer.
 func (a *Assigner) limit(req *Request, shortest time.Duration) time.Duration {
 	onTime := time.Duration(a.opts.OnTime * float64(req.Objective))
 	late := time.Duration(a.opts.Late * float64(req.Remaining))
@@ -190,11 +191,27 @@
 	return min(onTime, late)
 }
 
-// best returns the candidate with the least score, the shortest time on an idle engine
-// and the number of candidates.
-func (a *Assigner) best(
+// choose returns the candidate with the least score among those within the limit. If there
+// is none, ok is false and the soonest one is returned.
+func choose(candidates []candidate, limit time.Duration) (best candidate, ok bool) {
+	for i := range candidates {
+		c := &candidates[i]
+		switch isWithin := c.Expected <= limit; {
+		case isWithin && (!ok || c.score < best.score):
+			best, ok = *c, true
+		case !ok && (best.Target == nil || c.Expected < best.Expected):
+			best = *c
+		}
+	}
+	return best, ok
+}
+
+// candidates returns the engines of the own cell that could compute the prompt, and the
+// shortest time on one of them if it were idle. The slice is valid until the next call.
+func (a *Assigner) candidates(
 	now core.Instant, view *roster.View, req *Request, m *model,
-) (best candidate, shortest time.Duration, count int) {
+) (list []candidate, shortest time.Duration) {
+	list = a.scratch[:0]
 	hasGenerator := a.hasGenerator(now, view, req)
 	for _, e := range view.Ready(req.Service) {
 		if !a.knows(e) || !a.usable(now, e, req.Exclude) || e.Role == core.RolePrefill && !hasGenerator {
@@ -204,16 +221,13 @@
 		if !ok {
 			continue
 		}
-		alone := c.Expected - c.Backlog
-		if count == 0 || alone < shortest {
+		if alone := c.Expected - c.Backlog; len(list) == 0 || alone < shortest {
 			shortest = alone
 		}
-		if count == 0 || c.score < best.score {
-			best = c
-		}
-		count++
+		list = append(list, c)
 	}
-	return best, shortest, count
+	a.scratch = list
+	return list, shortest
 }
 
 func (a *Assigner) usable(now core.Instant, e *roster.Entry, exclude []core.TargetID) bool {
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -27,7 +27,7 @@
 	for {
 		req := &assign.Request{
 			Service: r.service, Engine: r.engine(), Prompt: r.req.Prompt, Chain: chain,
-			Objective: r.objective(), Remaining: r.remaining(), Returned: r.returned, Exclude: r.exclude,
+			Objective: r.objective(), Remaining: r.remaining(), Exclude: r.exclude,
 		}
 		d := r.Assigner.Assign(r.Clock.Now(), r.Roster.View(), req)
 		r.logPrompt(&d)
