--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -15,6 +15,7 @@
 	"gorseline/cmd/instance"
 	"gorseline/cmd/workload"
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/io/operator"
 	"gorseline/standin/deployment"
 )
@@ -133,7 +134,7 @@
 				status.Revision, status.PresetInForce, status.InForceOn, status.Of)
 			return nil
 		}
-		if !workload.Wait(ctx, readyPoll) {
+		if !pause.For(ctx, readyPoll) {
 			return errors.Errorf("revision %d is in force on %d of %d instances, missing %v: %s",
 				revision, status.InForceOn, status.Of, status.Missing, status.Reason)
 		}
@@ -163,7 +164,7 @@
 		case len(order) / 2:
 			group.Go(func() { left = r.leave(ctx) })
 		}
-		if !workload.Wait(ctx, gap) {
+		if !pause.For(ctx, gap) {
 			break
 		}
 	}
--- a/cmd/drill/drill.go
+++ b/cmd/drill/drill.go
@@ -18,6 +18,7 @@
 	"gorseline/cmd/workload"
 	"gorseline/core"
 	"gorseline/core/authority"
+	"gorseline/core/common/pause"
 	"gorseline/core/configuration"
 	"gorseline/core/dispatch"
 	"gorseline/core/timeline"
@@ -150,7 +151,7 @@
 		if err == nil && status.Ready && status.Revision >= revision && status.InForceOn >= r.options.Instances {
 			return nil
 		}
-		if !workload.Wait(ctx, readyPoll) {
+		if !pause.For(ctx, readyPoll) {
 			return errors.Errorf("revision %d is in force on %d of %d instances, missing %v: %s",
 				revision, status.InForceOn, r.options.Instances, status.Missing, status.Reason)
 		}
@@ -177,7 +178,7 @@
 		if i == len(requests)/injectAfter {
 			group.Go(func() { injected = s.inject(ctx, r) })
 		}
-		if !workload.Wait(ctx, gap) {
+		if !pause.For(ctx, gap) {
 			return workload.Account{}, errors.New("the scenario took too long")
 		}
 	}
@@ -296,7 +297,7 @@
 
 func (r *run) tableFaults(ctx context.Context, f table.Faults, d time.Duration) error {
 	r.site.Table.SetFaults(f)
-	workload.Wait(ctx, d)
+	pause.For(ctx, d)
 	r.site.Table.SetFaults(table.Faults{})
 	return nil
 }
--- a/cmd/drill/mix.go
+++ b/cmd/drill/mix.go
@@ -12,6 +12,7 @@
 	"gorseline/cmd/workload"
 	"gorseline/core"
 	"gorseline/core/authority"
+	"gorseline/core/common/pause"
 	"gorseline/io/operator"
 	"gorseline/standin/engine"
 )
@@ -77,7 +78,7 @@
 			}
 			return r.awaitApplied(ctx)
 		}
-		if !workload.Wait(ctx, readyPoll) {
+		if !pause.For(ctx, readyPoll) {
 			return errors.New("no role change was ordered")
 		}
 	}
@@ -86,7 +87,7 @@
 // awaitApplied waits until a successor has seen an order carried out.
 func (r *run) awaitApplied(ctx context.Context) error {
 	for len(r.events(ctx, authority.EventOrderApplied)) == 0 {
-		if !workload.Wait(ctx, readyPoll) {
+		if !pause.For(ctx, readyPoll) {
 			return errors.New("no successor finished the order")
 		}
 	}
@@ -115,7 +116,7 @@
 				}
 			}
 		}
-		if !workload.Wait(ctx, readyPoll) {
+		if !pause.For(ctx, readyPoll) {
 			return 0, errors.New("no instance holds the engines' shard")
 		}
 	}
--- a/cmd/drill/process.go
+++ b/cmd/drill/process.go
@@ -13,8 +13,8 @@
 
 	"github.com/pkg/errors"
 
-	"gorseline/cmd/workload"
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/standin/deployment"
 )
 
@@ -94,6 +94,6 @@
 	if err := r.processes[i].signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
-	workload.Wait(ctx, d)
+	pause.For(ctx, d)
 	return r.processes[i].signal(syscall.SIGCONT)
 }
--- a/cmd/drill/scenario.go
+++ b/cmd/drill/scenario.go
@@ -12,6 +12,7 @@
 
 	"gorseline/cmd/workload"
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/io/operator"
 	"gorseline/standin/engine"
 	"gorseline/standin/table"
@@ -61,14 +62,14 @@
 	{name: "EngineCrash", inject: func(ctx context.Context, r *run) error {
 		e := r.anyEngine()
 		e.Crash()
-		workload.Wait(ctx, 4*time.Second)
+		pause.For(ctx, 4*time.Second)
 		e.Restart()
 		return nil
 	}},
 	{name: "EngineSilent", inject: func(ctx context.Context, r *run) error {
 		e := r.anyEngine()
 		e.HalfOpen(true)
-		workload.Wait(ctx, 8*time.Second)
+		pause.For(ctx, 8*time.Second)
 		e.HalfOpen(false)
 		return nil
 	}},
@@ -88,7 +89,7 @@
 		var both sync.WaitGroup
 		var killed, outage error
 		both.Go(func() { outage = r.tableFaults(ctx, table.Faults{Outage: true}, 4*time.Second) })
-		workload.Wait(ctx, time.Second)
+		pause.For(ctx, time.Second)
 		killed = r.processes[1].signal(syscall.SIGKILL)
 		both.Wait()
 		return errors.Wrap(firstError(killed, outage), "kill during an outage")
--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -79,7 +79,7 @@
 }
 
 func newStore(settings platform.Settings, i *instruments) *platform.Store {
-	return platform.NewStore(settings.Store.Address, i)
+	return platform.NewStore(settings.Store, i)
 }
 
 func newAssigner(
--- a/cmd/entry/node/node_test.go
+++ b/cmd/entry/node/node_test.go
@@ -103,7 +103,9 @@
 	settings := platform.Settings{
 		Instance: core.InstanceID(name), DataCentre: "a", Callers: freeAddress(s.t), Ready: freeAddress(s.t),
 		Directory: freeAddress(s.t), Peers: freeAddress(s.t), Heartbeat: 200 * time.Millisecond,
-		Store: platform.StoreSettings{Address: strings.TrimPrefix(s.server.URL, "http://")},
+		Store: platform.StoreSettings{
+			Address: strings.TrimPrefix(s.server.URL, "http://"), ReadsPerSecond: 2000, WritesPerSecond: 400,
+		},
 		Bounds: platform.Bounds{
 			StopGrace: 3 * time.Second, RetryRatio: 0.5, RetrySlack: 100, OrderTurn: 100 * time.Millisecond, AnswerKept: time.Second,
 		},
--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -11,6 +11,7 @@
 
 	"gorseline/core"
 	"gorseline/core/authority"
+	"gorseline/core/common/pause"
 	"gorseline/core/load"
 	"gorseline/core/placement"
 	"gorseline/core/roster"
@@ -137,18 +138,11 @@
 // Run plans until ctx ends.
 func (r *roles) Run(ctx context.Context) {
 	defer close(r.done)
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if len(r.keeper.Leases()) > 0 {
-				r.plan(ctx)
-			}
+	pause.Every(ctx, planInterval, func() {
+		if len(r.keeper.Leases()) > 0 {
+			r.plan(ctx)
 		}
-	}
+	})
 }
 
 // Done is closed when Run has ended.
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -16,6 +16,7 @@
 
 	"gorseline/core"
 	"gorseline/core/catchup"
+	"gorseline/core/common/pause"
 	"gorseline/core/roster"
 	"gorseline/io/digest"
 	"gorseline/io/exposition"
@@ -37,6 +38,7 @@
 	budgets   *forward.Budgets
 	pool      *target.Pool
 	list      *platform.Instances
+	store     *platform.Store
 	beliefs   *beliefs
 	leaving   atomic.Bool
 	callers   *http.Server
@@ -59,6 +61,7 @@
 	Budgets     *forward.Budgets
 	Pool        *target.Pool
 	List        *platform.Instances
+	Store       *platform.Store
 	Watcher     *platform.Watcher
 	Roles       *roles
 	Beliefs     *beliefs
@@ -70,7 +73,7 @@
 func newNode(lc fx.Lifecycle, p nodeParts) (*node, error) {
 	n := &node{
 		options: p.Options, settings: p.Settings, log: p.Log, forwarder: p.Forwarder, digests: p.Digests,
-		roster: p.Roster, budgets: p.Budgets, pool: p.Pool, list: p.List, beliefs: p.Beliefs, registry: p.Registry, done: make(chan struct{}),
+		roster: p.Roster, budgets: p.Budgets, pool: p.Pool, list: p.List, store: p.Store, beliefs: p.Beliefs, registry: p.Registry, done: make(chan struct{}),
 	}
 	n.registerGauges(p.Instruments, p.Roles, p.Tracker)
 	start(lc, n)
@@ -201,19 +204,13 @@
 }
 
 func (n *node) loop(ctx context.Context) {
-	ticker := time.NewTicker(housekeeping)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.pool.CloseExpired(now)
-			if members := len(n.digests.Members()); members > 1 {
-				n.budgets.SetInstances(members)
-			}
+	pause.Every(ctx, housekeeping, func() {
+		n.pool.CloseExpired(time.Now())
+		if members := len(n.digests.Members()); members > 1 {
+			n.budgets.SetInstances(members)
+			n.store.SetInstances(members)
 		}
-	}
+	})
 }
 
 const (
--- a/cmd/load/load.go
+++ b/cmd/load/load.go
@@ -17,6 +17,7 @@
 
 	"gorseline/cmd/workload"
 	"gorseline/core"
+	"gorseline/core/common/pause"
 )
 
 // Bounds of a run.
@@ -108,7 +109,7 @@
 	var wait sync.WaitGroup
 	for n := range int(o.Rate * o.Duration.Seconds()) {
 		at := started.Add(time.Duration(float64(n) / o.Rate * float64(time.Second)))
-		if !workload.Wait(ctx, time.Until(at)) {
+		if !pause.For(ctx, time.Until(at)) {
 			break
 		}
 		request := choose()
--- a/cmd/load/request.go
+++ b/cmd/load/request.go
@@ -14,6 +14,7 @@
 
 	"gorseline/cmd/workload"
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/io/caller"
 	"gorseline/io/sse"
 	"gorseline/standin/engine"
@@ -60,9 +61,9 @@
 	key := fmt.Sprintf("%s-%d", r.prefix, n)
 	ended := endNotRun
 	for try := range maxTries {
-		var pause time.Duration
-		ended, pause = s.try(ctx, r.Targets[(n+try)%len(r.Targets)], key)
-		if pause == 0 || !workload.Wait(ctx, pause) {
+		var after time.Duration
+		ended, after = s.try(ctx, r.Targets[(n+try)%len(r.Targets)], key)
+		if after == 0 || !pause.For(ctx, after) {
 			break
 		}
 	}
@@ -95,8 +96,8 @@
 	return s.text.String() == want
 }
 
-// try sends the request once. A pause asks for another try after it.
-func (s *state) try(ctx context.Context, target, key string) (ended end, pause time.Duration) {
+// try sends the request once. A time asks for another try after it.
+func (s *state) try(ctx context.Context, target, key string) (ended end, after time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(silenceLimit, cancel)
@@ -140,20 +141,20 @@
 	return endUnknown
 }
 
-func (s *state) refused(body io.Reader) (ended end, pause time.Duration) {
+func (s *state) refused(body io.Reader) (ended end, after time.Duration) {
 	var refusal core.Refusal
 	if err := json.NewDecoder(io.LimitReader(body, maxAnswer)).Decode(&refusal); err != nil {
 		return s.broken(), 0
 	}
-	pause = time.Duration(refusal.RetryAfterMs) * time.Millisecond
+	after = time.Duration(refusal.RetryAfterMs) * time.Millisecond
 	if refusal.NotRun && !s.sent {
-		return endNotRun, pause
+		return endNotRun, after
 	}
-	return s.broken(), pause
+	return s.broken(), after
 }
 
 // answered reads the answer of a plain service and looks at its effects.
-func (s *state) answered(body io.Reader) (ended end, pause time.Duration) {
+func (s *state) answered(body io.Reader) (ended end, after time.Duration) {
 	data, err := io.ReadAll(io.LimitReader(body, maxAnswer))
 	if err != nil {
 		return s.broken(), retryPause
@@ -178,7 +179,7 @@
 }
 
 // read reads a stream to its end.
-func (s *state) read(body io.Reader, watchdog *time.Timer) (ended end, pause time.Duration) {
+func (s *state) read(body io.Reader, watchdog *time.Timer) (ended end, after time.Duration) {
 	s.sent = true
 	events := sse.NewDecoder(body, maxEvent)
 	var event sse.Event
--- a/cmd/soak/callers.go
+++ b/cmd/soak/callers.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"gorseline/core/common/pause"
 )
 
 // result is what a caller got for one request.
@@ -57,7 +59,7 @@
 		c.mu.Lock()
 		c.results = append(c.results, r)
 		c.mu.Unlock()
-		pause(ctx, time.Duration(5+rng.IntN(40))*time.Millisecond)
+		pause.For(ctx, time.Duration(5+rng.IntN(40))*time.Millisecond)
 	}
 }
 
@@ -97,12 +99,3 @@
 	defer c.mu.Unlock()
 	return append([]result(nil), c.results...)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"gorseline/core/common/pause"
 	"gorseline/standin/platform"
 )
 
@@ -26,14 +27,14 @@
 	{"Kill", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		e := s.anyEntry(rng)
 		e.stop(syscall.SIGKILL)
-		pause(ctx, length(rng)/4)
+		pause.For(ctx, length(rng)/4)
 		s.start(e)
 	}},
 	{"KillAll", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		for _, e := range s.entries {
 			e.stop(syscall.SIGKILL)
 		}
-		pause(ctx, length(rng)/4)
+		pause.For(ctx, length(rng)/4)
 		for _, e := range s.entries {
 			s.start(e)
 		}
@@ -41,25 +42,25 @@
 	{"Leave", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		e := s.anyEntry(rng)
 		e.stop(syscall.SIGTERM)
-		pause(ctx, length(rng)/4)
+		pause.For(ctx, length(rng)/4)
 		s.start(e)
 	}},
 	{"Pause", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		e := s.anyEntry(rng)
 		e.signal(syscall.SIGSTOP)
-		pause(ctx, length(rng))
+		pause.For(ctx, length(rng))
 		e.signal(syscall.SIGCONT)
 	}},
 	{"Reload", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		for range 5 {
 			s.anyEntry(rng).signal(syscall.SIGHUP)
-			pause(ctx, 50*time.Millisecond)
+			pause.For(ctx, 50*time.Millisecond)
 		}
 	}},
 	{"Configure", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		for range 1 + rng.IntN(6) {
 			s.note(s.site.configure())
-			pause(ctx, time.Duration(rng.IntN(400))*time.Millisecond)
+			pause.For(ctx, time.Duration(rng.IntN(400))*time.Millisecond)
 		}
 	}},
 	{"StoreLink", func(ctx context.Context, s *soak, rng *rand.Rand) {
@@ -74,7 +75,7 @@
 			{LoseWrites: 5},
 			{LoseWrites: 5, LateBy: time.Second},
 		}[rng.IntN(6)])
-		pause(ctx, length(rng))
+		pause.For(ctx, length(rng))
 		s.site.store.SetFaults(platform.Faults{})
 	}},
 	{"ForgetHistory", func(_ context.Context, s *soak, _ *rand.Rand) { s.site.store.ForgetHistory() }},
@@ -94,18 +95,18 @@
 	{"TargetLeaves", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		i := rng.IntN(len(s.site.targets))
 		s.site.register(i, "draining")
-		pause(ctx, length(rng))
+		pause.For(ctx, length(rng))
 		s.site.register(i, "ready")
 	}},
 	{"TargetVanishes", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		i := rng.IntN(len(s.site.targets))
 		s.site.store.Remove("servers", s.site.targets[i].ID())
-		pause(ctx, length(rng))
+		pause.For(ctx, length(rng))
 		s.site.register(i, "ready")
 	}},
 	{"MalformedEntry", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		s.site.store.Put("servers", "i-strange", []byte(`{"service":["calls"],"address":5}`))
-		pause(ctx, length(rng)/4)
+		pause.For(ctx, length(rng)/4)
 		s.site.store.Remove("servers", "i-strange")
 	}},
 }
@@ -117,7 +118,7 @@
 		p.resetAll()
 	default:
 		p.set(m)
-		pause(ctx, length(rng))
+		pause.For(ctx, length(rng))
 		p.set(modePass)
 		if m == modeSilent || m == modeOneWay {
 			// Data that was swallowed is gone, as behind a cut.
@@ -140,7 +141,7 @@
 		if rng.IntN(2) == 0 {
 			open.Wait()
 		}
-		pause(ctx, time.Duration(rng.IntN(600))*time.Millisecond)
+		pause.For(ctx, time.Duration(rng.IntN(600))*time.Millisecond)
 	}
 	open.Wait()
 }
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gorseline/core/common/pause"
 )
 
 // Options configure a soak.
@@ -201,7 +203,7 @@
 		if err == nil || time.Now().After(deadline) || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, 50*time.Millisecond)
+		pause.For(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -226,7 +228,7 @@
 		return append(found, fmt.Sprintf("not all served %v after the last fault: %v", recoverLimit, err))
 	}
 	// Calm instances are those that were left alone for contact_ms, 3 s.
-	pause(ctx, 3*time.Second)
+	pause.For(ctx, 3*time.Second)
 	s.note(s.site.configure())
 	version := fmt.Sprintf("v%d", s.site.newest())
 	err := s.await(ctx, applyLimit, func(ctx context.Context) error {
--- a/cmd/soak/watch.go
+++ b/cmd/soak/watch.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"gorseline/core/common/pause"
 )
 
 // watcher asks one instance for routes that only some versions have, and notes whether it
@@ -31,7 +33,7 @@
 		if isRunning {
 			w.ask(ctx, generation, version, fmt.Sprintf("w%d-%s-%d", seed, w.entry.name, i))
 		}
-		pause(ctx, watchInterval)
+		pause.For(ctx, watchInterval)
 	}
 }
 
--- a/cmd/workload/client.go
+++ b/cmd/workload/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/io/caller"
 	"gorseline/io/sse"
 )
@@ -102,25 +103,13 @@
 		if refusal == nil || refusal.RetryAfterMs == 0 {
 			return last
 		}
-		if !Wait(ctx, time.Duration(refusal.RetryAfterMs)*time.Millisecond) {
+		if !pause.For(ctx, time.Duration(refusal.RetryAfterMs)*time.Millisecond) {
 			return last
 		}
 	}
 	return last
 }
 
-// Wait waits for d and reports whether ctx still runs.
-func Wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // silenceLimit is how long a connection may be silent before the client gives it up.
 // An instance sends a heartbeat every second while a stream waits.
 const silenceLimit = 3 * time.Second
--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/core/operation"
 	"gorseline/core/retry"
 )
@@ -130,7 +131,7 @@
 			d.notRetried(a.req, decision.Target, verdict, last.result.Err)
 			break
 		}
-		if !wait(ctx, verdict.After) {
+		if !pause.For(ctx, verdict.After) {
 			break
 		}
 		next := a.route(d.Clock.Now(), exclude)
@@ -183,14 +184,3 @@
 		}
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/core/operation/operation.go
+++ b/core/operation/operation.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 )
 
 // Call names one operation of an organisation.
@@ -98,16 +99,7 @@
 // DefaultOptions returns options with the durations and bounds filled in.
 func DefaultOptions() Options {
 	return Options{
-		Sleep: sleep, SettleTimeout: 2 * time.Second, RetryAfter: 5 * time.Second, MaxPending: 1024,
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		Sleep: func(ctx context.Context, d time.Duration) { pause.For(ctx, d) }, SettleTimeout: 2 * time.Second, RetryAfter: 5 * time.Second, MaxPending: 1024,
 	}
 }
 
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -21,6 +21,7 @@
 
 	"gorseline/core"
 	"gorseline/core/catchup"
+	"gorseline/core/common/pause"
 	"gorseline/core/load"
 	"gorseline/core/membership"
 )
@@ -178,26 +179,15 @@
 		}
 		isAlone := len(n.members.Members()) < 2
 		n.mu.Unlock()
-		pause := seedInterval
+		next := seedInterval
 		if err != nil || isAlone {
-			pause = aloneInterval
+			next = aloneInterval
 		}
-		sleep(ctx, pause)
+		pause.For(ctx, next)
 	}
 }
 
-func (n *Node) loopTicks(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.tick()
-		}
-	}
-}
+func (n *Node) loopTicks(ctx context.Context) { pause.Every(ctx, tickInterval, n.tick) }
 
 func (n *Node) tick() {
 	n.mu.Lock()
@@ -271,20 +261,13 @@
 const announceInterval = 400 * time.Millisecond
 
 func (n *Node) loopAnnounce(ctx context.Context) {
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p := n.peers.Load()
-			n.opts.Tracker.Follow(!p.isReader)
-			if p.isReader && p.hasFollowers {
-				n.Announce()
-			}
+	pause.Every(ctx, announceInterval, func() {
+		p := n.peers.Load()
+		n.opts.Tracker.Follow(!p.isReader)
+		if p.isReader && p.hasFollowers {
+			n.Announce()
 		}
-	}
+	})
 }
 
 // stamp adds the own versions to a packet.
@@ -368,7 +351,7 @@
 			// An end that was lost would count as work for long, so it is told twice.
 			repeats = ends(repeats[:0], batch)
 			if len(batch) < eventsPerPacket {
-				sleep(ctx, batchInterval)
+				pause.For(ctx, batchInterval)
 			}
 		}
 	}
@@ -457,7 +440,7 @@
 				return
 			}
 			n.opts.Log.WithError(err).Warn("DatagramNotRead")
-			sleep(ctx, tickInterval)
+			pause.For(ctx, tickInterval)
 			continue
 		}
 		p, err := decodePacket(buffer[:size])
@@ -577,12 +560,3 @@
 	defer n.mu.Unlock()
 	return n.members.CallerAddresses(n.rng, dc)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/io/digest/snapshot.go
+++ b/io/digest/snapshot.go
@@ -15,6 +15,7 @@
 
 	"gorseline/core"
 	"gorseline/core/catchup"
+	"gorseline/core/common/pause"
 	"gorseline/core/roster"
 	"gorseline/io/target"
 )
@@ -154,18 +155,11 @@
 
 // loopPulls takes from peers what the platform does not tell.
 func (n *Node) loopPulls(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, pull := range n.opts.Tracker.Due(n.opts.Clock.Now()) {
-				n.pull(ctx, pull)
-			}
+	pause.Every(ctx, tickInterval, func() {
+		for _, pull := range n.opts.Tracker.Due(n.opts.Clock.Now()) {
+			n.pull(ctx, pull)
 		}
-	}
+	})
 }
 
 func (n *Node) pull(ctx context.Context, p catchup.Pull) {
--- a/io/table/group.go
+++ b/io/table/group.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 )
 
 // Bounds of a group: rows in one transaction, and the time that the first of them
@@ -154,7 +155,7 @@
 	forming.add(first)
 	closed := make(chan error, 1)
 	go func() {
-		sleep(ctx, GroupWait)
+		pause.For(ctx, GroupWait)
 		closed <- g.await(ctx)
 	}()
 	for {
--- a/io/table/settler.go
+++ b/io/table/settler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 )
 
 // SettlerOptions configure a Settler.
@@ -44,7 +45,7 @@
 		opts.MaxBackoff = time.Second
 	}
 	if opts.Sleep == nil {
-		opts.Sleep = sleep
+		opts.Sleep = func(ctx context.Context, d time.Duration) { pause.For(ctx, d) }
 	}
 	if opts.Random == nil {
 		opts.Random = rand.Float64
@@ -90,12 +91,3 @@
 	mean := min(s.opts.Backoff<<(try-1), s.opts.MaxBackoff)
 	return mean/2 + time.Duration(s.opts.Random()*float64(mean))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/standin/platform/store_test.go
+++ b/standin/platform/store_test.go
@@ -23,7 +23,9 @@
 	store := platform.NewStore()
 	server := httptest.NewServer(store.Handler())
 	t.Cleanup(server.Close)
-	return store, client.NewStore(strings.TrimPrefix(server.URL, "http://"), nil)
+	return store, client.NewStore(client.StoreSettings{
+		Address: strings.TrimPrefix(server.URL, "http://"), ReadsPerSecond: 2000, WritesPerSecond: 400,
+	}, nil)
 }
 
 func put(key, value string, expected uint64) []core.Write {
@@ -91,6 +93,28 @@
 	}
 }
 
+// Guards against an instance that takes more than its share of the store's rates.
+func TestStoreCallsKeepToTheirShare(t *testing.T) {
+	store := platform.NewStore()
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+	c := client.NewStore(client.StoreSettings{
+		Address: strings.TrimPrefix(server.URL, "http://"), ReadsPerSecond: 100, WritesPerSecond: 100,
+	}, nil)
+	c.SetInstances(10)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		if _, err := c.Read(ctx, "k"); err != nil {
+			break
+		}
+	}
+	// A share of 5 a second and the calls at the start.
+	if calls := store.Calls("/-/rows-get"); calls > 15 {
+		t.Errorf("%d calls within a second", calls)
+	}
+}
+
 // watched is a watcher on a stand-in with what it has told.
 type watched struct {
 	store  *platform.Store
