--- a/standin/platform/framing_test.go
+++ b/standin/platform/framing_test.go
@@ -35,6 +35,7 @@
 			return statuses
 		}
 		_, _ = io.Copy(io.Discard, resp.Body) // an answer that breaks off ends the loop
+		_ = resp.Body.Close()                 // the connection is closed with the test
 		statuses = append(statuses, resp.StatusCode)
 	}
 }
@@ -110,9 +111,10 @@
 func TestDamagedRequestsRunAsSentOrNotAtAll(t *testing.T) {
 	r := newRig(t, "")
 	rng := rand.New(rand.NewPCG(11, 1))
+	const sent = "abcdef"
 	for i := range 60 {
 		id := fmt.Sprintf("d%d", i)
-		text := []byte(head(id, "Content-Length: 6") + "abcdef")
+		text := []byte(head(id, "Content-Length: 6") + sent)
 		// Damage of the ID or of the path would make another proper request.
 		start := strings.Index(string(text), "Content-Length")
 		for range 1 + rng.IntN(3) {
@@ -123,7 +125,7 @@
 		if len(runs) > 1 {
 			t.Fatalf("%q ran %d times", text, len(runs))
 		}
-		if len(runs) == 1 && !strings.HasPrefix("abcdef", runs[0].Body) {
+		if len(runs) == 1 && !strings.HasPrefix(sent, runs[0].Body) {
 			t.Fatalf("%q ran with body %q", text, runs[0].Body)
 		}
 	}
