--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -89,11 +89,27 @@
 			return false
 		}
 		if f.table.CompareAndSwap(old, t) {
+			f.forgetRoutes(t)
 			return true
 		}
 	}
 }
 
+// forgetRoutes drops what was learned about routes that a configuration no longer has.
+func (f *Forwarder) forgetRoutes(t *route.Table) {
+	names := map[string]bool{}
+	for i := range t.Configuration().Routes {
+		names[t.Configuration().Routes[i].Name] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name := range f.patience {
+		if !names[name] {
+			delete(f.patience, name)
+		}
+	}
+}
+
 // Table returns the table in force, or nil.
 func (f *Forwarder) Table() *route.Table { return f.table.Load() }
 
