--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -125,30 +124,6 @@
 	}).Info("MemberChanged")
 }
 
-// Sent tells peers that work was sent to a target.
-func (n *Node) Sent(item load.Item) { n.queue(sentEvent(item)) }
-
-// Computed tells peers that a target has computed the prompt of an item.
-func (n *Node) Computed(ref load.Ref) {
-	n.queue(event{Operation: opComputed, Target: ref.Target, Serial: ref.Key.Serial, cell: ref.Cell})
-}
-
-// Finished tells peers that work has ended.
-func (n *Node) Finished(ref load.Ref) {
-	n.queue(event{Operation: opFinished, Target: ref.Target, Serial: ref.Key.Serial, cell: ref.Cell})
-}
-
-func (n *Node) queue(e event) {
-	select {
-	case n.events <- e:
-	default:
-		n.dropped.Add(1)
-	}
-}
-
-// Dropped returns the number of load events that were not sent to peers.
-func (n *Node) Dropped() uint64 { return n.dropped.Load() }
-
 // Run exchanges datagrams until ctx ends, and then closes the connection.
 func (n *Node) Run(ctx context.Context) {
 	defer close(n.done)
@@ -245,51 +220,6 @@
 	}
 }
 
-// Announce tells the peers of the own cell which versions this instance has.
-func (n *Node) Announce() {
-	p := n.peers.Load()
-	for _, to := range p.near {
-		n.send(to, &packet{Kind: packetVersions})
-	}
-	for _, to := range p.unmet {
-		n.send(to, &packet{Kind: packetVersions})
-	}
-}
-
-// announceInterval is how often a reader tells its versions. Followers that hear of none
-// for catchup.ConfirmedFor read the platform themselves.
-const announceInterval = 400 * time.Millisecond
-
-func (n *Node) loopAnnounce(ctx context.Context) {
-	pause.Every(ctx, announceInterval, func() {
-		p := n.peers.Load()
-		n.opts.Tracker.Follow(!p.isReader)
-		if p.isReader && p.hasFollowers {
-			n.Announce()
-		}
-	})
-}
-
-// stamp adds the own versions to a packet.
-func (n *Node) stamp(p *packet) {
-	p.Configuration, p.Targets = n.opts.Tracker.Versions()
-	p.Address = n.opts.Self.Address
-	p.Reads = n.opts.Tracker.Reads(n.opts.Clock.Now())
-}
-
-// heard takes in the versions of a peer.
-func (n *Node) heard(p *packet) {
-	if p.Address == "" {
-		return
-	}
-	now := n.opts.Clock.Now()
-	n.opts.Tracker.Heard(now, catchup.Configuration, p.Address, p.Configuration)
-	n.opts.Tracker.Heard(now, catchup.Targets, p.Address, p.Targets)
-	if p.Reads {
-		n.opts.Tracker.Confirmed(now)
-	}
-}
-
 func (n *Node) send(to netip.AddrPort, p *packet) {
 	n.stamp(p)
 	data, err := cbor.Marshal(p)
@@ -337,100 +267,6 @@
 	n.peers.Store(p)
 }
 
-// loopEvents sends digests. Events that come together share a datagram.
-func (n *Node) loopEvents(ctx context.Context) {
-	batch := make([]event, 0, 2*eventsPerPacket)
-	var repeats []event
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case e := <-n.events:
-			batch = n.collect(append(batch[:0], e))
-			n.share(batch, repeats)
-			// An end that was lost would count as work for long, so it is told twice.
-			repeats = ends(repeats[:0], batch)
-			if len(batch) < eventsPerPacket {
-				pause.For(ctx, batchInterval)
-			}
-		}
-	}
-}
-
-// share sends events to the peers of the own cell, and those about targets of other cells
-// also to the instances there.
-func (n *Node) share(batch, repeats []event) {
-	p := n.peers.Load()
-	n.shareWith(p.near, batch, repeats)
-	var done []core.DataCentre
-	for i := range batch {
-		cell := batch[i].cell
-		if p.cells.IsWide || cell == "" || cell == p.cells.Home || slices.Contains(done, cell) {
-			continue
-		}
-		done = append(done, cell)
-		n.shareWith(p.far[cell], eventsOf(batch, cell), eventsOf(repeats, cell))
-	}
-}
-
-func eventsOf(events []event, cell core.DataCentre) []event {
-	var of []event
-	for _, e := range events {
-		if e.cell == cell {
-			of = append(of, e)
-		}
-	}
-	return of
-}
-
-func (n *Node) shareWith(to []netip.AddrPort, events, repeats []event) {
-	if len(to) == 0 {
-		return
-	}
-	data, err := n.encode(events, repeats)
-	if err != nil {
-		n.opts.Log.WithError(err).Error("DatagramNotEncoded")
-		return
-	}
-	for _, peer := range to {
-		_, _ = n.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(peer)) // may be lost
-	}
-}
-
-// encode returns a digest of events and, as far as they fit, of repeated ones.
-func (n *Node) encode(events, repeats []event) ([]byte, error) {
-	p := &packet{Kind: packetLoad, Sender: n.opts.Sender, Events: append(events, repeats...)}
-	data, err := cbor.Marshal(p)
-	if err == nil && len(data) > maximumPacket {
-		p.Events = events
-		data, err = cbor.Marshal(p)
-	}
-	return data, errors.Wrap(err, "encode digest")
-}
-
-// ends appends the ends of work among events to into.
-func ends(into, events []event) []event {
-	for _, e := range events {
-		if e.Operation == opFinished {
-			into = append(into, e)
-		}
-	}
-	return into
-}
-
-// collect adds the events that wait, as far as they fit.
-func (n *Node) collect(batch []event) []event {
-	for len(batch) < eventsPerPacket {
-		select {
-		case e := <-n.events:
-			batch = append(batch, e)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
 func (n *Node) loopRead(ctx context.Context) {
 	buffer := make([]byte, 64<<10)
 	for {
@@ -464,22 +300,6 @@
 	}
 }
 
-// load takes in the digest of a peer.
-func (n *Node) load(p *packet) {
-	now := n.opts.Clock.Now()
-	for i := range p.Events {
-		e := &p.Events[i]
-		switch e.Operation {
-		case opSent:
-			n.opts.Board.Sent(now, e.item(p.Sender))
-		case opComputed:
-			n.opts.Board.Computed(now, e.ref(p.Sender))
-		case opFinished:
-			n.opts.Board.Finished(now, e.ref(p.Sender))
-		}
-	}
-}
-
 // answer replies to a call of a peer.
 func (n *Node) answer(p *packet, from net.Addr) {
 	reply := func(m membership.Message) {
--- /dev/null
+++ b/io/digest/versions.go
@@ -0,0 +1,54 @@
+package digest
+
+import (
+	"context"
+	"time"
+
+	"gorseline/core/catchup"
+	"gorseline/core/common/pause"
+)
+
+// Announce tells the peers of the own cell which versions this instance has.
+func (n *Node) Announce() {
+	p := n.peers.Load()
+	for _, to := range p.near {
+		n.send(to, &packet{Kind: packetVersions})
+	}
+	for _, to := range p.unmet {
+		n.send(to, &packet{Kind: packetVersions})
+	}
+}
+
+// announceInterval is how often a reader tells its versions. Followers that hear of none
+// for catchup.ConfirmedFor read the platform themselves.
+const announceInterval = 400 * time.Millisecond
+
+func (n *Node) loopAnnounce(ctx context.Context) {
+	pause.Every(ctx, announceInterval, func() {
+		p := n.peers.Load()
+		n.opts.Tracker.Follow(!p.isReader)
+		if p.isReader && p.hasFollowers {
+			n.Announce()
+		}
+	})
+}
+
+// stamp adds the own versions to a packet.
+func (n *Node) stamp(p *packet) {
+	p.Configuration, p.Targets = n.opts.Tracker.Versions()
+	p.Address = n.opts.Self.Address
+	p.Reads = n.opts.Tracker.Reads(n.opts.Clock.Now())
+}
+
+// heard takes in the versions of a peer.
+func (n *Node) heard(p *packet) {
+	if p.Address == "" {
+		return
+	}
+	now := n.opts.Clock.Now()
+	n.opts.Tracker.Heard(now, catchup.Configuration, p.Address, p.Configuration)
+	n.opts.Tracker.Heard(now, catchup.Targets, p.Address, p.Targets)
+	if p.Reads {
+		n.opts.Tracker.Confirmed(now)
+	}
+}
