--- a/core/forwarding.go
+++ b/core/forwarding.go
@@ -71,8 +71,6 @@
 	CacheTokenBytes int
 	// LinkBytes is the rate of KV cache transfers of one engine in bytes per second.
 	LinkBytes float64
-	// ExportHold is how long an exported KV cache is kept for its import.
-	ExportHold time.Duration
 	// RoleChange is how long an engine is away while it changes its role.
 	RoleChange time.Duration
 }
@@ -87,20 +85,13 @@
 	Engine *EngineLimits
 }
 
-// CallerLimits bound what callers may send.
-type CallerLimits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
-}
-
 // Forwarding is an accepted configuration of routes. It is immutable.
 type Forwarding struct {
 	Version  Revision
 	Routes   []Route
 	Services map[Service]ServiceLimits
-	Limits   CallerLimits
+	// MaxBodyBytes bounds the body of a request; 0 means that the configuration doesn't.
+	MaxBodyBytes int64
 }
 
 // PromptPart is one part of a prompt. Requests share leading parts.
--- a/core/load/board.go
+++ b/core/load/board.go
@@ -224,8 +224,6 @@
 	// generations and whole requests.
 	Running    int
 	Generating int
-	// Oldest is how long the first unfinished prompt has been computed.
-	Oldest time.Duration
 	// Held is how many leading tokens of the chain are believed cached.
 	Held int
 }
@@ -250,8 +248,7 @@
 		}
 		left := item.Compute
 		if s.Prompts == 0 {
-			s.Oldest = now.Sub(max(t.progress, item.sent))
-			left = max(0, left-s.Oldest)
+			left = max(0, left-now.Sub(max(t.progress, item.sent)))
 		}
 		s.Backlog += left
 		s.Prompts++
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -251,7 +251,7 @@
 	if r.in.Body == nil || r.in.Body == http.NoBody {
 		return true
 	}
-	limit := r.table.Configuration().Limits.MaxBodyBytes
+	limit := r.table.Configuration().MaxBodyBytes
 	if limit <= 0 {
 		limit = r.MaxBody
 	}
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -39,9 +39,6 @@
 	Body   []byte
 	// Deadline bounds the whole exchange.
 	Deadline time.Time
-	// NewConnection keeps the request off pooled connections, which a target may have
-	// closed without notice.
-	NewConnection bool
 	// Matches reports whether an answer belongs to the request; nil accepts any.
 	Matches func(http.Header) bool
 }
@@ -91,7 +88,7 @@
 // ends with ctx: the connection is then closed, which tells the target to stop. A failed
 // exchange returns an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
-	conn, err := p.get(ctx, r.Address, r.NewConnection)
+	conn, err := p.get(ctx, r.Address)
 	if err != nil {
 		return nil, &Error{err: err}
 	}
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -40,7 +40,6 @@
 	net.Conn
 	reader  *reader
 	address string
-	opened  time.Time
 	// expires is when the unused connection is closed.
 	expires time.Time
 	reused  bool
@@ -91,8 +90,8 @@
 }
 
 // get returns a connection to an address: an unused one that is still open, or a new one.
-func (p *Pool) get(ctx context.Context, address string, isNew bool) (*pooled, error) {
-	for !isNew {
+func (p *Pool) get(ctx context.Context, address string) (*pooled, error) {
+	for {
 		c := p.take(address)
 		if c == nil {
 			break
@@ -109,7 +108,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to target")
 	}
-	return &pooled{Conn: raw, reader: newReader(raw), address: address, opened: time.Now()}, nil
+	return &pooled{Conn: raw, reader: newReader(raw), address: address}, nil
 }
 
 // take removes the connection that was used last; it is the least likely to be closed.
