Leave instances out of the directory's answers that have been silent for 1.6 s

Change: each instance announces itself to the peers of its cell every 400 ms, and a member that was not heard for four times as long is left out as long as others remain.

--- a/core/membership/addresses.go
+++ b/core/membership/addresses.go
@@ -89,14 +89,14 @@
 // CallerAddresses returns addresses of live members of the caller's data centre, or of all
 // live members if there are none or the data centre is unknown. Callers that keep to their
 // own data centre send fewer bytes between data centres. Members are drawn in proportion
-// to their capacity, since callers spread evenly over an answer. Suspected members are
-// left out as long as others remain.
-func (p *Protocol) CallerAddresses(rng *rand.Rand, caller core.DataCentre) []string {
+// to their capacity, since callers spread evenly over an answer. Members that are suspected,
+// or for which isFresh returns false, are left out as long as others remain.
+func (p *Protocol) CallerAddresses(rng *rand.Rand, caller core.DataCentre, isFresh func(Record) bool) []string {
 	var near, far, suspects []Record
 	for h := range p.view.all {
 		switch {
 		case h.Callers == "" || h.Status == StatusLeaving || h.Status == StatusDead:
-		case h.Status == StatusSuspect:
+		case h.Status == StatusSuspect || !isFresh(h.Record):
 			suspects = append(suspects, h.Record)
 		case h.DataCentre == caller:
 			near = append(near, h.Record)
--- a/core/membership/protocol_test.go
+++ b/core/membership/protocol_test.go
@@ -143,9 +143,11 @@
 	add("suspect", "a", StatusSuspect, 100)
 	add("leaving", "a", StatusLeaving, 100)
 	add("far", "b", StatusAlive, 100)
+	add("silent", "a", StatusAlive, 100)
+	isFresh := func(r Record) bool { return r.ID != "silent" }
 	counts := map[string]int{}
 	for range 1000 {
-		answer := p.CallerAddresses(rng, "a")
+		answer := p.CallerAddresses(rng, "a", isFresh)
 		if len(answer) != callerAddressCount {
 			t.Fatalf("answer %v", answer)
 		}
@@ -153,16 +155,16 @@
 			counts[address]++
 		}
 	}
-	if counts["suspect"]+counts["leaving"]+counts["far"] > 0 {
+	if counts["suspect"]+counts["leaving"]+counts["far"]+counts["silent"] > 0 {
 		t.Errorf("counts %v", counts)
 	}
 	if counts["big"] < 2*counts["s1"] || counts["s1"] == 0 {
 		t.Errorf("counts %v: not by capacity", counts)
 	}
-	if answer := p.CallerAddresses(rng, "b"); len(answer) != 1 || answer[0] != "far" {
+	if answer := p.CallerAddresses(rng, "b", isFresh); len(answer) != 1 || answer[0] != "far" {
 		t.Errorf("answer %v", answer)
 	}
-	if answer := p.CallerAddresses(rng, "elsewhere"); len(answer) != callerAddressCount {
+	if answer := p.CallerAddresses(rng, "elsewhere", isFresh); len(answer) != callerAddressCount {
 		t.Errorf("answer %v", answer)
 	}
 }
--- a/io/digest/digest_test.go
+++ b/io/digest/digest_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,9 +31,10 @@
 func (noSnapshots) Targets() *roster.View              { return roster.New(time.Second).View() }
 func (noSnapshots) TakeTargets(TargetList)             {}
 
-// newNodes starts nodes that are listed to each other.
+// newNodes starts nodes of one data centre that are listed to each other.
 func newNodes(t *testing.T, count int) ([]*Node, []*load.Board) {
 	t.Helper()
+
 	var list fixedList
 	var conns []net.PacketConn
 	for i := range count {
@@ -51,7 +53,7 @@
 	for i, conn := range conns {
 		board := load.NewBoard()
 		n := New(Options{
-			Self: membership.Record{ID: list[i].ID, Address: list[i].Address, DataCentre: "dc", Callers: "c"},
+			Self: membership.Record{ID: list[i].ID, Address: list[i].Address, DataCentre: "dc", Callers: string(list[i].ID)},
 			Conn: conn, Sender: uint32(i + 1), Board: board, Lister: list, Clock: core.NewProcessClock(), Seed: uint64(i),
 			Log: &log.Logger{Handler: discard.Default}, Tracker: catchup.New(random.New(1)), Snapshots: noSnapshots{},
 		})
@@ -114,6 +116,36 @@
 	within(t, time.Second, "the leaving member is left out", func() bool { return len(nodes[1].CallerAddresses("dc")) == 1 })
 }
 
+// Guards against a dead instance that callers are sent to on the word of a peer that has
+// not yet noticed its death (hunt ksg-limits, trouble-3 seed 909789040297: an instance that
+// had just started named one that had been off for six seconds).
+func TestMemberThatWasNeverHeardIsInNoAnswer(t *testing.T) {
+	nodes, _ := newNodes(t, 1)
+	conn, err := net.Dial("udp4", nodes[0].opts.Self.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	peer := membership.Record{ID: "peer", Address: conn.LocalAddr().String(), DataCentre: "dc", Callers: "peer", Incarnation: 1}
+	dead := membership.Record{ID: "dead", Address: "127.0.0.1:1", DataCentre: "dc", Callers: "dead", Incarnation: 1}
+	data, err := cbor.Marshal(&packet{
+		Kind: packetCall, Serial: 1, Call: membership.CallProbe, Address: peer.Address,
+		Message: &membership.Message{From: peer, Updates: []membership.Record{dead}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write(data); err != nil {
+		t.Fatal(err)
+	}
+	within(t, 2*time.Second, "both members are known", func() bool { return len(nodes[0].Members()) == 3 })
+	answer := nodes[0].CallerAddresses("dc")
+	slices.Sort(answer)
+	if !slices.Equal(answer, []string{"a", "peer"}) {
+		t.Errorf("answer %v", answer)
+	}
+}
+
 // Guards against work that differs after its way through a datagram.
 func TestEventsKeepTheirItems(t *testing.T) {
 	item := load.Item{
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -73,6 +73,8 @@
 	rng     *rand.Rand
 	members *membership.Protocol
 	pending map[uint32]pendingCall
+	// heardAt is when a datagram of an address last arrived.
+	heardAt map[string]core.Instant
 }
 
 // pendingCall is a call whose reply is awaited until due.
@@ -87,7 +89,7 @@
 func New(o Options) *Node {
 	n := &Node{
 		opts: o, events: make(chan event, queueLength), done: make(chan struct{}),
-		rng: rand.New(rand.NewPCG(o.Seed, 1)), pending: map[uint32]pendingCall{},
+		rng: rand.New(rand.NewPCG(o.Seed, 1)), pending: map[uint32]pendingCall{}, heardAt: map[string]core.Instant{},
 	}
 	header := func(core.Instant) (applied, head core.Revision, ageMs uint32) { return 0, 0, 0 }
 	n.members = membership.New(o.Self, rand.New(rand.NewPCG(o.Seed, 0)), header, n.changed)
@@ -103,10 +105,8 @@
 	far  map[core.DataCentre][]netip.AddrPort
 	// unmet are listed instances of the own data centre that are not yet members.
 	unmet []netip.AddrPort
-	// isReader is set on instances that read the platform for their data centre, and
-	// hasFollowers if there are others.
-	isReader     bool
-	hasFollowers bool
+	// isReader is set on instances that read the platform for their data centre.
+	isReader bool
 }
 
 var _ load.CellProvider = (*Node)(nil)
@@ -253,7 +253,6 @@
 			p.unmet = append(p.unmet, to)
 		}
 	}
-	p.hasFollowers = counts[home]+len(p.unmet) > membership.Delegates
 	if p.cells = load.NewCells(home, counts); p.cells.IsWide {
 		for _, list := range p.far {
 			p.near = append(p.near, list...)
@@ -374,9 +373,22 @@
 	return n.members.Members()
 }
 
+// freshFor is how long after its last datagram a peer of the own cell is given to callers:
+// three announcements may be lost. Probes would find a dead peer seconds later, longer
+// still in other data centres.
+const freshFor = 4 * announceInterval
+
 // CallerAddresses returns the addresses for a caller in a data centre.
 func (n *Node) CallerAddresses(dc core.DataCentre) []string {
+	cells := n.Cells()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.members.CallerAddresses(n.rng, dc)
+	now := n.opts.Clock.Now()
+	return n.members.CallerAddresses(n.rng, dc, func(r membership.Record) bool {
+		if r.ID == n.opts.Self.ID || !cells.IsWide && r.DataCentre != cells.Home {
+			return true // peers of other cells announce nothing here
+		}
+		at, ok := n.heardAt[r.Address]
+		return ok && now.Sub(at) < freshFor
+	})
 }
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -19,17 +19,15 @@
 	}
 }
 
-// announceInterval is how often a reader tells its versions. Followers that hear of none
-// for catchup.ConfirmedFor read the platform themselves.
+// announceInterval is how often an instance tells the peers of its cell that it lives and
+// which versions it has. Followers that hear of no reader for catchup.ConfirmedFor read the
+// platform themselves.
 const announceInterval = 400 * time.Millisecond
 
 func (n *Node) loopAnnounce(ctx context.Context) {
 	pause.Every(ctx, announceInterval, func() {
-		p := n.peers.Load()
-		n.opts.Tracker.Follow(!p.isReader)
-		if p.isReader && p.hasFollowers {
-			n.Announce()
-		}
+		n.opts.Tracker.Follow(!n.peers.Load().isReader)
+		n.Announce()
 	})
 }
 
@@ -46,6 +44,9 @@
 		return
 	}
 	now := n.opts.Clock.Now()
+	n.mu.Lock()
+	n.heardAt[p.Address] = now
+	n.mu.Unlock()
 	n.opts.Tracker.Heard(now, catchup.Configuration, p.Address, p.Configuration)
 	n.opts.Tracker.Heard(now, catchup.Targets, p.Address, p.Targets)
 	if p.Reads {
