--- a/cmd/entry/node/node_test.go
+++ b/cmd/entry/node/node_test.go
@@ -23,7 +23,7 @@
 
 // site is a stand-in of the platform with instances on loopback.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	store   *stand.Store
 	server  *httptest.Server
 	targets []*stand.Target
@@ -36,7 +36,7 @@
 	"services":[{"name":"calls"},{"name":"models","engine":{"slots":8,"kv_tokens":100000,"kv_bytes":1000,"link_mbps":100000,"switch_s":0.1}}],
 	"limits":{"max_header_bytes":16384,"max_body_bytes":1048576}}`
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	t.Helper()
 	s := &site{t: t, store: stand.NewStore()}
 	s.server = httptest.NewServer(s.store.Handler())
@@ -63,7 +63,7 @@
 }
 
 // freeAddress returns a loopback address that nobody listens on.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -154,7 +154,7 @@
 	close  bool
 }
 
-func get(t *testing.T, url string) reply {
+func get(t testing.TB, url string) reply {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
 	if err != nil {
