--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -32,9 +32,9 @@
 	for _, rate := range []float64{400, 800} {
 		for seed := range uint64(3) {
 			list := arrivals(seed, rate, 5*time.Second)
-			got := newWorld(9, 5).play(list, nil)
+			got := newWorld().play(list, nil)
 			rng := rand.New(rand.NewPCG(seed, 3))
-			naive := newWorld(9, 5)
+			naive := newWorld()
 			base := naive.play(list, func(_ core.Instant, req *assign.Request) assign.Decision {
 				e, _ := naive.view.Find(core.TargetID([]string{"p0", "p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"}[rng.IntN(9)]))
 				return assign.Decision{Target: e, Kind: load.Prefill, Work: prompt.NewWork(req.Prompt.Tokens, 0)}
@@ -60,7 +60,7 @@
 
 // Answers a calm load. Guards against refusals while there is room.
 func TestCalmLoadIsNotRefused(t *testing.T) {
-	got := newWorld(9, 5).play(arrivals(1, 150, 5*time.Second), nil)
+	got := newWorld().play(arrivals(1, 150, 5*time.Second), nil)
 	if got.refused > 0 || got.late > got.total()/50 {
 		t.Errorf("%+v", got)
 	}
--- a/core/assign/bench_test.go
+++ b/core/assign/bench_test.go
@@ -10,7 +10,7 @@
 // BenchmarkAssign measures one decision among 14 engines with work. The target is 5 µs
 // without allocation.
 func BenchmarkAssign(b *testing.B) {
-	w := newWorld(9, 5)
+	w := newWorld()
 	list := arrivals(1, 500, time.Second)
 	w.play(list, nil)
 	req := testRequest(9000)
--- a/core/assign/fixture_test.go
+++ b/core/assign/fixture_test.go
@@ -136,10 +136,11 @@
 	serial   uint32
 }
 
-func newWorld(readers, generators int) *world {
+// newWorld returns a fleet of 9 engines that compute prompts and 5 that generate.
+func newWorld() *world {
 	board := load.NewBoard()
 	w := &world{
-		board: board, assigner: newAssigner(board), view: newView(readers, generators),
+		board: board, assigner: newAssigner(board), view: newView(9, 5),
 		caches: map[core.TargetID]*prompt.Cache{}, freeAt: map[core.TargetID]core.Instant{},
 	}
 	for e := range w.view.All {
