--- a/standin/platform/framing_test.go
+++ b/standin/platform/framing_test.go
@@ -96,7 +96,6 @@
 // Guards against headers without end that hold memory, and slow ones that hold a process.
 func TestHugeAndBrokenHeadersAreRefused(t *testing.T) {
 	r := newRig(t, "")
-	r.server.Config.MaxHeaderBytes = 16 << 10
 	got := r.raw("POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: big\r\nX-Big: " + strings.Repeat("b", 1<<20) + "\r\n\r\n")
 	if len(got) > 0 && got[0] != http.StatusRequestHeaderFieldsTooLarge {
 		t.Errorf("answers %v", got)
--- a/standin/platform/rig_test.go
+++ b/standin/platform/rig_test.go
@@ -83,7 +83,9 @@
 		Log: &log.Logger{Handler: discard.Default}, Sender: 1, MaxBody: 1 << 20,
 	})
 	r.forwarder.Configure(route.NewTable(configuration(1)))
-	r.server = httptest.NewServer(r.forwarder)
+	r.server = httptest.NewUnstartedServer(r.forwarder)
+	r.server.Config.MaxHeaderBytes = 16 << 10
+	r.server.Start()
 	t.Cleanup(r.server.Close)
 	return r
 }
