--- a/core/operation/operation_test.go
+++ b/core/operation/operation_test.go
@@ -93,6 +93,10 @@
 			slow := b.executor("slow")
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
+			if !inRun {
+				// Before Execute: called beside it, the call may have ended by then.
+				cancel()
+			}
 			ended := make(chan operation.Result, 1)
 			go func() {
 				ended <- slow.Execute(ctx, grant, func(ctx context.Context) core.ServiceResult {
@@ -102,9 +106,6 @@
 					return b.target("slow", done)(ctx)
 				})
 			}()
-			if !inRun {
-				cancel() // the deadline passes before the first byte
-			}
 			synctest.Wait()
 			meanwhile := b.execute(t, b.Executor, "second", done)
 			got := <-ended
