Wait through core/common/pause everywhere

Cause: pause.For and pause.Every stand beside nine older copies of the same ticker and timer loops, one of them as cmd/instance.every. Change: the copies call them; loops that wait for more than time or the context stay.

--- a/cmd/instance/experiment.go
+++ b/cmd/instance/experiment.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/core/configuration"
 	"gorseline/core/dispatch"
 	"gorseline/core/timeline"
@@ -64,7 +65,7 @@
 }
 
 func (l *experimentLoop) run(ctx context.Context) {
-	every(ctx, experimentInterval, func(ctx context.Context) {
+	pause.Every(ctx, experimentInterval, func() {
 		accounts, since := l.Serving.dispatcher.PolicyAccounts()
 		l.judge(ctx, l.Control.applier.Configuration(), accounts, since)
 	})
--- a/cmd/instance/observer.go
+++ b/cmd/instance/observer.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/core/timeline"
 )
 
@@ -51,7 +52,7 @@
 }
 
 func (o *observer) run(ctx context.Context) {
-	every(ctx, observeInterval, func(context.Context) { o.look() })
+	pause.Every(ctx, observeInterval, o.look)
 }
 
 func (o *observer) look() {
--- a/cmd/instance/part.go
+++ b/cmd/instance/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/fx"
 )
@@ -53,17 +52,3 @@
 
 // Done is closed when the function has returned.
 func (l *loop) Done() <-chan struct{} { return l.done }
-
-// every calls step once per interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, step func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			step(ctx)
-		}
-	}
-}
--- a/cmd/instance/placement.go
+++ b/cmd/instance/placement.go
@@ -12,6 +12,7 @@
 
 	"gorseline/core"
 	"gorseline/core/authority"
+	"gorseline/core/common/pause"
 	"gorseline/core/dispatch"
 	"gorseline/core/timeline"
 )
@@ -59,7 +60,9 @@
 }
 
 // run plans until ctx ends.
-func (l *placementLoop) run(ctx context.Context) { every(ctx, placementInterval, l.plan) }
+func (l *placementLoop) run(ctx context.Context) {
+	pause.Every(ctx, placementInterval, func() { l.plan(ctx) })
+}
 
 func (l *placementLoop) plan(ctx context.Context) {
 	policy := l.serving.policies.InForce()
--- a/core/dispatch/circuits.go
+++ b/core/dispatch/circuits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/core/common/random"
 	"gorseline/core/retry"
 	"gorseline/core/routing"
@@ -65,16 +66,7 @@
 // Run lets attempts through again when the open time of a circuit is over.
 func (c *Circuits) Run(ctx context.Context) {
 	defer close(c.done)
-	ticker := time.NewTicker(circuitInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.refresh()
-		}
-	}
+	pause.Every(ctx, circuitInterval, c.refresh)
 }
 
 func (c *Circuits) refresh() {
--- a/core/operation/operation.go
+++ b/core/operation/operation.go
@@ -124,16 +124,7 @@
 // Run records outcomes that could not be recorded at once, until ctx ends.
 func (e *Executor) Run(ctx context.Context) {
 	defer close(e.done)
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.Flush(ctx)
-		}
-	}
+	pause.Every(ctx, time.Second, func() { e.Flush(ctx) })
 }
 
 // Done is closed when Run has ended.
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/core/common/random"
 	"gorseline/core/routing"
 )
@@ -83,13 +84,8 @@
 		w.round(ctx)
 		// Jitter keeps the instances from polling a target at the same moment. Its
 		// bound keeps a leaving target's mark within the 3 s that it may take.
-		pause := w.options.Interval*3/4 + time.Duration(w.options.Random.Unit()*float64(w.options.Interval)/4)
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, w.options.Interval*3/4+time.Duration(w.options.Random.Unit()*float64(w.options.Interval)/4)) {
 			return
-		case <-timer.C:
 		}
 	}
 }
--- a/io/engine/control.go
+++ b/io/engine/control.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/io/target"
 )
 
@@ -23,16 +24,7 @@
 // ends.
 func (c *Client) Run(ctx context.Context) {
 	defer close(c.done)
-	ticker := time.NewTicker(c.options.HeartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.sendHeartbeats(ctx)
-		}
-	}
+	pause.Every(ctx, c.options.HeartbeatInterval, func() { c.sendHeartbeats(ctx) })
 }
 
 func (c *Client) sendHeartbeats(ctx context.Context) {
--- a/io/peer/member.go
+++ b/io/peer/member.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/core/configuration"
 	"gorseline/core/membership"
 	"gorseline/core/propagation"
@@ -110,28 +111,12 @@
 func (m *Member) Done() <-chan struct{} { return m.done }
 
 func (m *Member) loopTicks(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.act((*propagation.Node).Tick)
-		}
-	}
+	pause.Every(ctx, tickInterval, func() { m.act((*propagation.Node).Tick) })
 }
 
 func (m *Member) loopSeeds(ctx context.Context) {
-	for {
-		timer := time.NewTimer(m.untilSeeds())
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-			m.readSeeds(ctx)
-		}
+	for pause.For(ctx, m.untilSeeds()) {
+		m.readSeeds(ctx)
 	}
 }
 
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 )
 
 // streamWriter writes one sequence to one reader.
@@ -121,14 +122,7 @@
 	if d == 0 {
 		return true
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-s.r.Context().Done():
-		return false
-	}
+	return pause.For(s.r.Context(), d)
 }
 
 // piece writes one event of n tokens.
--- a/standin/engine/transfer.go
+++ b/standin/engine/transfer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 )
 
 // wireExport is the body of POST /v1/kv/export; the answer lists the exported
@@ -31,12 +32,8 @@
 	blocks = blocks[:e.cache.match(blocks)]
 	e.mu.Unlock()
 	seconds := float64(len(blocks)*core.PrefixBlockTokens) / e.options.TransferRate
-	timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if pause.For(r.Context(), time.Duration(seconds*float64(time.Second))) {
 		writeJSON(w, http.StatusOK, append([]uint64{}, blocks...))
-	case <-r.Context().Done():
 	}
 }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"gorseline/core/common/pause"
 )
 
 // Options configures a stand-in service.
@@ -92,14 +94,8 @@
 	s.mu.Lock()
 	wait := s.options.Work + s.slow
 	s.mu.Unlock()
-	if wait > 0 {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-r.Context().Done():
-			return false
-		}
+	if wait > 0 && !pause.For(r.Context(), wait) {
+		return false
 	}
 	for {
 		s.mu.Lock()
--- a/standin/table/table.go
+++ b/standin/table/table.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 )
 
 // ErrReplyLost describes a transaction whose reply was lost on purpose.
@@ -190,12 +191,8 @@
 	if d <= 0 {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !pause.For(ctx, d) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
