Start parts of both assemblies with one function

Cause: cmd/entry/node had its own copy of cmd/instance's part and start. Change: cmd/part holds them.

--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"io"
@@ -12,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/assign"
 	"gorseline/core/catchup"
@@ -74,7 +74,7 @@
 
 func newLog(lc fx.Lifecycle, settings platform.Settings, output io.Writer) log.Interface {
 	writer := logline.New(logline.Options{Output: output, Instance: string(settings.Instance)})
-	start(lc, writer)
+	part.Start(lc, writer)
 	return &log.Logger{Handler: writer, Level: log.InfoLevel}
 }
 
@@ -129,7 +129,7 @@
 		Tracker: tracker, Snapshots: beliefs,
 	})
 	beliefs.digests = n
-	start(lc, n)
+	part.Start(lc, n)
 	return n, nil
 }
 
@@ -156,32 +156,6 @@
 		Interval: options.Roster, Tracker: tracker,
 	})
 	beliefs.watcher = w
-	start(lc, w)
+	part.Start(lc, w)
 	return w
 }
-
-// part is a component that runs until its context ends.
-type part interface {
-	Run(ctx context.Context)
-	Done() <-chan struct{}
-}
-
-// start runs a part between the start and the stop of the application.
-func start(lc fx.Lifecycle, p part) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go p.Run(ctx)
-			return nil
-		},
-		OnStop: func(limit context.Context) error {
-			cancel()
-			select {
-			case <-p.Done():
-				return nil
-			case <-limit.Done():
-				return limit.Err()
-			}
-		},
-	})
-}
--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/authority"
 	"gorseline/core/common/pause"
@@ -118,8 +119,8 @@
 	r.reporter = orders
 	keeper.Store(r.keeper)
 	r.commander = authority.NewCommander(options, r.keeper)
-	start(lc, r.keeper)
-	start(lc, r)
+	part.Start(lc, r.keeper)
+	part.Start(lc, r)
 	return r, nil
 }
 
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/catchup"
 	"gorseline/core/common/pause"
@@ -76,7 +77,7 @@
 		roster: p.Roster, budgets: p.Budgets, pool: p.Pool, list: p.List, store: p.Store, beliefs: p.Beliefs, registry: p.Registry, done: make(chan struct{}),
 	}
 	n.registerGauges(p.Instruments, p.Roles, p.Tracker)
-	start(lc, n)
+	part.Start(lc, n)
 	n.callers = newServer(p.Forwarder)
 	if err := n.serve(lc, p.Settings.Callers, n.callers); err != nil {
 		return nil, err
--- a/cmd/instance/apply.go
+++ b/cmd/instance/apply.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/timeline"
 )
@@ -38,7 +39,7 @@
 }
 
 func applyConfiguration(in applyInputs) {
-	start(in.Lifecycle, newLoop((&configurationLoop{applyInputs: in}).run))
+	part.Start(in.Lifecycle, newLoop((&configurationLoop{applyInputs: in}).run))
 }
 
 func (l *configurationLoop) run(ctx context.Context) {
--- a/cmd/instance/authority.go
+++ b/cmd/instance/authority.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/authority"
 	"gorseline/core/common/random"
@@ -59,9 +60,9 @@
 			}
 		},
 	})
-	a.release = start(in.Lifecycle, keeper)
+	a.release = part.Start(in.Lifecycle, keeper)
 	in.Serving.watcher = watcher
-	start(in.Lifecycle, watcher)
+	part.Start(in.Lifecycle, watcher)
 	return a
 }
 
--- a/cmd/instance/control.go
+++ b/cmd/instance/control.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/common/random"
 	"gorseline/core/configuration"
@@ -67,7 +68,7 @@
 		Clock: in.Clock, Applier: c.applier, Seed: in.Random.Uint64(), Log: in.Log,
 	})
 	c.peers = transport
-	start(in.Lifecycle, c.member)
+	part.Start(in.Lifecycle, c.member)
 	return c, nil
 }
 
--- a/cmd/instance/events.go
+++ b/cmd/instance/events.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/timeline"
 	"gorseline/io/operator"
@@ -44,7 +45,7 @@
 
 func newEventFlusher(lifecycle fx.Lifecycle, s Settings, t *timeline.Timeline, p *platform, l log.Interface) *eventFlusher {
 	f := &eventFlusher{instance: s.Instance, timeline: t, objects: p.objects, log: l}
-	start(lifecycle, newLoop(f.run))
+	part.Start(lifecycle, newLoop(f.run))
 	return f
 }
 
--- a/cmd/instance/experiment.go
+++ b/cmd/instance/experiment.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/common/pause"
 	"gorseline/core/configuration"
@@ -61,7 +62,7 @@
 
 func watchExperiments(in experimentInputs) {
 	loop := &experimentLoop{in, recordedProposer{in.Control.member, in.Recorder}}
-	start(in.Lifecycle, newLoop(loop.run))
+	part.Start(in.Lifecycle, newLoop(loop.run))
 }
 
 func (l *experimentLoop) run(ctx context.Context) {
--- a/cmd/instance/observer.go
+++ b/cmd/instance/observer.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/common/pause"
 	"gorseline/core/timeline"
@@ -48,7 +49,7 @@
 }
 
 func observeChanges(in observerInputs) {
-	start(in.Lifecycle, newLoop((&observer{observerInputs: in}).run))
+	part.Start(in.Lifecycle, newLoop((&observer{observerInputs: in}).run))
 }
 
 func (o *observer) run(ctx context.Context) {
--- a/cmd/instance/placement.go
+++ b/cmd/instance/placement.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/authority"
 	"gorseline/core/common/pause"
@@ -55,7 +56,7 @@
 		recorder: in.Recorder, clock: in.Clock, log: in.Log,
 		shadow: shadowPlacement{recorder: in.Recorder}, before: map[core.Model]dispatch.Traffic{},
 	}
-	start(in.Lifecycle, newLoop(l.run))
+	part.Start(in.Lifecycle, newLoop(l.run))
 	return l
 }
 
--- a/cmd/instance/platform.go
+++ b/cmd/instance/platform.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/io/instancelist"
 	"gorseline/io/object"
@@ -28,6 +29,6 @@
 		objects:   object.NewClient(s.ObjectsURL, nil),
 		instances: instancelist.NewClient(instancelist.ClientOptions{URL: s.InstancesURL}),
 	}
-	start(lifecycle, newLoop(p.table.Claims.Run))
+	part.Start(lifecycle, newLoop(p.table.Claims.Run))
 	return p
 }
--- a/cmd/instance/serving.go
+++ b/cmd/instance/serving.go
@@ -4,6 +4,7 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"gorseline/cmd/part"
 	"gorseline/core"
 	"gorseline/core/common/random"
 	"gorseline/core/dispatch"
@@ -77,9 +78,9 @@
 		Circuits: circuits, Leaving: s.leaving, Refresh: s.refresh, Clock: in.Clock, Recorder: in.Recorder, Attempts: in.Attempts,
 		Observer: in.Observer,
 	})
-	start(in.Lifecycle, s.engines)
-	start(in.Lifecycle, s.operations)
-	start(in.Lifecycle, circuits)
+	part.Start(in.Lifecycle, s.engines)
+	part.Start(in.Lifecycle, s.operations)
+	part.Start(in.Lifecycle, circuits)
 	return s, nil
 }
 
