Encode an announcement once for all peers, and forget silent addresses

Cause: Announce stamped and encoded the same packet for each peer, replies repeated send, and heardAt kept every address that a datagram ever named. Change: send takes all addresses, and a tick drops addresses silent for freshFor, which no reader takes as fresh. Result: the same datagrams; tests of io/digest and cmd/entry/node pass, also with -race.

--- a/io/digest/load.go
+++ b/io/digest/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"slices"
 
@@ -93,9 +92,7 @@
 		n.opts.Log.WithError(err).Error("DatagramNotEncoded")
 		return
 	}
-	for _, peer := range to {
-		_, _ = n.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(peer)) // may be lost
-	}
+	n.write(data, udpAddresses(to))
 }
 
 // encode returns a digest of events and, as far as they fit, of repeated ones.
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -73,7 +74,7 @@
 	rng     *rand.Rand
 	members *membership.Protocol
 	pending map[uint32]pendingCall
-	// heardAt is when a datagram of an address last arrived.
+	// heardAt is when a datagram of an address last arrived, if that was within freshFor.
 	heardAt map[string]core.Instant
 }
 
@@ -182,6 +183,7 @@
 	}
 	packets := n.register(now, calls)
 	n.updatePeers()
+	maps.DeleteFunc(n.heardAt, func(_ string, at core.Instant) bool { return now.Sub(at) >= freshFor })
 	n.mu.Unlock()
 	n.sendAll(packets)
 	for _, answer := range answers {
@@ -216,19 +218,35 @@
 			n.opts.Log.WithFields(log.Fields{"Address": packets[i].to, "Error": err.Error()}).Warn("PeerAddressInvalid")
 			continue
 		}
-		n.send(to, &packets[i].packet)
+		n.send(&packets[i].packet, net.UDPAddrFromAddrPort(to))
 	}
 }
 
-func (n *Node) send(to netip.AddrPort, p *packet) {
+// send stamps a packet and sends it to each address.
+func (n *Node) send(p *packet, to ...net.Addr) {
 	n.stamp(p)
 	data, err := cbor.Marshal(p)
 	if err != nil {
 		n.opts.Log.WithError(err).Error("DatagramNotEncoded")
 		return
 	}
-	// A datagram that can't be sent counts as lost, which the protocol allows for.
-	_, _ = n.opts.Conn.WriteTo(data, net.UDPAddrFromAddrPort(to))
+	n.write(data, to)
+}
+
+// write sends a datagram to each address. One that can't be sent counts as lost, which the
+// protocol allows for.
+func (n *Node) write(data []byte, to []net.Addr) {
+	for _, address := range to {
+		_, _ = n.opts.Conn.WriteTo(data, address)
+	}
+}
+
+func udpAddresses(list []netip.AddrPort) []net.Addr {
+	addresses := make([]net.Addr, len(list))
+	for i, to := range list {
+		addresses[i] = net.UDPAddrFromAddrPort(to)
+	}
+	return addresses
 }
 
 // updatePeers follows the members. The lock must be held.
@@ -302,14 +320,7 @@
 // answer replies to a call of a peer.
 func (n *Node) answer(p *packet, from net.Addr) {
 	reply := func(m membership.Message) {
-		answer := &packet{Kind: packetReply, Serial: p.Serial, Message: &m}
-		n.stamp(answer)
-		data, err := cbor.Marshal(answer)
-		if err != nil {
-			n.opts.Log.WithError(err).Error("DatagramNotEncoded")
-			return
-		}
-		_, _ = n.opts.Conn.WriteTo(data, from) // may be lost
+		n.send(&packet{Kind: packetReply, Serial: p.Serial, Message: &m}, from)
 	}
 	n.mu.Lock()
 	now := n.opts.Clock.Now()
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gorseline/core/catchup"
@@ -11,12 +12,7 @@
 // Announce tells the peers of the own cell which versions this instance has.
 func (n *Node) Announce() {
 	p := n.peers.Load()
-	for _, to := range p.near {
-		n.send(to, &packet{Kind: packetVersions})
-	}
-	for _, to := range p.unmet {
-		n.send(to, &packet{Kind: packetVersions})
-	}
+	n.send(&packet{Kind: packetVersions}, udpAddresses(slices.Concat(p.near, p.unmet))...)
 }
 
 // announceInterval is how often an instance tells the peers of its cell that it lives and
