Judge targets in one place, which logs each that is avoided

Cause: failed prefills, failed answers of engines and broken streams changed the belief in a target without the line TargetAvoided, which calls have; the choice for a call was written twice. Change: judge, judgeSilent and chooseCall serve all. Result: TestAvoidedEngineIsLogged fails before and passes now; decisions are the same.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -34,7 +34,7 @@
 func (r *run) send(e *roster.Entry, a core.Attempt, limit time.Duration) (*target.Answer, sendResult) {
 	now := r.Clock.Now()
 	r.Health.Sending(now, e.ID)
-	a.Request, a.Target, a.Address = r.req.ID, e.ID, e.Address
+	a.Target = e.ID
 	a.Remaining = r.remaining()
 	limit = min(limit, a.Remaining)
 	r.sends++
@@ -100,11 +100,27 @@
 	if errors.As(err, &failure) && failure.Timeout() && waited < r.route.Objective {
 		return
 	}
+	r.judgeSilent(e)
+}
+
+// judge takes in an answer of a target, and whether it was a failure of the target itself.
+func (r *run) judge(e *roster.Entry, failed bool) {
+	if r.Health.Answered(r.Clock.Now(), e.ID, r.service, failed) {
+		r.logAvoided(e, "Failures")
+	}
+}
+
+// judgeSilent takes in that a target fell silent.
+func (r *run) judgeSilent(e *roster.Entry) {
 	if r.Health.Silent(r.Clock.Now(), e.ID) {
-		r.Log.WithFields(log.Fields{"Target": e.ID, "Service": r.service, "Reason": "NoAnswer"}).Warn("TargetAvoided")
+		r.logAvoided(e, "NoAnswer")
 	}
 }
 
+func (r *run) logAvoided(e *roster.Entry, reason core.Reason) {
+	r.Log.WithFields(log.Fields{"Target": e.ID, "Service": r.service, "Reason": reason}).Warn("TargetAvoided")
+}
+
 func (r *run) logAttempt(e *roster.Entry, a *core.Attempt, result string, status int, err error) {
 	fields := log.Fields{
 		"Request": r.req.ID, "Target": e.ID, "Address": e.Address, "Result": result, "Status": status,
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -32,9 +32,7 @@
 // serveCall forwards a request that carries no prompt.
 func (r *run) serveCall() {
 	for {
-		d := r.Assigner.Call(r.Clock.Now(), r.Roster.View(), &assign.CallRequest{
-			Service: r.service, Remaining: r.remaining(), Exclude: r.exclude,
-		})
+		d := r.chooseCall()
 		r.logCall(d)
 		if d.Target == nil {
 			r.giveUp(d.Reason, d.RetryAfter)
@@ -49,6 +47,13 @@
 	}
 }
 
+// chooseCall asks for a target that was not tried yet.
+func (r *run) chooseCall() assign.CallDecision {
+	return r.Assigner.Call(r.Clock.Now(), r.Roster.View(), &assign.CallRequest{
+		Service: r.service, Remaining: r.remaining(), Exclude: r.exclude,
+	})
+}
+
 // callOnce sends the request to one target and relays its answer. It returns false if
 // another target may be tried.
 func (r *run) callOnce(d assign.CallDecision) (done bool) {
@@ -61,16 +66,12 @@
 		return false
 	}
 	failed := answer.Status >= http.StatusInternalServerError
-	if r.Health.Answered(r.Clock.Now(), e.ID, r.service, failed) {
-		r.Log.WithFields(log.Fields{"Target": e.ID, "Service": r.service, "Reason": "Failures"}).Warn("TargetAvoided")
-	}
+	r.judge(e, failed)
 	// A repeatable request that the target failed may succeed elsewhere.
 	if failed && r.mayRunAgain() && r.remaining() > r.route.Objective/4 && r.Budgets.Take(r.service) {
 		drain(answer)
 		r.logAttempt(e, &core.Attempt{}, "Failed", answer.Status, nil)
-		d := r.Assigner.Call(r.Clock.Now(), r.Roster.View(), &assign.CallRequest{
-			Service: r.service, Remaining: r.remaining(), Exclude: r.exclude,
-		})
+		d := r.chooseCall()
 		if d.Target == nil {
 			r.fail(core.ReasonNoTarget)
 			return true
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -102,7 +102,7 @@
 	}
 	handle, err := r.readHandle(answer)
 	now := r.Clock.Now()
-	r.Health.Answered(now, d.Target.ID, r.service, err != nil)
+	r.judge(d.Target, err != nil)
 	if err != nil {
 		r.logAttempt(d.Target, &attempt, "Failed", answer.Status, err)
 		return "", false
@@ -134,7 +134,7 @@
 // answer relays the answer of the engine that generates.
 func (r *run) answer(e *roster.Entry, answer *target.Answer) (done bool) {
 	failed := answer.Status >= http.StatusInternalServerError
-	r.Health.Answered(r.Clock.Now(), e.ID, r.service, failed)
+	r.judge(e, failed)
 	if failed && r.mayRunAgain() {
 		drain(answer)
 		r.exclude = append(r.exclude, e.ID)
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -53,7 +53,7 @@
 			return true
 		}
 		r.exclude = append(r.exclude, e.ID)
-		r.Health.Silent(r.Clock.Now(), e.ID)
+		r.judgeSilent(e)
 		r.logAttempt(e, &core.Attempt{ResumeAfter: s.lastID}, "StreamBroken", answer.Status, err)
 		if !s.started && r.mayRunAgain() {
 			return false
--- a/standin/platform/rig_test.go
+++ b/standin/platform/rig_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 
 	"gorseline/core"
 	"gorseline/core/assign"
@@ -38,6 +38,7 @@
 	roster    *roster.Roster
 	server    *httptest.Server
 	targets   []*platform.Target
+	logs      *memory.Handler
 }
 
 type noSharer struct{}
@@ -57,7 +58,7 @@
 // plain target.
 func newRig(t *testing.T, phases ...string) *rig {
 	t.Helper()
-	r := &rig{t: t, roster: roster.New(time.Second)}
+	r := &rig{t: t, roster: roster.New(time.Second), logs: memory.New()}
 	var list []core.Registration
 	for i, phase := range phases {
 		tg, err := platform.NewTarget("i-"+string(rune('a'+i)), phase)
@@ -80,7 +81,7 @@
 		Board: board, Roster: r.roster, Health: health,
 		Budgets: forward.NewBudgets(forward.BudgetOptions{Ratio: 1, Slack: 1000}),
 		Clock:   core.NewProcessClock(), Sharer: noSharer{}, Observer: noObserver{},
-		Log: &log.Logger{Handler: discard.Default}, Sender: 1, MaxBody: 1 << 20,
+		Log: &log.Logger{Handler: r.logs, Level: log.InfoLevel}, Sender: 1, MaxBody: 1 << 20,
 	})
 	r.forwarder.Configure(route.NewTable(configuration(1)))
 	r.server = httptest.NewUnstartedServer(r.forwarder)
--- a/standin/platform/stream_test.go
+++ b/standin/platform/stream_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"gorseline/core"
 	"gorseline/standin/platform"
 )
 
@@ -37,6 +38,23 @@
 	}
 }
 
+// Guards against an engine that is avoided for its failures without a log line that says so.
+func TestAvoidedEngineIsLogged(t *testing.T) {
+	r := newRig(t, "prefill", "decode")
+	const failures = 8 // the samples that a judgement needs
+	for range failures {
+		r.targets[0].Misbehave(platform.Fail)
+		r.prompt(t.Context(), "/resumable/x")
+	}
+	r.server.Close() // ends the requests, which log until then
+	for _, e := range r.logs.Entries {
+		if e.Message == "TargetAvoided" && e.Fields["Target"] == core.TargetID("i-a") && e.Fields["Reason"] == core.Reason("Failures") {
+			return
+		}
+	}
+	t.Error("no log line says that the engine is avoided")
+}
+
 // Guards against streams that miss a piece, have one twice or end early, whatever the
 // engines do.
 func TestStreamsOfMisbehavingEngines(t *testing.T) {
