--- a/core/forwarding.go
+++ b/core/forwarding.go
@@ -154,9 +154,7 @@
 
 // Attempt is one send of a request to a target.
 type Attempt struct {
-	Request RequestID
-	Target  TargetID
-	Address string
+	Target TargetID
 	// Remaining is the time that the target may use.
 	Remaining time.Duration
 	// PrefillOnly computes the prompt and keeps its KV cache for import elsewhere.
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -47,9 +47,7 @@
 type Error struct {
 	// Sent is false only if no byte of the request can have reached the target.
 	Sent bool
-	// Reused says that the connection had served other requests before.
-	Reused bool
-	err    error
+	err  error
 }
 
 // Error describes the failure.
@@ -72,13 +70,12 @@
 	Length int64
 	Body   io.Reader
 
-	pool     *Pool
-	conn     *pooled
-	response *http.Response
-	stop     func() bool
-	ended    bool
-	keep     bool
-	idle     time.Duration
+	pool  *Pool
+	conn  *pooled
+	stop  func() bool
+	ended bool
+	keep  bool
+	idle  time.Duration
 	// written is closed when the request's body was written; nil if it was written before
 	// the answer was read.
 	written chan error
@@ -107,7 +104,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Error{Sent: true, Reused: conn.reused, err: err}
+		return nil, &Error{Sent: true, err: err}
 	}
 	return a, nil
 }
@@ -178,12 +175,10 @@
 		if _, err := io.CopyN(io.Discard, response.Body, min(response.ContentLength, skippedBody)); err != nil {
 			return errors.Wrap(err, "skip an answer to another request")
 		}
-		a.conn.reused = true
 	}
 }
 
 func (a *Answer) accept(response *http.Response) {
-	a.response = response
 	a.Status, a.Header, a.Length = response.StatusCode, response.Header, response.ContentLength
 	a.Body = response.Body
 	a.keep, a.idle = !response.Close, keepAliveTime(response.Header)
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -42,7 +42,6 @@
 	address string
 	// expires is when the unused connection is closed.
 	expires time.Time
-	reused  bool
 }
 
 // NewPool returns a pool without connections.
@@ -97,7 +96,6 @@
 			break
 		}
 		if time.Now().Before(c.expires) && c.isOpen() {
-			c.reused = true
 			return c, nil
 		}
 		_ = c.Close() // the peer sees the end in any case
@@ -180,9 +178,6 @@
 	}
 }
 
-// Close closes all unused connections.
-func (p *Pool) Close() { p.CloseExpired(time.Now().Add(24 * time.Hour)) }
-
 // isOpen reports whether an unused connection is neither closed by the target nor holds
 // bytes that belong to no request. It reads without blocking.
 func (c *pooled) isOpen() bool {
