--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"sync"
 	"time"
 
 	"gorseline/core"
@@ -83,7 +82,6 @@
 // is not safe for concurrent use.
 type DemandPlanner struct {
 	options DemandOptions
-	mu      sync.Mutex
 	// busy and full are running averages of the shares in use.
 	busy, full float64
 	// promptsSince and generationsSince are when more engines for either began to be wanted;
@@ -116,8 +114,6 @@
 // Plan returns the role changes that should begin now. It is called about once a second
 // with all engines of the service that take work.
 func (p *DemandPlanner) Plan(now core.Instant, engines []EngineLoad) []core.RoleChange {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.settle(now, engines)
 	p.observe(now, engines)
 	free := p.settled(engines)
@@ -310,14 +306,10 @@
 // Averages returns the shares of prompt engines and of generation slots in use, which
 // the plans rest on.
 func (p *DemandPlanner) Averages() (busy, full float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	return p.busy, p.full
 }
 
 // Failed notes that a change could not be ordered.
 func (p *DemandPlanner) Failed(id core.TargetID) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	delete(p.pending, id)
 }
