Read the reports of all services when they are due

Cause: the first service that was planned moved the time of the next reading, so that the engines of a second one in other cells were planned without their load until chance put it first. Change: one look at the time a plan; also dropped is a fallback for an instance that is not its own member, which can't be. Result: TestReportsOfAllServicesAreRead fails before and passes now.

--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -97,7 +97,7 @@
 	options := authority.Options{
 		Self: p.Settings.Instance, Shards: roleShards, Groups: 1, Table: p.Table, Clock: clock,
 		Recorder: eventLog{p.Log}, Attempts: table.NewAttempts(),
-		Members: func() []core.InstanceID { return memberIDs(p.Digests, p.Settings.Instance) },
+		Members: func() []core.InstanceID { return memberIDs(p.Digests) },
 		Orderer: orders,
 		Timing: authority.Timing{
 			Lease: leaseTime, Renew: renewTime, OrderLifetime: orderLifetime,
@@ -124,14 +124,12 @@
 	return r, nil
 }
 
-func memberIDs(d *digest.Node, self core.InstanceID) []core.InstanceID {
+// memberIDs returns the IDs of the members, this instance included.
+func memberIDs(d *digest.Node) []core.InstanceID {
 	members := d.Members()
-	ids := make([]core.InstanceID, 0, len(members)+1)
-	for _, m := range members {
-		ids = append(ids, m.ID)
-	}
-	if len(ids) == 0 {
-		ids = append(ids, self)
+	ids := make([]core.InstanceID, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
 	}
 	return ids
 }
@@ -155,10 +153,17 @@
 		return
 	}
 	view := r.roster.View()
+	isDue := r.steady.Now() >= r.reportAt
+	if isDue {
+		r.reportAt = r.steady.Now().Add(reportInterval)
+	}
 	for name, service := range t.Configuration().Services {
 		if service.Engine == nil {
 			continue
 		}
+		if isDue {
+			r.askAll(ctx, view.Ready(name))
+		}
 		r.planService(ctx, view, name)
 	}
 }
@@ -168,13 +173,6 @@
 	now := r.steady.Now()
 	cells := r.cells.Cells()
 	groups := map[core.DataCentre][]placement.EngineLoad{}
-	isDue := now >= r.reportAt
-	if isDue {
-		r.reportAt = now.Add(reportInterval)
-	}
-	if isDue {
-		r.askAll(ctx, view.Ready(name), cells)
-	}
 	for _, e := range view.Ready(name) {
 		r.observe(ctx, e)
 		cell := cells.Of(e.ID, e.DataCentre)
@@ -202,7 +200,8 @@
 const reportCalls = 8
 
 // askAll reads the reports of the engines whose load this instance does not share.
-func (r *roles) askAll(ctx context.Context, engines []*roster.Entry, cells *load.Cells) {
+func (r *roles) askAll(ctx context.Context, engines []*roster.Entry) {
+	cells := r.cells.Cells()
 	var mu sync.Mutex
 	var calls sync.WaitGroup
 	free := make(chan struct{}, reportCalls)
