--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -90,12 +90,9 @@
 	})
 }
 
-// assumedInstances shares the retry budget until the other instances are known.
-const assumedInstances = 16
-
 func newBudgets(settings platform.Settings) *forward.Budgets {
 	return forward.NewBudgets(forward.BudgetOptions{
-		Ratio: settings.Bounds.RetryRatio, Slack: settings.Bounds.RetrySlack, Instances: assumedInstances,
+		Ratio: settings.Bounds.RetryRatio, Slack: settings.Bounds.RetrySlack, Instances: platform.AssumedInstances,
 	})
 }
 
--- a/io/logline/logline.go
+++ b/io/logline/logline.go
@@ -76,10 +76,13 @@
 	return w.count.Add(1) <= int64(w.opts.InfoPerSecond)
 }
 
+// timeLayout is the layout of times, which are in UTC.
+const timeLayout = "2006-01-02T15:04:05.000Z"
+
 func (w *Writer) format(e *log.Entry) []byte {
 	b := make([]byte, 0, 320)
 	b = append(b, "Time="...)
-	b = e.Timestamp.UTC().AppendFormat(b, "2006-01-02T15:04:05.000Z")
+	b = e.Timestamp.UTC().AppendFormat(b, timeLayout)
 	b = append(b, " Level="...)
 	b = append(b, e.Level.String()...)
 	b = append(b, " Instance="...)
@@ -190,7 +193,7 @@
 	}
 	var line bytes.Buffer
 	fmt.Fprintf(&line, "Time=%s Level=warn Instance=%s Event=LinesLeftOut QueueFull=%d OverRate=%d\n",
-		time.Now().UTC().Format("2006-01-02T15:04:05.000Z"), w.opts.Instance, dropped, sampled)
+		time.Now().UTC().Format(timeLayout), appendText(nil, w.opts.Instance), dropped, sampled)
 	_, _ = out.Write(line.Bytes())
 	_ = out.Flush()
 }
