--- a/core/identifiers.go
+++ b/core/identifiers.go
@@ -15,7 +15,7 @@
 	Organisation string
 	// Model names a model that engines serve.
 	Model string
-	// Service names a group of targets, such as "ledger-llm" or "books-app".
+	// Service names a group of targets, such as the engines of one model or the replicas of one app.
 	Service string
 	// KindName names a kind of request, such as "ClerkQuery".
 	KindName string
