--- a/cmd/commands/soak.go
+++ b/cmd/commands/soak.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"gorseline/cmd/soak"
+	"gorseline/standin/platform/soak"
 )
 
 type soakCommand struct {
--- a/cmd/soak/soak_test.go
+++ b/cmd/entry/soak_test.go
@@ -1,4 +1,4 @@
-package soak_test
+package main_test
 
 import (
 	"os"
@@ -10,7 +10,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"gorseline/cmd/entry/node"
-	"gorseline/cmd/soak"
+	"gorseline/standin/platform/soak"
 )
 
 // TestMain runs an instance in the processes that a soak starts from this binary.
