--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -48,6 +48,9 @@
 	// Margin covers the drift between two local clocks over one lease. 500 ms in 15 s
 	// is 3%, far above the 0.05% that clock discipline may slew.
 	Margin time.Duration
+	// Turn is the least time between orders of two holders to one target that does not
+	// check fences; 0 takes Margin.
+	Turn time.Duration
 	// ReleaseLimit bounds the attempts to release leases when the process ends; 0 takes
 	// Lease. A lease that isn't released ends by itself.
 	ReleaseLimit time.Duration
--- a/core/authority/watch.go
+++ b/core/authority/watch.go
@@ -133,7 +133,7 @@
 	}
 	h := &holding{version: version, since: now, Lease: Lease{
 		Shard: shard, Fence: core.Fence(version), Until: until,
-		ClearAt: now.Add(k.opts.OrderLifetime + k.opts.Margin),
+		ClearAt: now.Add(k.opts.OrderLifetime + max(k.opts.Margin, k.opts.Turn)),
 	}}
 	k.held[shard] = h
 	k.record(EventShardAcquired, shard, h.Fence)
