Tell restarted peers the outstanding work; let roles follow refusals

Change: a peer that is heard anew is told all outstanding work; work of ended or silent processes is dropped; the planner takes in the shares of requests refused for want of slots and of prompt time, and moves engines to the side that is short of more. Refusals for want of slots have the reason NoSlot, and each plan is logged (RolesPlanned).

--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -11,6 +11,7 @@
 
 	"gorseline/cmd/part"
 	"gorseline/core"
+	"gorseline/core/assign"
 	"gorseline/core/authority"
 	"gorseline/core/common/pause"
 	"gorseline/core/load"
@@ -66,8 +67,11 @@
 	planners  map[planKey]*placement.DemandPlanner
 	cells     load.CellProvider
 	reporter  core.LoadReporter
-	reported  map[core.TargetID]core.LoadReport
-	reportAt  core.Instant
+	assigner  *assign.Assigner
+	// counted are the assigner's counts at the last plan.
+	counted  map[core.Service]assign.Counts
+	reported map[core.TargetID]core.LoadReport
+	reportAt core.Instant
 	// ordered holds when an order of this instance was accepted.
 	ordered map[core.TargetID]core.Instant
 	done    chan struct{}
@@ -83,6 +87,7 @@
 	Forwarder *forward.Forwarder
 	Roster    *roster.Roster
 	Board     *load.Board
+	Assigner  *assign.Assigner
 	Log       log.Interface
 }
 
@@ -106,7 +111,8 @@
 	}
 	r := &roles{
 		keeper: authority.NewKeeper(options), clock: clock, steady: p.Steady, forwarder: p.Forwarder,
-		roster: p.Roster, board: p.Board, log: p.Log,
+		roster: p.Roster, board: p.Board, assigner: p.Assigner, log: p.Log,
+		counted: map[core.Service]assign.Counts{},
 		options: placement.DemandOptions{StartShare: p.Options.StartShare},
 		// What the registry shows may be two renewals and one read old.
 		staleness: 2*p.Settings.Heartbeat + p.Options.Roster,
@@ -192,14 +198,38 @@
 		}
 		groups[cell] = append(groups[cell], engine)
 	}
+	refused := map[core.DataCentre]placement.Refusals{cells.Home: r.refusals(name)}
 	for cell, engines := range groups {
 		planner := r.planner(planKey{name, cell})
-		for _, change := range planner.Plan(now, engines) {
+		changes := planner.Plan(now, engines, refused[cell])
+		demand := planner.Demand()
+		r.log.WithFields(log.Fields{
+			"Service": name, "Cell": cell, "Busy": demand.Busy, "Full": demand.Full, "Peak": demand.Peak,
+			"NoSlot": demand.Refused.NoSlot, "Backlog": demand.Refused.Backlog,
+			"Prefill": demand.Readers, "Decode": demand.Generators, "Pending": demand.Pending,
+			"Changes": len(changes), "Roster": view.Version,
+		}).Info("RolesPlanned")
+		for _, change := range changes {
 			r.order(ctx, view, planner, change)
 		}
 	}
 }
 
+// refusals returns the shares of the requests that this instance has refused since the
+// last plan. Callers choose instances at random, so that they stand for those of the
+// others in the cell.
+func (r *roles) refusals(service core.Service) placement.Refusals {
+	counts := r.assigner.Counts(service)
+	last, known := r.counted[service]
+	r.counted[service] = counts
+	recent := counts.Sub(last)
+	if !known || recent.Requests == 0 {
+		return placement.Refusals{}
+	}
+	requests := float64(recent.Requests)
+	return placement.Refusals{NoSlot: float64(recent.NoSlot) / requests, Backlog: float64(recent.Backlog) / requests}
+}
+
 // reportInterval is the time between two reads of the reports of other cells' engines.
 const reportInterval = 2 * time.Second
 
@@ -280,11 +310,11 @@
 	if !ok {
 		return
 	}
-	busy, full := planner.Averages()
+	demand := planner.Demand()
 	result := r.commander.Submit(ctx, e.Target, authority.Desired{Role: change.To})
 	r.log.WithFields(log.Fields{
 		"Target": change.Target, "From": change.From, "To": change.To, "Reason": change.Reason,
-		"Result": result, "Roster": view.Version, "Busy": busy, "Full": full,
+		"Result": result, "Roster": view.Version, "Busy": demand.Busy, "Full": demand.Full,
 	}).Info("RoleChangeOrdered")
 	switch result {
 	case authority.SubmitRefused, authority.SubmitRejected, authority.SubmitBusy:
--- a/cmd/entry/node/roles_test.go
+++ b/cmd/entry/node/roles_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"gorseline/core"
+	"gorseline/core/assign"
 	"gorseline/core/authority"
 	"gorseline/core/common/pause"
 	"gorseline/core/load"
@@ -60,6 +61,7 @@
 	})
 	reporter := &countingReporter{}
 	r := &roles{
+		assigner: assign.New(assign.Options{Board: load.NewBoard()}), counted: map[core.Service]assign.Counts{},
 		clock: clock, steady: core.NewProcessClock(), forwarder: f, roster: targets, board: load.NewBoard(),
 		log: &log.Logger{Handler: discard.Default}, planners: map[planKey]*placement.DemandPlanner{},
 		ordered: map[core.TargetID]core.Instant{}, reported: map[core.TargetID]core.LoadReport{}, reporter: reporter,
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -118,6 +118,27 @@
 	wholeRatio float64
 	// handover is the time from an import's start to the first token beyond the transfer.
 	handover time.Duration
+	counts   Counts
+}
+
+// Counts says how many requests of a service were decided here and why some were refused.
+type Counts struct {
+	Requests int
+	// NoSlot were refused because no generating engine had a free slot, Backlog because
+	// every engine had too much prompt work.
+	NoSlot, Backlog int
+}
+
+// Sub returns the counts since earlier ones.
+func (c Counts) Sub(earlier Counts) Counts {
+	return Counts{c.Requests - earlier.Requests, c.NoSlot - earlier.NoSlot, c.Backlog - earlier.Backlog}
+}
+
+// Counts returns the counts of a service since the start.
+func (a *Assigner) Counts(service core.Service) Counts {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.model(service).counts
 }
 
 // Starting values of a model, replaced by what answers show: generating engines compute
@@ -156,7 +177,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	m := a.model(req.Service)
-	candidates, shortest := a.candidates(now, view, req, m)
+	m.counts.Requests++
+	candidates, shortest, isFull := a.candidates(now, view, req, m)
 	limit := a.limit(req, shortest)
 	best, ok := choose(candidates, limit)
 	if !ok {
@@ -165,11 +187,16 @@
 			ok = best.Expected <= limit
 		}
 	}
+	if best.Target == nil && isFull {
+		m.counts.NoSlot++
+		return a.refuse(req, Decision{Reason: core.ReasonNoSlot}, req.Objective)
+	}
 	if best.Target == nil {
 		return a.refuse(req, Decision{Reason: core.ReasonNoTarget}, req.Objective)
 	}
 	best.Candidates, best.Limit = len(candidates), limit
 	if !ok {
+		m.counts.Backlog++
 		best.Target, best.Reason = nil, ReasonBacklog
 		return a.refuse(req, best.Decision, best.Expected-limit)
 	}
@@ -207,14 +234,15 @@
 }
 
 // candidates returns the engines of the own cell that could compute the prompt, and the
-// shortest time on one of them if it were idle. The slice is valid until the next call.
+// shortest time on one of them if it were idle. isFull reports that none of those that
+// generate has a free slot. The slice is valid until the next call.
 func (a *Assigner) candidates(
 	now core.Instant, view *roster.View, req *Request, m *model,
-) (list []candidate, shortest time.Duration) {
+) (list []candidate, shortest time.Duration, isFull bool) {
 	list = a.scratch[:0]
-	hasGenerator := a.hasGenerator(now, view, req)
+	generates, hasFree := a.generators(now, view, req)
 	for _, e := range view.Ready(req.Service) {
-		if !a.knows(e) || !a.usable(now, e, req.Exclude) || e.Role == core.RolePrefill && !hasGenerator {
+		if !a.knows(e) || !a.usable(now, e, req.Exclude) || e.Role == core.RolePrefill && !hasFree {
 			continue
 		}
 		c, ok := a.candidate(now, e, req, m)
@@ -227,7 +255,7 @@
 		list = append(list, c)
 	}
 	a.scratch = list
-	return list, shortest
+	return list, shortest, generates && !hasFree
 }
 
 func (a *Assigner) usable(now core.Instant, e *roster.Entry, exclude []core.TargetID) bool {
@@ -239,17 +267,19 @@
 	return a.opts.Health.Usable(now, e.ID)
 }
 
-// hasGenerator reports whether an engine with a free slot could generate an answer.
-func (a *Assigner) hasGenerator(now core.Instant, view *roster.View, req *Request) bool {
+// generators reports whether there are engines that could generate an answer, and whether
+// one of them has a free slot.
+func (a *Assigner) generators(now core.Instant, view *roster.View, req *Request) (exist, hasFree bool) {
 	for _, e := range view.Ready(req.Service) {
 		if !e.Role.AcceptsDecode() || !a.knows(e) || !a.usable(now, e, req.Exclude) {
 			continue
 		}
+		exist = true
 		if state := a.opts.Board.State(now, e.ID, nil); hasSlot(e, &state) {
-			return true
+			return true, true
 		}
 	}
-	return false
+	return exist, false
 }
 
 // hasSlot reports whether a request would not wait for a slot. Answers hold slots for
--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -94,6 +94,22 @@
 	}
 }
 
+// Guards against refusals for want of slots that are taken for a loss of engines, and that
+// the plan of roles doesn't see.
+func TestFullGeneratorsMeanNoSlot(t *testing.T) {
+	board := load.NewBoard()
+	a, view := newAssigner(board), newView(2, 1)
+	for serial := range uint32(200) {
+		board.Sent(0, load.Item{Ref: load.Ref{Key: load.Key{Serial: serial}, Target: "g0"}, Kind: load.Generate})
+	}
+	if d := a.Assign(0, view, testRequest(5000)); d.Target != nil || d.Reason != core.ReasonNoSlot || d.RetryAfter <= 0 {
+		t.Errorf("%+v", d)
+	}
+	if got := a.Counts("models"); got.Requests != 1 || got.NoSlot != 1 || got.Backlog != 0 {
+		t.Errorf("counts %+v", got)
+	}
+}
+
 // Guards against a prompt that is computed again although an engine holds most of it.
 func TestPromptGoesWhereItsPartsAre(t *testing.T) {
 	board := load.NewBoard()
--- a/core/decision.go
+++ b/core/decision.go
@@ -30,6 +30,7 @@
 	ReasonOrganisationLimit Reason = "OrganisationLimit"
 	ReasonKindLimit         Reason = "KindLimit"
 	ReasonConcurrency       Reason = "ConcurrencyLimit"
+	ReasonNoSlot            Reason = "NoSlot"
 	ReasonAdmitted          Reason = "Admitted"
 	ReasonNotReady          Reason = "NotReady"
 	ReasonStoreUnavailable  Reason = "StoreUnavailable"
--- a/core/load/board.go
+++ b/core/load/board.go
@@ -7,6 +7,7 @@
 package load
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -125,12 +126,15 @@
 	delete(b.targets, id)
 }
 
-// Sent notes that work was sent to its target.
+// Sent notes that work was sent to its target. Work that is known is left as it is.
 func (b *Board) Sent(now core.Instant, item Item) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.target(item.Target)
 	t.expire(now)
+	if t.find(item.Key) >= 0 {
+		return
+	}
 	if item.Kind.computes() && !t.isComputing() {
 		t.progress = now
 	}
@@ -157,23 +161,57 @@
 
 // computed ends the computation of an item, and removes the item if it is over.
 func (t *target) computed(now core.Instant, key Key, isOver bool) (took time.Duration, ok bool) {
-	for i := range t.items {
-		item := &t.items[i]
-		if item.Key != key {
-			continue
-		}
-		if item.Kind.computes() && !item.computed {
-			took, ok = now.Sub(max(t.progress, item.sent)), true
-			item.computed = true
-			t.progress = now
-			t.overtake(item.sent)
-		}
-		if isOver {
-			t.items = append(t.items[:i], t.items[i+1:]...)
+	i := t.find(key)
+	if i < 0 {
+		return 0, false
+	}
+	item := &t.items[i]
+	if item.Kind.computes() && !item.computed {
+		took, ok = now.Sub(max(t.progress, item.sent)), true
+		item.computed = true
+		t.progress = now
+		t.overtake(item.sent)
+	}
+	if isOver {
+		t.items = append(t.items[:i], t.items[i+1:]...)
+	}
+	return took, ok
+}
+
+// find returns the index of an item, or -1.
+func (t *target) find(key Key) int {
+	return slices.IndexFunc(t.items, func(o open) bool { return o.Key == key })
+}
+
+// Drop forgets the outstanding work of a sender, as when its process has ended.
+func (b *Board) Drop(sender uint32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.targets {
+		t.items = slices.DeleteFunc(t.items, func(o open) bool { return o.Key.Sender == sender })
+	}
+}
+
+// Outstanding is an item that is not finished.
+type Outstanding struct {
+	Item
+	// IsComputed is set once its prompt is done.
+	IsComputed bool
+}
+
+// Outstanding returns the work of a sender that is not finished.
+func (b *Board) Outstanding(sender uint32) []Outstanding {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Outstanding
+	for _, t := range b.targets {
+		for _, o := range t.items {
+			if o.Key.Sender == sender {
+				list = append(list, Outstanding{o.Item, o.computed})
+			}
 		}
-		return took, ok
 	}
-	return 0, false
+	return list
 }
 
 // overtakeMargin covers the difference of the ways that two instances' sends and digests
--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -29,6 +29,9 @@
 	// others after one is taken away; 0.7. Answers hold slots for seconds, so that a
 	// shortage passes slowly.
 	Full, Spare float64
+	// Refused is the share of requests that may be refused for want of slots or of prompt
+	// time before more engines for that are wanted; 0.02.
+	Refused float64
 	// Memory is the time constant with which the highest use is forgotten; 15 s.
 	Memory time.Duration
 	// Smoothing is the time constant of the averages; 2 s.
@@ -53,6 +56,7 @@
 	o.Busy = orDefault(o.Busy, 0.85)
 	o.Full = orDefault(o.Full, 0.95)
 	o.Spare = orDefault(o.Spare, 0.7)
+	o.Refused = orDefault(o.Refused, 0.02)
 	o.Memory = orDefault(o.Memory, 15*time.Second)
 	o.Smoothing = orDefault(o.Smoothing, 2*time.Second)
 	o.PromptsFor = orDefault(o.PromptsFor, 6*time.Second)
@@ -75,15 +79,24 @@
 	Generating int
 }
 
-// DemandPlanner plans the roles of the engines of one service by what waits: it moves
-// engines to prompts while those that have this role are busy and the others idle, and
-// back when generations fill their slots. It answers mixes whose share of prompts shifts
+// Refusals are the shares of the requests since the last plan that were refused because
+// no generating engine had a free slot, and because prompts would have waited too long.
+type Refusals struct {
+	NoSlot  float64
+	Backlog float64
+}
+
+// DemandPlanner plans the roles of the engines of one service by what waits and what is
+// refused: it moves engines to prompts while those that have this role are busy and the
+// others idle, and back when generations fill their slots. It answers mixes whose share of prompts shifts
 // within seconds, and a start in which most engines have the role that little needs. It
 // is not safe for concurrent use.
 type DemandPlanner struct {
 	options DemandOptions
-	// busy and full are running averages of the shares in use.
+	// busy and full are running averages of the shares in use, refused of the shares
+	// refused.
 	busy, full float64
+	refused    Refusals
 	// promptsSince and generationsSince are when more engines for either began to be wanted;
 	// 0 while they are not.
 	promptsSince, generationsSince core.Instant
@@ -91,6 +104,8 @@
 	peak      float64
 	at        core.Instant
 	isStarted bool
+	// readers and generators are the engines of either role at the last plan.
+	readers, generators int
 	// seen is set with the first demand.
 	seen    bool
 	pending map[core.TargetID]pendingRole
@@ -113,9 +128,9 @@
 
 // Plan returns the role changes that should begin now. It is called about once a second
 // with all engines of the service that take work.
-func (p *DemandPlanner) Plan(now core.Instant, engines []EngineLoad) []core.RoleChange {
+func (p *DemandPlanner) Plan(now core.Instant, engines []EngineLoad, refused Refusals) []core.RoleChange {
 	p.settle(now, engines)
-	p.observe(now, engines)
+	p.observe(now, engines, refused)
 	free := p.settled(engines)
 	if len(engines) < 2 {
 		return nil
@@ -151,14 +166,16 @@
 }
 
 // observe updates the averages.
-func (p *DemandPlanner) observe(now core.Instant, engines []EngineLoad) {
-	var readers, reading, slots, generating float64
+func (p *DemandPlanner) observe(now core.Instant, engines []EngineLoad, refused Refusals) {
+	var reading, slots, generating float64
+	p.readers, p.generators = 0, 0
 	for _, e := range engines {
 		if e.Role == core.RolePrefill {
-			readers++
+			p.readers++
 			reading += min(1, float64(e.Prompts))
 			continue
 		}
+		p.generators++
 		slots += float64(max(1, e.Slots))
 		generating += float64(e.Generating)
 	}
@@ -166,8 +183,8 @@
 		p.seen = true
 	}
 	busy, full := 1.0, 1.0
-	if readers > 0 {
-		busy = reading / readers
+	if p.readers > 0 {
+		busy = reading / float64(p.readers)
 	}
 	if slots > 0 {
 		full = generating / slots
@@ -178,13 +195,16 @@
 	}
 	p.busy += weight * (busy - p.busy)
 	p.full += weight * (full - p.full)
+	p.refused.NoSlot += weight * (refused.NoSlot - p.refused.NoSlot)
+	p.refused.Backlog += weight * (refused.Backlog - p.refused.Backlog)
 	if p.seen {
 		forget := math.Exp(-now.Sub(p.at).Seconds() / p.options.Memory.Seconds())
 		p.peak = max(p.full, p.peak*forget)
 	}
 	p.at, p.isStarted = now, true
-	since(&p.promptsSince, now, p.busy > p.options.Busy)
-	since(&p.generationsSince, now, p.full > p.options.Full)
+	isShort := func(share float64) bool { return share > p.options.Refused }
+	since(&p.promptsSince, now, p.busy > p.options.Busy || isShort(p.refused.Backlog))
+	since(&p.generationsSince, now, p.full > p.options.Full || isShort(p.refused.NoSlot))
 }
 
 // since notes when a condition began to hold, or that it doesn't.
@@ -236,9 +256,11 @@
 	case len(p.pending) > 0:
 		// The averages don't show what the changes under way will do.
 		return 0, ""
-	case lasted(p.generationsSince, now, p.options.GenerationsFor) && readers > 1:
+	case lasted(p.generationsSince, now, p.options.GenerationsFor) && readers > 1 &&
+		p.refused.NoSlot >= p.refused.Backlog:
 		return -1, ReasonGenerations
-	case lasted(p.promptsSince, now, p.options.PromptsFor) && generators > floor:
+	case lasted(p.promptsSince, now, p.options.PromptsFor) && generators > floor &&
+		p.refused.Backlog >= p.refused.NoSlot:
 		spare := float64(generators) * (1 - p.peak/p.options.Spare)
 		return max(0, min(1, generators-floor, int(spare))), ReasonPrompts
 	}
@@ -303,10 +325,22 @@
 	) < 0
 }
 
-// Averages returns the shares of prompt engines and of generation slots in use, which
-// the plans rest on.
-func (p *DemandPlanner) Averages() (busy, full float64) {
-	return p.busy, p.full
+// Demand is what the plans of a DemandPlanner rest on.
+type Demand struct {
+	// Busy and Full are the averages of the shares of prompt engines and of generation
+	// slots in use, Peak the highest Full lately.
+	Busy, Full, Peak float64
+	// Refused are the averages of the shares refused.
+	Refused Refusals
+	// Readers and Generators are the engines of either role, Pending those that change.
+	Readers, Generators, Pending int
+}
+
+// Demand returns what the last plan rested on.
+func (p *DemandPlanner) Demand() Demand {
+	return Demand{
+		Busy: p.busy, Full: p.full, Peak: p.peak, Refused: p.refused, Readers: p.readers, Generators: p.generators, Pending: len(p.pending),
+	}
 }
 
 // Failed notes that a change could not be ordered.
--- a/core/placement/demand_test.go
+++ b/core/placement/demand_test.go
@@ -17,6 +17,7 @@
 	now     core.Instant
 	due     map[core.TargetID]core.Instant
 	to      map[core.TargetID]core.Role
+	refused placement.Refusals
 }
 
 func newFleet(prefill, decode int) *fleet {
@@ -53,7 +54,7 @@
 				e.Prompts = 3
 			}
 		}
-		for _, change := range f.planner.Plan(f.now, f.engines) {
+		for _, change := range f.planner.Plan(f.now, f.engines, f.refused) {
 			f.changes = append(f.changes, change)
 			f.due[change.Target], f.to[change.Target] = f.now.Add(4*time.Second), change.To
 		}
@@ -107,6 +108,29 @@
 	}
 }
 
+// Answers bursts of long answers that hold most slots, so that requests are refused for
+// want of one while the engines for prompts are idle. Guards against a threshold of used
+// slots that the refusals keep from being reached: seen on scale-1 of ksg-limits at 0.85.
+func TestRefusalsForSlotsMoveRoles(t *testing.T) {
+	f := newFleet(9, 4)
+	f.refused = placement.Refusals{NoSlot: 0.3}
+	f.run(5, 0.25, 0.85)
+	if len(f.changes) != 1 || f.changes[0].To != core.RoleDecode {
+		t.Fatalf("changes %+v, want one engine more for answers within 5 s", f.changes)
+	}
+}
+
+// Answers overload of both kinds. Guards against engines that are taken from the side
+// that is short of more.
+func TestRolesFollowTheGreaterShortage(t *testing.T) {
+	f := newFleet(9, 4)
+	f.refused = placement.Refusals{NoSlot: 0.05, Backlog: 0.3}
+	f.run(30, 1, 1)
+	if len(f.changes) > 0 {
+		t.Errorf("changes %+v while prompts are refused six times as often", f.changes)
+	}
+}
+
 // Guards against engines that all change back and forth under a steady load.
 func TestSteadyLoadEndsChanges(t *testing.T) {
 	f := newFleet(9, 5)
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -28,7 +28,7 @@
 // packet is one datagram. Unused fields are not encoded.
 type packet struct {
 	Kind packetKind `cbor:"1,keyasint"`
-	// Sender is the load sender of the process.
+	// Sender is the load sender of the process. A process that starts takes a new one.
 	Sender uint32 `cbor:"2,keyasint,omitempty"`
 	// Events are load events in the order in which they happened.
 	Events []event `cbor:"3,keyasint,omitempty"`
@@ -43,6 +43,9 @@
 	Address       string `cbor:"9,keyasint,omitempty"`
 	// Reads says that the sender reads the platform and has done so just now.
 	Reads bool `cbor:"10,keyasint,omitempty"`
+	// IsAfresh says that Events begin the list of all outstanding work of the sender:
+	// what was known of it before is to be forgotten.
+	IsAfresh bool `cbor:"11,keyasint,omitempty"`
 }
 
 // operation says what happened to an item.
--- a/io/digest/digest_test.go
+++ b/io/digest/digest_test.go
@@ -106,6 +106,66 @@
 	}
 }
 
+// Guards against an instance that starts amid a burst and takes engines for idle whose
+// slots are held by answers that others sent before, and against slots that stay taken for
+// 20 s by the answers of a process that was killed. Seen together on scale-1 of ksg-limits:
+// the instance that orders roles had been killed and saw no want of slots, while the others
+// refused for it.
+func TestRestartedPeerIsToldTheOutstandingWork(t *testing.T) {
+	nodes, boards := newNodes(t, 2)
+	within(t, 5*time.Second, "members", func() bool {
+		return len(nodes[0].peers.Load().near) == 1 && len(nodes[1].peers.Load().near) == 1
+	})
+	own := load.Item{Ref: load.Ref{Key: load.Key{Sender: 1, Serial: 1}, Target: "t"}, Kind: load.Generate}
+	boards[0].Sent(nodes[0].opts.Clock.Now(), own)
+	ghost := load.Item{Ref: load.Ref{Key: load.Key{Sender: 2, Serial: 1}, Target: "t"}, Kind: load.Generate}
+	nodes[1].Sent(ghost)
+	within(t, time.Second, "the work of the other", func() bool {
+		return boards[0].State(nodes[0].opts.Clock.Now(), "t", nil).Generating == 2
+	})
+	restarted := nodes[1].opts
+	restarted.Sender, restarted.Board = 22, load.NewBoard()
+	nodes[1].heard(&packet{Kind: packetVersions, Address: "127.0.0.1:9", Sender: 3}) // unknown peers do no harm
+	board := replaceNode(t, nodes[1], restarted)
+	within(t, 2*time.Second, "the new process knows what is outstanding", func() bool {
+		return board.State(0, "t", nil).Generating == 1
+	})
+	within(t, 2*time.Second, "the work of the ended process is forgotten", func() bool {
+		return boards[0].State(0, "t", nil).Generating == 1
+	})
+}
+
+// replaceNode ends a node and starts another one at its address.
+func replaceNode(t *testing.T, old *Node, o Options) *load.Board {
+	t.Helper()
+
+	_ = old.opts.Conn.Close()
+	conn, err := net.ListenPacket("udp4", o.Self.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.Conn = conn
+	n := New(o)
+	ctx, cancel := context.WithCancel(context.Background())
+	go n.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-n.Done()
+	})
+	return o.Board
+}
+
+// Guards against the work of an instance that was cut off, which holds slots on the others
+// until it expires.
+func TestWorkOfASilentPeerIsForgotten(t *testing.T) {
+	nodes, boards := newNodes(t, 2)
+	within(t, 5*time.Second, "members", func() bool { return len(nodes[1].peers.Load().near) == 1 })
+	nodes[1].Sent(load.Item{Ref: load.Ref{Key: load.Key{Sender: 2, Serial: 1}, Target: "t"}, Kind: load.Generate})
+	within(t, time.Second, "the work", func() bool { return boards[0].State(0, "t", nil).Generating == 1 })
+	_ = nodes[1].opts.Conn.Close()
+	within(t, 2*freshFor, "it is forgotten", func() bool { return boards[0].State(0, "t", nil).Generating == 0 })
+}
+
 // Guards against a member that leaves and is still given to callers.
 func TestLeavingMemberIsInNoAnswer(t *testing.T) {
 	nodes, _ := newNodes(t, 2)
--- a/io/digest/load.go
+++ b/io/digest/load.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 
+	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -129,9 +130,39 @@
 	return batch
 }
 
+// shareAll tells a peer all outstanding work of this instance, in the order of packets:
+// one that has just started, or that missed digests while it was frozen or cut off.
+func (n *Node) shareAll(to string) {
+	address, err := netip.ParseAddrPort(to)
+	if err != nil {
+		n.opts.Log.WithFields(log.Fields{"Address": to, "Error": err.Error()}).Warn("PeerAddressInvalid")
+		return
+	}
+	var events []event
+	for _, o := range n.opts.Board.Outstanding(n.opts.Sender) {
+		events = append(events, sentEvent(o.Item))
+		if o.IsComputed {
+			events = append(events, event{Operation: opComputed, Target: o.Target, Serial: o.Key.Serial})
+		}
+	}
+	isAfresh := true
+	for part := range slices.Chunk(events, eventsPerPacket) {
+		data, err := cbor.Marshal(&packet{Kind: packetLoad, Sender: n.opts.Sender, Events: part, IsAfresh: isAfresh})
+		if err != nil {
+			n.opts.Log.WithError(err).Error("DatagramNotEncoded")
+			return
+		}
+		n.write(data, udpAddresses([]netip.AddrPort{address}))
+		isAfresh = false
+	}
+}
+
 // load takes in the digest of a peer.
 func (n *Node) load(p *packet) {
 	now := n.opts.Clock.Now()
+	if p.IsAfresh {
+		n.opts.Board.Drop(p.Sender)
+	}
 	for i := range p.Events {
 		e := &p.Events[i]
 		switch e.Operation {
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -1,13 +1,13 @@
 // Package digest exchanges datagrams between instances: digests of the work that each
 // has given to targets, and the probes of the membership protocol.
 //
-// A lost datagram does no lasting harm: work whose end was not heard expires, and the
-// membership protocol repeats itself.
+// A lost datagram does no lasting harm: work whose end was not heard expires, peers that
+// were silent or have started are told all outstanding work, and the membership protocol
+// repeats itself.
 package digest
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -74,8 +74,8 @@
 	rng     *rand.Rand
 	members *membership.Protocol
 	pending map[uint32]pendingCall
-	// heardAt is when a datagram of an address last arrived, if that was within freshFor.
-	heardAt map[string]core.Instant
+	// heardFrom holds the addresses from which a datagram arrived within freshFor.
+	heardFrom map[string]voice
 }
 
 // pendingCall is a call whose reply is awaited until due.
@@ -90,7 +90,7 @@
 func New(o Options) *Node {
 	n := &Node{
 		opts: o, events: make(chan event, queueLength), done: make(chan struct{}),
-		rng: rand.New(rand.NewPCG(o.Seed, 1)), pending: map[uint32]pendingCall{}, heardAt: map[string]core.Instant{},
+		rng: rand.New(rand.NewPCG(o.Seed, 1)), pending: map[uint32]pendingCall{}, heardFrom: map[string]voice{},
 	}
 	header := func(core.Instant) (applied, head core.Revision, ageMs uint32) { return 0, 0, 0 }
 	n.members = membership.New(o.Self, rand.New(rand.NewPCG(o.Seed, 0)), header, n.changed)
@@ -183,7 +183,7 @@
 	}
 	packets := n.register(now, calls)
 	n.updatePeers()
-	maps.DeleteFunc(n.heardAt, func(_ string, at core.Instant) bool { return now.Sub(at) >= freshFor })
+	n.forgetSilent(now)
 	n.mu.Unlock()
 	n.sendAll(packets)
 	for _, answer := range answers {
@@ -399,7 +399,7 @@
 		if r.ID == n.opts.Self.ID || !cells.IsWide && r.DataCentre != cells.Home {
 			return true // peers of other cells announce nothing here
 		}
-		at, ok := n.heardAt[r.Address]
-		return ok && now.Sub(at) < freshFor
+		v, ok := n.heardFrom[r.Address]
+		return ok && now.Sub(v.at) < freshFor
 	})
 }
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/apex/log"
+
+	"gorseline/core"
 	"gorseline/core/catchup"
 	"gorseline/core/common/pause"
 )
@@ -30,19 +34,53 @@
 // stamp adds the own versions to a packet.
 func (n *Node) stamp(p *packet) {
 	p.Configuration, p.Targets = n.opts.Tracker.Versions()
-	p.Address = n.opts.Self.Address
+	p.Address, p.Sender = n.opts.Self.Address, n.opts.Sender
 	p.Reads = n.opts.Tracker.Reads(n.opts.Clock.Now())
 }
 
-// heard takes in the versions of a peer.
+// voice is what was last heard of an address.
+type voice struct {
+	at core.Instant
+	// sender names the process there.
+	sender uint32
+	// isTold is set once it was told the own outstanding work.
+	isTold bool
+}
+
+// forgetSilent drops what is known of addresses that have not been heard for freshFor: the
+// ends of their work may have been missed. The lock must be held.
+func (n *Node) forgetSilent(now core.Instant) {
+	maps.DeleteFunc(n.heardFrom, func(address string, v voice) bool {
+		if now.Sub(v.at) < freshFor {
+			return false
+		}
+		n.opts.Log.WithFields(log.Fields{"Peer": address, "Sender": v.sender}).Info("PeerSilent")
+		n.opts.Board.Drop(v.sender)
+		return true
+	})
+}
+
+// heard takes in the versions of a peer. The work of an earlier process at its address has
+// ended with it; a process that was not heard lately is told the own work.
 func (n *Node) heard(p *packet) {
 	if p.Address == "" {
 		return
 	}
 	now := n.opts.Clock.Now()
 	n.mu.Lock()
-	n.heardAt[p.Address] = now
+	before := n.heardFrom[p.Address]
+	isNew := before.sender != p.Sender
+	// Announcements come from the own cell only, where loads are shared.
+	tell := p.Kind == packetVersions && (isNew || !before.isTold)
+	n.heardFrom[p.Address] = voice{now, p.Sender, tell || before.isTold && !isNew}
 	n.mu.Unlock()
+	if isNew {
+		n.opts.Board.Drop(before.sender)
+	}
+	if tell {
+		n.opts.Log.WithFields(log.Fields{"Peer": p.Address, "Sender": p.Sender}).Info("PeerToldOutstandingWork")
+		n.shareAll(p.Address)
+	}
 	n.opts.Tracker.Heard(now, catchup.Configuration, p.Address, p.Configuration)
 	n.opts.Tracker.Heard(now, catchup.Targets, p.Address, p.Targets)
 	if p.Reads {
