Let a restarted holder of the lease order again at once

Change: where at most one process of an instance runs at a time, a process succeeds an earlier one of its instance without waiting, and only for orders that may still be on their way.

--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -107,7 +107,9 @@
 		Recorder: eventLog{p.Log}, Attempts: table.NewAttempts(),
 		Members: func() []core.InstanceID { return memberIDs(p.Digests) },
 		Orderer: orders,
-		Timing:  orderTiming(p.Settings.Bounds.OrderTurn),
+		// The platform starts one process a machine, which the ports hold it to.
+		OneProcess: true,
+		Timing:     orderTiming(p.Settings.Bounds.OrderTurn),
 	}
 	r := &roles{
 		keeper: authority.NewKeeper(options), clock: clock, steady: p.Steady, forwarder: p.Forwarder,
--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -34,6 +34,9 @@
 	// Second delivers orders to targets that ignore fences through another instance;
 	// nil sends them directly. Forwarder is the receiving side.
 	Second core.Orderer
+	// OneProcess says that no two processes of an instance run at a time. A process then
+	// succeeds an earlier one of its instance at once.
+	OneProcess bool
 	Timing
 }
 
--- a/core/authority/watch.go
+++ b/core/authority/watch.go
@@ -79,6 +79,9 @@
 		}
 		// Instances of a lower rank give those before them a lease's time each.
 		wait += time.Duration(ranks[shard]) * k.opts.Lease
+		if k.isOwn(lease) {
+			wait = 0
+		}
 		if now.Sub(seen.at) >= wait {
 			due = append(due, shard)
 			continue
@@ -89,6 +92,11 @@
 	return due
 }
 
+// isOwn reports whether a lease was held by this process or an earlier one of its instance.
+func (k *Keeper) isOwn(lease leaseRow) bool {
+	return k.opts.OneProcess && lease.Holder == k.opts.Self
+}
+
 // acquire takes the shards in one transaction. Each write expects the version that
 // was seen, so it fails if the holder renewed or another was faster.
 func (k *Keeper) acquire(ctx context.Context, shards []int) {
@@ -126,6 +134,10 @@
 // to watch again.
 func (k *Keeper) hold(shard int, version uint64, sentAt core.Instant) {
 	now := k.opts.Clock.Now()
+	quiet := k.opts.Margin
+	if !k.isOwn(decodeLease(k.seen[shard].row)) {
+		quiet = max(quiet, k.opts.Turn)
+	}
 	delete(k.seen, shard)
 	until := sentAt.Add(k.opts.Lease)
 	if now >= until {
@@ -133,7 +145,7 @@
 	}
 	h := &holding{version: version, since: now, Lease: Lease{
 		Shard: shard, Fence: core.Fence(version), Until: until,
-		ClearAt: now.Add(k.opts.OrderLifetime + max(k.opts.Margin, k.opts.Turn)),
+		ClearAt: now.Add(k.opts.OrderLifetime + quiet),
 	}}
 	k.held[shard] = h
 	k.record(EventShardAcquired, shard, h.Fence)
