Keep slots free for brief answers; change roles when refusals cost more than a change

Change: long answers leave 12% of the slots of an engine to brief ones while there are such; refusals add up to a regret, and an engine moves when that is twice what the change costs.

--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -207,7 +207,7 @@
 		demand := planner.Demand()
 		r.log.WithFields(log.Fields{
 			"Service": name, "Cell": cell, "Busy": demand.Busy, "Full": demand.Full, "Peak": demand.Peak,
-			"NoSlot": demand.Refused.NoSlot, "Backlog": demand.Refused.Backlog,
+			"NoSlot": refused[cell].NoSlot, "Backlog": refused[cell].Backlog, "Regret": demand.Regret, "Cost": demand.Cost,
 			"Prefill": demand.Readers, "Decode": demand.Generators, "Pending": demand.Pending,
 			"Changes": len(changes), "Roster": view.Version,
 		}).Info("RolesPlanned")
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -51,6 +51,13 @@
 	// MixedStreams is the number of streams up to which a generating engine also computes a
 	// long prompt. Each of them waits for a piece of the prompt at every token.
 	MixedStreams int
+	// Reserved is the share of an engine's slots that long answers leave free for brief ones,
+	// which hold a slot for a hundredth of the time. BriefHold is the time up to which an
+	// answer counts as brief, BriefShare the share of brief ones among all from which on
+	// slots are kept for them.
+	Reserved   float64
+	BriefHold  time.Duration
+	BriefShare float64
 	// LongestRetry is the share of the remaining time that a caller may be asked to wait.
 	LongestRetry float64
 }
@@ -60,15 +67,18 @@
 	return Tuning{
 		OnTime: 0.80, Late: 0.6, WorkWeight: 4, Remote: 10 * time.Millisecond,
 		ShortPrompt: 4 * time.Millisecond, MixedStreams: 4, LongestRetry: 0.33,
+		Reserved: 0.12, BriefHold: 250 * time.Millisecond, BriefShare: 0.1,
 	}
 }
 
 // Request is what a decision needs of a request.
 type Request struct {
 	Service core.Service
-	Engine  *core.EngineLimits
-	Prompt  *core.Prompt
-	Chain   prompt.Chain
+	// Route names the kind of request.
+	Route  string
+	Engine *core.EngineLimits
+	Prompt *core.Prompt
+	Chain  prompt.Chain
 	// Objective is the time left to answer on time, Remaining the time left at all.
 	Objective time.Duration
 	Remaining time.Duration
@@ -118,27 +128,11 @@
 	wholeRatio float64
 	// handover is the time from an import's start to the first token beyond the transfer.
 	handover time.Duration
-	counts   Counts
-}
-
-// Counts says how many requests of a service were decided here and why some were refused.
-type Counts struct {
-	Requests int
-	// NoSlot were refused because no generating engine had a free slot, Backlog because
-	// every engine had too much prompt work.
-	NoSlot, Backlog int
-}
-
-// Sub returns the counts since earlier ones.
-func (c Counts) Sub(earlier Counts) Counts {
-	return Counts{c.Requests - earlier.Requests, c.NoSlot - earlier.NoSlot, c.Backlog - earlier.Backlog}
-}
-
-// Counts returns the counts of a service since the start.
-func (a *Assigner) Counts(service core.Service) Counts {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.model(service).counts
+	// holds is how long the answers of each route hold a slot, brief the share of brief
+	// answers among the requests.
+	holds  map[string]time.Duration
+	brief  float64
+	counts Counts
 }
 
 // Starting values of a model, replaced by what answers show: generating engines compute
@@ -160,7 +154,7 @@
 func (a *Assigner) model(service core.Service) *model {
 	m, ok := a.models[service]
 	if !ok {
-		m = &model{prefill: prompt.NewCost(), wholeRatio: startWholeRatio, handover: startHandover}
+		m = &model{prefill: prompt.NewCost(), wholeRatio: startWholeRatio, handover: startHandover, holds: map[string]time.Duration{}}
 		a.models[service] = m
 	}
 	return m
@@ -178,6 +172,7 @@
 	defer a.mu.Unlock()
 	m := a.model(req.Service)
 	m.counts.Requests++
+	m.countBrief(a.isLong(m, req))
 	candidates, shortest, isFull := a.candidates(now, view, req, m)
 	limit := a.limit(req, shortest)
 	best, ok := choose(candidates, limit)
@@ -240,7 +235,7 @@
 	now core.Instant, view *roster.View, req *Request, m *model,
 ) (list []candidate, shortest time.Duration, isFull bool) {
 	list = a.scratch[:0]
-	generates, hasFree := a.generators(now, view, req)
+	generates, hasFree := a.generators(now, view, req, m)
 	for _, e := range view.Ready(req.Service) {
 		if !a.knows(e) || !a.usable(now, e, req.Exclude) || e.Role == core.RolePrefill && !hasFree {
 			continue
@@ -267,29 +262,10 @@
 	return a.opts.Health.Usable(now, e.ID)
 }
 
-// generators reports whether there are engines that could generate an answer, and whether
-// one of them has a free slot.
-func (a *Assigner) generators(now core.Instant, view *roster.View, req *Request) (exist, hasFree bool) {
-	for _, e := range view.Ready(req.Service) {
-		if !e.Role.AcceptsDecode() || !a.knows(e) || !a.usable(now, e, req.Exclude) {
-			continue
-		}
-		exist = true
-		if state := a.opts.Board.State(now, e.ID, nil); hasSlot(e, &state) {
-			return true, true
-		}
-	}
-	return exist, false
-}
-
-// hasSlot reports whether a request would not wait for a slot. Answers hold slots for
-// seconds, so that a wait for one takes longer than most objectives allow.
-func hasSlot(e *roster.Entry, state *load.State) bool { return e.Slots <= 0 || state.Running < e.Slots }
-
 // candidate rates one engine.
 func (a *Assigner) candidate(now core.Instant, e *roster.Entry, req *Request, m *model) (candidate, bool) {
 	state := a.opts.Board.State(now, e.ID, req.Chain.Shared())
-	if !hasSlot(e, &state) {
+	if !a.hasSlot(e, &state, req, m) {
 		return candidate{}, false
 	}
 	c := candidate{Decision: Decision{Target: e, Held: state.Held, Backlog: state.Backlog}}
@@ -334,19 +310,19 @@
 	var best *roster.Entry
 	var least time.Duration
 	a.mu.Lock()
-	handover := a.model(req.Service).handover
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	m := a.model(req.Service)
 	for _, e := range view.Ready(req.Service) {
 		if !e.Role.AcceptsDecode() || !a.usable(now, e, req.Exclude) || a.cell(e) != a.cell(source) {
 			continue
 		}
 		state := a.opts.Board.State(now, e.ID, nil)
-		if !hasSlot(e, &state) {
+		if !a.hasSlot(e, &state, req, m) {
 			continue
 		}
 		isLocal := e.DataCentre == source.DataCentre
 		score := prompt.TransferTime(req.Engine, req.Prompt.Tokens, isLocal)*time.Duration(1+state.Generating) +
-			state.Backlog/4 + handover*time.Duration(state.Generating)/8
+			state.Backlog/4 + m.handover*time.Duration(state.Generating)/8
 		if e.DataCentre != a.opts.Home {
 			score += a.opts.Remote
 		}
--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -29,9 +29,11 @@
 	// others after one is taken away; 0.7. Answers hold slots for seconds, so that a
 	// shortage passes slowly.
 	Full, Spare float64
-	// Refused is the share of requests that may be refused for want of slots or of prompt
-	// time before more engines for that are wanted; 0.02.
+	// Refused is the share of requests from which on refusals count; 0.01.
 	Refused float64
+	// ChangeTime is how long an engine is away while it changes its role: it finishes its
+	// work and switches; 8 s.
+	ChangeTime time.Duration
 	// Memory is the time constant with which the highest use is forgotten; 15 s.
 	Memory time.Duration
 	// Smoothing is the time constant of the averages; 2 s.
@@ -56,7 +58,8 @@
 	o.Busy = orDefault(o.Busy, 0.85)
 	o.Full = orDefault(o.Full, 0.95)
 	o.Spare = orDefault(o.Spare, 0.7)
-	o.Refused = orDefault(o.Refused, 0.02)
+	o.Refused = orDefault(o.Refused, 0.01)
+	o.ChangeTime = orDefault(o.ChangeTime, 8*time.Second)
 	o.Memory = orDefault(o.Memory, 15*time.Second)
 	o.Smoothing = orDefault(o.Smoothing, 2*time.Second)
 	o.PromptsFor = orDefault(o.PromptsFor, 6*time.Second)
@@ -93,10 +96,11 @@
 // is not safe for concurrent use.
 type DemandPlanner struct {
 	options DemandOptions
-	// busy and full are running averages of the shares in use, refused of the shares
-	// refused.
+	// busy and full are running averages of the shares in use.
 	busy, full float64
-	refused    Refusals
+	// regret is what the present roles have cost, in seconds of all requests: positive for
+	// want of slots, negative for want of prompt time.
+	regret float64
 	// promptsSince and generationsSince are when more engines for either began to be wanted;
 	// 0 while they are not.
 	promptsSince, generationsSince core.Instant
@@ -195,16 +199,34 @@
 	}
 	p.busy += weight * (busy - p.busy)
 	p.full += weight * (full - p.full)
-	p.refused.NoSlot += weight * (refused.NoSlot - p.refused.NoSlot)
-	p.refused.Backlog += weight * (refused.Backlog - p.refused.Backlog)
+	p.regretRefusals(now, refused)
 	if p.seen {
 		forget := math.Exp(-now.Sub(p.at).Seconds() / p.options.Memory.Seconds())
 		p.peak = max(p.full, p.peak*forget)
 	}
 	p.at, p.isStarted = now, true
-	isShort := func(share float64) bool { return share > p.options.Refused }
-	since(&p.promptsSince, now, p.busy > p.options.Busy || isShort(p.refused.Backlog))
-	since(&p.generationsSince, now, p.full > p.options.Full || isShort(p.refused.NoSlot))
+	since(&p.promptsSince, now, p.busy > p.options.Busy)
+	since(&p.generationsSince, now, p.full > p.options.Full)
+}
+
+// regretRefusals adds what was refused since the last plan, and forgets while little is.
+// Changes under way are to show their effect first.
+func (p *DemandPlanner) regretRefusals(now core.Instant, refused Refusals) {
+	elapsed := now.Sub(p.at)
+	switch net := refused.NoSlot - refused.Backlog; {
+	case len(p.pending) > 0 || !p.isStarted:
+		p.regret = 0
+	case math.Abs(net) > p.options.Refused:
+		p.regret += net * elapsed.Seconds()
+	default:
+		p.regret *= math.Exp(-elapsed.Seconds() / p.options.Memory.Seconds())
+	}
+}
+
+// changeCost is the regret from which on a change pays, in seconds of all requests: twice
+// what the change takes, since nobody knows how long the mix will last.
+func (p *DemandPlanner) changeCost(engines int) float64 {
+	return 2 * p.options.ChangeTime.Seconds() / float64(engines)
 }
 
 // since notes when a condition began to hold, or that it doesn't.
@@ -247,6 +269,7 @@
 	}
 	generators := len(engines) - readers
 	floor := generatorFloor(engines)
+	cost := p.changeCost(len(engines))
 	switch {
 	case generators < floor:
 		return generators - floor, ReasonFloorViolation
@@ -256,11 +279,9 @@
 	case len(p.pending) > 0:
 		// The averages don't show what the changes under way will do.
 		return 0, ""
-	case lasted(p.generationsSince, now, p.options.GenerationsFor) && readers > 1 &&
-		p.refused.NoSlot >= p.refused.Backlog:
+	case (p.regret > cost || lasted(p.generationsSince, now, p.options.GenerationsFor)) && p.regret >= 0 && readers > 1:
 		return -1, ReasonGenerations
-	case lasted(p.promptsSince, now, p.options.PromptsFor) && generators > floor &&
-		p.refused.Backlog >= p.refused.NoSlot:
+	case (p.regret < -cost || lasted(p.promptsSince, now, p.options.PromptsFor)) && p.regret <= 0 && generators > floor:
 		spare := float64(generators) * (1 - p.peak/p.options.Spare)
 		return max(0, min(1, generators-floor, int(spare))), ReasonPrompts
 	}
@@ -330,8 +351,9 @@
 	// Busy and Full are the averages of the shares of prompt engines and of generation
 	// slots in use, Peak the highest Full lately.
 	Busy, Full, Peak float64
-	// Refused are the averages of the shares refused.
-	Refused Refusals
+	// Regret is what refusals have cost, in seconds of all requests: positive for want of
+	// slots, negative for want of prompt time. Cost is that from which on a change pays.
+	Regret, Cost float64
 	// Readers and Generators are the engines of either role, Pending those that change.
 	Readers, Generators, Pending int
 }
@@ -339,7 +361,7 @@
 // Demand returns what the last plan rested on.
 func (p *DemandPlanner) Demand() Demand {
 	return Demand{
-		Busy: p.busy, Full: p.full, Peak: p.peak, Refused: p.refused, Readers: p.readers, Generators: p.generators, Pending: len(p.pending),
+		Busy: p.busy, Full: p.full, Peak: p.peak, Regret: p.regret, Cost: p.changeCost(p.readers + p.generators), Readers: p.readers, Generators: p.generators, Pending: len(p.pending),
 	}
 }
 
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -26,7 +26,7 @@
 	chain := prompt.NewChain(r.req.Prompt)
 	for {
 		req := &assign.Request{
-			Service: r.service, Engine: r.engine(), Prompt: r.req.Prompt, Chain: chain,
+			Service: r.service, Route: r.route.Name, Engine: r.engine(), Prompt: r.req.Prompt, Chain: chain,
 			Objective: r.objective(), Remaining: r.remaining(), Exclude: r.exclude,
 		}
 		d := r.Assigner.Assign(r.Clock.Now(), r.Roster.View(), req)
@@ -77,7 +77,9 @@
 	isLocal := generator.DataCentre == d.Target.DataCentre
 	r.imported = r.Clock.Now().Sub(began)
 	r.Assigner.ObserveHandover(req, isLocal, r.imported)
-	return r.answer(generator, answer)
+	done = r.answer(generator, answer)
+	r.Assigner.ObserveHold(req, r.Clock.Now().Sub(began))
+	return done
 }
 
 // generateLimit is how long to wait for the first event. A stream that may run again is
@@ -117,6 +119,7 @@
 // inOneStage sends the request to an engine that computes the prompt itself.
 func (r *run) inOneStage(d *assign.Decision, req *assign.Request) (done bool) {
 	e := d.Target
+	began := r.Clock.Now()
 	ref := r.start(e, promptItem(d, req))
 	defer r.finish(ref)
 	answer, result := r.send(e, core.Attempt{}, r.generateLimit(d))
@@ -128,7 +131,9 @@
 		r.Assigner.ObservePrompt(r.service, load.Whole, d.Work, took)
 	}
 	r.Sharer.Computed(ref)
-	return r.answer(e, answer)
+	done = r.answer(e, answer)
+	r.Assigner.ObserveHold(req, r.Clock.Now().Sub(began))
+	return done
 }
 
 // answer relays the answer of the engine that generates.
