--- a/cmd/check/claims.go
+++ b/cmd/check/claims.go
@@ -102,7 +102,7 @@
 	if ctx.Err() != nil || w.chance(0.1) {
 		return core.ServiceResult{Outcome: core.OutcomeNotRun, Err: errConnection}
 	}
-	f := i.targetFate(time.Millisecond, 2*time.Second, 5*time.Second)
+	f := i.targetFate(2*time.Second, 5*time.Second)
 	i.strike(&i.pauseInWrite, "PauseInWrite")
 	result := core.ServiceResult{}
 	w.exchange(f, func() {
--- a/cmd/check/engine.go
+++ b/cmd/check/engine.go
@@ -23,6 +23,12 @@
 	// take effect late on a target that ignores fences: the documented remaining risk.
 	excused map[core.Order]bool
 	history []*step
+	// starts counts the starts, accepted the orders since the last one, lateOrders is how many of the next orders
+	// are carried out late, and last is the last that reached the target (Options.Turns).
+	accepted   uint64
+	starts     int
+	lateOrders int
+	last       arrival
 }
 
 // order applies an order that has arrived.
@@ -60,6 +66,8 @@
 		e.w.faults["EngineCrash"]++
 	}
 	e.changes++
+	e.starts++
+	e.accepted, e.last = 0, arrival{}
 	e.report.Role, e.report.Model, e.report.WeightsVersion = core.RoleMixed, "", ""
 	e.report.Changing = false
 }
@@ -94,7 +102,7 @@
 	w.checkFlying(e, order)
 	e.flying = append(e.flying, order)
 	result := core.OrderUnknown
-	f := v.i.targetFate(time.Millisecond, 20*time.Millisecond, time.Second)
+	f := v.i.targetFate(20*time.Millisecond, time.Second)
 	if rest := limit.Sub(v.i.clock.Now()); rest < f.timeout && rest > 0 {
 		f.timeout = rest
 	}
--- a/cmd/check/faults.go
+++ b/cmd/check/faults.go
@@ -1,6 +1,7 @@
 package check
 
 import (
+	"slices"
 	"time"
 )
 
@@ -34,15 +35,24 @@
 	{"PauseInWrite", func(w *world) { w.pick().pauseInWrite = w.between(3*time.Second, 40*time.Second) }},
 }
 
+// turnFaults are those that only targets without fences bring about (Options.Turns).
+var turnFaults = append(slices.Clone(allFaults), fault{
+	"OrderLate", func(w *world) { w.targets[w.random.IntN(engines)].lateOrders += 1 + w.random.IntN(2) },
+})
+
 // planFaults draws the faults of a history. Two of five come with a second one at the
 // same time.
 func (w *world) planFaults() {
+	faults := allFaults
+	if w.turns {
+		faults = turnFaults
+	}
 	for range 1 + w.random.IntN(4) {
 		at := w.between(2*time.Second, faultTime)
-		first := allFaults[w.random.IntN(len(allFaults))]
+		first := faults[w.random.IntN(len(faults))]
 		w.after(at, func() { first.run(w) })
 		if w.chance(0.4) {
-			second := allFaults[w.random.IntN(len(allFaults))]
+			second := faults[w.random.IntN(len(faults))]
 			w.after(at+w.between(0, 50*time.Millisecond), func() {
 				second.run(w)
 				w.faults["TwoAtOnce"]++
@@ -62,16 +72,31 @@
 	return live[w.random.IntN(len(live))]
 }
 
-// replace starts a new instance after a while.
-func (w *world) replace() {
-	w.after(w.between(time.Second, 10*time.Second), w.startInstance)
+// replace starts a new instance after a while or, where leases of ended processes are taken
+// over by their instances, often a new process of the same one.
+func (w *world) replace(ended *instance) {
+	start := w.startInstance
+	if w.turns && w.chance(0.6) {
+		start = func() { w.restart(ended) }
+	}
+	w.after(w.between(time.Second, 10*time.Second), start)
+}
+
+// restart starts a new process of an instance once the earlier one has ended.
+func (w *world) restart(ended *instance) {
+	if ended.alive {
+		w.after(time.Second, func() { w.restart(ended) })
+		return
+	}
+	w.faults["SameInstance"]++
+	w.startProcess(ended.id)
 }
 
 func (w *world) killOne() {
 	if i := w.pick(); w.liveCount() > 1 {
 		w.faults["Kill"]++
 		i.kill()
-		w.replace()
+		w.replace(i)
 	}
 }
 
@@ -92,7 +117,7 @@
 	}
 	w.faults["Leave"]++
 	i.leaving = true
-	w.replace()
+	w.replace(i)
 	w.spawn(i, func() { w.leave(i) })
 }
 
--- a/cmd/check/orders.go
+++ b/cmd/check/orders.go
@@ -35,7 +35,7 @@
 	for n := range engines {
 		id := core.TargetID("e" + strconv.Itoa(n))
 		w.targets = append(w.targets, &engine{
-			w: w, Target: core.Target{ID: id, Address: "at-" + string(id), ChecksFence: n != 0},
+			w: w, Target: core.Target{ID: id, Address: "at-" + string(id), ChecksFence: n != 0 && !w.turns},
 			report: core.LoadReport{Role: core.RoleMixed}, excused: map[core.Order]bool{},
 		})
 	}
--- a/cmd/commands/check.go
+++ b/cmd/commands/check.go
@@ -14,6 +14,7 @@
 	Histories int    `long:"histories" env:"HISTORIES" default:"10000" description:"number of histories"`
 	Seed      uint64 `long:"seed" env:"SEED" default:"1" description:"seed that determines all histories"`
 	Workers   int    `long:"workers" env:"WORKERS" default:"0" description:"histories that run at a time; 0 takes half of the processors"`
+	Turns     bool   `long:"turns" env:"TURNS" description:"targets check no fences and take orders of two instances only a turn apart"`
 	Format    string `long:"format" env:"FORMAT" choice:"text" choice:"json" default:"text" description:"format of the report"`
 }
 
@@ -27,7 +28,7 @@
 func (c *checkCommand) Execute([]string) error {
 	ctx, stop := untilInterrupted()
 	defer stop()
-	report := check.Run(ctx, check.Options{Histories: c.Histories, Seed: c.Seed, Workers: c.Workers})
+	report := check.Run(ctx, check.Options{Histories: c.Histories, Seed: c.Seed, Workers: c.Workers, Turns: c.Turns})
 	if err := c.print(os.Stdout, report); err != nil {
 		return failure{err}
 	}
--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -29,20 +29,6 @@
 	planInterval = time.Second
 	// roleShards is 1: one instance plans the roles of all engines, which are some dozens.
 	roleShards = 1
-	// leaseTime and renewTime cost the store a write and three reads each 1.25 s. Two
-	// renewals may fail. A successor of a killed holder may order about 9 s later, which
-	// is within the recovery time of the deployments.
-	leaseTime = 4 * time.Second
-	renewTime = 1250 * time.Millisecond
-	// clockDrift covers the drift of two clocks over one lease; 500 ms is over 10%.
-	clockDrift = 500 * time.Millisecond
-	// orderLifetime bounds the delivery of an order.
-	orderLifetime = time.Second
-	// releaseLimit bounds the release of the lease when the process ends. It is below
-	// stopLimit.
-	releaseLimit = time.Second
-	// maximumRepeats bounds the orders that an engine does not carry out.
-	maximumRepeats = 3
 )
 
 // planKey names a group of engines whose roles are planned together: those of one service
@@ -109,7 +95,7 @@
 		Orderer: orders,
 		// The platform starts one process a machine, which the ports hold it to.
 		OneProcess: true,
-		Timing:     orderTiming(p.Settings.Bounds.OrderTurn),
+		Timing:     authority.TurnTiming(p.Settings.Bounds.OrderTurn),
 	}
 	r := &roles{
 		keeper: authority.NewKeeper(options), clock: clock, steady: p.Steady, forwarder: p.Forwarder,
@@ -130,15 +116,6 @@
 	return r, nil
 }
 
-// orderTiming returns the durations of leases and orders for a least time between the
-// orders of two instances to one target.
-func orderTiming(turn time.Duration) authority.Timing {
-	return authority.Timing{
-		Lease: leaseTime, Renew: renewTime, OrderLifetime: orderLifetime,
-		Margin: clockDrift, Turn: turn, MaxRepeats: maximumRepeats, ReleaseLimit: releaseLimit,
-	}
-}
-
 // memberIDs returns the IDs of the members, this instance included.
 func memberIDs(d *digest.Node) []core.InstanceID {
 	members := d.Members()
--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -69,6 +69,16 @@
 	}
 }
 
+// TurnTiming returns the durations for targets that don't check fences and take orders of
+// two instances only when these are a turn apart: a lease of 4 s costs the table a write
+// and three reads each 1.25 s, and a successor of a killed holder may order 8 s later.
+func TurnTiming(turn time.Duration) Timing {
+	return Timing{
+		Lease: 4 * time.Second, Renew: 1250 * time.Millisecond, OrderLifetime: time.Second,
+		Margin: 500 * time.Millisecond, Turn: turn, MaxRepeats: 3, ReleaseLimit: time.Second,
+	}
+}
+
 // Kinds of events that this package records.
 const (
 	EventShardAcquired  core.EventKind = "ShardAcquired"
