--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -97,8 +97,11 @@
 	// Expected is the time until the first token; Backlog the part spent waiting.
 	Expected time.Duration
 	Backlog  time.Duration
-	// Held is the part of the prompt that the target should have cached, in tokens.
-	Held int
+	// Held is the part of the prompt that the target should have cached, in tokens. If
+	// Fetch is set, the target fetches it from there, in the time Transfer.
+	Held     int
+	Fetch    *roster.Entry
+	Transfer time.Duration
 	// Limit is the bound that Expected was held against.
 	Limit      time.Duration
 	Candidates int
@@ -236,11 +239,17 @@
 ) (list []candidate, shortest time.Duration, isFull bool) {
 	list = a.scratch[:0]
 	generates, hasFree := a.generators(now, view, req, m)
+	var most holder
 	for _, e := range view.Ready(req.Service) {
-		if !a.knows(e) || !a.usable(now, e, req.Exclude) || e.Role == core.RolePrefill && !hasFree {
+		if !a.knows(e) || !a.usable(now, e, req.Exclude) {
 			continue
 		}
-		c, ok := a.candidate(now, e, req, m)
+		state := a.opts.Board.State(now, e.ID, req.Chain.Shared())
+		a.offer(&most, e, state.Held)
+		if e.Role == core.RolePrefill && !hasFree {
+			continue
+		}
+		c, ok := a.candidate(e, &state, req, m)
 		if !ok {
 			continue
 		}
@@ -249,6 +258,9 @@
 		}
 		list = append(list, c)
 	}
+	for i := range list {
+		a.withFetch(&list[i], &most, req, m)
+	}
 	a.scratch = list
 	return list, shortest, generates && !hasFree
 }
@@ -263,9 +275,8 @@
 }
 
 // candidate rates one engine.
-func (a *Assigner) candidate(now core.Instant, e *roster.Entry, req *Request, m *model) (candidate, bool) {
-	state := a.opts.Board.State(now, e.ID, req.Chain.Shared())
-	if !a.hasSlot(e, &state, req, m) {
+func (a *Assigner) candidate(e *roster.Entry, state *load.State, req *Request, m *model) (candidate, bool) {
+	if !a.hasSlot(e, state, req, m) {
 		return candidate{}, false
 	}
 	c := candidate{Decision: Decision{Target: e, Held: state.Held, Backlog: state.Backlog}}
@@ -273,7 +284,7 @@
 	c.Compute = m.prefill.Time(c.Work)
 	c.Kind = load.Prefill
 	if e.Role != core.RolePrefill {
-		if c.Compute > a.opts.ShortPrompt && a.hasStreams(&state) {
+		if c.Compute > a.opts.ShortPrompt && a.hasStreams(state) {
 			return candidate{}, false
 		}
 		c.Kind = load.Whole
--- a/core/assign/elsewhere.go
+++ b/core/assign/elsewhere.go
@@ -47,7 +47,8 @@
 		if a.knows(e) || e.Role != core.RolePrefill || !a.usable(now, e, req.Exclude) {
 			continue
 		}
-		c, fits := a.candidate(now, e, req, m)
+		state := a.opts.Board.State(now, e.ID, req.Chain.Shared())
+		c, fits := a.candidate(e, &state, req, m)
 		if !fits {
 			continue
 		}
--- a/core/assign/fixture_test.go
+++ b/core/assign/fixture_test.go
@@ -199,12 +199,20 @@
 		Ref: load.Ref{Key: load.Key{Sender: 1, Serial: w.serial}, Target: id}, Kind: d.Kind, Compute: d.Compute, Chain: req.Chain,
 	}
 	w.board.Sent(now, item)
-	work := prompt.NewWork(req.Prompt.Tokens, w.caches[id].Held(req.Chain.Shared()))
+	held := w.caches[id].Held(req.Chain.Shared())
+	transfer := time.Duration(0)
+	if d.Fetch != nil {
+		if there := w.caches[d.Fetch.ID].Held(req.Chain.Shared()); there > held {
+			transfer = prompt.TransferTime(engineLimits, there-held, true)
+			held = there
+		}
+	}
+	work := prompt.NewWork(req.Prompt.Tokens, held)
 	w.caches[id].Add(req.Chain)
-	w.freeAt[id] = max(w.freeAt[id], now).Add(trueTime(work, role))
+	w.freeAt[id] = max(w.freeAt[id], now).Add(transfer + trueTime(work, role))
 	heap.Push(&w.pending, ending{w.freeAt[id], func(at core.Instant) {
 		if took, ok := w.board.Finished(at, item.Ref); ok {
-			w.assigner.ObservePrompt("models", d.Kind, work, took)
+			w.assigner.ObservePrompt("models", d.Kind, work, took-transfer)
 		}
 		switch waited := at.Sub(now); {
 		case waited <= objective:
--- a/core/forwarding.go
+++ b/core/forwarding.go
@@ -160,6 +160,9 @@
 	// PrefillOnly computes the prompt and keeps its KV cache for import elsewhere.
 	PrefillOnly bool
 	Source      CacheSource
+	// FetchFrom is the address of a target from which the parts of the prompt are fetched
+	// that it holds and this one lacks; empty computes them.
+	FetchFrom string
 	// ResumeAfter is the ID of the last event received of an earlier attempt.
 	ResumeAfter string
 }
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -97,7 +97,7 @@
 	defer r.finish(ref)
 	began := r.Clock.Now()
 	limit := slowFactor*d.Expected + slowExtra
-	attempt := core.Attempt{PrefillOnly: true}
+	attempt := core.Attempt{PrefillOnly: true, FetchFrom: fetchFrom(d)}
 	answer, result := r.send(d.Target, attempt, limit)
 	if result != sendAnswered {
 		return "", false
@@ -111,7 +111,7 @@
 	}
 	r.Assigner.ObserveElsewhere(now, d.Target, now.Sub(began)-d.Compute)
 	if took, known := r.Board.Computed(now, ref); known {
-		r.Assigner.ObservePrompt(r.service, load.Prefill, d.Work, took)
+		r.Assigner.ObservePrompt(r.service, load.Prefill, d.Work, took-d.Transfer)
 	}
 	return handle, true
 }
@@ -122,13 +122,13 @@
 	began := r.Clock.Now()
 	ref := r.start(e, promptItem(d, req))
 	defer r.finish(ref)
-	answer, result := r.send(e, core.Attempt{}, r.generateLimit(d))
+	answer, result := r.send(e, core.Attempt{FetchFrom: fetchFrom(d)}, r.generateLimit(d))
 	if result != sendAnswered {
 		r.exclude = append(r.exclude, e.ID)
 		return false
 	}
 	if took, known := r.Board.Computed(r.Clock.Now(), ref); known {
-		r.Assigner.ObservePrompt(r.service, load.Whole, d.Work, took)
+		r.Assigner.ObservePrompt(r.service, load.Whole, d.Work, took-d.Transfer)
 	}
 	r.Sharer.Computed(ref)
 	done = r.answer(e, answer)
@@ -136,6 +136,15 @@
 	return done
 }
 
+// fetchFrom returns the address from which the target of a decision fetches parts of the
+// prompt.
+func fetchFrom(d *assign.Decision) string {
+	if d.Fetch == nil {
+		return ""
+	}
+	return d.Fetch.Address
+}
+
 // answer relays the answer of the engine that generates.
 func (r *run) answer(e *roster.Entry, answer *target.Answer) (done bool) {
 	failed := answer.Status >= http.StatusInternalServerError
@@ -179,6 +188,9 @@
 		"LimitMs": d.Limit.Milliseconds(), "Candidates": d.Candidates, "Returned": r.returned,
 		"Roster": r.Roster.View().Version, "LeftMs": r.remaining().Milliseconds(),
 	}
+	if d.Fetch != nil {
+		fields["Fetch"], fields["TransferMs"] = d.Fetch.ID, d.Transfer.Milliseconds()
+	}
 	if d.Target == nil {
 		fields["RetryAfterMs"] = d.RetryAfter.Milliseconds()
 		r.Log.WithFields(fields).Warn("RequestRefused")
