--- a/standin/platform/call_test.go
+++ b/standin/platform/call_test.go
@@ -22,7 +22,7 @@
 	r := newRig(t, "")
 	got := r.do(t.Context(), http.MethodPut, "/once/a%2Fb//c?q=1&q=%20", "r1", "the body",
 		"X-Deadline-Ms", "2000", "X-Target-Instance", "i-other", "X-Phase", "prefill", "X-Kv-Source", "1.2.3.4:5/x",
-		"X-Kv-Hold", "1", "X-Pin-Ms", "5", "X-Kv-Backup", "1.2.3.4:5", "X-Request-Priority", "0", "X-Custom", "kept",
+		"X-Kv-Hold", "1", "X-Pin-Ms", "5", "X-Kv-Backup", "1.2.3.4:5", "Kv-Fetch", "1.2.3.4:5", "X-Request-Priority", "0", "X-Custom", "kept",
 		"Connection", "X-Private", "X-Private", "dropped")
 	if got.status != 200 || got.body != "answer to r1" || got.header.Get("X-Upstream-Stamp") != "i-a.r1" {
 		t.Fatalf("answer %+v", got)
@@ -35,7 +35,7 @@
 	if run.Method != http.MethodPut || run.Path != "/once/a%2Fb//c?q=1&q=%20" || run.Body != "the body" {
 		t.Errorf("run %+v", run)
 	}
-	for _, name := range []string{"X-Phase", "X-Kv-Source", "X-Kv-Hold", "X-Pin-Ms", "X-Kv-Backup", "X-Request-Priority", "X-Private"} {
+	for _, name := range []string{"X-Phase", "X-Kv-Source", "X-Kv-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-Fetch", "X-Request-Priority", "X-Private"} {
 		if value := run.Header.Get(name); value != "" {
 			t.Errorf("%s: %q reached the target", name, value)
 		}
