--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -130,6 +130,7 @@
 	"Answered":         "a target answered",
 	"Backlog":          "refused at once: on each engine the prompts ahead of it would have made the first token late",
 	"NoTarget":         "refused at once: the registry lists no usable target with room",
+	"NoSlot":           "refused at once: no engine that generates has a slot free for an answer of this kind",
 	"ConcurrencyLimit": "refused at once: all targets have as many requests as they run and queue",
 	"TargetsRefused":   "refused: each target that was tried said that it did not run the request",
 	"RetryBudget":      "given up: a further send would have exceeded the budget that all instances share",
--- a/cmd/commands/explain_test.go
+++ b/cmd/commands/explain_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
@@ -42,3 +45,44 @@
 		t.Errorf("exit code %d", code)
 	}
 }
+
+// Guards against a reason of refused and failed requests that the command prints as a bare
+// word.
+func TestEveryReasonIsExplained(t *testing.T) {
+	values := map[string]string{}
+	declared := regexp.MustCompile(`(?m)^\s*(?:const )?(Reason\w+)\s+(?:core\.)?Reason = "(\w+)"`)
+	used := regexp.MustCompile(`\b(?:core\.)?(Reason\w+)\b`)
+	seen := map[string]bool{}
+	for _, pattern := range []string{"../../core/*.go", "../../core/assign/*.go", "../../io/forward/*.go"} {
+		files, err := filepath.Glob(pattern)
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: %d files, %v", pattern, len(files), err)
+		}
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, match := range declared.FindAllStringSubmatch(string(text), -1) {
+				values[match[1]] = match[2]
+			}
+			if pattern == "../../core/*.go" || strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			for _, match := range used.FindAllStringSubmatch(string(text), -1) {
+				seen[match[1]] = true
+			}
+		}
+	}
+	for name := range seen {
+		switch value, ok := values[name]; {
+		case !ok, value == "LeastDelay", value == "PrefixHit":
+			// Not a constant, or the reason of a choice.
+		case reasons[value] == "":
+			t.Errorf("%s: %q has no text", name, value)
+		}
+	}
+	if !seen["ReasonNoSlot"] || len(seen) < 10 {
+		t.Errorf("only %d reasons were found", len(seen))
+	}
+}
