Bound unused connections by the target's limit and the number of instances

Cause: each instance kept up to 16 unused connections to a target. A target that accepts 110 from all callers would have reset the connections of requests under way with 9 instances (144); max_conns was decoded and not read.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -42,8 +42,8 @@
 	answer, err := r.Pool.Do(r.ctx, &target.Request{
 		Address: e.Address, Method: r.in.Method, URI: requestURI(r.in), Host: r.in.Host,
 		Header: r.Dialect.Outbound(r.in.Header, &a), Body: r.body,
-		Deadline: time.Now().Add(limit),
-		Matches:  func(h http.Header) bool { return r.Dialect.Matches(r.req.ID, h) },
+		Deadline: time.Now().Add(limit), MaxIdle: r.maxIdle(),
+		Matches: func(h http.Header) bool { return r.Dialect.Matches(r.req.ID, h) },
 	})
 	if err != nil {
 		return nil, r.failed(e, &a, now, err)
@@ -55,6 +55,20 @@
 	return r.classify(e, &a, answer)
 }
 
+// idleShare is the part of a target's connections that all instances together may keep
+// unused. The rest is for requests under way, which a target at its limit would reset.
+const idleShare = 0.5
+
+// maxIdle returns this instance's share of the unused connections to a target, or 0 if
+// the target has no limit.
+func (r *run) maxIdle() int {
+	limit := r.table.Configuration().Services[r.service].MaxConnections
+	if limit <= 0 {
+		return 0
+	}
+	return max(1, int(idleShare*float64(limit)/float64(r.Budgets.Instances())))
+}
+
 // classify separates answers of targets that ran the request from refusals.
 func (r *run) classify(e *roster.Entry, a *core.Attempt, answer *target.Answer) (*target.Answer, sendResult) {
 	kind := r.Dialect.Answered(answer.Status, answer.Header)
--- a/io/forward/budgets.go
+++ b/io/forward/budgets.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// Instances returns the number of live instances that shares are counted for.
+func (b *Budgets) Instances() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.instances
+}
+
 // SetInstances follows the number of live instances, which share the slack.
 func (b *Budgets) SetInstances(n int) {
 	b.mu.Lock()
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -212,7 +212,7 @@
 	r.releases.Go(func() {
 		answer, err := r.Pool.Do(ctx, &target.Request{
 			Address: e.Address, Method: method, URI: uri, Host: e.Address,
-			Header: http.Header{}, Deadline: time.Now().Add(releaseTimeout),
+			Header: http.Header{}, Deadline: time.Now().Add(releaseTimeout), MaxIdle: r.maxIdle(),
 		})
 		if err != nil {
 			r.Log.WithFields(log.Fields{"Target": e.ID, "Handle": handle, "Error": err.Error()}).Warn("ReleaseFailed")
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -39,6 +39,9 @@
 	Body   []byte
 	// Deadline bounds the whole exchange.
 	Deadline time.Time
+	// MaxIdle bounds the unused connections to the address that are kept afterwards; 0 takes
+	// the bound of the pool, which is never exceeded.
+	MaxIdle int
 	// Matches reports whether an answer belongs to the request; nil accepts any.
 	Matches func(http.Header) bool
 }
@@ -76,6 +79,8 @@
 	ended bool
 	keep  bool
 	idle  time.Duration
+	// maxIdle is that of the request.
+	maxIdle int
 	// written is closed when the request's body was written; nil if it was written before
 	// the answer was read.
 	written chan error
@@ -94,7 +99,7 @@
 		return nil, &Error{err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	a := &Answer{pool: p, conn: conn, stop: stop}
+	a := &Answer{pool: p, conn: conn, stop: stop, maxIdle: r.MaxIdle}
 	err = a.send(r)
 	if err == nil {
 		err = a.receive(r)
@@ -231,7 +236,7 @@
 		_ = a.conn.Close() // it can't be used again
 		return
 	}
-	a.pool.put(a.conn, a.idle)
+	a.pool.put(a.conn, a.idle, a.maxIdle)
 }
 
 // Close ends the exchange. Unless Finish was called, it closes the connection, which
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -122,15 +122,19 @@
 	return c
 }
 
-// put keeps a connection for another request, for at most the given time.
-func (p *Pool) put(c *pooled, idle time.Duration) {
+// put keeps a connection for another request, for at most the given time and among at most
+// a number of others; 0 takes the pool's bounds.
+func (p *Pool) put(c *pooled, idle time.Duration, maxIdle int) {
+	if maxIdle <= 0 || maxIdle > p.opts.MaxIdle {
+		maxIdle = p.opts.MaxIdle
+	}
 	if idle <= 0 || idle > p.opts.IdleTimeout {
 		idle = p.opts.IdleTimeout
 	}
 	c.expires = time.Now().Add(idle)
 	p.mu.Lock()
 	list := p.idle[c.address]
-	isFull := len(list) >= p.opts.MaxIdle
+	isFull := len(list) >= maxIdle
 	if !isFull {
 		p.idle[c.address] = append(list, c)
 	}
