--- a/cmd/entry/node/roles_test.go
+++ b/cmd/entry/node/roles_test.go
@@ -50,7 +50,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := forward.New(forward.Options{})
+	assigner := assign.New(assign.Options{Board: load.NewBoard()})
+	f := forward.New(forward.Options{Assigner: assigner})
 	f.Configure(route.NewTable(&core.Forwarding{Version: 1, Services: map[core.Service]core.ServiceLimits{
 		"one": {Name: "one", Engine: &core.EngineLimits{}}, "two": {Name: "two", Engine: &core.EngineLimits{}},
 	}}))
@@ -61,7 +62,7 @@
 	})
 	reporter := &countingReporter{}
 	r := &roles{
-		assigner: assign.New(assign.Options{Board: load.NewBoard()}), counted: map[core.Service]assign.Counts{},
+		assigner: assigner, counted: map[core.Service]assign.Counts{},
 		clock: clock, steady: core.NewProcessClock(), forwarder: f, roster: targets, board: load.NewBoard(),
 		log: &log.Logger{Handler: discard.Default}, planners: map[planKey]*placement.DemandPlanner{},
 		ordered: map[core.TargetID]core.Instant{}, reported: map[core.TargetID]core.LoadReport{}, reporter: reporter,
--- a/core/assign/slots.go
+++ b/core/assign/slots.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -79,3 +80,12 @@
 	m := a.model(req.Service)
 	m.holds[req.Route] += time.Duration(learning * float64(took-m.holds[req.Route]))
 }
+
+// KeepRoutes forgets what was learned about all other routes.
+func (a *Assigner) KeepRoutes(names map[string]bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, m := range a.models {
+		maps.DeleteFunc(m.holds, func(name string, _ time.Duration) bool { return !names[name] })
+	}
+}
--- a/core/assign/slots_test.go
+++ b/core/assign/slots_test.go
@@ -54,6 +54,20 @@
 	}
 }
 
+// Guards against what was learned about a route that outlives it, and about all routes that
+// ever were.
+func TestRemovedRoutesAreForgotten(t *testing.T) {
+	board := load.NewBoard()
+	a, view := newAssigner(board), newView(2, 1)
+	teach(a, view, "brief", briefHold)
+	teach(a, view, "long", longHold)
+	a.KeepRoutes(map[string]bool{"brief": true})
+	fill(board, "g0", slots-1)
+	if d := a.Assign(0, view, requestOf("long")); d.Target == nil {
+		t.Errorf("a route of which nothing is known is refused: %+v", d)
+	}
+}
+
 // Guards against slots that stay empty where all answers are long.
 func TestLongAnswersAloneUseAllSlots(t *testing.T) {
 	board := load.NewBoard()
--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -91,9 +91,9 @@
 
 // DemandPlanner plans the roles of the engines of one service by what waits and what is
 // refused: it moves engines to prompts while those that have this role are busy and the
-// others idle, and back when generations fill their slots. It answers mixes whose share of prompts shifts
-// within seconds, and a start in which most engines have the role that little needs. It
-// is not safe for concurrent use.
+// others idle, and back when generations fill their slots. It answers mixes whose share of
+// prompts shifts within seconds, and a start in which most engines have the role that little
+// needs. It is not safe for concurrent use.
 type DemandPlanner struct {
 	options DemandOptions
 	// busy and full are running averages of the shares in use.
@@ -212,7 +212,8 @@
 // regretRefusals adds what was refused since the last plan, and forgets while little is.
 // Changes under way are to show their effect first.
 func (p *DemandPlanner) regretRefusals(now core.Instant, refused Refusals) {
-	elapsed := now.Sub(p.at)
+	// A plan after a gap, as after another instance planned, counts as one.
+	elapsed := min(now.Sub(p.at), p.options.Smoothing)
 	switch net := refused.NoSlot - refused.Backlog; {
 	case len(p.pending) > 0 || !p.isStarted:
 		p.regret = 0
--- a/core/placement/demand_test.go
+++ b/core/placement/demand_test.go
@@ -138,6 +138,18 @@
 	}
 }
 
+// Guards against refusals that count for the whole time in which another instance planned.
+func TestGapBetweenPlansCountsOnce(t *testing.T) {
+	f := newFleet(9, 5)
+	f.run(3, 0.3, 0.6)
+	f.now = f.now.Add(time.Minute)
+	f.refused = placement.Refusals{NoSlot: 0.3}
+	f.run(1, 0.3, 0.6)
+	if len(f.changes) > 0 {
+		t.Errorf("changes %+v", f.changes)
+	}
+}
+
 // Answers overload of both kinds. Guards against engines that are taken from the side
 // that is short of more.
 func TestRolesFollowTheGreaterShortage(t *testing.T) {
