Give test instances ports that no outgoing connection can take

Cause: TestMetricsAreServed failed once in some 40 runs beside load with 'bind: address already in use': the port was picked by the system, closed and given to an outgoing connection before the instance opened it.

--- a/cmd/entry/node/node_test.go
+++ b/cmd/entry/node/node_test.go
@@ -65,12 +65,11 @@
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	ports, err := stand.FreePorts(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return "127.0.0.1:" + strconv.Itoa(ports[0])
 }
 
 // output collects what a process logs.
--- a/standin/platform/soak/fleet.go
+++ b/standin/platform/soak/fleet.go
@@ -2,17 +2,17 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gorseline/standin/platform"
 )
 
 // grace is the time between SIGTERM and SIGKILL.
@@ -71,40 +71,8 @@
 form = "table"
 `
 
-// firstPort is the first of the ports given to instances. They lie below the range that
-// the system gives to outgoing connections, which could take one while its instance is
-// down.
-const firstPort = 12_000
-
-// nextPort is the next port to try, shared by all soaks of this process.
-var nextPort atomic.Int64
-
-// freePorts returns ports on which nobody listens over TCP or UDP.
-func freePorts(n int) ([]int, error) {
-	var ports []int
-	for len(ports) < n {
-		port := firstPort + int(nextPort.Add(1))
-		if port >= 32_000 {
-			return nil, errors.New("no free ports are left")
-		}
-		address := "127.0.0.1:" + strconv.Itoa(port)
-		l, err := net.Listen("tcp4", address)
-		if err != nil {
-			continue // somebody listens there
-		}
-		_ = l.Close() // the instance opens it again
-		c, err := net.ListenPacket("udp4", address)
-		if err != nil {
-			continue // somebody listens there
-		}
-		_ = c.Close() // the instance opens it again
-		ports = append(ports, port)
-	}
-	return ports, nil
-}
-
 func newEntry(name, dc, dir string, command []string, store *proxy) (*entry, error) {
-	ports, err := freePorts(4)
+	ports, err := platform.FreePorts(4)
 	if err != nil {
 		return nil, err
 	}
