Keep a target's failure when no other is left; tell work again after an own pause

Cause: a repeatable call that a target failed was answered 502 when no other target was left, and the target's own answer was lost; seen in the reading. An instance that was frozen for longer than its peers wait had its work dropped by them, and told it again only if no datagram of theirs had waited in its socket. Both tests fail without the change.

--- a/io/digest/digest_test.go
+++ b/io/digest/digest_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,7 +136,7 @@
 	restarted := nodes[1].opts
 	restarted.Sender, restarted.Board = 22, load.NewBoard()
 	nodes[1].heard(&packet{Kind: packetVersions, Address: "127.0.0.1:9", Sender: 3}) // unknown peers do no harm
-	board := replaceNode(t, nodes[1], restarted)
+	board := replaceNode(t, nodes[1], restarted).opts.Board
 	within(t, 2*time.Second, "the new process knows what is outstanding", func() bool {
 		return board.State(0, "t", nil).Generating == 1
 	})
@@ -145,7 +146,7 @@
 }
 
 // replaceNode ends a node and starts another one at its address.
-func replaceNode(t *testing.T, old *Node, o Options) *load.Board {
+func replaceNode(t *testing.T, old *Node, o Options) *Node {
 	t.Helper()
 
 	_ = old.opts.Conn.Close()
@@ -161,7 +162,7 @@
 		cancel()
 		<-n.Done()
 	})
-	return o.Board
+	return n
 }
 
 // Guards against the work of an instance that was cut off, which holds slots on the others
@@ -175,6 +176,42 @@
 	within(t, 2*freshFor, "it is forgotten", func() bool { return boards[0].State(0, "t", nil).Generating == 0 })
 }
 
+// skewed is a clock that can be set forward.
+type skewed struct {
+	core.ClockProvider
+	ahead atomic.Int64
+}
+
+func (c *skewed) Now() core.Instant { return c.ClockProvider.Now().Add(time.Duration(c.ahead.Load())) }
+
+// Guards against work of an instance that was frozen: its peers have dropped it, and would
+// give the slots that it holds to others.
+func TestWorkIsToldAgainAfterAPause(t *testing.T) {
+	clock := &skewed{ClockProvider: core.NewProcessClock()}
+	nodes, boards := newNodes(t, 2)
+	within(t, 5*time.Second, "members", func() bool { return len(nodes[0].peers.Load().near) == 1 })
+	o := nodes[0].opts
+	o.Clock = clock
+	n := replaceNode(t, nodes[0], o)
+	item := load.Item{Ref: load.Ref{Key: load.Key{Sender: o.Sender, Serial: 1}, Target: "t"}, Kind: load.Generate}
+	within(t, 5*time.Second, "the peer was told", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.heardFrom[nodes[1].opts.Self.Address].isTold
+	})
+	o.Board.Sent(clock.Now(), item)
+	time.Sleep(2 * announceInterval)
+	if got := boards[1].State(nodes[1].opts.Clock.Now(), "t", nil).Generating; got != 0 {
+		t.Fatalf("%d items are known before the pause", got)
+	}
+	clock.ahead.Store(int64(2 * freshFor))
+	// A datagram that waited in the socket is read before anything else.
+	n.heard(&packet{Kind: packetVersions, Address: nodes[1].opts.Self.Address, Sender: nodes[1].opts.Sender})
+	within(t, 4*announceInterval, "the work is told again", func() bool {
+		return boards[1].State(nodes[1].opts.Clock.Now(), "t", nil).Generating == 1
+	})
+}
+
 // lossy loses a share of the datagrams that it sends.
 type lossy struct {
 	net.PacketConn
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -76,6 +76,7 @@
 	pending map[uint32]pendingCall
 	// heardFrom holds the addresses from which a datagram arrived within freshFor.
 	heardFrom map[string]voice
+	tickedAt  core.Instant
 }
 
 // pendingCall is a call whose reply is awaited until due.
@@ -168,6 +169,7 @@
 func (n *Node) tick() {
 	n.mu.Lock()
 	now := n.opts.Clock.Now()
+	n.noticeOwnPause(now)
 	calls := n.members.Tick(now)
 	var answers []func(bool)
 	for serial, p := range n.pending {
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -47,6 +47,22 @@
 	isTold bool
 }
 
+// noticeOwnPause has all peers told the own work again after this process did not run for
+// so long that they have dropped it. The lock must be held.
+func (n *Node) noticeOwnPause(now core.Instant) {
+	pause := now.Sub(n.tickedAt)
+	isFirst := n.tickedAt == 0
+	n.tickedAt = now
+	if isFirst || pause < freshFor {
+		return
+	}
+	n.opts.Log.WithField("PauseMs", pause.Milliseconds()).Warn("OwnPauseNoticed")
+	for address, v := range n.heardFrom {
+		v.isTold = false
+		n.heardFrom[address] = v
+	}
+}
+
 // forgetSilent drops what is known of addresses that have not been heard for freshFor: the
 // ends of their work may have been missed. The lock must be held.
 func (n *Node) forgetSilent(now core.Instant) {
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -67,17 +67,11 @@
 	}
 	failed := answer.Status >= http.StatusInternalServerError
 	r.judge(e, failed)
-	// A repeatable request that the target failed may succeed elsewhere.
-	if failed && r.mayRunAgain() && r.remaining() > r.route.Objective/4 && r.Budgets.Take(r.service) {
+	if next, ok := r.another(failed); ok {
 		drain(answer)
 		r.logAttempt(e, &core.Attempt{}, "Failed", answer.Status, nil)
-		d := r.chooseCall()
-		if d.Target == nil {
-			r.fail(core.ReasonNoTarget)
-			return true
-		}
-		r.logCall(d)
-		return r.callOnce(d)
+		r.logCall(next)
+		return r.callOnce(next)
 	}
 	if isEventStream(answer) {
 		return r.relayStream(e, answer)
@@ -85,6 +79,16 @@
 	return r.relay(answer)
 }
 
+// another chooses a target for a request that the last one has failed: a repeatable one
+// may succeed elsewhere. Without another target the caller gets the answer that there is.
+func (r *run) another(failed bool) (assign.CallDecision, bool) {
+	if !failed || !r.mayRunAgain() || r.remaining() <= r.route.Objective/4 {
+		return assign.CallDecision{}, false
+	}
+	d := r.chooseCall()
+	return d, d.Target != nil && r.Budgets.Take(r.service)
+}
+
 // callLimit returns how long to wait for the answer to one send.
 func (r *run) callLimit() time.Duration {
 	if r.route.Kind != core.RouteRepeatable || r.runs+1 >= r.route.Attempts {
--- a/standin/platform/call_test.go
+++ b/standin/platform/call_test.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// Guards against a failure of a target that the caller gets as a failure of the relay, since
+// no other target was left to try.
+func TestLastFailureIsTheTargets(t *testing.T) {
+	r := newRig(t, "")
+	r.targets[0].Misbehave(platform.Fail)
+	got := r.do(t.Context(), http.MethodGet, "/safe/x", "r1", "", "X-Deadline-Ms", "2000")
+	if got.status != http.StatusInternalServerError || got.header.Get("X-Upstream-Stamp") != "i-a.r1" {
+		t.Errorf("answer %+v", got)
+	}
+}
+
 // Guards against a call that runs twice though it must not, against a refusal of a call
 // that ran, and against an answer that is broken or another request's.
 func TestMisbehavingTargets(t *testing.T) {
