Keep the work of other cells between their probes; learn no negative times

Cause, found in the reading: instances of other data centres are heard only by probes, seconds apart, and their work was dropped as that of silent peers. Only peers that have announced themselves, those of the own cell, count as silent; the test of a silent peer waits for its first announcement. A fetch that was faster than expected taught a prompt time below zero.

--- a/io/digest/digest_test.go
+++ b/io/digest/digest_test.go
@@ -172,6 +172,11 @@
 	within(t, 5*time.Second, "members", func() bool { return len(nodes[1].peers.Load().near) == 1 })
 	nodes[1].Sent(load.Item{Ref: load.Ref{Key: load.Key{Sender: 2, Serial: 1}, Target: "t"}, Kind: load.Generate})
 	within(t, time.Second, "the work", func() bool { return boards[0].State(0, "t", nil).Generating == 1 })
+	within(t, time.Second, "the announcement", func() bool {
+		nodes[0].mu.Lock()
+		defer nodes[0].mu.Unlock()
+		return nodes[0].heardFrom[nodes[1].opts.Self.Address].isTold
+	})
 	_ = nodes[1].opts.Conn.Close()
 	within(t, 2*freshFor, "it is forgotten", func() bool { return boards[0].State(0, "t", nil).Generating == 0 })
 }
@@ -212,6 +217,23 @@
 	})
 }
 
+// Guards against work of instances in other cells that is dropped between two of their
+// probes, which come seconds apart.
+func TestWorkOfOtherCellsOutlastsTheirSilence(t *testing.T) {
+	nodes, boards := newNodes(t, 1)
+	n, now := nodes[0], nodes[0].opts.Clock.Now
+	n.heard(&packet{Kind: packetCall, Address: "127.0.0.1:9", Sender: 77})
+	boards[0].Sent(now(), load.Item{Ref: load.Ref{Key: load.Key{Sender: 77, Serial: 1}, Target: "t"}, Kind: load.Generate})
+	within(t, 2*freshFor, "the address is forgotten", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.heardFrom) == 0
+	})
+	if got := boards[0].State(now(), "t", nil).Generating; got != 1 {
+		t.Errorf("%d items remain, want 1", got)
+	}
+}
+
 // lossy loses a share of the datagrams that it sends.
 type lossy struct {
 	net.PacketConn
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -43,7 +43,7 @@
 	at core.Instant
 	// sender names the process there.
 	sender uint32
-	// isTold is set once it was told the own outstanding work.
+	// isTold is set once it has announced itself and was told the own outstanding work.
 	isTold bool
 }
 
@@ -63,15 +63,18 @@
 	}
 }
 
-// forgetSilent drops what is known of addresses that have not been heard for freshFor: the
-// ends of their work may have been missed. The lock must be held.
+// forgetSilent drops what is known of peers of the own cell that have not been heard for
+// freshFor: the ends of their work may have been missed. Those of other cells announce
+// nothing here. The lock must be held.
 func (n *Node) forgetSilent(now core.Instant) {
 	maps.DeleteFunc(n.heardFrom, func(address string, v voice) bool {
 		if now.Sub(v.at) < freshFor {
 			return false
 		}
-		n.opts.Log.WithFields(log.Fields{"Peer": address, "Sender": v.sender}).Info("PeerSilent")
-		n.opts.Board.Drop(v.sender)
+		if v.isTold {
+			n.opts.Log.WithFields(log.Fields{"Peer": address, "Sender": v.sender}).Info("PeerSilent")
+			n.opts.Board.Drop(v.sender)
+		}
 		return true
 	})
 }
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -111,7 +111,7 @@
 	}
 	r.Assigner.ObserveElsewhere(now, d.Target, now.Sub(began)-d.Compute)
 	if took, known := r.Board.Computed(now, ref); known {
-		r.Assigner.ObservePrompt(r.service, load.Prefill, d.Work, took-d.Transfer)
+		r.Assigner.ObservePrompt(r.service, load.Prefill, d.Work, computing(took, d))
 	}
 	return handle, true
 }
@@ -128,7 +128,7 @@
 		return false
 	}
 	if took, known := r.Board.Computed(r.Clock.Now(), ref); known {
-		r.Assigner.ObservePrompt(r.service, load.Whole, d.Work, took-d.Transfer)
+		r.Assigner.ObservePrompt(r.service, load.Whole, d.Work, computing(took, d))
 	}
 	r.Sharer.Computed(ref)
 	done = r.answer(e, answer)
@@ -136,6 +136,12 @@
 	return done
 }
 
+// computing returns the part of a prompt's time that was not spent on fetching. A transfer
+// that was faster than expected must not make the computing look free.
+func computing(took time.Duration, d *assign.Decision) time.Duration {
+	return max(took-d.Transfer, took/2)
+}
+
 // fetchFrom returns the address from which the target of a decision fetches parts of the
 // prompt.
 func fetchFrom(d *assign.Decision) string {
