--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -385,23 +385,3 @@
 	defer n.mu.Unlock()
 	return n.members.Members()
 }
-
-// freshFor is how long after its last datagram a peer of the own cell is given to callers:
-// three announcements may be lost. Probes would find a dead peer seconds later, longer
-// still in other data centres.
-const freshFor = 4 * announceInterval
-
-// CallerAddresses returns the addresses for a caller in a data centre.
-func (n *Node) CallerAddresses(dc core.DataCentre) []string {
-	cells := n.Cells()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.opts.Clock.Now()
-	return n.members.CallerAddresses(n.rng, dc, func(r membership.Record) bool {
-		if r.ID == n.opts.Self.ID || !cells.IsWide && r.DataCentre != cells.Home {
-			return true // peers of other cells announce nothing here
-		}
-		v, ok := n.heardFrom[r.Address]
-		return ok && now.Sub(v.at) < freshFor
-	})
-}
