Send outstanding work the way all other packets go

Cause, found in the reading: shareAll parsed the address, encoded and logged by itself what sendAll and send already do. Change: it hands them its packets, which then also carry the sender's versions. No decision changes; the tests of io/digest pass unchanged.

--- a/io/digest/load.go
+++ b/io/digest/load.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"slices"
 
-	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -133,11 +132,6 @@
 // shareAll tells a peer all outstanding work of this instance, in the order of packets:
 // one that has just started, or that missed digests while it was frozen or cut off.
 func (n *Node) shareAll(to string) {
-	address, err := netip.ParseAddrPort(to)
-	if err != nil {
-		n.opts.Log.WithFields(log.Fields{"Address": to, "Error": err.Error()}).Warn("PeerAddressInvalid")
-		return
-	}
 	var events []event
 	for _, o := range n.opts.Board.Outstanding(n.opts.Sender) {
 		events = append(events, sentEvent(o.Item))
@@ -145,16 +139,11 @@
 			events = append(events, event{Operation: opComputed, Target: o.Target, Serial: o.Key.Serial})
 		}
 	}
-	isAfresh := true
+	var packets []addressed
 	for part := range slices.Chunk(events, eventsPerPacket) {
-		data, err := cbor.Marshal(&packet{Kind: packetLoad, Sender: n.opts.Sender, Events: part, IsAfresh: isAfresh})
-		if err != nil {
-			n.opts.Log.WithError(err).Error("DatagramNotEncoded")
-			return
-		}
-		n.write(data, udpAddresses([]netip.AddrPort{address}))
-		isAfresh = false
+		packets = append(packets, addressed{to, packet{Kind: packetLoad, Events: part, IsAfresh: len(packets) == 0}})
 	}
+	n.sendAll(packets)
 }
 
 // load takes in the digest of a peer.
