Decide once per request how many slots it leaves free

Cause, found in the reading: each choice of an engine looked the request's route up once per engine and twice per generating one.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -238,7 +238,8 @@
 	now core.Instant, view *roster.View, req *Request, m *model,
 ) (list []candidate, shortest time.Duration, isFull bool) {
 	list = a.scratch[:0]
-	generates, hasFree := a.generators(now, view, req, m)
+	reserved := a.reserved(m, req)
+	generates, hasFree := a.generators(now, view, req, reserved)
 	var most holder
 	for _, e := range view.Ready(req.Service) {
 		if !a.knows(e) || !a.usable(now, e, req.Exclude) {
@@ -249,7 +250,7 @@
 		if e.Role == core.RolePrefill && !hasFree {
 			continue
 		}
-		c, ok := a.candidate(e, &state, req, m)
+		c, ok := a.candidate(e, &state, req, m, reserved)
 		if !ok {
 			continue
 		}
@@ -275,8 +276,10 @@
 }
 
 // candidate rates one engine.
-func (a *Assigner) candidate(e *roster.Entry, state *load.State, req *Request, m *model) (candidate, bool) {
-	if !a.hasSlot(e, state, req, m) {
+func (a *Assigner) candidate(
+	e *roster.Entry, state *load.State, req *Request, m *model, reserved float64,
+) (candidate, bool) {
+	if !hasSlot(e, state, reserved) {
 		return candidate{}, false
 	}
 	c := candidate{Decision: Decision{Target: e, Held: state.Held, Backlog: state.Backlog}}
@@ -323,12 +326,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	m := a.model(req.Service)
+	reserved := a.reserved(m, req)
 	for _, e := range view.Ready(req.Service) {
 		if !e.Role.AcceptsDecode() || !a.usable(now, e, req.Exclude) || a.cell(e) != a.cell(source) {
 			continue
 		}
 		state := a.opts.Board.State(now, e.ID, nil)
-		if !a.hasSlot(e, &state, req, m) {
+		if !hasSlot(e, &state, reserved) {
 			continue
 		}
 		isLocal := e.DataCentre == source.DataCentre
--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -70,9 +70,7 @@
 func TestBusyGeneratorGetsNoLongPrompt(t *testing.T) {
 	board := load.NewBoard()
 	a, view := newAssigner(board), newView(1, 1)
-	for serial := range uint32(8) {
-		board.Sent(0, load.Item{Ref: load.Ref{Key: load.Key{Serial: serial}, Target: "g0"}, Kind: load.Generate})
-	}
+	fill(board, 8)
 	for serial := range uint32(4) {
 		board.Sent(0, load.Item{
 			Ref: load.Ref{Key: load.Key{Serial: 100 + serial}, Target: "p0"}, Kind: load.Prefill, Compute: 25 * time.Millisecond,
@@ -99,9 +97,7 @@
 func TestFullGeneratorsMeanNoSlot(t *testing.T) {
 	board := load.NewBoard()
 	a, view := newAssigner(board), newView(2, 1)
-	for serial := range uint32(200) {
-		board.Sent(0, load.Item{Ref: load.Ref{Key: load.Key{Serial: serial}, Target: "g0"}, Kind: load.Generate})
-	}
+	fill(board, 200)
 	if d := a.Assign(0, view, testRequest(5000)); d.Target != nil || d.Reason != core.ReasonNoSlot || d.RetryAfter <= 0 {
 		t.Errorf("%+v", d)
 	}
--- a/core/assign/elsewhere.go
+++ b/core/assign/elsewhere.go
@@ -43,12 +43,13 @@
 // unknown but for what earlier prompts met.
 func (a *Assigner) elsewhere(now core.Instant, view *roster.View, req *Request, m *model) (best candidate, ok bool) {
 	least, seen := 0.0, 0
+	reserved := a.reserved(m, req)
 	for _, e := range view.Ready(req.Service) {
 		if a.knows(e) || e.Role != core.RolePrefill || !a.usable(now, e, req.Exclude) {
 			continue
 		}
 		state := a.opts.Board.State(now, e.ID, req.Chain.Shared())
-		c, fits := a.candidate(e, &state, req, m)
+		c, fits := a.candidate(e, &state, req, m, reserved)
 		if !fits {
 			continue
 		}
--- a/core/assign/fixture_test.go
+++ b/core/assign/fixture_test.go
@@ -136,6 +136,13 @@
 	serial   uint32
 }
 
+// setCapacities gives each engine its cache on the board.
+func setCapacities(board *load.Board, view *roster.View) {
+	for e := range view.All {
+		board.SetCapacity(e.ID, engineLimits.CacheTokens)
+	}
+}
+
 // newWorld returns a fleet of 9 engines that compute prompts and 5 that generate.
 func newWorld() *world {
 	board := load.NewBoard()
@@ -145,8 +152,8 @@
 	}
 	for e := range w.view.All {
 		w.caches[e.ID] = prompt.NewCache(engineLimits.CacheTokens)
-		board.SetCapacity(e.ID, engineLimits.CacheTokens)
 	}
+	setCapacities(board, w.view)
 	return w
 }
 
--- a/core/assign/slots.go
+++ b/core/assign/slots.go
@@ -33,29 +33,34 @@
 // generators reports whether there are engines that could generate an answer, and whether
 // one of them has a free slot.
 func (a *Assigner) generators(
-	now core.Instant, view *roster.View, req *Request, m *model,
+	now core.Instant, view *roster.View, req *Request, reserved float64,
 ) (exist, hasFree bool) {
 	for _, e := range view.Ready(req.Service) {
 		if !e.Role.AcceptsDecode() || !a.knows(e) || !a.usable(now, e, req.Exclude) {
 			continue
 		}
 		exist = true
-		if state := a.opts.Board.State(now, e.ID, nil); a.hasSlot(e, &state, req, m) {
+		if state := a.opts.Board.State(now, e.ID, nil); hasSlot(e, &state, reserved) {
 			return true, true
 		}
 	}
 	return exist, false
 }
 
-// hasSlot reports whether a request would not wait for a slot. Long answers hold slots for
-// seconds, so that a wait for one takes longer than most objectives allow; they leave some
-// free for brief ones.
-func (a *Assigner) hasSlot(e *roster.Entry, state *load.State, req *Request, m *model) bool {
-	slots := e.Slots
+// hasSlot reports whether a request that leaves a share of the slots free would not wait for
+// one. Long answers hold slots for seconds, so that a wait takes longer than most
+// objectives allow.
+func hasSlot(e *roster.Entry, state *load.State, reserved float64) bool {
+	slots := e.Slots - int(math.Ceil(reserved*float64(e.Slots)))
+	return e.Slots <= 0 || state.Running < max(1, slots)
+}
+
+// reserved returns the share of an engine's slots that a request leaves to brief ones.
+func (a *Assigner) reserved(m *model, req *Request) float64 {
 	if a.isLong(m, req) && m.brief > a.opts.BriefShare {
-		slots -= int(math.Ceil(a.opts.Reserved * float64(slots)))
+		return a.opts.Reserved
 	}
-	return e.Slots <= 0 || state.Running < max(1, slots)
+	return 0
 }
 
 // isLong reports whether the answer is expected to hold its slot for long.
--- a/core/assign/slots_test.go
+++ b/core/assign/slots_test.go
@@ -30,10 +30,10 @@
 	}
 }
 
-// fill gives an engine answers that hold slots.
-func fill(board *load.Board, id core.TargetID, count int) {
+// fill gives the first generating engine answers that hold slots.
+func fill(board *load.Board, count int) {
 	for serial := range uint32(count) {
-		board.Sent(0, load.Item{Ref: load.Ref{Key: load.Key{Sender: 9, Serial: serial}, Target: id}, Kind: load.Generate})
+		board.Sent(0, load.Item{Ref: load.Ref{Key: load.Key{Sender: 9, Serial: serial}, Target: "g0"}, Kind: load.Generate})
 	}
 }
 
@@ -45,7 +45,7 @@
 	a, view := newAssigner(board), newView(2, 1)
 	teach(a, view, "brief", briefHold)
 	teach(a, view, "long", longHold)
-	fill(board, "g0", slots-2)
+	fill(board, slots-2)
 	if d := a.Assign(0, view, requestOf("long")); d.Target != nil || d.Reason != core.ReasonNoSlot {
 		t.Errorf("a long answer takes one of the last slots: %+v", d)
 	}
@@ -62,7 +62,7 @@
 	teach(a, view, "brief", briefHold)
 	teach(a, view, "long", longHold)
 	a.KeepRoutes(map[string]bool{"brief": true})
-	fill(board, "g0", slots-1)
+	fill(board, slots-1)
 	if d := a.Assign(0, view, requestOf("long")); d.Target == nil {
 		t.Errorf("a route of which nothing is known is refused: %+v", d)
 	}
@@ -75,7 +75,7 @@
 	for range 5 {
 		teach(a, view, "long", longHold)
 	}
-	fill(board, "g0", slots-1)
+	fill(board, slots-1)
 	if d := a.Assign(0, view, requestOf("long")); d.Target == nil {
 		t.Errorf("refused with a slot free: %+v", d)
 	}
@@ -86,9 +86,7 @@
 func TestSharedPartsAreFetched(t *testing.T) {
 	board := load.NewBoard()
 	a, view := newAssigner(board), newView(2, 1)
-	for e := range view.All {
-		board.SetCapacity(e.ID, engineLimits.CacheTokens)
-	}
+	setCapacities(board, view)
 	req := testRequest(9000)
 	shared := load.Item{Ref: load.Ref{Key: load.Key{Serial: 1}, Target: "p0"}, Kind: load.Prefill, Chain: req.Chain}
 	board.Sent(0, shared)
@@ -118,9 +116,7 @@
 func TestNothingIsFetchedOverUnknownLinks(t *testing.T) {
 	board := load.NewBoard()
 	a, view := newAssigner(board), newView(2, 1)
-	for e := range view.All {
-		board.SetCapacity(e.ID, engineLimits.CacheTokens)
-	}
+	setCapacities(board, view)
 	req := testRequest(9000)
 	board.Sent(0, load.Item{Ref: load.Ref{Key: load.Key{Serial: 1}, Target: "p0"}, Kind: load.Prefill, Compute: time.Second, Chain: req.Chain})
 	if d := a.Assign(0, view, without(req)); d.Target == nil || d.Fetch != nil {
