Import a prompt's cache on another engine after a refusal, and count second computations as retries

Change: a refused import is sent once more to another engine with the same handle, and a second computation withdraws a retry of its own. Tests failed before: the prompt was computed twice, and a budget of three retries did not serve the request.

--- a/io/forward/budgets.go
+++ b/io/forward/budgets.go
@@ -18,9 +18,9 @@
 	Instances int
 }
 
-// grantedBurstShare is the fraction of the burst that is divided among the instances. The
+// GrantedBurstShare is the fraction of the burst that is divided among the instances. The
 // rest covers instances that restart with a full share.
-const grantedBurstShare = 0.6
+const GrantedBurstShare = 0.6
 
 // RetryBudgets holds this instance's share of the retry budget of each service. It is safe
 // for concurrent use.
@@ -51,7 +51,7 @@
 
 // instanceBurst returns this instance's share of the burst. The caller must hold b.mu.
 func (b *RetryBudgets) instanceBurst() float64 {
-	return grantedBurstShare * b.options.Burst / float64(b.instances)
+	return GrantedBurstShare * b.options.Burst / float64(b.instances)
 }
 
 // Deposit adds the ratio to the budget of a service. It is called once per request.
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -181,6 +181,8 @@
 	// possibleRuns counts the sends that may have run the request.
 	possibleRuns int
 	sends        int
+	// computed is set once an engine has computed the prompt for another one.
+	computed bool
 	// refusedBefore is true if the caller was probably refused before. It is only logged.
 	refusedBefore   bool
 	timeToFirstByte time.Duration
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -37,6 +37,12 @@
 		}
 		var done bool
 		if d.Kind == load.Prefill {
+			// The first computation of a prompt is free, further ones count as retries beside
+			// the sends that follow them.
+			if r.computed && !r.Budgets.Withdraw(r.service) {
+				r.fail(ReasonRetryBudget)
+				return
+			}
 			done = r.serveTwoStages(&d, req)
 		} else {
 			done = r.serveOneStage(&d, req)
@@ -57,31 +63,61 @@
 		r.exclude = append(r.exclude, d.Target.ID)
 		return false
 	}
-	req.Exclude = r.exclude
-	generator, ok := r.Assigner.AssignGenerator(r.Clock.Now(), r.Roster.View(), req, d.Target)
+	g, done, ok := r.importPrompt(d, req, core.CacheSource{Address: d.Target.Address, Handle: handle})
 	if !ok {
 		r.releaseExport(d.Target, handle)
-		r.failWithoutTarget(core.ReasonNoTarget, r.remaining()/4)
-		return true
+		return done
 	}
-	source := core.CacheSource{Address: d.Target.Address, Handle: handle}
-	began = r.Clock.Now()
-	ref := r.startWork(generator, load.Item{Kind: load.Generate, Chain: req.Chain})
-	defer r.finishWork(ref)
-	answer, result := r.send(generator, core.Attempt{Source: source}, r.generateTimeout(d))
-	if result != sendAnswered {
-		r.exclude = append(r.exclude, generator.ID)
-		r.releaseExport(d.Target, handle)
-		return false
-	}
-	isLocal := generator.DataCentre == d.Target.DataCentre
-	r.importTime = r.Clock.Now().Sub(began)
+	defer r.finishWork(g.ref)
+	isLocal := g.engine.DataCentre == d.Target.DataCentre
+	r.importTime = r.Clock.Now().Sub(g.began)
 	r.Assigner.ObserveHandover(req, isLocal, r.importTime)
-	done = r.relayEngineAnswer(generator, answer)
-	r.Assigner.ObserveSlotTime(req, r.Clock.Now().Sub(began))
+	done = r.relayEngineAnswer(g.engine, g.answer)
+	r.Assigner.ObserveSlotTime(req, r.Clock.Now().Sub(g.began))
 	return done
 }
 
+// generation is the answer of an engine that imported a prompt's KV cache.
+type generation struct {
+	engine *roster.Entry
+	answer *target.Answer
+	ref    load.Ref
+	began  core.Instant
+}
+
+// maxImports is the number of engines that are asked to import the same KV cache. A refusal by
+// two of them suggests that the cache itself can't be fetched.
+const maxImports = 2
+
+// importPrompt sends the request to an engine that imports the KV cache from source. If it
+// refuses, another engine imports the same cache, so that the prompt isn't computed again. ok is
+// false without an answer; done then reports that the request was ended.
+func (r *activeRequest) importPrompt(d *assign.Decision, req *assign.Request, source core.CacheSource) (g generation, done, ok bool) {
+	for imports := 1; ; imports++ {
+		req.Exclude = r.exclude
+		engine, found := r.Assigner.AssignGenerator(r.Clock.Now(), r.Roster.View(), req, d.Target)
+		if !found {
+			r.failWithoutTarget(core.ReasonNoTarget, r.remaining()/4)
+			return generation{}, true, false
+		}
+		g = generation{engine: engine, began: r.Clock.Now()}
+		g.ref = r.startWork(engine, load.Item{Kind: load.Generate, Chain: req.Chain})
+		answer, result := r.send(engine, core.Attempt{Source: source}, r.generateTimeout(d))
+		if result == sendAnswered {
+			g.answer = answer
+			return g, false, true
+		}
+		r.finishWork(g.ref)
+		r.exclude = append(r.exclude, engine.ID)
+		if result != sendNotRun || imports == maxImports {
+			return generation{}, false, false
+		}
+		if !r.allowRetry() {
+			return generation{}, true, false
+		}
+	}
+}
+
 // generateTimeout returns how long to wait for the header of the answer of an engine that
 // generates. A request that may run again is retried on another engine when it stalls.
 func (r *activeRequest) generateTimeout(d *assign.Decision) time.Duration {
@@ -105,6 +141,7 @@
 	}
 	handle, err := r.readCacheHandle(answer)
 	now := r.Clock.Now()
+	r.computed = true
 	r.recordAnswer(d.Target, err != nil)
 	if err != nil {
 		r.logAttempt(d.Target, &attempt, "Failed", answer.Status, err)
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -39,6 +39,7 @@
 	server    *httptest.Server
 	targets   []*platform.Target
 	logs      *memory.Handler
+	budgets   *forward.RetryBudgets
 }
 
 type noopPublisher struct{}
@@ -58,7 +59,10 @@
 // is a plain target.
 func newFixture(t *testing.T, phases ...string) *fixture {
 	t.Helper()
-	f := &fixture{t: t, roster: roster.New(time.Second), logs: memory.New()}
+	f := &fixture{
+		t: t, roster: roster.New(time.Second), logs: memory.New(),
+		budgets: forward.NewRetryBudgets(forward.RetryBudgetOptions{Ratio: 1, Burst: 1000}),
+	}
 	var list []core.Registration
 	for i, phase := range phases {
 		tg, err := platform.NewTarget("i-"+string(rune('a'+i)), phase)
@@ -79,7 +83,7 @@
 			Loads: tracker, Health: health, Random: source, Home: "here", Tuning: assign.DefaultTuning(),
 		}),
 		Loads: tracker, Roster: f.roster, Health: health,
-		Budgets: forward.NewRetryBudgets(forward.RetryBudgetOptions{Ratio: 1, Burst: 1000}),
+		Budgets: f.budgets,
 		Clock:   core.NewProcessClock(), Publisher: noopPublisher{}, Observer: noopObserver{},
 		Log: &log.Logger{Handler: f.logs, Level: log.InfoLevel}, Sender: 1, MaxBodyBytes: 1 << 20,
 	})
--- a/standin/platform/stream_test.go
+++ b/standin/platform/stream_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"gorseline/core"
+	"gorseline/io/forward"
 	"gorseline/standin/platform"
 )
 
@@ -138,6 +140,45 @@
 	}
 }
 
+// Guards against a prompt that is computed again because the first engine that should import
+// its cache refuses.
+func TestRefusedImportMovesToAnotherEngine(t *testing.T) {
+	f := newFixture(t, "prefill", "decode", "decode")
+	f.targets[1].InjectFaults(platform.Shed)
+	got := f.sendPrompt(t.Context(), "/single/x")
+	if got.status != 200 || got.err != nil || got.body != completeStream("r1") {
+		t.Fatalf("response %+v", got)
+	}
+	if computed, _ := f.targets[0].Prefills(); computed != 1 {
+		t.Errorf("the prompt was computed %d times", computed)
+	}
+	if released := f.targets[0].ReleasedHandles(); released != 0 {
+		t.Errorf("a handle that an engine imported was released")
+	}
+}
+
+// Guards against sends beyond the retry budget. It was found on a day with an engine that
+// refused nearly half of its requests: a prompt that was computed a second time counted as one
+// send with the import that followed it, while the platform counts both.
+func TestSecondComputationUsesTheRetryBudget(t *testing.T) {
+	tests := []struct {
+		retries int
+		status  int
+	}{
+		// The second import, then the second computation and its import.
+		{3, http.StatusOK}, {2, http.StatusServiceUnavailable}, {1, http.StatusServiceUnavailable}, {0, http.StatusServiceUnavailable},
+	}
+	for _, test := range tests {
+		f := newFixture(t, "prefill", "prefill", "decode", "decode", "decode")
+		f.budgets.SetLimits(0, (float64(test.retries)+0.5)/forward.GrantedBurstShare)
+		f.targets[2].InjectFaults(platform.Shed)
+		f.targets[3].InjectFaults(platform.Shed)
+		if got := f.sendPrompt(t.Context(), "/single/x"); got.status != test.status {
+			t.Errorf("%d retries left: status %d, want %d", test.retries, got.status, test.status)
+		}
+	}
+}
+
 // Guards against a stream that is still relayed after its caller has disconnected.
 func TestCallerDisconnectEndsStream(t *testing.T) {
 	f := newFixture(t, "decode")
