Give each shared prefix a home among the prefill engines of the fleet

Change: a prefix has a home by rendezvous hashing over all prefill engines. A candidate that isn't the home pays for a copy; the home is a candidate also in another cell, with the backlog estimated from what the own cell sent there. A generating engine of the local cell, whose load is known, is preferred to one of the source's cell.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -43,6 +43,9 @@
 	// since computing delays other requests. A high weight favours engines that have most
 	// of the prompt cached, as long as the first token is on time there.
 	WorkWeight float64
+	// CopyWeight is the weight of caching a shared prefix on an engine that isn't its home,
+	// relative to the time to compute the prefix. At 0 prefixes have no homes.
+	CopyWeight float64
 	// RemotePenalty is added to the score of a target in another data centre. It represents
 	// the cost of traffic between data centres.
 	RemotePenalty time.Duration
@@ -67,7 +70,7 @@
 // with others.
 func DefaultTuning() Tuning {
 	return Tuning{
-		OnTimeShare: 0.80, LateShare: 0.6, WorkWeight: 4, RemotePenalty: 10 * time.Millisecond,
+		OnTimeShare: 0.80, LateShare: 0.6, WorkWeight: 4, CopyWeight: 1, RemotePenalty: 10 * time.Millisecond,
 		ShortPromptTime: 4 * time.Millisecond, MaxMixedStreams: 4, MaxRetryShare: 0.33,
 		ReservedShare: 0.12, BriefSlotTime: 250 * time.Millisecond, MinBriefShare: 0.1,
 	}
@@ -242,9 +245,10 @@
 	return best, ok
 }
 
-// candidates returns the engines of the local cell that can compute the prompt, and the
-// shortest expected time on any of them without backlog. isFull reports that there are
-// generating engines but none has a free slot. The slice is valid until the next call.
+// candidates returns the engines that can compute the prompt, which are those of the local cell
+// and the home of the shared prefix, and the shortest expected time on any of them without
+// backlog. isFull reports that there are generating engines but none has a free slot. The slice
+// is valid until the next call.
 func (a *Assigner) candidates(
 	now core.Instant, view *roster.View, req *Request, m *serviceModel,
 ) (list []candidate, shortest time.Duration, isFull bool) {
@@ -270,8 +274,18 @@
 		}
 		list = append(list, c)
 	}
+	prefix := a.sharedPrefix(now, view, req)
+	if c, ok := a.remoteHome(now, prefix, req, m); ok && hasFree {
+		if idle := c.Expected - c.Backlog; len(list) == 0 || idle < shortest {
+			shortest = idle
+		}
+		list = append(list, c)
+	}
 	for i := range list {
-		a.considerFetch(&list[i], &holder, req, m)
+		c := &list[i]
+		held := c.CachedTokens
+		a.considerFetch(c, &holder, req, m)
+		c.score += a.copyPenalty(c.Target, c.Kind, held, prefix, m)
 	}
 	a.candidateBuffer = list
 	return list, shortest, hasGenerators && !hasFree
@@ -332,7 +346,8 @@
 }
 
 // AssignGenerator chooses the engine that imports the prompt's KV cache from source and
-// generates the answer. It chooses only among engines in the source's cell.
+// generates the answer. It prefers engines of the local cell, whose loads are known, to other
+// engines of the source's cell.
 func (a *Assigner) AssignGenerator(now core.Instant, view *roster.View, req *Request, source *roster.Entry) (*roster.Entry, bool) {
 	var best *roster.Entry
 	var least time.Duration
@@ -341,7 +356,7 @@
 	m := a.model(req.Service)
 	reserved := a.reservedShare(m, req)
 	for _, e := range view.Ready(req.Service) {
-		if !e.Role.AcceptsDecode() || !a.isUsable(now, e, req.Exclude) || a.cell(e) != a.cell(source) {
+		if !e.Role.AcceptsDecode() || !a.isUsable(now, e, req.Exclude) || a.cell(e) != a.cell(source) && !a.isLoadKnown(e) {
 			continue
 		}
 		state := a.opts.Loads.State(now, e.ID, nil)
@@ -355,8 +370,8 @@
 			score += a.opts.RemotePenalty
 		}
 		if !a.isLoadKnown(e) {
-			// Loads in other cells are unknown, so the choice is random.
-			score = time.Duration(a.opts.Random.Float64() * float64(time.Second))
+			// Loads in other cells are unknown, so the choice among them is random.
+			score = time.Second + time.Duration(a.opts.Random.Float64()*float64(time.Second))
 		}
 		if best == nil || score < least {
 			best, least = e, score
--- a/core/load/cells.go
+++ b/core/load/cells.go
@@ -63,6 +63,14 @@
 // so that the instance knows its load.
 func (c *Cells) Includes(id core.TargetID, dc core.DataCentre) bool { return c.Of(id, dc) == c.Home }
 
+// Count returns the number of cells.
+func (c *Cells) Count() int {
+	if c.IsFleetWide {
+		return 1
+	}
+	return max(1, len(c.populated))
+}
+
 // CellProvider returns the cells of the current membership.
 type CellProvider interface {
 	Cells() *Cells
