Replace lost decode engines also right after a role change

Cause: a fleet below its least number of decode engines waited for the least time between opposite changes and for the least stay of an engine, up to 15 s, if an engine had just moved to prefill. Change: neither applies below that number. TestLostDecodeEnginesAreReplacedAtOnce failed before: 7 of 8 engines were in the prefill role 6 s after a decode engine had left.

--- a/core/placement/demand.go
+++ b/core/placement/demand.go
@@ -107,7 +107,8 @@
 	if count < 0 {
 		to, count = core.RoleDecode, -count
 	}
-	if p.lastRole != core.RoleNone && p.lastRole != to && now.Sub(p.lastChangeAt) < p.options.ReversalDelay {
+	isReversal := p.lastRole != core.RoleNone && p.lastRole != to && now.Sub(p.lastChangeAt) < p.options.ReversalDelay
+	if isReversal && reason != ReasonFloorViolation {
 		return nil
 	}
 	limit := len(engines)
@@ -271,7 +272,7 @@
 ) []core.RoleChange {
 	var changes []core.RoleChange
 	for range count {
-		i := p.candidate(now, settled, to)
+		i := p.candidate(now, settled, to, reason)
 		if i < 0 {
 			break
 		}
@@ -285,7 +286,7 @@
 }
 
 // candidate returns the index of the engine to move next, or -1.
-func (p *DemandPlanner) candidate(now core.Instant, settled []EngineLoad, to core.Role) int {
+func (p *DemandPlanner) candidate(now core.Instant, settled []EngineLoad, to core.Role, reason core.Reason) int {
 	movable := map[core.DataCentre]int{}
 	for _, e := range settled {
 		if e.Role != to {
@@ -294,8 +295,10 @@
 	}
 	best := -1
 	for i, e := range settled {
-		at, moved := p.changedAt[e.ID]
-		if e.Role == to || e.Role == core.RoleNone || moved && now.Sub(at) < p.options.MinimumStay {
+		if e.Role == to || e.Role == core.RoleNone {
+			continue
+		}
+		if at, moved := p.changedAt[e.ID]; moved && now.Sub(at) < p.options.MinimumStay && reason != ReasonFloorViolation {
 			continue
 		}
 		if best < 0 || movesBefore(e, settled[best], movable) {
--- a/core/placement/demand_test.go
+++ b/core/placement/demand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -184,3 +185,19 @@
 		t.Errorf("%d of 2 engines in the prefill role", got)
 	}
 }
+
+// Guards against a fleet that keeps too few decode engines because an engine has just moved to
+// prefill: when decode engines leave right after that, one must move back at once.
+func TestLostDecodeEnginesAreReplacedAtOnce(t *testing.T) {
+	f := newFleet(6, 3)
+	f.run(12, 1, 0.1)
+	if got := f.prefillEngines(); got != 7 {
+		t.Fatalf("%d prefill engines after a lasting need of prompts, want 7", got)
+	}
+	i := slices.IndexFunc(f.engines, func(e placement.EngineLoad) bool { return e.Role == core.RoleDecode })
+	f.engines = slices.Delete(f.engines, i, i+1)
+	f.run(6, 1, 0.1)
+	if got := f.prefillEngines(); got != 6 {
+		t.Errorf("%d of 8 engines in the prefill role 6 s after one of 2 decode engines left, want 6", got)
+	}
+}
