Wait for an engine that still completes prompts

Cause: after a power loss of all instances prompts take several times the expected time, since the speed of the engines is unknown. Change: the wait is extended while the engine has completed a prompt within the timeout. Peers report completed prompts. TestPromptOnBusyEngineIsWaitedFor failed before.

--- a/core/load/tracker.go
+++ b/core/load/tracker.go
@@ -88,6 +88,8 @@
 	items []pendingItem
 	// computeStart is when the target started to compute the first uncomputed prompt.
 	computeStart core.Instant
+	// lastComputed is when the target last completed a prompt.
+	lastComputed core.Instant
 	// cache is nil until SetCapacity is called.
 	cache *prompt.CacheModel
 }
@@ -155,6 +157,17 @@
 	return tr.target(ref.Target).complete(now, ref.Key, false)
 }
 
+// LastComputed returns when the target last completed a prompt, as far as this instance knows,
+// or 0.
+func (tr *Tracker) LastComputed(id core.TargetID) core.Instant {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if t, ok := tr.targets[id]; ok {
+		return t.lastComputed
+	}
+	return 0
+}
+
 // Finished records the end of an item. It returns the same values as Computed.
 func (tr *Tracker) Finished(now core.Instant, ref Ref) (time.Duration, bool) {
 	tr.mu.Lock()
@@ -177,6 +190,8 @@
 	}
 	if isFinished {
 		t.items = append(t.items[:i], t.items[i+1:]...)
+	} else {
+		t.lastComputed = now
 	}
 	return took, ok
 }
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/core/retry"
 	"gorseline/core/roster"
 	gio "gorseline/io"
 	"gorseline/io/target"
@@ -44,6 +45,7 @@
 		Address: e.Address, Method: r.in.Method, URI: requestURI(r.in), Host: r.in.Host,
 		Header: r.Dialect.OutboundHeader(r.in.Header, &a), Body: r.body,
 		Deadline: time.Now().Add(limit), MaxIdle: r.maxIdle(),
+		Extend:  r.extendWait(e, limit),
 		Matches: func(h http.Header) bool { return r.Dialect.Matches(r.req.ID, h) },
 	})
 	if err != nil {
@@ -56,6 +58,20 @@
 	return r.classify(e, &a, answer)
 }
 
+// extendWait returns the function that decides how much longer than limit to wait for an engine.
+// It returns nil for plain targets, whose progress isn't known.
+func (r *activeRequest) extendWait(e *roster.Entry, limit time.Duration) func() (time.Time, bool) {
+	if e.Role == core.RoleNone {
+		return nil
+	}
+	patience := retry.Patience{Timeout: limit}
+	return func() (time.Time, bool) {
+		now := r.Clock.Now()
+		until, ok := patience.Extend(now, r.Loads.LastComputed(e.ID))
+		return time.Now().Add(min(until.Sub(now), r.remaining())), ok && r.remaining() > 0
+	}
+}
+
 // idleConnectionShare is the fraction of a target's connection limit that all instances
 // together may keep idle. The rest is left for requests in progress, which a target at
 // its limit would reset.
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -151,6 +151,7 @@
 	if took, known := r.Loads.Computed(now, ref); known {
 		r.Assigner.ObservePrompt(r.service, load.Prefill, d.Work, computeTime(took, d))
 	}
+	r.Publisher.Computed(ref)
 	return handle, true
 }
 
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -44,6 +44,9 @@
 	Body   []byte
 	// Deadline bounds the whole exchange.
 	Deadline time.Time
+	// Extend is called when the deadline passes before the first byte of the answer. It returns a
+	// later deadline, or false to give up; nil gives up.
+	Extend func() (time.Time, bool)
 	// MaxIdle bounds the idle connections to the address when this one is returned to the
 	// pool. The bound of the pool applies if MaxIdle is 0 or larger than that.
 	MaxIdle int
@@ -107,6 +110,9 @@
 	stopWatch := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	a := &Answer{pool: p, conn: conn, stopWatch: stopWatch, maxIdle: r.MaxIdle}
 	err = a.send(r)
+	if err == nil {
+		err = a.await(r)
+	}
 	if err == nil {
 		err = a.receive(r)
 	}
@@ -163,6 +169,24 @@
 	return append(b, "\r\n"...)
 }
 
+// await waits for the first byte of the answer, up to the deadline as extended.
+func (a *Answer) await(r *Request) error {
+	for {
+		_, err := a.conn.reader.Peek(1)
+		var timeout net.Error
+		if r.Extend == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+			return errors.Wrap(err, "read answer")
+		}
+		deadline, ok := r.Extend()
+		if !ok {
+			return errors.Wrap(err, "read answer")
+		}
+		if err := a.conn.SetDeadline(deadline); err != nil {
+			return errors.Wrap(err, "extend the deadline")
+		}
+	}
+}
+
 // receive reads the header of the answer that belongs to the request. It skips answers to
 // earlier requests on the connection.
 func (a *Answer) receive(r *Request) error {
--- a/standin/platform/stream_test.go
+++ b/standin/platform/stream_test.go
@@ -179,6 +179,43 @@
 	}
 }
 
+// Guards against prompts that are cancelled in an overload, when they take much longer than
+// expected although their engine completes others all the time. It was found on days on which all
+// instances lost power: the prompts went from one busy engine to the next and were computed in
+// vain.
+func TestPromptOnBusyEngineIsWaitedFor(t *testing.T) {
+	f := newFixture(t, "prefill", "decode")
+	f.targets[0].InjectFaults(platform.Slow)
+	slow := make(chan response, 1)
+	go func() { slow <- f.sendPrompt(t.Context(), "/single/x") }()
+	for others := 0; ; others++ {
+		select {
+		case got := <-slow:
+			if got.status != http.StatusOK || got.err != nil {
+				t.Fatalf("response %+v", got)
+			}
+			if computed, _ := f.targets[0].Prefills(); computed != others+1 {
+				t.Errorf("%d prompts computed for %d requests", computed, others+1)
+			}
+			return
+		case <-time.After(20 * time.Millisecond):
+			f.sendPrompt(t.Context(), "/single/x")
+		}
+	}
+}
+
+// Guards against waiting for an engine that completes nothing while another could compute the
+// prompt.
+func TestPromptOnSilentEngineMovesOn(t *testing.T) {
+	f := newFixture(t, "prefill", "decode")
+	f.targets[0].InjectFaults(platform.Hang)
+	began := time.Now()
+	got := f.sendPrompt(t.Context(), "/single/x")
+	if took := time.Since(began); got.status != http.StatusOK || took > routeTimeout/2 {
+		t.Errorf("status %d after %v", got.status, took)
+	}
+}
+
 // Guards against a stream that is still relayed after its caller has disconnected.
 func TestCallerDisconnectEndsStream(t *testing.T) {
 	f := newFixture(t, "decode")
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -25,6 +25,8 @@
 	Reset RequestFault = "Reset"
 	// Hang runs the request and never answers.
 	Hang RequestFault = "Hang"
+	// Slow runs the request and answers after SlowAnswer.
+	Slow RequestFault = "Slow"
 	// Torn runs the request and resets the connection in the middle of the response body.
 	Torn RequestFault = "Torn"
 	// Extra sends a second response, with another request's ID, after the proper one.
@@ -44,6 +46,9 @@
 	Stall RequestFault = "Stall"
 )
 
+// SlowAnswer is the time after which a request with the fault Slow is answered.
+const SlowAnswer = 700 * time.Millisecond
+
 // Run is a request that a target executed.
 type Run struct {
 	ID, Method, Path, Body string
@@ -255,6 +260,9 @@
 	if fault == Shed {
 		return writeResponse(conn, 503, echo+"X-Not-Executed: 1\r\nX-Server-Load: 8,4,8\r\n", "")
 	}
+	if fault == Slow {
+		time.Sleep(SlowAnswer)
+	}
 	if r.Header.Get("X-Phase") == "prefill" {
 		return t.respondPrefill(conn, fault)
 	}
