Read the engines' caches when an instance starts

Cause: after a restart, of one instance or of all, the estimated contents of the engines' caches were empty. Change: an instance asks each engine once for its cached parts. Parts are identified as engines do, by ID and model, with a cached part being used only if all before it are cached.

--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -59,9 +59,15 @@
 			newDigests,
 			newForwarder,
 			newWatcher,
+			func() *leaseGuard { return &leaseGuard{} },
+			newEngineClient,
+			func(n *digest.Node) load.CellProvider { return n },
 			newRoleController,
+			newCacheReader,
 			newNode,
 		),
+		// No other component depends on it.
+		fx.Invoke(func(*cacheReader) {}),
 	)
 }
 
--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -79,26 +79,34 @@
 	Roster    *roster.Roster
 	Loads     *load.Tracker
 	Assigner  *assign.Assigner
+	Engines   *platform.EngineClient
+	Guard     *leaseGuard
 	Log       log.Interface
 }
 
+// leaseGuard tells the engine client whether this instance holds the lease that orders need. The
+// lease manager needs the client in turn, so it is set later.
+type leaseGuard struct{ leases atomic.Pointer[authority.LeaseManager] }
+
+func (g *leaseGuard) holdsLease() bool {
+	l := g.leases.Load()
+	return l != nil && len(l.Leases()) > 0
+}
+
+func newEngineClient(settings platform.Settings, l log.Interface, g *leaseGuard) *platform.EngineClient {
+	return platform.NewEngineClient(settings.Instance, l, g.holdsLease)
+}
+
 func newRoleController(lc fx.Lifecycle, p roleParams) (*roleController, error) {
 	clock, err := boottime.NewClock()
 	if err != nil {
 		return nil, err
 	}
-	// The lease manager's options contain the client, which in turn checks the lease.
-	var leases atomic.Pointer[authority.LeaseManager]
-	holdsLease := func() bool {
-		l := leases.Load()
-		return l != nil && len(l.Leases()) > 0
-	}
-	engines := platform.NewEngineClient(p.Settings.Instance, p.Log, holdsLease)
 	options := authority.Options{
 		Self: p.Settings.Instance, Shards: roleShards, Groups: 1, Table: p.Table, Clock: clock,
 		Recorder: eventLog{p.Log}, NewAttemptID: table.NewAttemptIDSource(),
 		Members: func() []core.InstanceID { return memberIDs(p.Digests) },
-		Orderer: engines,
+		Orderer: p.Engines,
 		// The platform starts one process of an instance at a time; a second one couldn't
 		// listen on the same ports.
 		SingleProcess: true,
@@ -115,8 +123,8 @@
 		cells: p.Digests, reports: map[core.TargetID]core.LoadReport{},
 		done: make(chan struct{}),
 	}
-	r.reporter = engines
-	leases.Store(r.leases)
+	r.reporter = p.Engines
+	p.Guard.leases.Store(r.leases)
 	r.reconciler = authority.NewReconciler(options, r.leases)
 	lifecycle.Register(lc, r.leases)
 	lifecycle.Register(lc, r)
--- a/core/engine.go
+++ b/core/engine.go
@@ -100,6 +100,18 @@
 	Load(ctx context.Context, address string) (LoadReport, error)
 }
 
+// CachedPart is a part of a prompt in an engine's KV cache.
+type CachedPart struct {
+	Model Model
+	PromptPart
+}
+
+// CacheReader lists the parts of prompts that an engine has in its KV cache, in no particular
+// order. The call delays the engine's work.
+type CacheReader interface {
+	CachedParts(ctx context.Context, address string, id TargetID) ([]CachedPart, error)
+}
+
 // Orderer sends an order to an engine. Order must not start to send after the deadline
 // of ctx, which is also the write deadline of the connection.
 type Orderer interface {
--- a/core/load/tracker.go
+++ b/core/load/tracker.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// AddCached records parts of prompts that a target reports as cached. It has no effect before
+// SetCapacity.
+func (tr *Tracker) AddCached(id core.TargetID, parts []core.CachedPart) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if t := tr.target(id); t.cache != nil {
+		t.cache.AddParts(parts)
+	}
+}
+
 // RemoveTarget removes a target's outstanding work and cache model, for example after it
 // has restarted.
 func (tr *Tracker) RemoveTarget(id core.TargetID) {
