--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -86,7 +86,9 @@
 
 // leaseGuard tells the engine client whether this instance holds the lease that orders need. The
 // lease manager needs the client in turn, so it is set later.
-type leaseGuard struct{ leases atomic.Pointer[authority.LeaseManager] }
+type leaseGuard struct {
+	leases atomic.Pointer[authority.LeaseManager]
+}
 
 func (g *leaseGuard) holdsLease() bool {
 	l := g.leases.Load()
--- a/standin/platform/order_test.go
+++ b/standin/platform/order_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"gorseline/core"
+	"gorseline/core/prompt"
 	client "gorseline/platform"
 	"gorseline/standin/platform"
 )
@@ -56,3 +59,45 @@
 		t.Error("a target accepted an order for another target")
 	}
 }
+
+// Guards against malformed entries of an engine's cache list that hide the others, and against
+// parts that don't match those of the same prompt in a request.
+func TestCachedPartsOfEngine(t *testing.T) {
+	engine, err := platform.NewTarget("i-1", "prefill")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer engine.Close()
+	allowed := false
+	c := newEngineClient(&allowed)
+	if _, err := c.CachedParts(t.Context(), engine.Address(), "i-1"); err == nil {
+		t.Error("no error for an engine that doesn't list its parts")
+	}
+	engine.SetCacheList(`{"epoch":3,"next":9,"held":[["","5c1e07a2",800,"m"],["",7,800,"m"],["","x","800","m"],[""],
+		["","y",-1,"m"],["","91bd3f06",410,"m"]]}`)
+	parts, err := c.CachedParts(t.Context(), engine.Address(), "i-1")
+	if err != nil || len(parts) != 2 {
+		t.Fatalf("parts %+v, error %v", parts, err)
+	}
+	request := httptest.NewRequest(http.MethodPost, "/x", nil)
+	request.Header.Set("X-Request-Id", "r1")
+	request.Header.Set("X-Model", "m")
+	request.Header.Set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	inbound, err := client.Dialect{}.ReadInbound(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cache := prompt.NewCacheModel(10_000)
+	cache.AddParts(parts)
+	if got := cache.CachedTokens(prompt.NewChain(inbound.Prompt)); got != 1210 {
+		t.Errorf("%d tokens cached, want 1210", got)
+	}
+	other := *inbound.Prompt
+	other.Model = "n"
+	if got := cache.CachedTokens(prompt.NewChain(&other)); got != 0 {
+		t.Errorf("%d tokens cached for another model, want 0", got)
+	}
+	if _, err := c.CachedParts(t.Context(), engine.Address(), "i-2"); err == nil {
+		t.Error("no error for an address that another target has now")
+	}
+}
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -137,6 +137,8 @@
 	case r.URL.Path == "/-/report":
 		report := fmt.Sprintf(`{"phase":%q,"models":[{"name":"m","version":1}],"busy":false,"seq":%d}`, t.phase, t.orderCount)
 		return writeResponse(conn, 200, "", report)
+	case r.URL.Path == "/-/kv-list" && t.cacheList != "":
+		return writeResponse(conn, 200, "Content-Type: application/json\r\n", t.cacheList)
 	case r.URL.Path == "/-/order" && r.Method == http.MethodPost:
 		var order struct {
 			Op, Phase, Holder string
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -80,6 +80,8 @@
 	eventCount      int
 	conns           map[net.Conn]bool
 	connectionCount int
+	// cacheList is the body of the answer to a request for the cached parts.
+	cacheList string
 }
 
 // NewTarget starts a target on a loopback address. phase is prefill, decode or empty for
@@ -156,6 +158,13 @@
 	return t.connectionCount
 }
 
+// SetCacheList sets the body of the target's answers to requests for its cached parts.
+func (t *Target) SetCacheList(body string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cacheList = body
+}
+
 // Order is a role order that a target accepted.
 type Order struct {
 	At     time.Time
