Pass lapsed targets on to peers as lapsed

Result: TestLapsedEntriesAreNotPassedOnAsRegistered failed before (8 targets in use instead of 7, also after the grace period) and passes.

--- a/cmd/entry/node/state_updater.go
+++ b/cmd/entry/node/state_updater.go
@@ -67,7 +67,7 @@
 
 // ApplyTargets replaces the list of targets unless the current one is newer.
 func (u *stateUpdater) ApplyTargets(list digest.TargetList) {
-	u.watcher.PublishChanges(u.roster.Replace(u.clock.Now(), list.Version, list.Targets))
+	u.watcher.PublishChanges(u.roster.ReplaceFromPeer(u.clock.Now(), list.Version, list.Targets, list.Lapsed))
 }
 
 // setCapacity sets the size of a target's KV cache by the limits of its service.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -150,15 +150,30 @@
 // Replace applies the complete registry as of a version and returns the changes. A version
 // older than the view's is ignored.
 func (r *Roster) Replace(now core.Instant, version uint64, list []core.Registration) []Change {
+	return r.ReplaceFromPeer(now, version, list, nil)
+}
+
+// ReplaceFromPeer is like Replace for a list that a peer has read. lapsed names the entries that
+// are not listed and that the peer retains; they are retained here too, as lapsed, if they are
+// known.
+func (r *Roster) ReplaceFromPeer(now core.Instant, version uint64, list []core.Registration, lapsed []core.TargetID) []Change {
 	return r.update(version, func(entries map[core.TargetID]*Entry) []Change {
-		listed := make(map[core.TargetID]bool, len(list))
 		var changes []Change
+		for _, id := range lapsed {
+			if old, known := entries[id]; known && !old.Leaving {
+				changes = r.markLapsed(now, entries, old, changes)
+			}
+		}
+		retained := make(map[core.TargetID]bool, len(list)+len(lapsed))
+		for _, id := range lapsed {
+			retained[id] = true
+		}
 		for i := range list {
-			listed[list[i].ID] = true
+			retained[list[i].ID] = true
 			changes = r.applyUpdate(now, entries, Update{list[i].ID, &list[i]}, changes)
 		}
 		for id := range entries {
-			if !listed[id] {
+			if !retained[id] {
 				changes = r.applyUpdate(now, entries, Update{ID: id}, changes)
 			}
 		}
@@ -166,6 +181,17 @@
 	})
 }
 
+// markLapsed marks an entry as lapsed since the given time and appends the change, unless it is
+// lapsed already.
+func (r *Roster) markLapsed(since core.Instant, entries map[core.TargetID]*Entry, old *Entry, changes []Change) []Change {
+	if _, lapsed := r.lapsedAt[old.ID]; lapsed {
+		return changes
+	}
+	r.lapsedAt[old.ID] = since
+	entries[old.ID] = &Entry{Registration: old.Registration, Lapsed: true}
+	return append(changes, Change{old.Registration, Lapsed})
+}
+
 // Expire removes the lapsed entries whose grace period has ended and returns the changes. It
 // is called about ten times a second.
 func (r *Roster) Expire(now core.Instant) []Change {
@@ -243,12 +269,7 @@
 			return changes
 		}
 		if now.Sub(r.recoveredAt) < ReturnGrace && !old.Leaving {
-			if _, lapsed := r.lapsedAt[u.ID]; !lapsed {
-				r.lapsedAt[u.ID] = r.recoveredAt
-				entries[u.ID] = &Entry{Registration: old.Registration, Lapsed: true}
-				changes = append(changes, Change{old.Registration, Lapsed})
-			}
-			return changes
+			return r.markLapsed(r.recoveredAt, entries, old, changes)
 		}
 		delete(entries, u.ID)
 		delete(r.lapsedAt, u.ID)
--- a/io/digest/snapshot.go
+++ b/io/digest/snapshot.go
@@ -36,6 +36,9 @@
 type TargetList struct {
 	Version uint64
 	Targets []core.Registration
+	// Lapsed names the entries that the registry no longer lists and that the sender retains.
+	// Sent as targets, they would stay in use at peers that already have the sender's version.
+	Lapsed []core.TargetID
 }
 
 // Paths of the snapshots.
@@ -76,6 +79,10 @@
 func newTargetList(view *roster.View) TargetList {
 	list := TargetList{Version: view.Version, Targets: make([]core.Registration, 0, view.Len())}
 	for e := range view.All {
+		if e.Lapsed {
+			list.Lapsed = append(list.Lapsed, e.ID)
+			continue
+		}
 		list.Targets = append(list.Targets, e.Registration)
 	}
 	return list
