Give chunks of one wall time keys of their own

Change: the key has the logical time of the first event too; keys of earlier versions are still read.

--- a/cmd/instance/chunks.go
+++ b/cmd/instance/chunks.go
@@ -32,14 +32,17 @@
 	maxTimestamp = time.Duration(1<<63 - 1)
 )
 
-func chunkKey(at time.Duration, instance string) string {
-	return fmt.Sprintf("%s%0*d-%s", eventsPrefix, timestampDigits, at, instance)
+// chunkKey returns the key of a chunk by the time of its first event. Chunks of an instance may
+// begin within one reading of the wall clock, so the key has the logical time too.
+func chunkKey(at core.Timestamp, instance string) string {
+	return fmt.Sprintf("%s%0*d.%d-%s", eventsPrefix, timestampDigits, at.Wall, at.Logical, instance)
 }
 
-// parseChunkKey returns the time of the chunk's first event and the instance that wrote it.
-// ok is false if the key isn't one of chunkKey.
+// parseChunkKey returns the wall time of the chunk's first event and the instance that wrote it.
+// ok is false if the key isn't one of chunkKey. Keys of earlier versions have no logical time.
 func parseChunkKey(key string) (at time.Duration, instance core.InstanceID, ok bool) {
-	digits, name, found := strings.Cut(strings.TrimPrefix(key, eventsPrefix), "-")
+	timestamp, name, found := strings.Cut(strings.TrimPrefix(key, eventsPrefix), "-")
+	digits, _, _ := strings.Cut(timestamp, ".")
 	n, err := strconv.ParseInt(digits, 10, 64)
 	return time.Duration(n), core.InstanceID(name), found && err == nil && len(digits) == timestampDigits
 }
--- a/cmd/instance/chunks_test.go
+++ b/cmd/instance/chunks_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -57,7 +58,7 @@
 					t.Fatal(err)
 				}
 			}
-			if err := store.Put(t.Context(), chunkKey(chunk[0].At.Wall, string(chunk[0].Instance)), body.Bytes()); err != nil {
+			if err := store.Put(t.Context(), chunkKey(chunk[0].At, string(chunk[0].Instance)), body.Bytes()); err != nil {
 				t.Fatal(err)
 			}
 			all = append(all, chunk...)
@@ -117,3 +118,28 @@
 		t.Errorf("error %v, incomplete %q", err, reader.incomplete())
 	}
 }
+
+// Guards against chunks that replace one another because their first events have the same wall
+// time, and against keys of earlier versions that are no longer read.
+func TestChunksOfOneWallTimeAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := object.New()
+		events := timeline.New("entry-1", timeline.NewClock(func() time.Duration { return time.Second }), 64)
+		f := &eventFlusher{instance: "entry-1", timeline: events, objects: store}
+		for _, count := range []int{22, 32} {
+			for range count {
+				events.Record(core.Event{Kind: "RequestRouted"})
+			}
+			f.flush(t.Context())
+		}
+		const oldKey = eventsPrefix + "00000000000500000000-entry-2"
+		if err := store.Put(t.Context(), oldKey, []byte(`{"At":{"Wall":500000000},"Instance":"entry-2","Kind":"RequestRouted"}`)); err != nil {
+			t.Fatal(err)
+		}
+		reader := chunkReader{objects: store, limit: 1 << 20, latestKeyTime: maxTimestamp}
+		stored, err := reader.read(t.Context())
+		if err != nil || len(stored) != 55 {
+			t.Errorf("%d events stored, want 55; error %v", len(stored), err)
+		}
+	})
+}
--- a/cmd/instance/events.go
+++ b/cmd/instance/events.go
@@ -100,7 +100,7 @@
 			return err
 		}
 	}
-	return f.objects.Put(ctx, chunkKey(chunk[0].At.Wall, f.instance), f.buffer.Bytes())
+	return f.objects.Put(ctx, chunkKey(chunk[0].At, f.instance), f.buffer.Bytes())
 }
 
 // events answers a query from the events in memory and, if the request is for the whole
