--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -155,7 +155,8 @@
 }
 
 // unsharedRequest returns a request whose prompt has nothing in common with others.
-func unsharedRequest(tokens int) *assign.Request {
+func unsharedRequest() *assign.Request {
+	const tokens = 6000
 	req := testRequest(tokens)
 	req.Prompt = &core.Prompt{Model: "m", Tokens: tokens, Parts: []core.PromptPart{{ID: 7, Tokens: tokens}}}
 	req.Chain = prompt.NewChain(req.Prompt)
@@ -170,7 +171,7 @@
 	for serial := range uint32(8) {
 		loads.Sent(0, load.Item{Ref: load.Ref{Key: load.Key{Serial: 100 + serial}, Target: "near-g"}, Kind: load.Generate})
 	}
-	if d := a.Assign(0, view, unsharedRequest(6000)); d.Target == nil || d.Target.ID != "near-p" {
+	if d := a.Assign(0, view, unsharedRequest()); d.Target == nil || d.Target.ID != "near-p" {
 		t.Fatalf("%+v", d)
 	}
 	for serial := range uint32(8) {
@@ -178,17 +179,17 @@
 			Ref: load.Ref{Key: load.Key{Serial: serial}, Target: "near-p"}, Kind: load.Prefill, ComputeTime: 40 * time.Millisecond,
 		})
 	}
-	d := a.Assign(0, view, unsharedRequest(6000))
+	d := a.Assign(0, view, unsharedRequest())
 	if d.Target == nil || d.Target.ID != "far-p" {
 		t.Fatalf("the local cell is full, but the request was not sent to the other one: %+v", d)
 	}
 	// A prompt that waits a second shows that the other cell is full as well.
 	far, _ := view.Find("far-p")
 	a.ObserveRemoteWait(0, far, time.Second)
-	if d := a.Assign(0, view, unsharedRequest(6000)); d.Target != nil {
+	if d := a.Assign(0, view, unsharedRequest()); d.Target != nil {
 		t.Errorf("a prompt was sent to a cell where prompts wait a second: %+v", d)
 	}
-	if d := a.Assign(core.Instant(5*time.Second), view, unsharedRequest(6000)); d.Target == nil {
+	if d := a.Assign(core.Instant(5*time.Second), view, unsharedRequest()); d.Target == nil {
 		t.Errorf("the other cell was not tried again after 5 s: %+v", d)
 	}
 }
--- a/standin/platform/stream_test.go
+++ b/standin/platform/stream_test.go
@@ -13,11 +13,11 @@
 	"gorseline/standin/platform"
 )
 
-// completeStream returns the body of a fake engine's complete stream.
-func completeStream(id string) string {
+// completeStream returns the body of a fake engine's complete stream for the request r1.
+func completeStream() string {
 	var b strings.Builder
 	for i := range 4 {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d of %s\n\n", i, i, id)
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d of r1\n\n", i, i)
 	}
 	return b.String()
 }
@@ -27,7 +27,7 @@
 func TestPromptIsComputedOnPrefillEngine(t *testing.T) {
 	f := newFixture(t, "prefill", "decode")
 	got := f.sendPrompt(t.Context(), "/single/x")
-	if got.status != 200 || got.err != nil || got.body != completeStream("r1") {
+	if got.status != 200 || got.err != nil || got.body != completeStream() {
 		t.Fatalf("response %+v", got)
 	}
 	prefills, _ := f.targets[0].Prefills()
@@ -91,7 +91,7 @@
 			}
 			got := f.sendPrompt(t.Context(), test.path)
 			isComplete := got.status == 200 && got.err == nil
-			if isComplete && got.body != completeStream("r1") {
+			if isComplete && got.body != completeStream() {
 				t.Fatalf("a stream that looks complete is %q", got.body)
 			}
 			if test.isComplete != isComplete {
@@ -115,7 +115,7 @@
 			// The first of two idle engines is chosen. The stream resumes on the second one.
 			f.targets[2].SetProcessingTime(time.Millisecond)
 			got := f.sendPrompt(t.Context(), "/resumable/x")
-			if got.status != 200 || got.err != nil || got.body != completeStream("r1") {
+			if got.status != 200 || got.err != nil || got.body != completeStream() {
 				t.Fatalf("response %+v", got)
 			}
 		})
@@ -146,7 +146,7 @@
 	f := newFixture(t, "prefill", "decode", "decode")
 	f.targets[1].InjectFaults(platform.Shed)
 	got := f.sendPrompt(t.Context(), "/single/x")
-	if got.status != 200 || got.err != nil || got.body != completeStream("r1") {
+	if got.status != 200 || got.err != nil || got.body != completeStream() {
 		t.Fatalf("response %+v", got)
 	}
 	if computed, _ := f.targets[0].Prefills(); computed != 1 {
