Log and count each retry with its cause and the budget that it took

LeftMs=0 in the record was an empty attempt in the log line; PrefillMs was set after a refused prefill too.

RetryTaken and RetryDenied name the request, the cause, what is left, the share and the number of instances; Retries.*, RetriesLeft, RetryShare and RetryInstances are their metrics.

--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -18,6 +18,7 @@
 	terminal terminal
 	Request  string `long:"request" description:"ID of the request to explain; without it, a summary of outcomes and reasons is printed"`
 	Around   bool   `long:"around" description:"Also show the events without a request that the same instances logged while it ran"`
+	Retries  bool   `long:"retries" description:"Print the retries of all instances together, by service and cause, in the window with the most"`
 	Files    struct {
 		Logs []string `positional-arg-name:"LOG" description:"Log files of all instances; without any, the standard input is read"`
 	} `positional-args:"yes"`
@@ -41,6 +42,10 @@
 		return failure{err}
 	}
 	slices.SortStableFunc(lines, func(a, b logline.Line) int { return a.Time.Compare(b.Time) })
+	if c.Retries {
+		c.printRetries(lines)
+		return nil
+	}
 	if c.Request == "" {
 		c.summarize(lines)
 		return nil
--- a/cmd/commands/explain_test.go
+++ b/cmd/commands/explain_test.go
@@ -87,3 +87,15 @@
 		t.Errorf("only %d reasons were found", len(seen))
 	}
 }
+
+// Guards against a sum of retries that leaves out an instance, a cause or a denied retry, so that
+// nobody can tell from the logs whether the instances together exceeded the budget. The log holds
+// a sixth of the retries of a simulated day.
+func TestExplainRetries(t *testing.T) {
+	var stdout, stderr bytes.Buffer
+	code := run([]string{"explain", "--retries", "testdata/retries.log"}, terminal{out: &stdout, err: &stderr})
+	if code != exitOK || stderr.Len() > 0 {
+		t.Fatalf("exit code %d: %s", code, stderr.String())
+	}
+	goldie.New(t).Assert(t, "explain-retries", stdout.Bytes())
+}
--- a/cmd/entry/node/instruments.go
+++ b/cmd/entry/node/instruments.go
@@ -51,6 +51,20 @@
 	i.counter("Sends." + string(service) + "." + result).Inc(1)
 }
 
+// ObserveRetry counts a retry that the budget of a service allowed or denied, and records what
+// is left of the budget.
+func (i *instruments) ObserveRetry(service core.Service, cause forward.RetryCause, allowed bool, state forward.RetryBudgetState) {
+	result := "Taken"
+	if !allowed {
+		result = "Denied"
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counter("Retries." + string(service) + "." + string(cause) + "." + result).Inc(1)
+	metrics.GetOrRegisterGaugeFloat64("RetriesLeft."+string(service), i.registry).Update(state.Left)
+	metrics.GetOrRegisterGaugeFloat64("RetryShare."+string(service), i.registry).Update(state.Share)
+}
+
 // ObserveCall counts a call to the platform's store, and records the time of an answered
 // one. The time of Follow is left out: it is mostly the wait for a change.
 func (i *instruments) ObserveCall(call, result string, took time.Duration) {
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -111,6 +111,7 @@
 func (n *node) registerGauges(i *instruments, r *roleController, tracker *catchup.Tracker) {
 	i.registerGauge("RequestsActive", n.forwarder.Active)
 	i.registerGauge("Members", func() int64 { return int64(len(n.digests.Members())) })
+	i.registerGauge("RetryInstances", func() int64 { return int64(n.budgets.Instances()) })
 	i.registerGauge("Targets", func() int64 { return int64(n.roster.View().Len()) })
 	i.registerGauge("TargetsVersion", func() int64 { return int64(n.roster.View().Version) })
 	i.registerGauge("ConfigurationVersion", func() int64 {
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -36,6 +36,13 @@
 	return true
 }
 
+// Tokens returns the number of tokens left.
+func (b *Budget) Tokens() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
 // SetRatio changes the number of tokens per request, as when another preset is activated.
 func (b *Budget) SetRatio(ratio float64) {
 	b.mu.Lock()
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -33,14 +33,15 @@
 
 // send sends the request to a target once and waits up to limit for the header of the
 // answer. The answer is nil unless the result is sendAnswered.
-func (r *activeRequest) send(e *roster.Entry, a core.Attempt, limit time.Duration) (*target.Answer, sendResult) {
+func (r *activeRequest) send(e *roster.Entry, a core.Attempt, limit time.Duration) (answer *target.Answer, result sendResult) {
+	defer func() { r.lastResult = result }()
 	began := r.Clock.Now()
 	r.Health.RecordSend(began, e.ID)
 	a.Target = e.ID
 	a.Remaining = r.remaining()
 	limit = min(limit, a.Remaining)
 	r.sends++
-	r.lastTarget = e.ID
+	r.lastTarget, r.lastAttempt = e.ID, a
 	answer, err := r.Pool.Do(r.ctx, &target.Request{
 		Address: e.Address, Method: r.in.Method, URI: requestURI(r.in), Host: r.in.Host,
 		Header: r.Dialect.OutboundHeader(r.in.Header, &a), Body: r.body,
@@ -103,7 +104,7 @@
 	if kind == gio.AnswerMisdirected {
 		r.Pool.DiscardIdle(e.Address)
 	}
-	r.logAttempt(e, a, kind.String(), answer.Status, nil)
+	r.logAttempt(e, kind.String(), answer.Status, nil)
 	r.Observer.ObserveSend(r.service, kind.String())
 	return nil, sendNotRun
 }
@@ -121,7 +122,7 @@
 	}
 	if r.in.Context().Err() == nil {
 		r.handleNoAnswer(e, err, r.Clock.Now().Sub(began))
-		r.logAttempt(e, a, result.String(), 0, err)
+		r.logAttempt(e, result.String(), 0, err)
 		r.Observer.ObserveSend(r.service, result.String())
 	}
 	return result
@@ -157,9 +158,11 @@
 	r.Log.WithFields(log.Fields{"Target": e.ID, "Service": r.service, "Reason": reason}).Warn("TargetAvoided")
 }
 
-func (r *activeRequest) logAttempt(e *roster.Entry, a *core.Attempt, result string, status int, err error) {
+// logAttempt logs that the latest send failed. LeftMs is the time that the target was given.
+func (r *activeRequest) logAttempt(e *roster.Entry, result string, status int, err error) {
+	a := &r.lastAttempt
 	fields := log.Fields{
-		"Request": r.req.ID, "Target": e.ID, "Address": e.Address, "Result": result, "Status": status,
+		"Request": r.req.ID, "Target": e.ID, "Address": e.Address, "Result": result, "Status": status, "Service": r.service,
 		"Send": r.sends, "Prefill": a.PrefillOnly, "Source": a.Source.Address, "ResumeAfter": a.ResumeAfter,
 		"LeftMs": a.Remaining.Milliseconds(),
 	}
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -42,12 +42,24 @@
 		if r.attemptCall(d) {
 			return
 		}
-		if !r.allowRetry() {
+		if !r.allowRetry(r.retryCause()) {
 			return
 		}
 	}
 }
 
+// retryCause returns the cause of a retry by the result of the latest send.
+func (r *activeRequest) retryCause() RetryCause {
+	switch r.lastResult {
+	case sendNotRun:
+		return RetryRefused
+	case sendUnknown:
+		return RetryNoAnswer
+	default:
+		return RetryFailed
+	}
+}
+
 // chooseCall chooses a target that has not been tried.
 func (r *activeRequest) chooseCall() assign.CallDecision {
 	return r.Assigner.AssignCall(r.Clock.Now(), r.Roster.View(), &assign.CallRequest{
@@ -71,7 +83,7 @@
 	r.recordAnswer(e, failed)
 	if next, ok := r.nextTarget(failed); ok {
 		discardBody(answer)
-		r.logAttempt(e, &core.Attempt{}, "Failed", answer.Status, nil)
+		r.logAttempt(e, "Failed", answer.Status, nil)
 		r.logCall(next)
 		return r.attemptCall(next)
 	}
@@ -88,7 +100,7 @@
 		return assign.CallDecision{}, false
 	}
 	d := r.chooseCall()
-	return d, d.Target != nil && r.Budgets.Withdraw(r.service)
+	return d, d.Target != nil && r.withdraw(RetryFailed)
 }
 
 // callTimeout returns how long one send waits for the header of the answer.
@@ -101,7 +113,7 @@
 
 // allowRetry reports whether the request may be sent again. If not, it answers the
 // request with an error.
-func (r *activeRequest) allowRetry() bool {
+func (r *activeRequest) allowRetry(cause RetryCause) bool {
 	switch {
 	case r.ctx.Err() != nil:
 		r.fail(ReasonNoAnswer)
@@ -109,7 +121,7 @@
 		r.fail(ReasonNoAnswer)
 	case r.sends >= maxSends:
 		r.fail(ReasonTargetsRefused)
-	case !r.Budgets.Withdraw(r.service):
+	case !r.withdraw(cause):
 		r.fail(ReasonRetryBudget)
 	default:
 		return true
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -41,6 +41,8 @@
 	ObserveRequest(kind core.RouteKind, outcome core.OutcomeKind, reason core.Reason, took, first time.Duration)
 	// ObserveSend counts a send by its result.
 	ObserveSend(service core.Service, result string)
+	// ObserveRetry counts a retry that the budget of a service allowed or denied.
+	ObserveRetry(service core.Service, cause RetryCause, allowed bool, state RetryBudgetState)
 }
 
 // Options holds the dependencies and limits of a Forwarder. All fields are required.
@@ -187,6 +189,9 @@
 	refusedBefore   bool
 	timeToFirstByte time.Duration
 	lastTarget      core.TargetID
+	// lastResult is the result of the latest send, lastAttempt what it was.
+	lastResult  sendResult
+	lastAttempt core.Attempt
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
 	events        int
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -39,7 +39,7 @@
 		if d.Kind == load.Prefill {
 			// The first computation of a prompt is free, further ones count as retries beside
 			// the sends that follow them.
-			if r.computed && !r.Budgets.Withdraw(r.service) {
+			if r.computed && !r.withdraw(RetryComputation) {
 				r.fail(ReasonRetryBudget)
 				return
 			}
@@ -47,7 +47,7 @@
 		} else {
 			done = r.serveOneStage(&d, req)
 		}
-		if done || !r.allowRetry() {
+		if done || !r.allowRetry(r.retryCause()) {
 			return
 		}
 	}
@@ -58,11 +58,11 @@
 func (r *activeRequest) serveTwoStages(d *assign.Decision, req *assign.Request) (done bool) {
 	began := r.Clock.Now()
 	handle, ok := r.prefill(d, req)
-	r.prefillTime = r.Clock.Now().Sub(began)
 	if !ok {
 		r.exclude = append(r.exclude, d.Target.ID)
 		return false
 	}
+	r.prefillTime = r.Clock.Now().Sub(began)
 	g, done, ok := r.importPrompt(d, req, core.CacheSource{Address: d.Target.Address, Handle: handle})
 	if !ok {
 		r.releaseExport(d.Target, handle)
@@ -112,7 +112,7 @@
 		if result != sendNotRun || imports == maxImports {
 			return generation{}, false, false
 		}
-		if !r.allowRetry() {
+		if !r.allowRetry(RetryImport) {
 			return generation{}, true, false
 		}
 	}
@@ -144,7 +144,7 @@
 	r.computed = true
 	r.recordAnswer(d.Target, err != nil)
 	if err != nil {
-		r.logAttempt(d.Target, &attempt, "Failed", answer.Status, err)
+		r.logAttempt(d.Target, "Failed", answer.Status, err)
 		return "", false
 	}
 	r.Assigner.ObserveRemoteWait(now, d.Target, now.Sub(began)-d.ComputeTime)
@@ -200,7 +200,7 @@
 	if failed && r.mayRunAgain() {
 		discardBody(answer)
 		r.exclude = append(r.exclude, e.ID)
-		r.logAttempt(e, &core.Attempt{}, "Failed", answer.Status, nil)
+		r.logAttempt(e, "Failed", answer.Status, nil)
 		return false
 	}
 	if isEventStream(answer) {
--- /dev/null
+++ b/io/forward/retry.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"math"
+
+	"github.com/apex/log"
+
+	"gorseline/core"
+)
+
+// RetryCause is the reason why a request is sent beyond its first send.
+type RetryCause string
+
+// Causes of retries.
+const (
+	// RetryRefused follows a send that the target did not run.
+	RetryRefused RetryCause = "Refused"
+	// RetryNoAnswer follows a send without an answer.
+	RetryNoAnswer RetryCause = "NoAnswer"
+	// RetryFailed follows a failure answer or an answer that ended early.
+	RetryFailed RetryCause = "Failed"
+	// RetryComputation is the second or a later computation of a prompt.
+	RetryComputation RetryCause = "Computation"
+	// RetryImport follows a refusal to import a KV cache, which another engine imports.
+	RetryImport RetryCause = "Import"
+	// RetryStream continues a broken stream on another engine.
+	RetryStream RetryCause = "Stream"
+)
+
+// withdraw takes one retry from the budget of the service. It logs and counts the decision, so
+// that the retries of all instances can be added up.
+func (r *activeRequest) withdraw(cause RetryCause) bool {
+	ok := r.Budgets.Withdraw(r.service)
+	state := r.Budgets.State(r.service)
+	event := "RetryTaken"
+	if !ok {
+		event = "RetryDenied"
+	}
+	r.Log.WithFields(log.Fields{
+		"Request": r.req.ID, "Service": r.service, "Cause": string(cause), "Sends": r.sends,
+		"Left": math.Round(100*state.Left) / 100, "Share": math.Round(100*state.Share) / 100, "Instances": state.Instances,
+	}).Warn(event)
+	r.Observer.ObserveRetry(r.service, cause, ok, state)
+	return ok
+}
+
+// RetryBudgetState describes this instance's share of the retry budget of a service.
+type RetryBudgetState struct {
+	// Left is the number of retries left, Share the largest number that can be saved up.
+	Left, Share float64
+	// Instances is the number of instances by which the burst is divided.
+	Instances int
+}
+
+// State returns the state of the budget of a service.
+func (b *RetryBudgets) State(service core.Service) RetryBudgetState {
+	budget := b.budget(service)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return RetryBudgetState{Left: budget.Tokens(), Share: b.instanceBurst(), Instances: b.instances}
+}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -57,7 +57,8 @@
 		}
 		r.exclude = append(r.exclude, e.ID)
 		r.recordNoAnswer(e)
-		r.logAttempt(e, &core.Attempt{ResumeAfter: s.lastID}, "StreamBroken", answer.Status, err)
+		r.lastAttempt.ResumeAfter = s.lastID
+		r.logAttempt(e, "StreamBroken", answer.Status, err)
 		if !s.started && r.mayRunAgain() {
 			return false
 		}
@@ -194,7 +195,7 @@
 	if !s.route.Resumable || s.lastID == "" || s.possibleRuns >= s.route.Attempts || s.remaining() <= 0 {
 		return resumedStream{}, nil, false
 	}
-	if s.engineLimits() == nil || s.req.Prompt == nil || !s.Budgets.Withdraw(s.service) {
+	if s.engineLimits() == nil || s.req.Prompt == nil || !s.withdraw(RetryStream) {
 		return resumedStream{}, nil, false
 	}
 	req := &assign.Request{
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -55,6 +55,8 @@
 
 func (noopObserver) ObserveSend(core.Service, string) {}
 
+func (noopObserver) ObserveRetry(core.Service, forward.RetryCause, bool, forward.RetryBudgetState) {}
+
 // newFixture starts a forwarder with one target for each of the given phases; an empty phase
 // is a plain target.
 func newFixture(t *testing.T, phases ...string) *fixture {
