--- a/cmd/entry/node/instruments.go
+++ b/cmd/entry/node/instruments.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"gorseline/core"
+	"gorseline/core/retry"
 	"gorseline/io/forward"
 	"gorseline/platform"
 )
@@ -53,7 +54,7 @@
 
 // ObserveRetry counts a retry that the budget of a service allowed or denied, and records what
 // is left of the budget.
-func (i *instruments) ObserveRetry(service core.Service, cause forward.RetryCause, allowed bool, state forward.RetryBudgetState) {
+func (i *instruments) ObserveRetry(service core.Service, cause forward.RetryCause, allowed bool, state retry.ShareState) {
 	result := "Taken"
 	if !allowed {
 		result = "Denied"
--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -96,8 +96,8 @@
 	})
 }
 
-func newBudgets(settings platform.Settings) *forward.RetryBudgets {
-	return forward.NewRetryBudgets(forward.RetryBudgetOptions{
+func newBudgets(settings platform.Settings) *retry.Shares {
+	return retry.NewShares(retry.SharesOptions{
 		Ratio: settings.Bounds.RetryRatio, Burst: settings.Bounds.RetryBurst, Instances: platform.AssumedInstances,
 	})
 }
@@ -142,7 +142,7 @@
 
 func newForwarder(
 	id identity, pool *target.Pool, a *assign.Assigner, loads *load.Tracker, r *roster.Roster, h *retry.Health,
-	budgets *forward.RetryBudgets, clock core.ClockProvider, digests *digest.Node, i *instruments, l log.Interface,
+	budgets *retry.Shares, clock core.ClockProvider, digests *digest.Node, i *instruments, l log.Interface,
 ) *forward.Forwarder {
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -18,6 +18,7 @@
 	"gorseline/core"
 	"gorseline/core/catchup"
 	"gorseline/core/common/pause"
+	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/io/digest"
 	"gorseline/io/exposition"
@@ -36,7 +37,7 @@
 	forwarder    *forward.Forwarder
 	digests      *digest.Node
 	roster       *roster.Roster
-	budgets      *forward.RetryBudgets
+	budgets      *retry.Shares
 	pool         *target.Pool
 	instances    *platform.InstanceList
 	store        *platform.Store
@@ -59,7 +60,7 @@
 	Forwarder *forward.Forwarder
 	Digests   *digest.Node
 	Roster    *roster.Roster
-	Budgets   *forward.RetryBudgets
+	Budgets   *retry.Shares
 	Pool      *target.Pool
 	Instances *platform.InstanceList
 	Store     *platform.Store
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -42,7 +42,7 @@
 	// ObserveSend counts a send by its result.
 	ObserveSend(service core.Service, result string)
 	// ObserveRetry counts a retry that the budget of a service allowed or denied.
-	ObserveRetry(service core.Service, cause RetryCause, allowed bool, state RetryBudgetState)
+	ObserveRetry(service core.Service, cause RetryCause, allowed bool, state retry.ShareState)
 }
 
 // Options holds the dependencies and limits of a Forwarder. All fields are required.
@@ -53,7 +53,7 @@
 	Loads     *load.Tracker
 	Roster    *roster.Roster
 	Health    *retry.Health
-	Budgets   *RetryBudgets
+	Budgets   *retry.Shares
 	Clock     core.ClockProvider
 	Publisher WorkPublisher
 	Observer  Observer
--- a/io/forward/retry.go
+++ b/io/forward/retry.go
@@ -4,8 +4,6 @@
 	"math"
 
 	"github.com/apex/log"
-
-	"gorseline/core"
 )
 
 // RetryCause is the reason why a request is sent beyond its first send.
@@ -43,19 +41,3 @@
 	r.Observer.ObserveRetry(r.service, cause, ok, state)
 	return ok
 }
-
-// RetryBudgetState describes this instance's share of the retry budget of a service.
-type RetryBudgetState struct {
-	// Left is the number of retries left, Share the largest number that can be saved up.
-	Left, Share float64
-	// Instances is the number of instances by which the burst is divided.
-	Instances int
-}
-
-// State returns the state of the budget of a service.
-func (b *RetryBudgets) State(service core.Service) RetryBudgetState {
-	budget := b.budget(service)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return RetryBudgetState{Left: budget.Tokens(), Share: b.instanceBurst(), Instances: b.instances}
-}
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -39,7 +39,7 @@
 	server    *httptest.Server
 	targets   []*platform.Target
 	logs      *memory.Handler
-	budgets   *forward.RetryBudgets
+	budgets   *retry.Shares
 }
 
 type noopPublisher struct{}
@@ -55,7 +55,7 @@
 
 func (noopObserver) ObserveSend(core.Service, string) {}
 
-func (noopObserver) ObserveRetry(core.Service, forward.RetryCause, bool, forward.RetryBudgetState) {}
+func (noopObserver) ObserveRetry(core.Service, forward.RetryCause, bool, retry.ShareState) {}
 
 // newFixture starts a forwarder with one target for each of the given phases; an empty phase
 // is a plain target.
@@ -63,7 +63,7 @@
 	t.Helper()
 	f := &fixture{
 		t: t, roster: roster.New(time.Second), logs: memory.New(),
-		budgets: forward.NewRetryBudgets(forward.RetryBudgetOptions{Ratio: 1, Burst: 1000}),
+		budgets: retry.NewShares(retry.SharesOptions{Ratio: 1, Burst: 1000}),
 	}
 	var list []core.Registration
 	for i, phase := range phases {
@@ -71,7 +71,6 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(tg.Close)
 		f.targets = append(f.targets, tg)
 		list = append(list, registration(tg, phase))
 	}
@@ -93,10 +92,18 @@
 	f.server = httptest.NewUnstartedServer(f.forwarder)
 	f.server.Config.MaxHeaderBytes = 16 << 10
 	f.server.Start()
-	t.Cleanup(f.server.Close)
+	t.Cleanup(f.close)
 	return f
 }
 
+// close stops the forwarder and the targets.
+func (f *fixture) close() {
+	f.server.Close()
+	for _, tg := range f.targets {
+		tg.Close()
+	}
+}
+
 func registration(tg *platform.Target, phase string) core.Registration {
 	r := core.Registration{
 		Target: core.Target{ID: core.TargetID(tg.ID()), Service: "calls", Address: tg.Address(), DataCentre: "here"}, Slots: 8,
--- a/standin/platform/stream_test.go
+++ b/standin/platform/stream_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"gorseline/core"
-	"gorseline/io/forward"
+	"gorseline/core/retry"
 	"gorseline/standin/platform"
 )
 
@@ -170,7 +170,7 @@
 	}
 	for _, test := range tests {
 		f := newFixture(t, "prefill", "prefill", "decode", "decode", "decode")
-		f.budgets.SetLimits(0, (float64(test.retries)+0.5)/forward.GrantedBurstShare)
+		f.budgets.SetLimits(0, (float64(test.retries)+0.5)/retry.GrantedBurstShare)
 		f.targets[2].InjectFaults(platform.Shed)
 		f.targets[3].InjectFaults(platform.Shed)
 		if got := f.sendPrompt(t.Context(), "/single/x"); got.status != test.status {
