--- a/cmd/commands/soak.go
+++ b/cmd/commands/soak.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 	Length    time.Duration `long:"length" env:"SOAK_LENGTH" description:"Time over which faults are injected per seed" default:"10s"`
 	Instances int           `long:"instances" env:"SOAK_INSTANCES" description:"Number of instances" default:"3"`
 	Callers   int           `long:"callers" env:"SOAK_CALLERS" description:"Number of callers" default:"8"`
+	Entry     string        `long:"entry" env:"SOAK_ENTRY" description:"Program to run as instances, such as that of an earlier commit; the default is this one"`
 	Dir       string        `long:"dir" env:"SOAK_DIR" description:"Directory for settings and logs" default:"/tmp/gorseline-soak"`
 }
 
@@ -41,9 +43,13 @@
 	if c.Instances < 2 || c.Instances > 50 || c.Callers < 1 || c.Callers > 200 {
 		return invalidSetting("--instances, --callers", fmt.Sprint(c.Instances, ", ", c.Callers), "2 to 50, 1 to 200")
 	}
-	binary, err := os.Executable()
-	if err != nil {
-		return failure{errors.Wrap(err, "locate the executable")}
+	command := []string{c.Entry}
+	if c.Entry == "" {
+		binary, err := os.Executable()
+		if err != nil {
+			return failure{errors.Wrap(err, "locate the executable")}
+		}
+		command = []string{binary, "entry"}
 	}
 	ctx, stop := untilInterrupted()
 	defer stop()
@@ -55,7 +61,7 @@
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			report, err := c.runSeed(ctx, binary, c.Seed+i)
+			report, err := c.runSeed(ctx, command, c.Seed+i)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil || len(report.Violations) > 0 {
@@ -72,10 +78,11 @@
 }
 
 // runSeed runs the faults of one seed.
-func (c *soakCommand) runSeed(ctx context.Context, binary string, seed uint64) (soak.Report, error) {
+func (c *soakCommand) runSeed(ctx context.Context, command []string, seed uint64) (soak.Report, error) {
 	return soak.Run(ctx, soak.Options{
-		Command: []string{binary, "entry"}, Seed: seed, FaultDuration: c.Length, Instances: c.Instances, Callers: c.Callers,
-		Dir: filepath.Join(c.Dir, strconv.FormatUint(seed, 10)),
+		Command: command, Seed: seed, FaultDuration: c.Length, Instances: c.Instances, Callers: c.Callers,
+		Retries: soak.RandomRetryLimit(seed),
+		Dir:     filepath.Join(c.Dir, strconv.FormatUint(seed, 10)),
 	})
 }
 
@@ -83,6 +90,7 @@
 func (c *soakCommand) print(r soak.Report, seed uint64, err error) {
 	fmt.Fprintf(c.terminal.out, "seed %d: %d requests, %d answered, %d refused, %d faults, %d violations\n",
 		seed, r.Requests, r.Answered, r.Refused, len(r.Faults), len(r.Violations))
+	fmt.Fprintf(c.terminal.out, "  retries: %s\n", strings.Join(r.RetryPeaks, "; "))
 	if err != nil {
 		fmt.Fprintf(c.terminal.out, "  failed: %v\n", err)
 	}
--- a/cmd/entry/soak_test.go
+++ b/cmd/entry/soak_test.go
@@ -47,7 +47,7 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			report, err := soak.Run(t.Context(), soak.Options{
 				Command: []string{os.Args[0]}, Seed: seed, FaultDuration: 5 * time.Second, Instances: 3, Callers: 6,
-				Dir: filepath.Join(t.TempDir(), "soak"),
+				Retries: soak.RandomRetryLimit(seed), Dir: filepath.Join(t.TempDir(), "soak"),
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/standin/platform/ports.go
+++ b/standin/platform/ports.go
@@ -2,9 +2,8 @@
 
 import (
 	"net"
-	"os"
 	"strconv"
-	"sync/atomic"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -15,30 +14,63 @@
 const (
 	firstPort = 12_000
 	portCount = 20_000
-	// portsPerProcess is the distance between the first ports of processes with consecutive
-	// IDs, so that concurrent processes try different ports.
-	portsPerProcess = 101
+	// blockSize is the number of ports that a process reserves at once.
+	blockSize = 50
 )
 
-// portsTried counts the ports that this process has tried.
-var portsTried atomic.Int64
+// ports are the ports that this process has reserved. A process listens on the first port of
+// each of its blocks until it ends, so that no other process uses the block, not even while
+// the programs that listen on its ports are down.
+var ports struct {
+	sync.Mutex
+	nextBlock int
+	free      []int
+	// reserved keeps the listeners from being closed by the garbage collector.
+	reserved []net.Listener
+}
 
 // FreePorts returns n loopback ports that are free for both TCP and UDP. It returns no port
-// twice before it has tried all ports of the range.
+// twice, and no port that another process has got from it.
 func FreePorts(n int) ([]int, error) {
-	var ports []int
-	for tries := 0; len(ports) < n; tries++ {
-		if tries == portCount {
-			return nil, errors.New("no free ports are left")
+	ports.Lock()
+	defer ports.Unlock()
+	var list []int
+	for len(list) < n {
+		if len(ports.free) == 0 {
+			if err := reserveBlock(); err != nil {
+				return nil, err
+			}
+			continue
 		}
-		port := firstPort + (os.Getpid()*portsPerProcess+int(portsTried.Add(1)))%portCount
-		if isFree("127.0.0.1:" + strconv.Itoa(port)) {
-			ports = append(ports, port)
+		port := ports.free[0]
+		ports.free = ports.free[1:]
+		if isFree(loopback(port)) {
+			list = append(list, port)
 		}
 	}
-	return ports, nil
+	return list, nil
 }
 
+// reserveBlock reserves the next block that no other process has. The lock must be held.
+func reserveBlock() error {
+	for ; ports.nextBlock < portCount/blockSize; ports.nextBlock++ {
+		first := firstPort + ports.nextBlock*blockSize
+		l, err := net.Listen("tcp4", loopback(first))
+		if err != nil {
+			continue // reserved by another process
+		}
+		ports.reserved = append(ports.reserved, l)
+		for port := first + 1; port < first+blockSize; port++ {
+			ports.free = append(ports.free, port)
+		}
+		ports.nextBlock++
+		return nil
+	}
+	return errors.New("no free ports are left")
+}
+
+func loopback(port int) string { return "127.0.0.1:" + strconv.Itoa(port) }
+
 func isFree(address string) bool {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
--- a/standin/platform/soak/callers.go
+++ b/standin/platform/soak/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,10 +36,12 @@
 
 	mu      sync.Mutex
 	results []result
+	// sent holds the times of all requests by route, also of those that are not in results.
+	sent map[string][]time.Time
 }
 
 func newCallers(instances []*instance) *callers {
-	return &callers{instances: instances, client: &http.Client{
+	return &callers{instances: instances, sent: map[string][]time.Time{}, client: &http.Client{
 		// Connections are reused for many requests, until the instance's process ends.
 		Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true, ResponseHeaderTimeout: 6 * time.Second},
 		Timeout:   8 * time.Second,
@@ -68,6 +71,9 @@
 // send sends one request with a body of the given size in bytes and returns its result.
 func (c *callers) send(ctx context.Context, inst *instance, route, id string, size int) (r result) {
 	r = result{id: id, route: route, instance: inst.name, started: time.Now()}
+	c.mu.Lock()
+	c.sent[route] = append(c.sent[route], r.started)
+	c.mu.Unlock()
 	defer func() { r.finished = time.Now() }()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+inst.callerAddress+"/"+route+"/x", strings.NewReader(strings.Repeat("b", size)))
 	if err != nil {
@@ -102,3 +108,17 @@
 	defer c.mu.Unlock()
 	return append([]result(nil), c.results...)
 }
+
+// requestTimes returns the times at which requests for a service were sent, in order.
+func (c *callers) requestTimes(service string) []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var times []time.Time
+	for route, sent := range c.sent {
+		if routeService(route) == service {
+			times = append(times, sent...)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
--- a/standin/platform/soak/faults.go
+++ b/standin/platform/soak/faults.go
@@ -32,15 +32,7 @@
 		pause.For(ctx, randomDuration(rng)/4)
 		s.start(inst)
 	}},
-	{"KillAll", func(ctx context.Context, s *soak, rng *rand.Rand) {
-		for _, inst := range s.instances {
-			inst.stop(syscall.SIGKILL)
-		}
-		pause.For(ctx, randomDuration(rng)/4)
-		for _, inst := range s.instances {
-			s.start(inst)
-		}
-	}},
+	{"KillAll", func(ctx context.Context, s *soak, rng *rand.Rand) { s.killAll(ctx, rng) }},
 	{"Leave", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		inst := s.randomInstance(rng)
 		inst.stop(syscall.SIGTERM)
@@ -94,6 +86,18 @@
 			t.InjectFaults(kinds[rng.IntN(len(kinds))])
 		}
 	}},
+	{"ServiceRefuses", func(ctx context.Context, s *soak, rng *rand.Rand) {
+		end := s.refuseService(rng)
+		pause.For(ctx, time.Duration((0.2+0.8*rng.Float64())*float64(maxRefusalTime)))
+		end()
+	}},
+	{"KillAllWhileRefused", func(ctx context.Context, s *soak, rng *rand.Rand) {
+		end := s.refuseService(rng)
+		pause.For(ctx, time.Duration((0.3+0.4*rng.Float64())*float64(maxRefusalTime)))
+		s.killAll(ctx, rng)
+		pause.For(ctx, maxRefusalTime/2)
+		end()
+	}},
 	{"TargetLeaves", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		i := rng.IntN(len(s.testbed.targets))
 		s.testbed.register(i, "draining")
@@ -113,6 +117,37 @@
 	}},
 }
 
+// killAll kills all processes and starts new ones after a pause.
+func (s *soak) killAll(ctx context.Context, rng *rand.Rand) {
+	for _, inst := range s.instances {
+		inst.stop(syscall.SIGKILL)
+	}
+	pause.For(ctx, randomDuration(rng)/4)
+	for _, inst := range s.instances {
+		s.start(inst)
+	}
+}
+
+// maxRefusalTime is the longest time for which the targets of a service refuse or fail
+// requests. It is as long as a window of the retry budget.
+const maxRefusalTime = 10 * time.Second
+
+// refuseService makes all targets of a service refuse or fail a share of their requests, until
+// end is called.
+func (s *soak) refuseService(rng *rand.Rand) (end func()) {
+	service := s.testbed.targetsOf([]string{"calls", "models"}[rng.IntN(2)])
+	kinds := []platform.RequestFault{platform.Shed, platform.LoseHandle, platform.Fail}
+	fault, share := kinds[rng.IntN(len(kinds))], 0.3+0.7*rng.Float64()
+	for _, t := range service {
+		t.SetLastingFault(fault, share)
+	}
+	return func() {
+		for _, t := range service {
+			t.SetLastingFault("", 0)
+		}
+	}
+}
+
 // injectLinkFault sets a proxy to a random mode for a random duration. For modePass it resets
 // the open connections instead.
 func injectLinkFault(ctx context.Context, rng *rand.Rand, p *proxy) {
--- a/standin/platform/soak/instance.go
+++ b/standin/platform/soak/instance.go
@@ -51,7 +51,7 @@
 const restartDelay = 200 * time.Millisecond
 
 // settingsFormat is the settings file of an instance. Its arguments are the name, the data
-// centre, five ports, the retry slack and the store's address.
+// centre, five ports, the limit on retries and the store's address.
 const settingsFormat = `node_name = %q
 ip = "127.0.0.1"
 zone = %q
@@ -65,8 +65,8 @@
 [bounds]
 drain_ms = 2000
 grace_s = 4
-retry_budget_ratio = 0.2
-budget_slack = %d
+retry_budget_ratio = %g
+budget_slack = %g
 lease_ms = 1000
 ttl_max_s = 5
 [platform]
@@ -74,16 +74,17 @@
 form = "table"
 `
 
-func newInstance(name, dc, dir string, command []string, storeProxy *proxy) (*instance, error) {
+func newInstance(name, dc string, o *Options, storeProxy *proxy) (*instance, error) {
+	dir := filepath.Clean(o.Dir)
 	ports, err := platform.FreePorts(4)
 	if err != nil {
 		return nil, err
 	}
 	inst := &instance{
-		name: name, command: command, storeProxy: storeProxy, settingsPath: filepath.Join(dir, name+".toml"),
+		name: name, command: o.Command, storeProxy: storeProxy, settingsPath: filepath.Join(dir, name+".toml"),
 		callerAddress: "127.0.0.1:" + strconv.Itoa(ports[1]), readyAddress: "127.0.0.1:" + strconv.Itoa(ports[2]),
 	}
-	text := fmt.Sprintf(settingsFormat, name, dc, ports[0], ports[0], ports[1], ports[2], ports[3], 100, storeProxy.address())
+	text := fmt.Sprintf(settingsFormat, name, dc, ports[0], ports[0], ports[1], ports[2], ports[3], o.Retries.Ratio, o.Retries.Slack, storeProxy.address())
 	if err := os.WriteFile(inst.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "write settings")
 	}
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +30,8 @@
 	Instances int
 	// Callers is the number of concurrent callers.
 	Callers int
+	// Retries is the limit on retries in the settings of the instances.
+	Retries RetryLimit
 	// Dir is the directory for settings and logs; it is created if absent.
 	Dir string
 }
@@ -45,6 +46,9 @@
 	Refused int
 	// Faults lists the injected faults, each with its time in seconds since the start.
 	Faults []string
+	// RetryPeaks describes, for each service, the window that came closest to the limit on
+	// retries.
+	RetryPeaks []string
 	// Violations lists the guarantees that were broken; empty if none was.
 	Violations []string
 }
@@ -65,6 +69,8 @@
 	started   time.Time
 	// injected lists the faults with their times.
 	injected []string
+	// retryPeaks describes the window of each service that came closest to the limit on retries.
+	retryPeaks []string
 
 	mu   sync.Mutex
 	errs []error
@@ -117,6 +123,7 @@
 	s.testbed.store.WaitForDelayedWrites()
 	results := s.callers.allResults()
 	violations = append(violations, checkResults(results, s.testbed.targets)...)
+	violations = append(violations, s.checkRetries()...)
 	for _, inst := range s.instances {
 		if inst.unexpectedExits > 0 {
 			violations = append(violations, fmt.Sprintf("%s exited unexpectedly %d times", inst.name, inst.unexpectedExits))
@@ -126,7 +133,7 @@
 }
 
 func (s *soak) report(results []result, violations []string) Report {
-	r := Report{Seed: s.options.Seed, Requests: len(results), Faults: s.injected, Violations: violations}
+	r := Report{Seed: s.options.Seed, Requests: len(results), Faults: s.injected, RetryPeaks: s.retryPeaks, Violations: violations}
 	for i := range results {
 		switch results[i].status {
 		case 200:
@@ -153,7 +160,7 @@
 			return errors.Wrap(err, "start proxy")
 		}
 		dc := string(rune('a' + i%2))
-		inst, err := newInstance(fmt.Sprintf("n%d", i), dc, filepath.Clean(s.options.Dir), s.options.Command, storeProxy)
+		inst, err := newInstance(fmt.Sprintf("n%d", i), dc, &s.options, storeProxy)
 		if err != nil {
 			return err
 		}
--- a/standin/platform/soak/testbed.go
+++ b/standin/platform/soak/testbed.go
@@ -65,14 +65,29 @@
 	}
 }
 
+// serviceOf returns the service of the target with an index.
+func serviceOf(i int) string {
+	if targetPhases[i] == "" {
+		return "calls"
+	}
+	return "models"
+}
+
+// targetsOf returns the targets of a service.
+func (tb *testbed) targetsOf(service string) []*platform.Target {
+	var list []*platform.Target
+	for i, t := range tb.targets {
+		if serviceOf(i) == service {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // register writes the registry entry of a target, with its proxy's address in place of its own.
 func (tb *testbed) register(i int, state string) {
 	t := tb.targets[i]
-	service := "models"
-	if targetPhases[i] == "" {
-		service = "calls"
-	}
-	text := strings.Replace(string(t.RegistryEntry(service, "a", state)), t.Address(), tb.proxies[i].address(), 1)
+	text := strings.Replace(string(t.RegistryEntry(serviceOf(i), "a", state)), t.Address(), tb.proxies[i].address(), 1)
 	tb.store.Put("servers", t.ID(), []byte(text))
 }
 
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -44,6 +45,8 @@
 	CutStream RequestFault = "CutStream"
 	// Stall sends two events, then nothing while the connection stays open.
 	Stall RequestFault = "Stall"
+	// LoseHandle refuses a request that imports a KV cache, whose handle is gone.
+	LoseHandle RequestFault = "LoseHandle"
 )
 
 // SlowAnswer is the time after which a request with the fault Slow is answered.
@@ -57,6 +60,15 @@
 	Cancelled bool
 }
 
+// Arrival is a request that reached a target, also one that the target refused.
+type Arrival struct {
+	ID string
+	// Prefill is set if only the prompt was to be computed. Accepted is set unless the target
+	// refused the request.
+	Prefill, Accepted bool
+	At                time.Time
+}
+
 // Target is a fake of a model server or a plain server. It is safe for concurrent use.
 type Target struct {
 	id       string
@@ -66,10 +78,15 @@
 	goroutines sync.WaitGroup
 
 	mu sync.Mutex
-	// faults are queued for the next requests, one for each.
-	faults   []RequestFault
-	runs     []Run
-	prefills int
+	// faults are queued for the next requests, one for each. lastingFault applies to a share
+	// of all others.
+	faults       []RequestFault
+	lastingFault RequestFault
+	lastingShare float64
+	rng          *rand.Rand
+	runs         []Run
+	arrivals     []Arrival
+	prefills     int
 	// handles holds the handles of computed prompts that have not been released.
 	handles         map[string]bool
 	released        int
@@ -93,6 +110,7 @@
 	}
 	t := &Target{
 		id: id, phase: phase, listener: listener, handles: map[string]bool{}, eventCount: 4, conns: map[net.Conn]bool{},
+		rng: rand.New(rand.NewPCG(uint64(len(id)), uint64(id[len(id)-1]))),
 	}
 	t.goroutines.Go(t.runAccept)
 	return t, nil
@@ -122,6 +140,14 @@
 	t.faults = append(t.faults, faults...)
 }
 
+// SetLastingFault sets the fault of a random share of the requests for which none is queued;
+// empty is none.
+func (t *Target) SetLastingFault(fault RequestFault, share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastingFault, t.lastingShare = fault, share
+}
+
 // SetProcessingTime sets how long an executed request takes before its response starts.
 func (t *Target) SetProcessingTime(d time.Duration) {
 	t.mu.Lock()
@@ -136,6 +162,13 @@
 	return append([]Run(nil), t.runs...)
 }
 
+// Arrivals returns the requests that reached the target, in the order of their arrival.
+func (t *Target) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Arrival(nil), t.arrivals...)
+}
+
 // Prefills returns the number of prompts that were computed for another engine, and how many
 // of their handles have not been released.
 func (t *Target) Prefills() (computed, unreleased int) {
@@ -234,12 +267,16 @@
 	}
 }
 
-// nextFault removes the first queued fault and returns it; empty if none is queued.
+// nextFault removes the first queued fault and returns it. If none is queued, it returns the
+// lasting one for its share of the requests.
 func (t *Target) nextFault() RequestFault {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.faults) == 0 {
-		return ""
+		if t.rng.Float64() >= t.lastingShare {
+			return ""
+		}
+		return t.lastingFault
 	}
 	fault := t.faults[0]
 	t.faults = t.faults[1:]
@@ -248,14 +285,21 @@
 
 // serve answers one request and reports whether the connection stays open.
 func (t *Target) serve(conn net.Conn, r *http.Request) bool {
+	isControl := strings.HasPrefix(r.URL.Path, "/-/")
 	if r.Header.Get("X-Target-Instance") != "" && r.Header.Get("X-Target-Instance") != t.id {
+		if !isControl {
+			t.recordArrival(r, false)
+		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		return writeResponse(conn, 421, "X-Instance-Id: "+t.id+"\r\n", "")
 	}
-	if strings.HasPrefix(r.URL.Path, "/-/") {
+	if isControl {
 		return t.serveControl(conn, r)
 	}
 	fault := t.nextFault()
+	handleGone := fault == LoseHandle || strings.HasSuffix(r.Header.Get("X-Kv-Source"), "/gone")
+	importFails := r.Header.Get("X-Kv-Source") != "" && handleGone
+	t.recordArrival(r, fault != Early && fault != Shed && !importFails)
 	echo := "X-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n"
 	if fault == Early {
 		ok := writeResponse(conn, 503, echo+"X-Not-Executed: 1\r\n", "")
@@ -275,7 +319,7 @@
 	if r.Header.Get("X-Phase") == "prefill" {
 		return t.respondPrefill(conn, fault)
 	}
-	if source := r.Header.Get("X-Kv-Source"); source != "" && strings.HasSuffix(source, "/gone") {
+	if importFails {
 		return writeResponse(conn, 503, echo+"X-Not-Executed: 1\r\n", "")
 	}
 	run := t.recordRun(r, string(body))
@@ -292,6 +336,15 @@
 	return t.processingTime
 }
 
+// recordArrival appends a request to the arrivals.
+func (t *Target) recordArrival(r *http.Request, accepted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.arrivals = append(t.arrivals, Arrival{
+		ID: r.Header.Get("X-Request-Id"), Prefill: r.Header.Get("X-Phase") == "prefill", Accepted: accepted, At: time.Now(),
+	})
+}
+
 // recordRun appends a request to the runs and returns its index.
 func (t *Target) recordRun(r *http.Request, body string) int {
 	t.mu.Lock()
