Start the shares of the retry budget empty

Cause: a new process had a full share, so nine restarts within a window granted 1.2 times the slack on top of what the processes before them had spent.

A share now starts empty and is earned by requests. The retries in a window are then at most what its requests add plus what the instances that ran at its start had saved, whoever restarts. The tests that gave instances a full share now earn the same number of retries.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -18,6 +18,10 @@
 	return &Budget{ratio: ratio, burst: burst, tokens: burst}
 }
 
+// NewEmptyBudget returns a budget without tokens. Processes that replace each other then never
+// spend more than the tokens of their requests.
+func NewEmptyBudget(ratio, burst float64) *Budget { return &Budget{ratio: ratio, burst: burst} }
+
 // Deposit adds the tokens of a new request.
 func (b *Budget) Deposit() {
 	b.mu.Lock()
--- a/core/retry/shares.go
+++ b/core/retry/shares.go
@@ -18,11 +18,14 @@
 }
 
 // GrantedBurstShare is the fraction of the burst that is divided among the instances. The
-// rest covers instances that restart with a full share.
+// rest covers retries that reach their targets late, and instances that have not yet seen
+// that the fleet has grown.
 const GrantedBurstShare = 0.6
 
-// Shares holds this instance's share of the retry budget of each service. It is safe for
-// concurrent use.
+// Shares holds this instance's share of the retry budget of each service. It starts empty: the
+// retries of all instances in any window are then at most what their requests in that window
+// add and what the instances that ran at its start had saved up, however many restart. It is
+// safe for concurrent use.
 type Shares struct {
 	options SharesOptions
 
@@ -42,7 +45,7 @@
 	defer s.mu.Unlock()
 	budget, ok := s.services[service]
 	if !ok {
-		budget = NewBudget(s.options.Ratio, s.instanceBurst())
+		budget = NewEmptyBudget(s.options.Ratio, s.instanceBurst())
 		s.services[service] = budget
 	}
 	return budget
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -65,6 +65,10 @@
 		t: t, roster: roster.New(time.Second), logs: memory.New(),
 		budgets: retry.NewShares(retry.SharesOptions{Ratio: 1, Burst: 1000}),
 	}
+	for range 100 { // retries enough for any test
+		f.budgets.Deposit("calls")
+		f.budgets.Deposit("models")
+	}
 	var list []core.Registration
 	for i, phase := range phases {
 		tg, err := platform.NewTarget("i-"+string(rune('a'+i)), phase)
