Divide shared limits by all instances that may be running

Cause: limits were divided by the members that an instance sees now, and by 16 until it saw another. An instance that is out of reach goes on with its share, while the others divide what it holds among themselves.

An instance now counts for 10 min after it was last seen, and one that sees no others counts those of the platform's list. While the size is unknown, a share is a single retry. The calls to the store and the idle connections follow the same number, as they had the same fault.

--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -97,9 +97,7 @@
 }
 
 func newBudgets(settings platform.Settings) *retry.Shares {
-	return retry.NewShares(retry.SharesOptions{
-		Ratio: settings.Bounds.RetryRatio, Burst: settings.Bounds.RetryBurst, Instances: platform.AssumedInstances,
-	})
+	return retry.NewShares(settings.Bounds.RetryRatio, settings.Bounds.RetryBurst)
 }
 
 // linkBitsPerCore is the traffic, in bits per second, that one busy core forwards with
--- a/cmd/entry/node/node_test.go
+++ b/cmd/entry/node/node_test.go
@@ -311,3 +311,19 @@
 		t.Errorf("%d instances sent orders, want 1", holders)
 	}
 }
+
+// Guards against limits that grow when an instance loses sight of another, which may go on with
+// its share.
+func TestLostMemberKeepsItsShareOfTheLimits(t *testing.T) {
+	s := newSite(t)
+	list := []*instance{s.start("n1"), s.start("n2"), s.start("n3")}
+	s.eventually(5*time.Second, "n1 counts three instances", func() bool { return list[0].budgets.Instances() == 3 })
+	if err := list[2].app.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	s.eventually(10*time.Second, "n1 has lost n3", func() bool { return len(list[0].digests.Members()) == 2 })
+	time.Sleep(housekeepingInterval + housekeepingInterval/2)
+	if got := list[0].budgets.Instances(); got != 3 {
+		t.Errorf("limits are divided by %d instances, want 3", got)
+	}
+}
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -185,12 +185,12 @@
 	return n.digests.CallerAddresses(dc), min(n.options.AnswerTTL, n.bounds().MaxAnswerTTL)
 }
 
-// housekeepingInterval is the time between two checks of idle connections and of the number
-// of members.
+// housekeepingInterval is the time between two checks of idle connections and of the size of
+// the fleet.
 const housekeepingInterval = time.Second
 
 // Run announces the instance, closes expired connections and adjusts rate limits and
-// budgets to the number of members, until ctx ends.
+// budgets to the size of the fleet, until ctx ends.
 func (n *node) Run(ctx context.Context) {
 	defer close(n.done)
 	announced := make(chan struct{})
@@ -216,9 +216,9 @@
 func (n *node) loop(ctx context.Context) {
 	pause.Every(ctx, housekeepingInterval, func() {
 		n.pool.CloseExpired(time.Now())
-		if members := len(n.digests.Members()); members > 1 {
-			n.budgets.SetInstances(members)
-			n.store.SetInstances(members)
+		if size := n.digests.FleetSize(); size > 0 {
+			n.budgets.SetInstances(size)
+			n.store.SetInstances(size)
 		}
 	})
 }
--- a/core/retry/shares.go
+++ b/core/retry/shares.go
@@ -6,17 +6,6 @@
 	"gorseline/core"
 )
 
-// SharesOptions configures the limit on retries that all instances share.
-type SharesOptions struct {
-	// Ratio is the number of retries that each request adds to the budget of its service.
-	Ratio float64
-	// Burst is the number of unused retries per service that all instances together may
-	// save up.
-	Burst float64
-	// Instances is the assumed number of instances until SetInstances is called.
-	Instances int
-}
-
 // GrantedBurstShare is the fraction of the burst that is divided among the instances. The
 // rest covers retries that reach their targets late, and instances that have not yet seen
 // that the fleet has grown.
@@ -27,16 +16,18 @@
 // add and what the instances that ran at its start had saved up, however many restart. It is
 // safe for concurrent use.
 type Shares struct {
-	options SharesOptions
-
-	mu        sync.Mutex
+	mu           sync.Mutex
+	ratio, burst float64
+	// instances is the size of the fleet; 0 means unknown.
 	instances int
 	services  map[core.Service]*Budget
 }
 
-// NewShares returns the shares of one instance.
-func NewShares(options SharesOptions) *Shares {
-	return &Shares{options: options, instances: max(1, options.Instances), services: map[core.Service]*Budget{}}
+// NewShares returns the shares of one instance. ratio is the number of retries that each request
+// adds to the budget of its service, burst the number of unused retries per service that all
+// instances together may save up.
+func NewShares(ratio, burst float64) *Shares {
+	return &Shares{ratio: ratio, burst: burst, services: map[core.Service]*Budget{}}
 }
 
 // budget returns the budget of a service and creates it if necessary.
@@ -45,15 +36,21 @@
 	defer s.mu.Unlock()
 	budget, ok := s.services[service]
 	if !ok {
-		budget = NewEmptyBudget(s.options.Ratio, s.instanceBurst())
+		budget = NewEmptyBudget(s.ratio, s.instanceBurst())
 		s.services[service] = budget
 	}
 	return budget
 }
 
-// instanceBurst returns this instance's share of the burst. The caller must hold s.mu.
+// instanceBurst returns this instance's share of the burst. While the size of the fleet is
+// unknown, and in a fleet larger than the granted burst, it is a single retry, because less
+// would allow none. The caller must hold s.mu.
 func (s *Shares) instanceBurst() float64 {
-	return GrantedBurstShare * s.options.Burst / float64(s.instances)
+	granted := GrantedBurstShare * s.burst
+	if s.instances == 0 {
+		return min(1, granted)
+	}
+	return max(min(1, granted), granted/float64(s.instances))
 }
 
 // Deposit adds the ratio to the budget of a service. It is called once per request.
@@ -66,26 +63,26 @@
 func (s *Shares) SetLimits(ratio, burst float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.options.Ratio, s.options.Burst = ratio, burst
+	s.ratio, s.burst = ratio, burst
 	for _, budget := range s.services {
 		budget.SetRatio(ratio)
 		budget.SetBurst(s.instanceBurst())
 	}
 }
 
-// Instances returns the number of live instances that share the limits.
+// Instances returns the size of the fleet that shares the limits, or 0 if it isn't known.
 func (s *Shares) Instances() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.instances
 }
 
-// SetInstances sets the number of live instances, which share the burst. A number
-// below 1 counts as 1.
+// SetInstances sets the size of the fleet that shares the burst. It must count instances that
+// may be cut off from this one.
 func (s *Shares) SetInstances(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if n = max(1, n); n == s.instances {
+	if n == s.instances {
 		return
 	}
 	s.instances = n
--- a/core/retry/shares_test.go
+++ b/core/retry/shares_test.go
@@ -3,10 +3,12 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/membership"
 	"gorseline/core/retry"
 )
 
@@ -23,13 +25,17 @@
 type fleet struct {
 	rng       *rand.Rand
 	instances []*retry.Shares
-	now       time.Duration
+	// sizes are the instances' estimates of the size of the fleet.
+	sizes []*membership.FleetSize
+	now   time.Duration
 	// requests and retries hold the times of all requests and retries.
 	requests, retries []time.Duration
 }
 
 func newFleet(seed uint64, size int) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 25)), instances: make([]*retry.Shares, size)}
+	f := &fleet{
+		rng: rand.New(rand.NewPCG(seed, 25)), instances: make([]*retry.Shares, size), sizes: make([]*membership.FleetSize, size),
+	}
 	for i := range f.instances {
 		f.restart(i)
 	}
@@ -38,7 +44,20 @@
 
 // restart replaces the process of an instance, which has seen the others by its first request.
 func (f *fleet) restart(i int) {
-	f.instances[i] = retry.NewShares(retry.SharesOptions{Ratio: fleetRatio, Burst: fleetSlack, Instances: len(f.instances)})
+	f.instances[i] = retry.NewShares(fleetRatio, fleetSlack)
+	f.sizes[i] = membership.NewFleetSize()
+	f.see(i, 0, len(f.instances))
+}
+
+// see makes instance i see the instances from number first up to last, without last.
+func (f *fleet) see(i, first, last int) {
+	var members []membership.Record
+	for n := first; n < last; n++ {
+		members = append(members, membership.Record{ID: core.InstanceID(strconv.Itoa(n))})
+	}
+	now := core.Instant(f.now)
+	f.sizes[i].ObserveMembers(now, members)
+	f.instances[i].SetInstances(f.sizes[i].Count(now))
 }
 
 // run sends requests at a rate to random instances for the given time. Each wants up to
@@ -103,7 +122,8 @@
 		f.run(5*time.Second, 240, 0)
 		for _, groups := range []int{3, 9, 1} {
 			for i := range f.instances {
-				f.instances[i].SetInstances(len(f.instances) / groups)
+				size := len(f.instances) / groups
+				f.see(i, i/size*size, i/size*size+size)
 			}
 			f.run(15*time.Second, 240, 0)
 			f.run(10*time.Second, 240, 3)
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -77,6 +77,7 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	members *membership.Protocol
+	size    *membership.FleetSize
 	pending map[uint32]pendingCall
 	// peerStates holds the state of each peer, by address, that sent a datagram within
 	// peerTimeout.
@@ -97,6 +98,7 @@
 	n := &Node{
 		opts: o, events: make(chan event, eventQueueLength), done: make(chan struct{}),
 		rng: rand.New(rand.NewPCG(o.Seed, 1)), pending: map[uint32]pendingCall{}, peerStates: map[string]peerState{},
+		size: membership.NewFleetSize(),
 	}
 	// Packets carry the versions of the sender, so membership messages carry no revisions.
 	header := func(core.Instant) (applied, head core.Revision, ageMs uint32) { return 0, 0, 0 }
@@ -159,10 +161,11 @@
 			n.opts.Log.WithError(err).Warn("InstancesNotRead")
 		}
 		n.mu.Lock()
+		isAlone := len(n.members.Members()) < 2
 		if err == nil {
 			n.members.SetSeeds(list)
+			n.size.ObserveList(n.opts.Clock.Now(), list, isAlone)
 		}
-		isAlone := len(n.members.Members()) < 2
 		n.mu.Unlock()
 		next := seedInterval
 		if err != nil || isAlone {
@@ -388,6 +391,16 @@
 	n.sendAll(packets)
 }
 
+// FleetSize returns the number of instances that may be running, which includes those that were
+// seen within membership.FleetMemory; 0 means that it isn't known yet.
+func (n *Node) FleetSize() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Clock.Now()
+	n.size.ObserveMembers(now, n.members.Members())
+	return n.size.Count(now)
+}
+
 // Members returns the members that are not removed, including this instance.
 func (n *Node) Members() []membership.Record {
 	n.mu.Lock()
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -85,7 +85,11 @@
 	if limit <= 0 {
 		return 0
 	}
-	return max(1, int(idleConnectionShare*float64(limit)/float64(r.Budgets.Instances())))
+	instances := r.Budgets.Instances()
+	if instances == 0 {
+		return 1
+	}
+	return max(1, int(idleConnectionShare*float64(limit)/float64(instances)))
 }
 
 // classify returns the answer of a target that ran the request. Other answers count as
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -63,8 +63,9 @@
 	t.Helper()
 	f := &fixture{
 		t: t, roster: roster.New(time.Second), logs: memory.New(),
-		budgets: retry.NewShares(retry.SharesOptions{Ratio: 1, Burst: 1000}),
+		budgets: retry.NewShares(1, 1000),
 	}
+	f.budgets.SetInstances(1)
 	for range 100 { // retries enough for any test
 		f.budgets.Deposit("calls")
 		f.budgets.Deposit("models")
