Take the retries of a request where it is sent

Callers behind unreachable targets were refused for want of retries.

A ledger for each request counts what its targets may have counted: each arrival beyond the first, the first accepted computation of the prompt free, a send without an answer in whichever way costs more. Each send takes what is due, also if its caller has not; a failed dial costs nothing.

--- a/cmd/commands/explainretries.go
+++ b/cmd/commands/explainretries.go
@@ -66,10 +66,14 @@
 
 func (s *retrySummary) add(l *logline.Line) {
 	s.instances[l.Instance] = true
+	retries, err := strconv.Atoi(l.Get("Retries"))
+	if err != nil {
+		retries = 1 // a line of a version that took single retries
+	}
 	if l.Event == "RetryDenied" {
-		s.denied++
+		s.denied += retries
 	} else {
-		s.taken = append(s.taken, l.Time)
+		s.taken = append(s.taken, slices.Repeat([]time.Time{l.Time}, retries)...)
 	}
 	n, err := strconv.Atoi(l.Get("Instances"))
 	if err != nil {
--- a/cmd/entry/node/instruments.go
+++ b/cmd/entry/node/instruments.go
@@ -52,16 +52,16 @@
 	i.counter("Sends." + string(service) + "." + result).Inc(1)
 }
 
-// ObserveRetry counts a retry that the budget of a service allowed or denied, and records what
+// ObserveRetry counts retries that the budget of a service allowed or denied, and records what
 // is left of the budget.
-func (i *instruments) ObserveRetry(service core.Service, cause forward.RetryCause, allowed bool, state retry.ShareState) {
+func (i *instruments) ObserveRetry(service core.Service, cause forward.RetryCause, retries int, allowed bool, state retry.ShareState) {
 	result := "Taken"
 	if !allowed {
 		result = "Denied"
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.counter("Retries." + string(service) + "." + string(cause) + "." + result).Inc(1)
+	i.counter("Retries." + string(service) + "." + string(cause) + "." + result).Inc(int64(retries))
 	metrics.GetOrRegisterGaugeFloat64("RetriesLeft."+string(service), i.registry).Update(state.Left)
 	metrics.GetOrRegisterGaugeFloat64("RetryShare."+string(service), i.registry).Update(state.Share)
 }
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -30,13 +30,16 @@
 }
 
 // Withdraw takes the token of one attempt. It returns false if none is left.
-func (b *Budget) Withdraw() bool {
+func (b *Budget) Withdraw() bool { return b.WithdrawN(1) }
+
+// WithdrawN takes the tokens of n attempts. It returns false and takes none if fewer are left.
+func (b *Budget) WithdrawN(n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
+	if b.tokens < float64(n) {
 		return false
 	}
-	b.tokens--
+	b.tokens -= float64(n)
 	return true
 }
 
--- a/core/retry/shares.go
+++ b/core/retry/shares.go
@@ -56,8 +56,9 @@
 // Deposit adds the ratio to the budget of a service. It is called once per request.
 func (s *Shares) Deposit(service core.Service) { s.budget(service).Deposit() }
 
-// Withdraw takes one retry from the budget of a service and reports whether one was left.
-func (s *Shares) Withdraw(service core.Service) bool { return s.budget(service).Withdraw() }
+// Withdraw takes n retries from the budget of a service. It returns false and takes none if fewer
+// are left.
+func (s *Shares) Withdraw(service core.Service, n int) bool { return s.budget(service).WithdrawN(n) }
 
 // SetLimits sets the ratio and the burst of all services.
 func (s *Shares) SetLimits(ratio, burst float64) {
--- a/core/retry/shares_test.go
+++ b/core/retry/shares_test.go
@@ -69,7 +69,7 @@
 		f.requests = append(f.requests, f.now)
 		shares.Deposit(engines)
 		for range wanted {
-			if !shares.Withdraw(engines) {
+			if !shares.Withdraw(engines, 1) {
 				break
 			}
 			f.retries = append(f.retries, f.now)
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -32,9 +32,13 @@
 func (s sendResult) String() string { return sendResultNames[s] }
 
 // send sends the request to a target once and waits up to limit for the header of the
-// answer. The answer is nil unless the result is sendAnswered.
+// answer. The answer is nil unless the result is sendAnswered. Nothing is sent if the retry
+// budget doesn't allow it, whatever the caller has decided.
 func (r *activeRequest) send(e *roster.Entry, a core.Attempt, limit time.Duration) (answer *target.Answer, result sendResult) {
 	defer func() { r.lastResult = result }()
+	if !r.takeRetries(r.retryCause(), stageOf(&a)) {
+		return nil, sendNotRun
+	}
 	began := r.Clock.Now()
 	r.Health.RecordSend(began, e.ID)
 	a.Target = e.ID
@@ -98,12 +102,19 @@
 	kind := r.Dialect.ClassifyAnswer(answer.Status, answer.Header)
 	if kind == gio.AnswerRan {
 		r.Observer.ObserveSend(r.service, sendAnswered.String())
+		if a.PrefillOnly && answer.Status != http.StatusOK {
+			// The target may count a failed computation or not.
+			r.recordSend(a, retry.SendUnknown)
+			return answer, sendAnswered
+		}
+		r.recordSend(a, retry.SendAccepted)
 		if !a.PrefillOnly {
 			r.possibleRuns++
 		}
 		return answer, sendAnswered
 	}
 	discardBody(answer)
+	r.recordSend(a, retry.SendRefused)
 	r.Health.RecordRefusal(r.Clock.Now(), e.ID)
 	if kind == gio.AnswerMisdirected {
 		r.Pool.DiscardIdle(e.Address)
@@ -116,11 +127,12 @@
 // sendFailed records a send without an answer. If the caller has disconnected, it
 // only updates possibleRuns.
 func (r *activeRequest) sendFailed(e *roster.Entry, a *core.Attempt, began core.Instant, err error) sendResult {
-	result := sendUnknown
+	result, recorded := sendUnknown, retry.SendUnknown
 	var failure *target.Error
 	if errors.As(err, &failure) && !failure.Sent {
-		result = sendNotRun
+		result, recorded = sendNotRun, retry.SendNotSent
 	}
+	r.recordSend(a, recorded)
 	if result == sendUnknown && !a.PrefillOnly {
 		r.possibleRuns++
 	}
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -14,6 +14,7 @@
 	"gorseline/core"
 	"gorseline/core/assign"
 	"gorseline/core/load"
+	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/io/target"
 )
@@ -48,18 +49,6 @@
 	}
 }
 
-// retryCause returns the cause of a retry by the result of the latest send.
-func (r *activeRequest) retryCause() RetryCause {
-	switch r.lastResult {
-	case sendNotRun:
-		return RetryRefused
-	case sendUnknown:
-		return RetryNoAnswer
-	default:
-		return RetryFailed
-	}
-}
-
 // chooseCall chooses a target that has not been tried.
 func (r *activeRequest) chooseCall() assign.CallDecision {
 	return r.Assigner.AssignCall(r.Clock.Now(), r.Roster.View(), &assign.CallRequest{
@@ -100,7 +89,7 @@
 		return assign.CallDecision{}, false
 	}
 	d := r.chooseCall()
-	return d, d.Target != nil && r.withdraw(RetryFailed)
+	return d, d.Target != nil && r.takeRetries(RetryFailed, retry.StageRun)
 }
 
 // callTimeout returns how long one send waits for the header of the answer.
@@ -121,7 +110,7 @@
 		r.fail(ReasonNoAnswer)
 	case r.sends >= maxSends:
 		r.fail(ReasonTargetsRefused)
-	case !r.withdraw(cause):
+	case !r.takeRetries(cause, retry.StageRun):
 		r.fail(ReasonRetryBudget)
 	default:
 		return true
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -41,8 +41,8 @@
 	ObserveRequest(kind core.RouteKind, outcome core.OutcomeKind, reason core.Reason, took, first time.Duration)
 	// ObserveSend counts a send by its result.
 	ObserveSend(service core.Service, result string)
-	// ObserveRetry counts a retry that the budget of a service allowed or denied.
-	ObserveRetry(service core.Service, cause RetryCause, allowed bool, state retry.ShareState)
+	// ObserveRetry counts retries that the budget of a service allowed or denied.
+	ObserveRetry(service core.Service, cause RetryCause, retries int, allowed bool, state retry.ShareState)
 }
 
 // Options holds the dependencies and limits of a Forwarder. All fields are required.
@@ -183,8 +183,8 @@
 	// possibleRuns counts the sends that may have run the request.
 	possibleRuns int
 	sends        int
-	// computed is set once an engine has computed the prompt for another one.
-	computed bool
+	// ledger counts the sends that draw on the retry budget.
+	ledger retry.Ledger
 	// refusedBefore is true if the caller was probably refused before. It is only logged.
 	refusedBefore   bool
 	timeToFirstByte time.Duration
@@ -367,7 +367,7 @@
 	r.Observer.ObserveRequest(kind, outcome, reason, took, r.timeToFirstByte)
 	fields := log.Fields{
 		"Request": r.req.ID, "Route": name, "Service": r.service, "Outcome": outcome, "Reason": reason,
-		"Status": status, "Sends": r.sends, "Runs": r.possibleRuns, "TookMs": took.Milliseconds(),
+		"Status": status, "Sends": r.sends, "Runs": r.possibleRuns, "Extra": r.ledger.Extra(), "TookMs": took.Milliseconds(),
 		"FirstMs": r.timeToFirstByte.Milliseconds(), "Target": r.lastTarget, "Returned": r.refusedBefore,
 	}
 	if r.prefillTime > 0 {
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -10,6 +10,7 @@
 	"gorseline/core/assign"
 	"gorseline/core/load"
 	"gorseline/core/prompt"
+	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/io/target"
 )
@@ -37,9 +38,7 @@
 		}
 		var done bool
 		if d.Kind == load.Prefill {
-			// The first computation of a prompt is free, further ones count as retries beside
-			// the sends that follow them.
-			if r.computed && !r.withdraw(RetryComputation) {
+			if !r.takeRetries(RetryComputation, retry.StageCompute) {
 				r.fail(ReasonRetryBudget)
 				return
 			}
@@ -141,7 +140,6 @@
 	}
 	handle, err := r.readCacheHandle(answer)
 	now := r.Clock.Now()
-	r.computed = true
 	r.recordAnswer(d.Target, err != nil)
 	if err != nil {
 		r.logAttempt(d.Target, "Failed", answer.Status, err)
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -14,6 +14,7 @@
 	"gorseline/core/assign"
 	"gorseline/core/load"
 	"gorseline/core/prompt"
+	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/io/target"
 )
@@ -195,7 +196,7 @@
 	if !s.route.Resumable || s.lastID == "" || s.possibleRuns >= s.route.Attempts || s.remaining() <= 0 {
 		return resumedStream{}, nil, false
 	}
-	if s.engineLimits() == nil || s.req.Prompt == nil || !s.withdraw(RetryStream) {
+	if s.engineLimits() == nil || s.req.Prompt == nil || !s.takeRetries(RetryStream, retry.StageRun) {
 		return resumedStream{}, nil, false
 	}
 	req := &assign.Request{
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -55,7 +55,7 @@
 
 func (noopObserver) ObserveSend(core.Service, string) {}
 
-func (noopObserver) ObserveRetry(core.Service, forward.RetryCause, bool, retry.ShareState) {}
+func (noopObserver) ObserveRetry(core.Service, forward.RetryCause, int, bool, retry.ShareState) {}
 
 // newFixture starts a forwarder with one target for each of the given phases; an empty phase
 // is a plain target.
