--- a/standin/platform/soak/faults.go
+++ b/standin/platform/soak/faults.go
@@ -93,9 +93,9 @@
 	}},
 	{"KillAllWhileRefused", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		end := s.refuseService(rng)
-		pause.For(ctx, time.Duration((0.3+0.4*rng.Float64())*float64(maxRefusalTime)))
+		pause.For(ctx, time.Duration((0.2+0.6*rng.Float64())*float64(retryWindow)))
 		s.killAll(ctx, rng)
-		pause.For(ctx, maxRefusalTime/2)
+		pause.For(ctx, retryWindow)
 		end()
 	}},
 	{"TargetLeaves", func(ctx context.Context, s *soak, rng *rand.Rand) {
@@ -129,8 +129,8 @@
 }
 
 // maxRefusalTime is the longest time for which the targets of a service refuse or fail
-// requests. It is as long as a window of the retry budget.
-const maxRefusalTime = 10 * time.Second
+// requests, so that whole windows of the limit on retries lie in it.
+const maxRefusalTime = 2 * retryWindow
 
 // refuseService makes all targets of a service refuse or fail a share of their requests, until
 // end is called.
