--- a/core/retry/shares_test.go
+++ b/core/retry/shares_test.go
@@ -60,10 +60,9 @@
 	f.instances[i].SetInstances(f.sizes[i].Count(now))
 }
 
-// run sends requests at a rate to random instances for the given time. Each wants up to
-// wanted retries.
-func (f *fleet) run(length time.Duration, perSecond, wanted int) {
-	step := time.Second / time.Duration(perSecond)
+// run sends requests to random instances for the given time. Each wants up to wanted retries.
+func (f *fleet) run(length time.Duration, wanted int) {
+	const step = time.Second / 240
 	for end := f.now + length; f.now < end; f.now += step {
 		shares := f.instances[f.rng.IntN(len(f.instances))]
 		f.requests = append(f.requests, f.now)
@@ -100,14 +99,14 @@
 func TestRestartsGrantNoRetries(t *testing.T) {
 	for seed := range uint64(20) {
 		f := newFleet(seed, 9)
-		f.run(20*time.Second, 240, 0)
+		f.run(20*time.Second, 0)
 		for range 3 {
-			f.run(2*time.Second, 240, 3)
+			f.run(2*time.Second, 3)
 			for i := range f.instances {
 				f.restart(i)
 			}
 		}
-		f.run(3*time.Second, 240, 3)
+		f.run(3*time.Second, 3)
 		if excess := f.excess(); excess > 0 {
 			t.Errorf("seed %d: %.1f retries beyond the limit", seed, excess)
 		}
@@ -119,14 +118,14 @@
 func TestPartitionedInstancesKeepToTheLimit(t *testing.T) {
 	for seed := range uint64(20) {
 		f := newFleet(seed, 9)
-		f.run(5*time.Second, 240, 0)
+		f.run(5*time.Second, 0)
 		for _, groups := range []int{3, 9, 1} {
 			for i := range f.instances {
 				size := len(f.instances) / groups
 				f.see(i, i/size*size, i/size*size+size)
 			}
-			f.run(15*time.Second, 240, 0)
-			f.run(10*time.Second, 240, 3)
+			f.run(15*time.Second, 0)
+			f.run(10*time.Second, 3)
 		}
 		if excess := f.excess(); excess > 0 {
 			t.Errorf("seed %d: %.1f retries beyond the limit", seed, excess)
