Let versions of the store carry its era

The store may come back from an older copy; Store-Era then rises and versions are given out again. No code read the header: a follower that waited with an old version took the answers of the new era for a continuation, and a conditional write could match a version that another writer had been given (TestVersionsOfAnEarlierEraConflict).

The adapter now hands on versions that include the era, so those of a later era are greater and never equal. Writes that expect a version of an earlier era conflict without a call, answers of an earlier era count as lost, and a feed of a new era begins with a full read. Without the header nothing changes. The stand-in's store keeps copies and goes back to one, with watches open; the soak plays it.

--- a/cmd/entry/node/instruments.go
+++ b/cmd/entry/node/instruments.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
 	"gorseline/core"
@@ -15,6 +16,7 @@
 // instruments are the metrics of an instance. docs/ENTRY-METRICS.md lists their names.
 type instruments struct {
 	registry metrics.Registry
+	log      log.Interface
 
 	mu         sync.Mutex
 	counters   map[string]metrics.Counter
@@ -26,9 +28,9 @@
 	_ platform.CallObserver = (*instruments)(nil)
 )
 
-func newInstruments(registry metrics.Registry) *instruments {
+func newInstruments(registry metrics.Registry, l log.Interface) *instruments {
 	return &instruments{
-		registry: registry, counters: map[string]metrics.Counter{}, histograms: map[string]metrics.Histogram{},
+		registry: registry, log: l, counters: map[string]metrics.Counter{}, histograms: map[string]metrics.Histogram{},
 	}
 }
 
@@ -77,6 +79,14 @@
 	}
 }
 
+// ObserveEra counts how often the store has come back from an older copy, and logs it.
+func (i *instruments) ObserveEra(before, now uint64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counter("StoreEraChanges").Inc(1)
+	i.log.WithFields(log.Fields{"Before": before, "Era": now}).Warn("StoreEraChanged")
+}
+
 // registerGauge registers a gauge whose value is computed for each read.
 func (i *instruments) registerGauge(name string, value func() int64) {
 	// Register fails only on duplicate names, and each gauge is registered once.
--- a/core/table.go
+++ b/core/table.go
@@ -7,8 +7,22 @@
 	Key     string
 	Version uint64
 	Value   []byte
+	// Era is the era of the table in which the row was read, also if it is absent.
+	Era uint64
 }
 
+// EraVersions is the number of versions of one era. A table that comes back from an older copy
+// begins a new era, in which it gives out numbers again. Versions include the era, so that those
+// of a later era are greater than all before, and numbers of two eras are never taken for the
+// same version.
+const EraVersions = 1_000_000_000_000
+
+// VersionInEra returns the version for a number that the table gave out in an era.
+func VersionInEra(era, number uint64) uint64 { return era*EraVersions + number }
+
+// EraOf returns the era of a version.
+func EraOf(version uint64) uint64 { return version / EraVersions }
+
 // AnyVersion makes a write unconditional when it is set in Write.Expected.
 const AnyVersion = ^uint64(0)
 
@@ -69,7 +83,10 @@
 }
 
 // Table is the platform's transactional table service. Row versions increase
-// monotonically, even when a row is deleted and created again.
+// monotonically, even when a row is deleted and created again. When the table begins a new
+// era, the versions of unchanged rows rise too, and writes that expect a version of an earlier
+// era conflict. A write that expects an absent row may commit in a later era than that of the
+// read: the versions in its result tell.
 type Table interface {
 	RowReader
 	RowScanner
--- a/standin/platform/soak/faults.go
+++ b/standin/platform/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -73,6 +74,18 @@
 		s.testbed.store.SetFaults(platform.Faults{})
 	}},
 	{"ForgetHistory", func(_ context.Context, s *soak, _ *rand.Rand) { s.testbed.store.CompactHistory() }},
+	{"StoreGoesBack", func(ctx context.Context, s *soak, rng *rand.Rand) {
+		for range 1 + rng.IntN(2) {
+			copied := s.testbed.store.Copy()
+			pause.For(ctx, time.Duration(rng.Float64()*float64(maxCopyAge)))
+			s.testbed.store.SetFaults(platform.Faults{Status: http.StatusServiceUnavailable})
+			pause.For(ctx, randomDuration(rng)/2)
+			s.testbed.store.GoBack(copied)
+			s.testbed.store.SetFaults(platform.Faults{})
+			pause.For(ctx, randomDuration(rng)/2)
+			s.testbed.store.RewriteExternal()
+		}
+	}},
 	{"TargetLink", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		injectLinkFault(ctx, rng, s.testbed.proxies[rng.IntN(len(s.testbed.proxies))])
 	}},
@@ -148,6 +161,9 @@
 	}
 }
 
+// maxCopyAge is the age of the oldest copy that the store comes back from.
+const maxCopyAge = 4 * time.Second
+
 // injectLinkFault sets a proxy to a random mode for a random duration. For modePass it resets
 // the open connections instead.
 func injectLinkFault(ctx context.Context, rng *rand.Rand, p *proxy) {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -45,7 +46,9 @@
 
 // Store is a fake of the platform's store. It is safe for concurrent use.
 type Store struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era counts how often the store has gone back to a copy; each answer carries it.
+	era     uint64
 	version uint64
 	rows    map[rowKey]Row
 	history []Row
@@ -54,6 +57,8 @@
 	// changed is closed and replaced at each commit.
 	changed chan struct{}
 	faults  Faults
+	// external holds the latest write of each row that operators and targets wrote.
+	external map[rowKey]Row
 	// calls counts the calls by path.
 	calls map[string]int
 	// delayedWrites holds a channel for each delayed write, closed once the write has been
@@ -63,7 +68,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: map[rowKey]Row{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{era: 1, rows: map[rowKey]Row{}, external: map[rowKey]Row{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // SetFaults replaces the injected faults.
@@ -84,14 +89,64 @@
 func (s *Store) Put(table, key string, value []byte) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.commit([]Row{{Table: table, Key: key, Value: value}})
+	return s.commitExternal(Row{Table: table, Key: key, Value: value})
+}
+
+// commitExternal commits a row that an operator or a target writes. The lock must be held.
+func (s *Store) commitExternal(row Row) uint64 {
+	s.external[rowKey{row.Table, row.Part, row.Key}] = row
+	return s.commit([]Row{row})
+}
+
+// Copy is a copy of the store's content.
+type Copy struct {
+	version, compactedVersion uint64
+	rows                      map[rowKey]Row
+	history                   []Row
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.version, s.compactedVersion, maps.Clone(s.rows), slices.Clone(s.history)}
+}
+
+// GoBack replaces the content by an earlier copy and begins a new era. Versions after that of
+// the copy are given out again.
+func (s *Store) GoBack(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, s.compactedVersion, s.rows, s.history = c.version, c.compactedVersion, maps.Clone(c.rows), slices.Clone(c.history)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// RewriteExternal writes again what operators and targets wrote and the store has lost.
+func (s *Store) RewriteExternal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, row := range s.external {
+		current, ok := s.rows[key]
+		if row.Deleted && ok || !row.Deleted && string(current.Value) != string(row.Value) {
+			s.commit([]Row{row})
+		}
+	}
+}
+
+// Era returns the current era.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 // Remove deletes a row without a condition.
 func (s *Store) Remove(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.commit([]Row{{Table: table, Key: key, Deleted: true}})
+	s.commitExternal(Row{Table: table, Key: key, Deleted: true})
 }
 
 // Value returns the value of a row; ok is false if it is absent.
@@ -154,6 +209,7 @@
 		s.mu.Lock()
 		s.calls[r.URL.Path]++
 		faults := s.faults
+		s.setEra(w)
 		s.mu.Unlock()
 		switch {
 		case faults.Unresponsive:
@@ -170,6 +226,11 @@
 	}
 }
 
+// setEra sets the era in the header of an answer. The lock must be held.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
 // pageLimit is the maximum number of rows in a range read's response.
 const pageLimit = 500
 
@@ -182,6 +243,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	rows := []Row{}
 	for k, row := range s.rows {
 		if k.table == q.Get("table") && k.part == q.Get("part") && k.key >= q.Get("from") &&
@@ -215,7 +277,8 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		if after < s.compactedVersion {
+		s.setEra(w)
+		if after < s.compactedVersion || after > s.version {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -291,6 +354,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	status, rows, version := s.apply(tx)
+	s.setEra(w)
 	s.mu.Unlock()
 	if dropsResponse {
 		panic(http.ErrAbortHandler) // closes the connection without a response
