Keep what is known of targets when the registry comes back from a copy

The copy lists targets that have left since, as ready those that are leaving, and lacks those that have just registered, until targets write their entries again. A full read of it brought the first two back and took the last out; a lower version even kept all later changes out.

The first list of an era, and those within 2 s of it, change no entry that is older than the known one, don't bring back what was removed in the last minute, and keep what they lack for 2 s.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -94,7 +94,8 @@
 	view atomic.Pointer[View]
 
 	mu sync.Mutex
-	// lapsedAt holds the start of the grace period of each lapsed entry.
+	// lapsedAt holds the start of the grace period of each entry that is no longer listed but
+	// may be listed again.
 	lapsedAt map[core.TargetID]core.Instant
 	// recoveredAt is when the registry became reachable again after the last outage.
 	recoveredAt core.Instant
@@ -103,12 +104,30 @@
 	isUnreachable    bool
 	// minOutage is the shortest outage in which entries can lapse.
 	minOutage time.Duration
+	// restoredAt is when the registry last came back from an older copy, if hasRestored.
+	restoredAt  core.Instant
+	hasRestored bool
+	// removed holds the entries that were removed within removedMemory.
+	removed map[core.TargetID]removedEntry
 }
 
+// removedEntry is an entry that was removed at a time.
+type removedEntry struct {
+	core.Registration
+	at core.Instant
+}
+
+// removedMemory is how long a removed entry is remembered. A registry that comes back from an
+// older copy, some seconds old, may list it again.
+const removedMemory = time.Minute
+
 // New returns an empty roster. Entries can lapse in outages of the registry that last
 // for at least minOutage.
 func New(minOutage time.Duration) *Roster {
-	r := &Roster{lapsedAt: map[core.TargetID]core.Instant{}, recoveredAt: -core.Instant(time.Hour), minOutage: minOutage}
+	r := &Roster{
+		lapsedAt: map[core.TargetID]core.Instant{}, recoveredAt: -core.Instant(time.Hour), minOutage: minOutage,
+		removed: map[core.TargetID]removedEntry{},
+	}
 	r.view.Store(&View{entries: map[core.TargetID]*Entry{}, services: map[core.Service][]*Entry{}})
 	return r
 }
@@ -148,7 +167,8 @@
 }
 
 // Replace applies the complete registry as of a version and returns the changes. A version
-// older than the view's is ignored.
+// older than the view's is ignored. The first list of a later era, and those of the ReturnGrace
+// after it, are applied as by a registry that came back from an older copy: see restore.
 func (r *Roster) Replace(now core.Instant, version uint64, list []core.Registration) []Change {
 	return r.ReplaceFromPeer(now, version, list, nil)
 }
@@ -157,6 +177,9 @@
 // are not listed and that the peer retains; they are retained here too, as lapsed, if they are
 // known.
 func (r *Roster) ReplaceFromPeer(now core.Instant, version uint64, list []core.Registration, lapsed []core.TargetID) []Change {
+	if r.isRestored(now, version) {
+		return r.restore(now, version, list)
+	}
 	return r.update(version, func(entries map[core.TargetID]*Entry) []Change {
 		var changes []Change
 		for _, id := range lapsed {
@@ -181,6 +204,64 @@
 	})
 }
 
+// isRestored reports whether a list is of a registry that has just come back from an older copy.
+func (r *Roster) isRestored(now core.Instant, version uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.view.Load().Version
+	if known > 0 && core.EraOf(version) > core.EraOf(known) {
+		r.restoredAt, r.hasRestored = now, true
+	}
+	return r.hasRestored && now.Sub(r.restoredAt) < ReturnGrace
+}
+
+// restore applies the complete registry after it came back from an older copy, and returns the
+// changes. The registry lists what it had some seconds ago until targets write their entries
+// again: entries that are older than the known ones change nothing, removed ones stay removed,
+// and known ones that are missing are used for ReturnGrace.
+func (r *Roster) restore(now core.Instant, version uint64, list []core.Registration) []Change {
+	return r.update(version, func(entries map[core.TargetID]*Entry) []Change {
+		var changes []Change
+		listed := make(map[core.TargetID]bool, len(list))
+		for i := range list {
+			entry := &list[i]
+			listed[entry.ID] = true
+			if old, known := entries[entry.ID]; known && isBefore(entry, &old.Registration) {
+				continue
+			}
+			if gone, ok := r.removed[entry.ID]; ok && now.Sub(gone.at) < removedMemory && !isBefore(&gone.Registration, entry) {
+				continue
+			}
+			changes = r.applyUpdate(now, entries, Update{entry.ID, entry}, changes)
+		}
+		for id := range entries {
+			if _, lapsed := r.lapsedAt[id]; !listed[id] && !lapsed {
+				r.lapsedAt[id] = now
+			}
+		}
+		return changes
+	})
+}
+
+// isBefore reports whether a was written before b, by the same process of the target or by an
+// earlier one. Targets that don't state their start are taken not to have restarted.
+func isBefore(a, b *core.Registration) bool {
+	return a.Started < b.Started || a.Started == b.Started && a.Sequence < b.Sequence
+}
+
+// remove deletes an entry and appends the change.
+func (r *Roster) remove(now core.Instant, entries map[core.TargetID]*Entry, old *Entry, changes []Change) []Change {
+	delete(entries, old.ID)
+	delete(r.lapsedAt, old.ID)
+	for id, gone := range r.removed {
+		if now.Sub(gone.at) >= removedMemory {
+			delete(r.removed, id)
+		}
+	}
+	r.removed[old.ID] = removedEntry{old.Registration, now}
+	return append(changes, Change{old.Registration, Removed})
+}
+
 // markLapsed marks an entry as lapsed since the given time and appends the change, unless it is
 // lapsed already.
 func (r *Roster) markLapsed(since core.Instant, entries map[core.TargetID]*Entry, old *Entry, changes []Change) []Change {
@@ -214,8 +295,7 @@
 			}
 			delete(r.lapsedAt, id)
 			if e, ok := entries[id]; ok {
-				delete(entries, id)
-				changes = append(changes, Change{e.Registration, Removed})
+				changes = r.remove(now, entries, e, changes)
 			}
 		}
 		return changes
@@ -271,9 +351,7 @@
 		if now.Sub(r.recoveredAt) < ReturnGrace && !old.Leaving {
 			return r.markLapsed(r.recoveredAt, entries, old, changes)
 		}
-		delete(entries, u.ID)
-		delete(r.lapsedAt, u.ID)
-		return append(changes, Change{old.Registration, Removed})
+		return r.remove(now, entries, old, changes)
 	}
 	if known && isOlder(u.Registration, &old.Registration) {
 		return changes
