Keep leases and orders safe when the table goes back

After the table came back from an older copy, an absent, released or own lease row was taken at its word although another instance might hold the lease; a renewal or acquisition could commit on a version that was given out again; and the record of an order could be older than the order.

Fences are versions and so grow with the era. A row that was not written in the current era is waited out like a live lease; a write that committed in another era than its row was read in confers no lease; a holder writes the record of its latest order again (OrderRestored), and a successor does not carry out a record that is out of date.

Found by it on the way: an absent row has no version to tell the era, so rows state theirs.

--- a/cmd/check/check.go
+++ b/cmd/check/check.go
@@ -24,6 +24,9 @@
 	// orders of two instances to one target are a minimum gap apart, as the operators'
 	// platform requires.
 	UnfencedTargets bool
+	// Eras runs histories of leases and orders in which the table comes back from older copies,
+	// also twice in a row.
+	Eras bool
 
 	mutation mutation
 	// stopOnViolation ends the check after the first history with violations.
@@ -44,6 +47,9 @@
 	// expire, the write deadline of orders, and the condition that a target has accepted
 	// no other order meanwhile.
 	noHolderGap, noLeaseWait, noWriteDeadline, noOrderCount bool
+	// noEras hides the eras of the table from the instances, noRowEra only those of the rows that
+	// they read.
+	noEras, noRowEra bool
 }
 
 // Report is the result of a check.
@@ -90,7 +96,7 @@
 				if n >= opts.Histories || stop || ctx.Err() != nil {
 					return
 				}
-				w := newWorld(opts.Seed, n, opts.UnfencedTargets, opts.mutation)
+				w := newWorld(n, opts)
 				w.run()
 				mu.Lock()
 				report.Histories++
@@ -117,16 +123,21 @@
 	return report
 }
 
-func newWorld(seed uint64, history int, unfencedTargets bool, m mutation) *world {
+func newWorld(history int, opts Options) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, uint64(history))), table: table.New(), faults: map[string]int{}, activity: map[string]int{},
-		intents: map[string]authority.Intent{}, lastFences: map[int]uint64{}, mutation: m, unfencedTargets: unfencedTargets,
+		random: rand.New(rand.NewPCG(opts.Seed, uint64(history))), table: table.New(), faults: map[string]int{}, activity: map[string]int{},
+		intents: map[string]authority.Intent{}, lastFences: map[int]uint64{}, mutation: opts.mutation, unfencedTargets: opts.UnfencedTargets,
+		eras: opts.Eras,
 	}
-	w.peerForwarding = w.chance(0.5) && !unfencedTargets
-	if m.ignoreVersions != "" {
-		w.table.DisableVersionCheck(m.ignoreVersions)
+	w.peerForwarding = w.chance(0.5) && !opts.UnfencedTargets && !opts.Eras
+	if opts.mutation.ignoreVersions != "" {
+		w.table.DisableVersionCheck(opts.mutation.ignoreVersions)
+	}
+	w.workloads = []workload{newOrderWorkload(w)}
+	if !opts.Eras {
+		// The platform's store, which may go back, holds neither claims nor revisions.
+		w.workloads = append(w.workloads, &claimWorkload{w: w}, newRevisionWorkload(w))
 	}
-	w.workloads = []workload{newOrderWorkload(w), &claimWorkload{w: w}, newRevisionWorkload(w)}
 	return w
 }
 
@@ -136,6 +147,9 @@
 		w.startInstance()
 	}
 	w.planFaults()
+	if w.eras {
+		w.planEras()
+	}
 	w.runUntil(faultPhase)
 	w.recovering = true
 	for _, i := range w.instances {
--- a/cmd/check/check_test.go
+++ b/cmd/check/check_test.go
@@ -110,7 +110,8 @@
 // reproduced.
 func TestHistoryIsDeterminedBySeed(t *testing.T) {
 	for n := range 10 {
-		first, second := newWorld(7, n, n%2 == 1, mutation{}), newWorld(7, n, n%2 == 1, mutation{})
+		options := Options{Seed: 7, UnfencedTargets: n%2 == 1, Eras: n%3 == 1}
+		first, second := newWorld(n, options), newWorld(n, options)
 		first.run()
 		second.run()
 		if first.serial != second.serial || !reflect.DeepEqual(first.faults, second.faults) {
@@ -118,3 +119,35 @@
 		}
 	}
 }
+
+// Guards against two holders of a target, fences that decrease and orders of a record that is out
+// of date after the table has come back from an older copy, also twice in a row.
+func TestOrdersSurviveATableThatGoesBack(t *testing.T) {
+	for _, unfenced := range []bool{true, false} {
+		report := Run(context.Background(), Options{Histories: 300, Seed: 26, UnfencedTargets: unfenced, Eras: true})
+		for _, v := range report.Examples {
+			t.Errorf("unfenced %v, history %d: %s", unfenced, v.History, v.Text)
+		}
+		if report.Faults["GoBack"] == 0 || report.Activity["OrderRestored"] == 0 {
+			t.Errorf("unfenced %v: faults %v, activity %v", unfenced, report.Faults, report.Activity)
+		}
+	}
+}
+
+// Guards against a check that misses what the eras protect: with any part of them hidden from
+// the instances it must report a violation.
+func TestMutationsOfErasAreReported(t *testing.T) {
+	for name, m := range map[string]mutation{
+		"no eras": {noEras: true}, "no eras of rows": {noRowEra: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			report := Run(context.Background(), Options{
+				Histories: 3000, Seed: 26, UnfencedTargets: true, Eras: true, mutation: m, stopOnViolation: true,
+			})
+			t.Logf("%d violations in %d histories, first %+v", report.Violations, report.Histories, report.Examples[:min(2, len(report.Examples))])
+			if report.Violations == 0 {
+				t.Error("no violation was reported")
+			}
+		})
+	}
+}
--- a/cmd/check/instance.go
+++ b/cmd/check/instance.go
@@ -51,6 +51,8 @@
 	// force.
 	table   core.Table
 	applier *configuration.Applier
+	// era is the latest era of the table that this process has seen.
+	era uint64
 }
 
 func formatSerial(n uint64) string { return strconv.FormatUint(n, 36) }
@@ -70,6 +72,9 @@
 	}
 	// Safety must not depend on the retrier, so only half of the processes use it.
 	i.table = remoteTable{i}
+	if w.eras {
+		i.table = eraTable{i.table, i}
+	}
 	if w.chance(0.5) {
 		i.table = client.NewRetrier(client.RetrierOptions{
 			Table: i.table, MaxTries: 3, Random: w.random.Float64,
--- a/cmd/check/orders.go
+++ b/cmd/check/orders.go
@@ -152,6 +152,9 @@
 		if intent.State == "" || intent.State == authority.IntentAbandoned {
 			continue
 		}
+		if intent.Era != core.EraOf(rows[0].Version) {
+			continue // an older copy had it: the record of what came after it is lost
+		}
 		shown := authority.Desired{Role: e.report.Role, Model: e.report.Model, WeightsVersion: e.report.WeightsVersion}
 		if intent.State != authority.IntentApplied || shown != intent.Desired() {
 			violations = append(violations, fmt.Sprintf("target %s: shows %v after the faults ended, intent %s %v",
--- a/cmd/check/world.go
+++ b/cmd/check/world.go
@@ -52,6 +52,9 @@
 	// (Options.UnfencedTargets).
 	unfencedTargets bool
 	violations      []string
+	// eras makes the table go back to one of its latest copies at times (Options.Eras).
+	eras   bool
+	copies []table.Copy
 }
 
 // workload generates the activity of one area of the system and checks the result. A new
--- a/cmd/commands/check.go
+++ b/cmd/commands/check.go
@@ -15,6 +15,7 @@
 	Seed            uint64 `long:"seed" env:"SEED" default:"1" description:"seed that determines all histories"`
 	Workers         int    `long:"workers" env:"WORKERS" default:"0" description:"number of histories that run in parallel; 0 means half of the processors"`
 	UnfencedTargets bool   `long:"turns" env:"TURNS" description:"run histories in which targets don't check fencing tokens, and check that orders of two instances to a target are a minimum interval apart"`
+	Eras            bool   `long:"eras" env:"ERAS" description:"run histories of leases and orders in which the table comes back from older copies"`
 	Format          string `long:"format" env:"FORMAT" choice:"text" choice:"json" default:"text" description:"format of the report"`
 }
 
@@ -28,7 +29,7 @@
 func (c *checkCommand) Execute([]string) error {
 	ctx, stop := untilInterrupted()
 	defer stop()
-	report := check.Run(ctx, check.Options{Histories: c.Histories, Seed: c.Seed, Workers: c.Workers, UnfencedTargets: c.UnfencedTargets})
+	report := check.Run(ctx, check.Options{Histories: c.Histories, Seed: c.Seed, Workers: c.Workers, UnfencedTargets: c.UnfencedTargets, Eras: c.Eras})
 	if err := c.print(os.Stdout, report); err != nil {
 		return failure{err}
 	}
--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -92,11 +92,14 @@
 
 // Kinds of events that this package records.
 const (
-	EventShardAcquired  core.EventKind = "ShardAcquired"
-	EventShardLost      core.EventKind = "ShardLost"
-	EventShardReleased  core.EventKind = "ShardReleased"
-	EventOrderIntended  core.EventKind = "OrderIntended"
-	EventOrderAdopted   core.EventKind = "OrderAdopted"
+	EventShardAcquired core.EventKind = "ShardAcquired"
+	EventShardLost     core.EventKind = "ShardLost"
+	EventShardReleased core.EventKind = "ShardReleased"
+	EventOrderIntended core.EventKind = "OrderIntended"
+	EventOrderAdopted  core.EventKind = "OrderAdopted"
+	// EventOrderRestored is the record of an order that is written again after the table has gone
+	// back.
+	EventOrderRestored  core.EventKind = "OrderRestored"
 	EventOrderSent      core.EventKind = "OrderSent"
 	EventOrderApplied   core.EventKind = "OrderApplied"
 	EventOrderRejected  core.EventKind = "OrderRejected"
--- a/core/authority/intent.go
+++ b/core/authority/intent.go
@@ -39,6 +39,8 @@
 	Repeats int
 	// Written identifies the write of this row.
 	Written core.AttemptID
+	// Era is the era of the table that the writer knew.
+	Era uint64 `json:",omitempty"`
 }
 
 // OrderKey returns the key of a target's intent row.
--- a/core/authority/lease.go
+++ b/core/authority/lease.go
@@ -19,6 +19,14 @@
 	Fence    core.Fence `json:",omitempty"`
 	Attempt  core.AttemptID
 	Released bool `json:",omitempty"`
+	// Era is the era of the table that the writer knew.
+	Era uint64 `json:",omitempty"`
+}
+
+// isCurrent reports whether the row tells who holds the lease in the table's era. A row of an
+// earlier era, or none, may be what an older copy had: the lease may have been acquired since.
+func (l leaseRow) isCurrent(row core.Row) bool {
+	return l.Era == row.Era && (row.Version != 0 || row.Era == 0)
 }
 
 // ShardKey returns the key of a shard's lease row.
--- a/core/authority/leasemanager.go
+++ b/core/authority/leasemanager.go
@@ -162,7 +162,9 @@
 		if !found || release && h.pins > 0 {
 			continue
 		}
-		row := leaseRow{Holder: m.opts.Self, Fence: h.Fence, Attempt: attempt, Released: release}
+		row := leaseRow{
+			Holder: m.opts.Self, Fence: h.Fence, Attempt: attempt, Released: release, Era: core.EraOf(h.version),
+		}
 		writes = append(writes, core.Write{Key: ShardKey(shard), Value: encode(row), Expected: h.version})
 		written = append(written, shard)
 		if release {
@@ -180,6 +182,11 @@
 		h, found := m.held[shard]
 		switch {
 		case !found:
+		case core.EraOf(versions[i]) != core.EraOf(h.version):
+			// The table has gone back. The write may have replaced the lease of another instance
+			// that was given the same version.
+			delete(m.held, shard)
+			m.record(EventShardLost, shard, h.Fence)
 		case release:
 			delete(m.held, shard)
 			m.record(EventShardReleased, shard, h.Fence)
--- a/core/authority/reconciler.go
+++ b/core/authority/reconciler.go
@@ -24,6 +24,7 @@
 type progress struct {
 	fence   core.Fence
 	version uint64 // of the intent row
+	era     uint64 // of the table when the row was read or written
 	intent  Intent
 	// sentAt is when the last delivery started, and deliveryEnd is when earlier
 	// deliveries can no longer arrive. accepted says that the target accepted the order.
@@ -97,13 +98,30 @@
 		r.unlockTarget(t)
 		return nil, SubmitRefused
 	}
+	isLost := t.isOlderThan(known)
+	if isLost {
+		t.intent = known.intent
+	}
 	t.carryOver(known, version, r.forwardingEnd())
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.progress[target.ID] = t.progress
+	r.mu.Unlock()
+	if isLost {
+		if result := r.write(ctx, t, t.intent, EventOrderRestored); result != SubmitRecorded {
+			t.reload = true
+			r.unlockTarget(t)
+			return nil, result
+		}
+	}
 	return t, SubmitAccepted
 }
 
+// isOlderThan reports whether the table has gone back to a copy without the intent that this
+// holder knows.
+func (p *progress) isOlderThan(known *progress) bool {
+	return known != nil && known.fence == p.fence && p.era != known.era && p.intent.Sequence < known.intent.Sequence
+}
+
 // reserve marks a target as busy and returns its cached progress, if any. It returns false
 // if the target is already busy.
 func (r *Reconciler) reserve(target core.TargetID) (known *progress, free bool) {
@@ -123,7 +141,9 @@
 	r.leases.unpin(t.lease)
 }
 
-// load reads the intent of a target. It returns nil if the row can't be read or decoded.
+// load reads the intent of a target. It returns nil if the row can't be read or decoded. An intent
+// of another holder that an older copy of the table had is not adopted or repeated: it may have
+// been carried out or replaced since, and the record of that is lost.
 func (r *Reconciler) load(ctx context.Context, target core.TargetID, fence core.Fence) *progress {
 	rows, err := r.opts.Table.Read(ctx, OrderKey(target))
 	if err != nil || len(rows) != 1 {
@@ -133,7 +153,10 @@
 	if err != nil {
 		return nil
 	}
-	return &progress{fence: fence, version: rows[0].Version, intent: intent}
+	if intent.Fence != fence && intent.Era != rows[0].Era {
+		intent.State = IntentAbandoned
+	}
+	return &progress{fence: fence, version: rows[0].Version, era: rows[0].Era, intent: intent}
 }
 
 // Submit records the desired state of a target as its intent and sends the order. If the
@@ -228,15 +251,20 @@
 		if !ok || lease.Fence != t.lease.Fence {
 			return SubmitRefused
 		}
-		next.Written = r.opts.NewAttemptID()
+		next.Written, next.Era = r.opts.NewAttemptID(), core.EraOf(shardVersion)
 		result := r.opts.Table.Transact(ctx, next.Written, []core.Write{
 			{Key: ShardKey(t.lease.Shard), Expected: shardVersion, CheckOnly: true},
 			{Key: OrderKey(t.target.ID), Expected: t.version, Value: encode(next)},
 		})
 		switch result.Kind {
 		case core.TransactCommitted:
+			if core.EraOf(result.Versions[0]) != core.EraOf(shardVersion) {
+				// The lease row was compared with that of another era.
+				t.reload = true
+				return SubmitRefused
+			}
 			same := next.Sequence == t.intent.Sequence
-			t.version, t.intent = result.Versions[1], next
+			t.version, t.era, t.intent = result.Versions[1], core.EraOf(result.Versions[1]), next
 			if !same {
 				if t.forwarded {
 					t.deliveryEnd = r.forwardingEnd()
--- a/core/authority/watch.go
+++ b/core/authority/watch.go
@@ -64,23 +64,25 @@
 		}
 		row, lease := rows[i], decodeLease(rows[i])
 		observed, known := m.observed[shard]
-		if known && observed.attempt != "" && lease.Attempt == observed.attempt {
+		isNewEra := known && observed.row.Era != row.Era
+		if known && !isNewEra && observed.attempt != "" && lease.Attempt == observed.attempt {
 			// This process acquired the lease but the reply was lost. The lease starts when
 			// the acquisition was sent.
 			m.addLease(shard, row.Version, observed.sentAt)
 			continue
 		}
-		if !known || observed.row.Version != row.Version {
+		if !known || isNewEra || observed.row.Version != row.Version {
 			observed = observedRow{row: row, firstSeen: now}
 			m.observed[shard] = observed
 		}
 		wait := m.opts.LeaseDuration + m.opts.ClockMargin
-		if row.Version == 0 || lease.Released {
+		isCurrent := lease.isCurrent(row)
+		if isCurrent && (row.Version == 0 || lease.Released) {
 			wait = 0
 		}
 		// An instance waits one more lease duration for each instance that precedes it.
 		wait += time.Duration(ranks[shard]) * m.opts.LeaseDuration
-		if m.isOwnInstance(lease) {
+		if isCurrent && m.isOwnInstance(lease) {
 			wait = 0
 		}
 		if now.Sub(observed.firstSeen) >= wait {
@@ -114,7 +116,7 @@
 		observed := m.observed[shard]
 		observed.attempt, observed.sentAt = attempt, sentAt
 		m.observed[shard] = observed
-		value := encode(leaseRow{Holder: m.opts.Self, Attempt: attempt})
+		value := encode(leaseRow{Holder: m.opts.Self, Attempt: attempt, Era: observed.row.Era})
 		writes[i] = core.Write{Key: ShardKey(shard), Value: value, Expected: observed.row.Version}
 	}
 	m.mu.Unlock()
@@ -124,6 +126,12 @@
 	switch result.Kind {
 	case core.TransactCommitted:
 		for i, shard := range shards {
+			if core.EraOf(result.Versions[i]) != m.observed[shard].row.Era {
+				// The row was read before the table went back, when another instance may have
+				// held the lease.
+				delete(m.observed, shard)
+				continue
+			}
 			m.addLease(shard, result.Versions[i], sentAt)
 		}
 	case core.TransactConflict:
@@ -138,7 +146,8 @@
 func (m *LeaseManager) addLease(shard int, version uint64, sentAt core.Instant) {
 	now := m.opts.Clock.Now()
 	gap := m.opts.ClockMargin
-	if !m.isOwnInstance(decodeLease(m.observed[shard].row)) {
+	before := m.observed[shard].row
+	if lease := decodeLease(before); !lease.isCurrent(before) || !m.isOwnInstance(lease) {
 		gap = max(gap, m.opts.HolderGap)
 	}
 	delete(m.observed, shard)
--- a/standin/table/table.go
+++ b/standin/table/table.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -22,10 +24,13 @@
 // Table is an in-memory transactional table. Reads are linearizable. It is safe for
 // concurrent use and blocks only on timers, so it works under testing/synctest.
 type Table struct {
-	mu      sync.Mutex
-	rows    map[string]core.Row
-	keys    []string // sorted
-	version uint64   // version of the last write; versions are unique in the table
+	mu   sync.Mutex
+	rows map[string]core.Row
+	keys []string // sorted
+	// era counts how often the table went back to a copy. version is the number of the last
+	// write, unique in its era.
+	era     uint64
+	version uint64
 	// committed holds the versions that each committed attempt produced, so that a
 	// repeated attempt is idempotent.
 	committed         map[core.AttemptID][]uint64
@@ -108,12 +113,37 @@
 func (t *Table) row(key string) core.Row {
 	row, found := t.rows[key]
 	if !found {
-		return core.Row{Key: key}
+		return core.Row{Key: key, Era: t.era}
 	}
+	row.Version, row.Era = core.VersionInEra(t.era, row.Version), t.era
 	row.Value = append([]byte(nil), row.Value...)
 	return row
 }
 
+// Copy is a copy of the table's content.
+type Copy struct {
+	rows      map[string]core.Row
+	keys      []string
+	version   uint64
+	committed map[core.AttemptID][]uint64
+}
+
+// Copy returns a copy of the content.
+func (t *Table) Copy() Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Copy{maps.Clone(t.rows), slices.Clone(t.keys), t.version, maps.Clone(t.committed)}
+}
+
+// GoBack replaces the content by an earlier copy and begins a new era, in which the numbers after
+// that of the copy are given out again.
+func (t *Table) GoBack(c Copy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.era++
+	t.rows, t.keys, t.version, t.committed = maps.Clone(c.rows), slices.Clone(c.keys), c.version, maps.Clone(c.committed)
+}
+
 // apply commits the writes of an attempt or returns the conflicting rows.
 func (t *Table) apply(attempt core.AttemptID, writes []core.Write) core.TransactResult {
 	if versions, found := t.committed[attempt]; found {
@@ -122,7 +152,10 @@
 	var conflicts []core.Row
 	for _, w := range writes {
 		row := t.row(w.Key)
-		if w.Expected != core.AnyVersion && w.Expected != row.Version && !t.skipsVersionCheck(w.Key) {
+		// Like the platform's store, the table compares numbers and doesn't know the era that the
+		// writer read.
+		isExpected := w.Expected%core.EraVersions == row.Version%core.EraVersions
+		if w.Expected != core.AnyVersion && !isExpected && !t.skipsVersionCheck(w.Key) {
 			conflicts = append(conflicts, row)
 		}
 	}
@@ -143,7 +176,7 @@
 func (t *Table) write(w core.Write) uint64 {
 	row, found := t.rows[w.Key]
 	if w.CheckOnly {
-		return row.Version
+		return core.VersionInEra(t.era, row.Version)
 	}
 	t.counts.RowsWritten++
 	t.version++
@@ -162,7 +195,7 @@
 		t.keys[at] = w.Key
 	}
 	t.rows[w.Key] = core.Row{Key: w.Key, Version: t.version, Value: append([]byte(nil), w.Value...)}
-	return t.version
+	return core.VersionInEra(t.era, t.version)
 }
 
 // begin waits for the latency, and returns an error if the call is refused or its request
