Announce an instance again in each era of the store

A copy may lack the row of an instance that has started since, so that later ones don't find it in the list. Each instance writes its row once per era, spread over 4 s; without a change of era no call is added.

--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -113,6 +114,10 @@
 	i.registerGauge("RequestsActive", n.forwarder.Active)
 	i.registerGauge("Members", func() int64 { return int64(len(n.digests.Members())) })
 	i.registerGauge("RetryInstances", func() int64 { return int64(n.budgets.Instances()) })
+	i.registerGauge("StoreEra", func() int64 {
+		era, _ := n.store.Era()
+		return int64(era)
+	})
 	i.registerGauge("Targets", func() int64 { return int64(n.roster.View().Len()) })
 	i.registerGauge("TargetsVersion", func() int64 { return int64(n.roster.View().Version) })
 	i.registerGauge("ConfigurationVersion", func() int64 {
@@ -202,14 +207,33 @@
 // Done returns a channel that is closed when Run has ended.
 func (n *node) Done() <-chan struct{} { return n.done }
 
-// runAnnounce announces this instance to its peers and closes done at its end.
+// announceSpread is the time over which the instances announce themselves again after the store
+// has come back from an older copy, which may lack their rows.
+const announceSpread = 4 * time.Second
+
+// runAnnounce announces this instance to its peers, again in each era of the store, and closes
+// done at its end.
 func (n *node) runAnnounce(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	self := core.ListedInstance{
 		ID: n.settings.Instance, Address: n.settings.PeerAddress, DataCentre: n.settings.DataCentre,
 	}
-	if err := n.instances.Announce(ctx, self); err != nil {
-		n.log.WithError(err).Warn("NotAnnounced")
+	for {
+		if err := n.instances.Announce(ctx, self); err != nil {
+			n.log.WithError(err).Warn("NotAnnounced")
+			return
+		}
+		// The era is read after the write: it is that of its answer or a later one.
+		era, changed := n.store.Era()
+		n.log.WithField("Era", era).Info("Announced")
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		if !pause.For(ctx, rand.N(announceSpread)) {
+			return
+		}
 	}
 }
 
