--- a/cmd/check/eras.go
+++ b/cmd/check/eras.go
@@ -84,7 +84,7 @@
 // Transact runs a transaction.
 func (t eraTable) Transact(ctx context.Context, attempt core.AttemptID, writes []core.Write) core.TransactResult {
 	m := &t.i.w.mutation
-	if !m.noEras && t.expectsEarlierEra(writes) {
+	if !m.noEras && core.ExpectOtherEra(writes, t.i.era) {
 		return t.conflicts(ctx, writes)
 	}
 	result := t.Table.Transact(ctx, attempt, writes)
@@ -104,15 +104,6 @@
 	return result
 }
 
-func (t eraTable) expectsEarlierEra(writes []core.Write) bool {
-	for _, w := range writes {
-		if w.Expected != 0 && w.Expected != core.AnyVersion && core.EraOf(w.Expected) != t.i.era {
-			return true
-		}
-	}
-	return false
-}
-
 // conflicts returns the current rows of a transaction that was not sent.
 func (t eraTable) conflicts(ctx context.Context, writes []core.Write) core.TransactResult {
 	result := core.TransactResult{Kind: core.TransactConflict}
--- a/core/table.go
+++ b/core/table.go
@@ -37,6 +37,18 @@
 	Delete    bool
 }
 
+// ExpectOtherEra reports whether a write expects a version of another era than the given one.
+// Such a transaction conflicts, and must not be sent: the table may have given out the same
+// number again.
+func ExpectOtherEra(writes []Write, era uint64) bool {
+	for _, w := range writes {
+		if w.Expected != 0 && w.Expected != AnyVersion && EraOf(w.Expected) != era {
+			return true
+		}
+	}
+	return false
+}
+
 // TransactKind classifies the outcome of a transaction.
 type TransactKind uint8
 
