Replace an instance once that is killed while it leaves

Leave and a kill 100 ms later had each scheduled a replacement. The check is as strict: a leaving instance that is killed is still replaced, once.

--- a/cmd/check/faults.go
+++ b/cmd/check/faults.go
@@ -99,7 +99,9 @@
 	if i := w.randomLive(); w.liveCount() > 1 {
 		w.faults["Kill"]++
 		i.kill()
-		w.scheduleReplacement(i)
+		if !i.leaving { // the replacement of a leaving instance is scheduled already
+			w.scheduleReplacement(i)
+		}
 	}
 }
 
