--- a/standin/platform/soak/retries.go
+++ b/standin/platform/soak/retries.go
@@ -96,7 +96,7 @@
 			use.requests = max(use.requests, countBetween(requests, end.Add(-shift-retryWindow), end.Add(-shift)))
 		}
 		use.allowed = l.Ratio*float64(use.requests) + l.Slack
-		if float64(use.extra)*worst.allowed > float64(worst.extra)*use.allowed {
+		if worst.extra == 0 || float64(use.extra)*worst.allowed > float64(worst.extra)*use.allowed {
 			worst = use
 		}
 	}
