Miss no era that begins while an instance announces itself

Read as a newcomer: the channel of the next era was taken after the write, so an era that began in between was never followed by another announcement. The ledger's test now counts sends that were not sent, as its comment says.

--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -219,12 +219,13 @@
 		ID: n.settings.Instance, Address: n.settings.PeerAddress, DataCentre: n.settings.DataCentre,
 	}
 	for {
+		// The channel is taken before the write, so that no era that begins during it is missed.
+		_, changed := n.store.Era()
 		if err := n.instances.Announce(ctx, self); err != nil {
 			n.log.WithError(err).Warn("NotAnnounced")
 			return
 		}
-		// The era is read after the write: it is that of its answer or a later one.
-		era, changed := n.store.Era()
+		era, _ := n.store.Era()
 		n.log.WithField("Era", era).Info("Announced")
 		select {
 		case <-changed:
--- a/core/retry/ledger_test.go
+++ b/core/retry/ledger_test.go
@@ -22,6 +22,9 @@
 			ledger.Take(due)
 			taken += due
 			ledger.Record(stage, result)
+			if result == retry.SendNotSent {
+				notSent++
+			}
 			// A send without an answer may have been lost, refused or accepted.
 			actual := result
 			if result == retry.SendUnknown {
@@ -29,7 +32,6 @@
 			}
 			switch {
 			case actual == retry.SendNotSent:
-				notSent++
 			case stage == retry.StageCompute && actual == retry.SendAccepted && !computed:
 				computed = true
 			default:
@@ -39,8 +41,8 @@
 				t.Fatalf("%d arrivals beyond the first, %d retries taken", extra, taken)
 			}
 		}
-		if taken > sends {
-			t.Fatalf("%d retries taken for %d sends", taken, sends)
+		if taken > sends-notSent {
+			t.Fatalf("%d retries taken for %d sends, %d of which were not sent", taken, sends, notSent)
 		}
 	})
 }
