--- a/standin/platform/soak/callers.go
+++ b/standin/platform/soak/callers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -68,6 +69,9 @@
 	}
 }
 
+// callerTimeout is how long a caller waits for a response, as it states in its requests.
+const callerTimeout = 2500 * time.Millisecond
+
 // send sends one request with a body of the given size in bytes and returns its result.
 func (c *callers) send(ctx context.Context, inst *instance, route, id string, size int) (r result) {
 	r = result{id: id, route: route, instance: inst.name, started: time.Now()}
@@ -84,7 +88,7 @@
 	req.GetBody = nil
 	req.Host = host
 	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", "2500")
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
 	if route == "stream" || route == "single" {
 		req.Header.Set("X-Model", "m")
 		req.Header.Set("X-Token-Count", "4000,8")
--- a/standin/platform/soak/check.go
+++ b/standin/platform/soak/check.go
@@ -13,12 +13,15 @@
 func checkResults(results []result, targets []*platform.Target) []string {
 	var violations []string
 	runs := map[string]int{}
+	var arrivals []platform.Arrival
 	for _, t := range targets {
+		arrivals = append(arrivals, t.Arrivals()...)
 		for _, run := range t.Runs() {
 			runs[run.ID]++
 		}
 		violations = append(violations, checkOrders(t)...)
 	}
+	violations = append(violations, checkRemaining(arrivals)...)
 	for i := range results {
 		violations = append(violations, checkRequest(&results[i], runs[results[i].id])...)
 	}
@@ -56,8 +59,8 @@
 	if r.status == 404 {
 		report("answered 404 for a route of every configuration")
 	}
-	if took := r.finished.Sub(r.started); took > 2500*time.Millisecond+deadlineTolerance {
-		report("answered after %v, the route allows 2.5 s", took)
+	if took := r.finished.Sub(r.started); took > callerTimeout+deadlineTolerance {
+		report("answered after %v, the caller waits %v", took, callerTimeout)
 	}
 	return violations
 }
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -67,6 +68,8 @@
 	// refused the request.
 	Prefill, Accepted bool
 	At                time.Time
+	// Remaining is the time that the request gave the target; 0 if it stated none.
+	Remaining time.Duration
 }
 
 // Target is a fake of a model server or a plain server. It is safe for concurrent use.
@@ -338,10 +341,13 @@
 
 // recordArrival appends a request to the arrivals.
 func (t *Target) recordArrival(r *http.Request, accepted bool) {
+	// Without a number the request states no time, which is what 0 stands for.
+	ms, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.arrivals = append(t.arrivals, Arrival{
 		ID: r.Header.Get("X-Request-Id"), Prefill: r.Header.Get("X-Phase") == "prefill", Accepted: accepted, At: time.Now(),
+		Remaining: time.Duration(ms) * time.Millisecond,
 	})
 }
 
