Tests of versions that are given out again, and of records of an earlier era

Two safeguards had no test that fails without them: a feed that goes on in a new era under numbers that were given out again (TestVersionsGivenOutAgainHideNoChange: the change is missed for ever), and a pending order of a record that an older copy had (TestOrderOfAnEarlierEraIsNotAdopted: the successor carries it out).

--- a/cmd/check/eras_test.go
+++ b/cmd/check/eras_test.go
@@ -30,17 +30,29 @@
 
 func (discardEvents) Record(core.Event) {}
 
-func newLeaseManager(id core.InstanceID, t core.Table) *authority.LeaseManager {
+// lostOrders counts the orders that it is given, and answers none.
+type lostOrders struct{ count int }
+
+func (o *lostOrders) Order(context.Context, string, core.Order) core.OrderResult {
+	o.count++
+	return core.OrderUnknown
+}
+
+func newOptions(id core.InstanceID, t core.Table, o core.Orderer) authority.Options {
 	serial := 0
-	return authority.NewLeaseManager(authority.Options{
-		Self: id, Shards: 1, Groups: 1, Table: t, Clock: core.NewDeadlineClock(), Recorder: discardEvents{},
+	return authority.Options{
+		Self: id, Shards: 1, Groups: 1, Table: t, Clock: core.NewDeadlineClock(), Recorder: discardEvents{}, Orderer: o,
 		NewAttemptID: func() core.AttemptID {
 			serial++
 			return core.AttemptID(string(id) + strconv.Itoa(serial))
 		},
 		Members: func() []core.InstanceID { return []core.InstanceID{id} }, SingleProcess: true,
 		Timing: authority.HolderGapTiming(time.Second),
-	})
+	}
+}
+
+func newLeaseManager(id core.InstanceID, t core.Table) *authority.LeaseManager {
+	return authority.NewLeaseManager(newOptions(id, t, nil))
 }
 
 // Guards against a lease that is acquired on the strength of a row that the table has replaced
@@ -97,3 +109,35 @@
 		}
 	})
 }
+
+// Guards against a successor that carries out an order from a record that an older copy of the
+// table had: the order may have been carried out, and replaced by a later one, since.
+func TestOrderOfAnEarlierEraIsNotAdopted(t *testing.T) {
+	for _, goesBack := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			tbl, engine := table.New(), core.Target{ID: "e", Address: "at-e"}
+			first, second := &lostOrders{}, &lostOrders{}
+			optionsA, optionsB := newOptions("a", tbl, first), newOptions("b", tbl, second)
+			a, b := authority.NewLeaseManager(optionsA), authority.NewLeaseManager(optionsB)
+			a.Step(t.Context())
+			time.Sleep(3 * time.Second) // until orders of an earlier holder can no longer arrive
+			a.Step(t.Context())
+			authority.NewReconciler(optionsA, a).Submit(t.Context(), engine, authority.Desired{Role: core.RolePrefill})
+			if first.count != 1 {
+				t.Fatalf("a sent %d orders", first.count)
+			}
+			if goesBack {
+				tbl.GoBack(tbl.Copy())
+			}
+			reconciler := authority.NewReconciler(optionsB, b)
+			for range 15 {
+				b.Step(t.Context())
+				time.Sleep(time.Second)
+				reconciler.Observe(t.Context(), engine, core.LoadReport{Role: core.RoleDecode}, optionsB.Clock.Now())
+			}
+			if adopted := second.count > 0; adopted == goesBack {
+				t.Errorf("the table goes back: %v, b carries out the order of a: %v", goesBack, adopted)
+			}
+		})
+	}
+}
--- a/cmd/entry/node/era_test.go
+++ b/cmd/entry/node/era_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gorseline/core"
+	standin "gorseline/standin/platform"
 )
 
 // Guards against an instance that goes back with the store: to an older configuration, to targets
@@ -47,3 +48,29 @@
 		return strings.Contains(i.output.String(), "Event=Announced Era=2")
 	})
 }
+
+// Guards against a follower that takes the changes of a new era for those that follow what it has
+// read, because the store has given out the same versions again while it was away.
+func TestVersionsGivenOutAgainHideNoChange(t *testing.T) {
+	s := newSite(t)
+	i := s.start("n1")
+	copied := s.store.Copy()
+	for range 3 {
+		s.store.Put("servers", "i-1", s.targets[1].RegistryEntry("calls", "a", "draining"))
+	}
+	s.eventually(3*time.Second, "i-1 is leaving", func() bool {
+		e, ok := i.roster.View().Find("i-1")
+		return ok && e.Leaving
+	})
+	s.store.SetFaults(standin.Faults{Status: 503})
+	s.store.GoBack(copied)
+	s.store.Put("servers", "i-new", s.targets[0].RegistryEntry("calls", "a", "ready"))
+	for range 100 { // more versions than the instance has seen
+		s.store.Put("servers", "i-2", s.targets[2].RegistryEntry("models", "a", "ready"))
+	}
+	s.store.SetFaults(standin.Faults{})
+	s.eventually(5*time.Second, "i-new is known", func() bool {
+		_, ok := i.roster.View().Find("i-new")
+		return ok
+	})
+}
