Log when an instance begins to leave and what arrives meanwhile

DrainStarted now has the deadline, the time for which requests are accepted and the requests in progress; ArrivedWhileLeaving has, for each request that arrives meanwhile, a bound of its duration, the time left and whether it fits. Requests are taken as before.

--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -260,12 +260,16 @@
 // cached addresses, and finishes the requests in progress within the grace period.
 func (n *node) drain() {
 	start := time.Now()
+	deadline := start.Add(n.bounds().StopGrace - exitReserve)
 	n.draining.Store(true)
-	n.forwarder.StartDraining()
+	n.forwarder.StartDraining(time.Until(deadline))
 	n.digests.Leave()
-	deadline := start.Add(n.bounds().StopGrace - exitReserve)
 	_, ttl := n.CallerAddresses("")
-	time.Sleep(min(time.Until(deadline)/2, addressTTLFactor*ttl+housekeepingInterval/2))
+	accept := min(time.Until(deadline)/2, addressTTLFactor*ttl+housekeepingInterval/2)
+	n.log.WithFields(log.Fields{
+		"Active": n.forwarder.Active(), "AcceptMs": accept.Milliseconds(), "LeftMs": time.Until(deadline).Milliseconds(),
+	}).Info("DrainStarted")
+	time.Sleep(accept)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := n.callerServer.Shutdown(ctx)
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -15,6 +15,7 @@
 
 	"gorseline/core"
 	"gorseline/core/assign"
+	"gorseline/core/drain"
 	"gorseline/core/load"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
@@ -70,7 +71,9 @@
 	table      atomic.Pointer[route.Table]
 	loadSerial atomic.Uint32
 	active     atomic.Int64
-	draining   atomic.Bool
+	// leaving is nil until StartDraining is called.
+	leaving   atomic.Pointer[leaving]
+	durations *drain.Durations
 
 	mu sync.Mutex
 	// maxCallerTimeout is the longest timeout that a caller has stated, by name of the route.
@@ -84,7 +87,7 @@
 // New returns a forwarder without a configuration. It refuses all requests until
 // Configure is called.
 func New(o Options) *Forwarder {
-	return &Forwarder{Options: o, maxCallerTimeout: map[string]time.Duration{}}
+	return &Forwarder{Options: o, durations: drain.NewDurations(), maxCallerTimeout: map[string]time.Duration{}}
 }
 
 // Configure sets the route table for new requests. Requests in progress keep the table
@@ -110,6 +113,7 @@
 		names[t.Configuration().Routes[i].Name] = true
 	}
 	f.Assigner.RetainRoutes(names)
+	f.durations.Retain(names, t.Configuration().Services)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name := range f.maxCallerTimeout {
@@ -125,10 +129,6 @@
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int64 { return f.active.Load() }
 
-// StartDraining makes the forwarder close the connection of each caller after its answer, so
-// that callers connect to another instance for their next request.
-func (f *Forwarder) StartDraining() { f.draining.Store(true) }
-
 // WaitForReleases blocks until all background calls that free exports have ended.
 func (f *Forwarder) WaitForReleases() { f.releases.Wait() }
 
@@ -157,7 +157,7 @@
 	defer f.active.Add(-1)
 	// nil keeps the server from adding a Date header to the header of the target.
 	w.Header()["Date"] = nil
-	if f.draining.Load() {
+	if f.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	r := &activeRequest{Forwarder: f, w: w, in: in, arrived: f.Clock.Now()}
@@ -171,6 +171,8 @@
 	in      *http.Request
 	ctx     context.Context
 	arrived core.Instant
+	// accepted is when the body had been read.
+	accepted core.Instant
 	// deadline is the time by which the answer must be complete.
 	deadline core.Instant
 	req      core.ForwardRequest
@@ -206,6 +208,8 @@
 	if !r.accept() {
 		return
 	}
+	r.accepted = r.Clock.Now()
+	r.checkLeaving()
 	ctx, cancel := context.WithDeadline(r.in.Context(), time.Now().Add(r.remaining()))
 	defer cancel()
 	r.ctx = ctx
@@ -365,6 +369,7 @@
 		kind, name = r.route.Kind, r.route.Name
 	}
 	r.Observer.ObserveRequest(kind, outcome, reason, took, r.timeToFirstByte)
+	r.learnDuration(outcome, status)
 	fields := log.Fields{
 		"Request": r.req.ID, "Route": name, "Service": r.service, "Outcome": outcome, "Reason": reason,
 		"Status": status, "Sends": r.sends, "Runs": r.possibleRuns, "Extra": r.ledger.Extra(), "TookMs": took.Milliseconds(),
--- /dev/null
+++ b/io/forward/leaving.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"gorseline/core"
+	"gorseline/core/drain"
+)
+
+// leaving is the state of a forwarder whose instance leaves.
+type leaving struct {
+	// began is when the instance began to leave, deadline when it ends the requests that are
+	// still in progress.
+	began, deadline core.Instant
+}
+
+// StartDraining makes the forwarder close the connection of each caller after its answer, so
+// that callers connect to another instance for their next request. left is the time until the
+// requests in progress are ended. Further calls change nothing.
+func (f *Forwarder) StartDraining(left time.Duration) {
+	now := f.Clock.Now()
+	f.leaving.CompareAndSwap(nil, &leaving{began: now, deadline: now.Add(left)})
+}
+
+// checkLeaving logs whether a request that arrives while the instance leaves can be finished.
+func (r *activeRequest) checkLeaving() {
+	l := r.leaving.Load()
+	if l == nil {
+		return
+	}
+	fit := r.fit(l, &core.Attempt{})
+	entry := r.Log.WithFields(log.Fields{
+		"Request": r.req.ID, "Route": r.route.Name, "Service": r.service, "Fits": fit.Fits(), "Learned": fit.Learned,
+		"NeedMs": fit.Need.Milliseconds(), "LeftMs": fit.Left.Milliseconds(), "SinceMs": r.arrived.Sub(l.began).Milliseconds(),
+		"BodyMs": r.accepted.Sub(r.arrived).Milliseconds(),
+	})
+	if fit.Fits() {
+		entry.Info("ArrivedWhileLeaving")
+		return
+	}
+	entry.Warn("ArrivedWhileLeaving")
+}
+
+// fit compares the time that the request needs, if this attempt is sent now, with the time that
+// is left.
+func (r *activeRequest) fit(l *leaving, a *core.Attempt) drain.Fit {
+	w := drain.Work{Service: r.service, Route: r.route.Name}
+	if r.req.Prompt != nil {
+		w.MaxTokens = r.req.Prompt.MaxOutput
+	}
+	if !a.Source.IsZero() {
+		w.Computed = r.prefillTime
+	}
+	return r.durations.Fit(&w, l.deadline.Sub(r.Clock.Now()), r.remaining())
+}
+
+// learnDuration records the duration of a request that has ended. A request that had no answer
+// at its deadline took at least this long.
+func (r *activeRequest) learnDuration(outcome core.OutcomeKind, status int) {
+	isAnswered := outcome == core.OutcomeDone && status < http.StatusInternalServerError
+	if r.sends == 0 || !isAnswered && r.remaining() > 0 {
+		return
+	}
+	r.durations.ObserveRequest(r.route.Name, r.Clock.Now().Sub(r.accepted))
+	if r.events > 0 {
+		first := r.timeToFirstByte - r.accepted.Sub(r.arrived)
+		r.durations.ObserveStream(r.service, r.events, first, r.lastEventTime-r.timeToFirstByte)
+	}
+}
