Refuse work that a leaving instance can't finish

The instance takes requests while callers may keep its address and ends what still runs 0.7 s before its grace period ends, but nothing compared how long a request runs with the time that is left.

A request whose bound (core/drain: Durations.Fit) exceeds the time that is left is now refused as not run, with reason Leaving and a Retry-After of 20 ms, since another instance can serve it at once. This is decided after the body has been read and again before each send, so that a request that is still in its first steps when the signal comes is refused too. A failure answer is relayed instead of a repeat that doesn't fit. A stream that the caller already receives is resumed in any case.

TestDrainingInstanceFinishesRequests now lets the instance see ten requests first: of a route that it knows nothing about, it takes only requests whose deadline lies before its end, which was a matter of milliseconds there. What the test demands is unchanged.

--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -140,6 +140,7 @@
 	"NoSlot":           "refused at once: no engine that generates has a slot free for an answer of this kind",
 	"ConcurrencyLimit": "refused at once: all targets are at their limit of running and queued requests",
 	"TargetsRefused":   "refused: each target that was tried reported that it did not run the request",
+	"Leaving":          "refused or not repeated: this instance leaves, and the request may take longer than the time that is left",
 	"RetryBudget":      "abandoned: another send would have exceeded the retry budget that all instances share",
 	"NoConfiguration":  "refused: the instance had not received a configuration yet",
 	"NoRoute":          "rejected: no route of the configuration in force matches host and path",
--- a/cmd/entry/node/node_test.go
+++ b/cmd/entry/node/node_test.go
@@ -252,13 +252,19 @@
 		tg.SetProcessingTime(700 * time.Millisecond)
 	}
 	var calls sync.WaitGroup
-	for n := range 6 {
-		calls.Go(func() {
-			if got := one.call(t, "/once/x", fmt.Sprintf("r%d", n)); got.status != 200 {
-				t.Errorf("request %d: %+v", n, got)
-			}
-		})
+	start := func(prefix string, count int) {
+		for n := range count {
+			calls.Go(func() {
+				if got := one.call(t, "/once/x", fmt.Sprintf("%s%d", prefix, n)); got.status != 200 {
+					t.Errorf("request %s%d: %+v", prefix, n, got)
+				}
+			})
+		}
 	}
+	// Without these the instance can't tell whether the last request will end in time.
+	start("learn", 10)
+	calls.Wait()
+	start("r", 6)
 	time.Sleep(100 * time.Millisecond)
 	drained := make(chan struct{})
 	go func() {
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -33,10 +33,10 @@
 
 // send sends the request to a target once and waits up to limit for the header of the
 // answer. The answer is nil unless the result is sendAnswered. Nothing is sent if the retry
-// budget doesn't allow it, whatever the caller has decided.
+// budget doesn't allow it or the instance leaves too soon, whatever the caller has decided.
 func (r *activeRequest) send(e *roster.Entry, a core.Attempt, limit time.Duration) (answer *target.Answer, result sendResult) {
 	defer func() { r.lastResult = result }()
-	if !r.takeRetries(r.retryCause(), stageOf(&a)) {
+	if !r.allowSend(&a) || !r.takeRetries(r.retryCause(), stageOf(&a)) {
 		return nil, sendNotRun
 	}
 	began := r.Clock.Now()
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -13,6 +13,7 @@
 
 	"gorseline/core"
 	"gorseline/core/assign"
+	"gorseline/core/drain"
 	"gorseline/core/load"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
@@ -85,7 +86,7 @@
 // nextTarget chooses another target after a failure answer, if the request may run again
 // and the retry budget allows it. Otherwise the failure answer is relayed.
 func (r *activeRequest) nextTarget(failed bool) (assign.CallDecision, bool) {
-	if !failed || !r.mayRunAgain() || r.remaining() <= r.route.Objective/4 {
+	if !failed || !r.mayRunAgain() || !r.fits(&core.Attempt{}) || r.remaining() <= r.route.Objective/4 {
 		return assign.CallDecision{}, false
 	}
 	d := r.chooseCall()
@@ -104,6 +105,8 @@
 // request with an error.
 func (r *activeRequest) allowRetry(cause RetryCause) bool {
 	switch {
+	case r.notSent:
+		r.failWithoutTarget(ReasonLeaving, drain.RetryAfter)
 	case r.ctx.Err() != nil:
 		r.fail(ReasonNoAnswer)
 	case !r.mayRunAgain():
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -145,6 +145,7 @@
 	ReasonCallerLeft      core.Reason = "CallerLeft"
 	ReasonAnswerBroken    core.Reason = "AnswerBroken"
 	ReasonAnswered        core.Reason = "Answered"
+	ReasonLeaving         core.Reason = "Leaving"
 )
 
 // notReadyRetryAfter is the retry delay for callers of an instance that has just started
@@ -194,6 +195,9 @@
 	// lastResult is the result of the latest send, lastAttempt what it was.
 	lastResult  sendResult
 	lastAttempt core.Attempt
+	// notSent is true if a send was left out, because the instance leaves before the request
+	// would end.
+	notSent bool
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
 	events        int
@@ -209,7 +213,9 @@
 		return
 	}
 	r.accepted = r.Clock.Now()
-	r.checkLeaving()
+	if !r.allowArrival() {
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.in.Context(), time.Now().Add(r.remaining()))
 	defer cancel()
 	r.ctx = ctx
--- a/io/forward/leaving.go
+++ b/io/forward/leaving.go
@@ -25,23 +25,52 @@
 	f.leaving.CompareAndSwap(nil, &leaving{began: now, deadline: now.Add(left)})
 }
 
-// checkLeaving logs whether a request that arrives while the instance leaves can be finished.
-func (r *activeRequest) checkLeaving() {
+// allowArrival reports whether a request that has been read can be finished before the instance
+// leaves. Otherwise it refuses the request.
+func (r *activeRequest) allowArrival() bool {
 	l := r.leaving.Load()
 	if l == nil {
-		return
+		return true
 	}
 	fit := r.fit(l, &core.Attempt{})
+	r.logFit("ArrivedWhileLeaving", l, fit)
+	if !fit.Fits() {
+		r.refuse(ReasonLeaving, drain.RetryAfter)
+	}
+	return fit.Fits()
+}
+
+// allowSend reports whether an attempt can be finished before the instance leaves. A stream that
+// the caller already receives goes on in any case.
+func (r *activeRequest) allowSend(a *core.Attempt) bool {
+	if a.ResumeAfter != "" || r.fits(a) {
+		return true
+	}
+	r.notSent = true
+	l := r.leaving.Load()
+	r.logFit("NotSentWhileLeaving", l, r.fit(l, a))
+	return false
+}
+
+// fits reports whether the request would end before the instance leaves if this attempt were
+// sent now.
+func (r *activeRequest) fits(a *core.Attempt) bool {
+	l := r.leaving.Load()
+	return l == nil || r.fit(l, a).Fits()
+}
+
+// logFit logs a comparison and what it is based on.
+func (r *activeRequest) logFit(event string, l *leaving, fit drain.Fit) {
 	entry := r.Log.WithFields(log.Fields{
 		"Request": r.req.ID, "Route": r.route.Name, "Service": r.service, "Fits": fit.Fits(), "Learned": fit.Learned,
 		"NeedMs": fit.Need.Milliseconds(), "LeftMs": fit.Left.Milliseconds(), "SinceMs": r.arrived.Sub(l.began).Milliseconds(),
-		"BodyMs": r.accepted.Sub(r.arrived).Milliseconds(),
+		"BodyMs": r.accepted.Sub(r.arrived).Milliseconds(), "Runs": r.possibleRuns,
 	})
 	if fit.Fits() {
-		entry.Info("ArrivedWhileLeaving")
+		entry.Info(event)
 		return
 	}
-	entry.Warn("ArrivedWhileLeaving")
+	entry.Warn(event)
 }
 
 // fit compares the time that the request needs, if this attempt is sent now, with the time that
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -195,7 +195,7 @@
 func (r *activeRequest) relayEngineAnswer(e *roster.Entry, answer *target.Answer) (done bool) {
 	failed := answer.Status >= http.StatusInternalServerError
 	r.recordAnswer(e, failed)
-	if failed && r.mayRunAgain() {
+	if failed && r.mayRunAgain() && r.fits(&core.Attempt{}) {
 		discardBody(answer)
 		r.exclude = append(r.exclude, e.ID)
 		r.logAttempt(e, "Failed", answer.Status, nil)
--- a/standin/platform/leaving_test.go
+++ b/standin/platform/leaving_test.go
@@ -49,12 +49,17 @@
 		f.t.Errorf("%s ran %d times", id, len(runs))
 	}
 	f.server.Close() // waits for the requests, which may still write log lines
+	decided, ended := false, false
 	for _, e := range f.logs.Entries {
-		if e.Message == "RequestEnded" && e.Fields["Request"] == core.RequestID(id) && e.Fields["Reason"] == core.Reason("Leaving") {
-			return
+		if e.Fields["Request"] != core.RequestID(id) {
+			continue
 		}
+		decided = decided || strings.HasSuffix(e.Message, "WhileLeaving") && e.Fields["Fits"] == false
+		ended = ended || e.Message == "RequestEnded" && e.Fields["Reason"] == core.Reason("Leaving")
+	}
+	if !decided || !ended {
+		f.t.Errorf("no log lines say that %s was refused because the instance leaves", id)
 	}
-	f.t.Errorf("no log line says that %s was refused because the instance leaves", id)
 }
 
 // Guards against streams that a leaving instance takes although it can't finish them, and against
@@ -151,3 +156,19 @@
 		t.Errorf("response %+v, %d runs", got, len(f.runs("r1")))
 	}
 }
+
+// Guards against a stream that a leaving instance starts again on another engine and can't finish,
+// in place of the failure answer that it has.
+func TestLeavingInstanceRelaysEngineFailure(t *testing.T) {
+	const processingTime = 200 * time.Millisecond
+	f := newFixture(t, "prefill", "decode", "decode")
+	for _, tg := range f.targets[1:] {
+		tg.SetProcessingTime(processingTime)
+		tg.InjectFaults(platform.Fail)
+	}
+	time.AfterFunc(processingTime/2, func() { f.forwarder.StartDraining(processingTime) })
+	got := f.sendPrompt(t.Context(), "/resumable/x")
+	if got.status != 500 || !strings.HasSuffix(got.header.Get("X-Upstream-Stamp"), ".r1") || len(f.runs("r1")) != 1 {
+		t.Errorf("response %+v, %d runs", got, len(f.runs("r1")))
+	}
+}
