Add failing tests: requests in progress when the grace period ends

Requests that still run at the end get no answer and no log line, and a short grace period leaves them no time at all: 0.7 s are kept for the exit whatever its length.

--- a/cmd/entry/node/drain_test.go
+++ b/cmd/entry/node/drain_test.go
@@ -1,10 +1,16 @@
 package node
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	standin "gorseline/standin/platform"
 )
 
 // promptHeader is the header of a prompt whose answer has the given number of events.
@@ -43,3 +49,93 @@
 		return strings.Contains(i.output.String(), "Event=Left ")
 	})
 }
+
+// Guards against requests whose connection is closed without an answer or a log line when the
+// grace period ends.
+func TestEndOfGraceAnswersRequests(t *testing.T) {
+	s := newSite(t)
+	i := s.start("n1")
+	i.mu.Lock()
+	i.settings.Bounds.StopGrace = 1500 * time.Millisecond
+	i.mu.Unlock()
+	for _, tg := range s.targets {
+		tg.SetEvents(1000, 5*time.Millisecond)
+	}
+	s.targets[0].InjectFaults(standin.Hang)
+	s.targets[1].InjectFaults(standin.Hang)
+	call, stream, body := make(chan reply, 1), make(chan reply, 1), make(chan reply, 1)
+	go func() { call <- i.call(t, "/once/x", "call") }()
+	go func() { stream <- i.call(t, "/stream/x", "stream", promptHeader(1000)...) }()
+	go func() { body <- i.callWithoutBody(t, "/once/x", "body") }()
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	i.stop(t)
+	if took := time.Since(began); took > 1400*time.Millisecond {
+		t.Errorf("took %v of a grace period of 1.5 s", took)
+	}
+	// It may have run.
+	if got := <-call; got.status != 502 || !got.close {
+		t.Errorf("call: %+v", got)
+	}
+	if got := <-body; got.status != 503 || !got.close {
+		t.Errorf("request without its body: %+v", got)
+	}
+	// An answer that has begun must not look complete.
+	if got := <-stream; got.status != 0 {
+		t.Errorf("stream: %+v", got)
+	}
+	s.eventually(time.Second, "log lines of the requests that were cut", func() bool {
+		text := i.output.String()
+		return strings.Count(text, "Reason=Stopped") == 3 && strings.Contains(text, "Event=LeftEarly") && strings.Contains(text, "Cut=3")
+	})
+}
+
+// Guards against a grace period of which nothing is left for the requests in progress.
+func TestShortGraceFinishesRequests(t *testing.T) {
+	s := newSite(t)
+	i := s.start("n1")
+	i.mu.Lock()
+	i.settings.Bounds.StopGrace = 800 * time.Millisecond
+	i.mu.Unlock()
+	for _, tg := range s.targets {
+		tg.SetProcessingTime(250 * time.Millisecond)
+	}
+	call := make(chan reply, 1)
+	go func() { call <- i.call(t, "/once/x", "r1") }()
+	time.Sleep(100 * time.Millisecond)
+	i.stop(t)
+	if got := <-call; got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// stop lets the instance leave and stops it, as after a signal.
+func (i *instance) stop(t *testing.T) {
+	t.Helper()
+	i.drain()
+	ctx, cancel := context.WithTimeout(t.Context(), appStopTimeout)
+	defer cancel()
+	if err := i.app.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+// callWithoutBody sends the header of a request and none of its body, and returns the reply.
+func (i *instance) callWithoutBody(t *testing.T, path, id string) reply {
+	conn, err := net.Dial("tcp4", i.settings.CallerAddress)
+	if err != nil {
+		t.Error(err)
+		return reply{}
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nContent-Length: 4\r\n\r\n", path, id); err != nil {
+		t.Error(err)
+		return reply{}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return reply{}
+	}
+	defer resp.Body.Close()
+	return reply{status: resp.StatusCode, close: resp.Close}
+}
