Log and count silences of engines in streams; fault Pause in the stand-in

A stream that was cut because its engine was silent left only AttemptFailed with a timeout. The stand-in's fault Pause stops a stream or an answer for 1.4 s and goes on.

--- a/cmd/entry/node/instruments.go
+++ b/cmd/entry/node/instruments.go
@@ -54,6 +54,13 @@
 	i.counter("Sends." + string(service) + "." + result).Inc(1)
 }
 
+// ObserveSilence counts the steps of an engine's silence in the middle of a stream.
+func (i *instruments) ObserveSilence(service core.Service, step forward.SilenceStep) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counter("Silences." + string(service) + "." + string(step)).Inc(1)
+}
+
 // ObserveRetry counts retries that the budget of a service allowed or denied, and records what
 // is left of the budget.
 func (i *instruments) ObserveRetry(service core.Service, cause forward.RetryCause, retries int, allowed bool, state retry.ShareState) {
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -41,6 +41,8 @@
 	ObserveRequest(kind core.RouteKind, outcome core.OutcomeKind, reason core.Reason, took, first time.Duration)
 	// ObserveSend counts a send by its result.
 	ObserveSend(service core.Service, result string)
+	// ObserveSilence counts the steps of an engine's silence in the middle of a stream.
+	ObserveSilence(service core.Service, step SilenceStep)
 	// ObserveRetry counts retries that the budget of a service allowed or denied.
 	ObserveRetry(service core.Service, cause RetryCause, retries int, allowed bool, state retry.ShareState)
 }
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -56,6 +56,9 @@
 			s.abort(answer.Status, ReasonTimeout)
 			return true
 		}
+		if isTimeout(err) {
+			s.logSilence(e, SilenceNoticed)
+		}
 		r.exclude = append(r.exclude, e.ID)
 		r.recordNoAnswer(e)
 		r.lastAttempt.ResumeAfter = s.lastID
@@ -65,9 +68,15 @@
 		}
 		next, finish, ok := s.resume()
 		if !ok {
+			if isTimeout(err) {
+				s.logSilence(e, SilenceNotPossible)
+			}
 			s.abort(answer.Status, ReasonAnswerBroken)
 			return true
 		}
+		if isTimeout(err) {
+			s.logSilence(e, SilenceMoved)
+		}
 		defer finish()
 		e, answer = next.entry, next.answer
 	}
@@ -82,6 +91,8 @@
 	lastID string
 	// buffer holds the event that is being read or written.
 	buffer []byte
+	// silenceLines counts the log lines on silences.
+	silenceLines int
 }
 
 // relayEvents relays events until the stream ends. It returns nil if the stream ends
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -55,6 +55,8 @@
 
 func (noopObserver) ObserveSend(core.Service, string) {}
 
+func (noopObserver) ObserveSilence(core.Service, forward.SilenceStep) {}
+
 func (noopObserver) ObserveRetry(core.Service, forward.RetryCause, int, bool, retry.ShareState) {}
 
 // newFixture starts a forwarder with one target for each of the given phases; an empty phase
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // respondPlain answers a request to a plain service. It reports whether the connection stays
@@ -24,6 +26,10 @@
 		return resetOnClose(conn)
 	case Hang:
 		return readUntilClosed(conn)
+	case Pause:
+		if !waitUnlessClosed(conn, PauseTime) {
+			return false
+		}
 	case Noise:
 		_, _ = io.WriteString(conn, "\x00\x01 this is no answer\r\n\r\n")
 		return false
@@ -59,6 +65,15 @@
 	return false
 }
 
+// waitUnlessClosed waits and reports whether the client has kept the connection open.
+func waitUnlessClosed(conn net.Conn, d time.Duration) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(d))
+	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
+	_, err := conn.Read(make([]byte, 1))
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // respondPrefill computes a prompt and answers with the handle of its cached tokens.
 func (t *Target) respondPrefill(conn net.Conn, fault RequestFault) bool {
 	switch fault {
@@ -108,6 +123,10 @@
 			t.markCancelled(run)
 			return readUntilClosed(conn)
 		}
+		if i == 2 && fault == Pause && !waitUnlessClosed(conn, PauseTime) {
+			t.markCancelled(run)
+			return false
+		}
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			t.markCancelled(run)
 			return false
@@ -122,7 +141,7 @@
 func (t *Target) markCancelled(run int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.runs[run].Cancelled = true
+	t.runs[run].Cancelled, t.runs[run].CancelledAt = true, time.Now()
 }
 
 // serveControl serves load reports, role orders and the release of handles.
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -46,6 +46,9 @@
 	CutStream RequestFault = "CutStream"
 	// Stall sends two events, then nothing while the connection stays open.
 	Stall RequestFault = "Stall"
+	// Pause sends two events, then nothing for PauseTime, then the rest. A plain server pauses
+	// before its response.
+	Pause RequestFault = "Pause"
 	// LoseHandle refuses a request that imports a KV cache, whose handle is gone.
 	LoseHandle RequestFault = "LoseHandle"
 )
@@ -53,12 +56,18 @@
 // SlowAnswer is the time after which a request with the fault Slow is answered.
 const SlowAnswer = 700 * time.Millisecond
 
+// PauseTime is the pause of a request with the fault Pause.
+const PauseTime = 1400 * time.Millisecond
+
 // Run is a request that a target executed.
 type Run struct {
 	ID, Method, Path, Body string
 	Header                 http.Header
 	// Cancelled is set if the connection was closed before the response was complete.
 	Cancelled bool
+	// CancelledAt is when that was noticed, which is at once while the target pauses or hangs in
+	// the middle of a stream.
+	CancelledAt time.Time
 }
 
 // Arrival is a request that reached a target, also one that the target refused.
