--- a/core/retry/breaker.go
+++ b/core/retry/breaker.go
@@ -130,12 +130,38 @@
 	}
 	b.consecutive++
 	b.count(now, true)
-	shareReached := b.attempts >= b.options.MinSamples && float64(b.failures) >= b.options.FailureShare*float64(b.attempts)
-	if b.consecutive >= b.options.ConsecutiveFailures || shareReached {
+	if b.consecutive >= b.options.ConsecutiveFailures || b.isShareReached() {
 		b.open(now, unit)
 	}
 }
 
+// RecordSilence records an attempt without an answer that may still be answered. In a closed
+// circuit it adds to the share of failures, but not to the failures in a row.
+func (b *Breaker) RecordSilence(now core.Instant, unit float64) {
+	if b.State() != CircuitClosed {
+		b.RecordFailure(now, unit)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.count(now, true)
+	if b.isShareReached() {
+		b.open(now, unit)
+	}
+}
+
+func (b *Breaker) isShareReached() bool {
+	return b.attempts >= b.options.MinSamples && float64(b.failures) >= b.options.FailureShare*float64(b.attempts)
+}
+
+// Reset closes the circuit and forgets all attempts.
+func (b *Breaker) Reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state, b.openTime = CircuitClosed, b.options.OpenTime
+	b.consecutive, b.attempts, b.failures = 0, 0, 0
+}
+
 func (b *Breaker) open(now core.Instant, unit float64) {
 	b.state = CircuitOpen
 	b.probeAt = now.Add(b.openTime + time.Duration(unit*float64(b.openTime)/4))
--- a/core/retry/health.go
+++ b/core/retry/health.go
@@ -56,7 +56,10 @@
 
 // targetHealth is the health of one target.
 type targetHealth struct {
-	breaker      *Breaker
+	breaker *Breaker
+	// silence opens after silences of several requests and closes at the first sign of life.
+	silence      *Breaker
+	heard        *LastHeard
 	failureShare float64
 	samples      int
 	avoidUntil   core.Instant
@@ -75,7 +78,9 @@
 func (h *Health) target(id core.TargetID) *targetHealth {
 	t, ok := h.targets[id]
 	if !ok {
-		t = &targetHealth{breaker: NewBreaker(h.options.Breaker)}
+		t = &targetHealth{
+			breaker: NewBreaker(h.options.Breaker), silence: NewBreaker(h.options.Breaker), heard: &LastHeard{},
+		}
 		h.targets[id] = t
 	}
 	return t
@@ -86,7 +91,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	t, ok := h.targets[id]
-	return !ok || now >= t.avoidUntil && t.breaker.Ready(now)
+	return !ok || now >= t.avoidUntil && t.breaker.Ready(now) && t.silence.Ready(now)
 }
 
 // RecordSend records that a request is sent to a target. It uses the probe of an open
@@ -96,6 +101,7 @@
 	defer h.mu.Unlock()
 	if t, ok := h.targets[id]; ok {
 		t.breaker.Allow(now)
+		t.silence.Allow(now)
 	}
 }
 
@@ -117,6 +123,7 @@
 	defer h.mu.Unlock()
 	t := h.target(id)
 	t.breaker.RecordSuccess(now)
+	t.markAlive(now)
 	t.refusals = 0
 	value := 0.0
 	if failed {
@@ -142,6 +149,7 @@
 	defer h.mu.Unlock()
 	t := h.target(id)
 	t.breaker.RecordSuccess(now)
+	t.markAlive(now)
 	if now < t.avoidUntil {
 		return // the request was sent before an earlier refusal arrived
 	}
