Wait for silent engines of streams, and move only to one that accepts

Callers lost streams of sound engines that paused for a second or so: relayStream closed the answer after 0.7 s and only then looked for an engine, a retry and an attempt; if one was missing, or the other engine refused, the stream was cut. The same order of steps failed requests before the header of their answer. One pause seen by two streams also made the engine avoided.

The silent answer now stays open: the read deadline asks core/retry what to do (target.Answer.OnTimeout, below the chunked body, whose errors are final). Waits for headers are extended while nobody else can take the request.

One case of TestCallSurvivesPauseOfItsTarget stays red.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -45,12 +46,12 @@
 	a.Remaining = r.remaining()
 	limit = min(limit, a.Remaining)
 	r.sends++
-	r.lastTarget, r.lastAttempt = e.ID, a
+	r.lastTarget, r.lastAttempt, r.silentTarget = e.ID, a, ""
 	answer, err := r.Pool.Do(r.ctx, &target.Request{
 		Address: e.Address, Method: r.in.Method, URI: requestURI(r.in), Host: r.in.Host,
 		Header: r.Dialect.OutboundHeader(r.in.Header, &a), Body: r.body,
 		Deadline: time.Now().Add(limit), MaxIdle: r.maxIdle(),
-		Extend:  r.extendWait(e, limit),
+		Extend:  r.extendWait(e, &a, began, limit),
 		Matches: func(h http.Header) bool { return r.Dialect.Matches(r.req.ID, h) },
 	})
 	if err != nil {
@@ -63,17 +64,26 @@
 	return r.classify(e, &a, answer)
 }
 
-// extendWait returns the function that decides how much longer than limit to wait for an engine.
-// It returns nil for plain targets, whose progress isn't known.
-func (r *activeRequest) extendWait(e *roster.Entry, limit time.Duration) func() (time.Time, bool) {
-	if e.Role == core.RoleNone {
-		return nil
-	}
+// extendWait returns the function that decides how much longer than limit to wait for a target. A
+// target is waited for if it is an engine that completes prompts, or if the request can't be sent
+// to another one.
+func (r *activeRequest) extendWait(e *roster.Entry, a *core.Attempt, began core.Instant, limit time.Duration) func() (time.Time, bool) {
 	patience := retry.Patience{Timeout: limit}
+	silence := retry.NewSilence(0)
 	return func() (time.Time, bool) {
 		now := r.Clock.Now()
-		until, ok := patience.Extend(now, r.Loads.LastComputed(e.ID))
-		return time.Now().Add(min(until.Sub(now), r.remaining())), ok && r.remaining() > 0
+		if e.Role != core.RoleNone && r.remaining() > 0 {
+			if until, ok := patience.Extend(now, r.Loads.LastComputed(e.ID)); ok {
+				return time.Now().Add(min(until.Sub(now), r.remaining())), true
+			}
+		}
+		waited := now.Sub(began)
+		wait, ok := silence.WaitForHeader(waited, r.remaining(), r.canSendElsewhere(e, a), !a.PrefillOnly)
+		if ok && r.silentTarget != e.ID && waited >= r.route.Objective {
+			r.silentTarget = e.ID
+			r.recordSilence(e)
+		}
+		return time.Now().Add(wait), ok
 	}
 }
 
@@ -136,7 +146,7 @@
 	if result == sendUnknown && !a.PrefillOnly {
 		r.possibleRuns++
 	}
-	if r.in.Context().Err() == nil {
+	if r.in.Context().Err() == nil && !errors.Is(context.Cause(r.ctx), errSuperseded) {
 		r.handleNoAnswer(e, err, r.Clock.Now().Sub(began))
 		r.logAttempt(e, result.String(), 0, err)
 		r.Observer.ObserveSend(r.service, result.String())
@@ -149,7 +159,10 @@
 func (r *activeRequest) handleNoAnswer(e *roster.Entry, err error, waited time.Duration) {
 	r.Pool.DiscardIdle(e.Address)
 	var failure *target.Error
-	if errors.As(err, &failure) && failure.Timeout() && waited < r.route.Objective {
+	if errors.As(err, &failure) && failure.Timeout() && (failure.Sent || waited < r.route.Objective) {
+		if waited >= r.route.Objective && r.silentTarget != e.ID {
+			r.recordSilence(e)
+		}
 		return
 	}
 	r.recordNoAnswer(e)
--- /dev/null
+++ b/io/forward/continuation.go
@@ -0,0 +1,202 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"gorseline/core"
+	"gorseline/core/assign"
+	"gorseline/core/load"
+	"gorseline/core/prompt"
+	"gorseline/core/retry"
+	"gorseline/core/roster"
+	"gorseline/io/target"
+)
+
+// errSuperseded is the cause with which a continuation is cancelled that is no longer needed.
+var errSuperseded = errors.New("the continuation is not needed")
+
+// continuation is the request to another engine to continue a stream.
+type continuation struct {
+	// request is a copy of the relay's request, which the continuation changes.
+	request activeRequest
+	engine  *roster.Entry
+	after   string
+	began   time.Time
+	limit   time.Duration
+	cancel  func()
+	// finish ends the recorded work. It must be called once.
+	finish func()
+	done   chan struct{}
+	// answer is nil if the engine doesn't continue the stream. It is set before done is closed.
+	answer *target.Answer
+}
+
+// run sends the request and waits for the header of the answer.
+func (c *continuation) run() {
+	defer close(c.done)
+	answer, result := c.request.send(c.engine, core.Attempt{ResumeAfter: c.after}, c.limit)
+	if result != sendAnswered {
+		return
+	}
+	if !isEventStream(answer) {
+		_ = answer.Close() // not a continuation of the stream
+		return
+	}
+	c.answer = answer
+}
+
+func (c *continuation) isDone() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// isAnswered must be called after done is closed.
+func (c *continuation) isAnswered() bool { return c.answer != nil }
+
+// maxAsks bounds the engines that one request asks to continue its stream.
+const maxAsks = 4
+
+// Reasons why a stream can't be continued on another engine.
+const (
+	ReasonNotResumable core.Reason = "NotResumable"
+	ReasonAttempts     core.Reason = "Attempts"
+)
+
+// startAsk asks another engine to continue the stream after the last relayed event, or to begin it
+// if none was relayed. It returns the obstacle if that isn't possible. isWaiting is true if the
+// present engine may still go on, so that the lack of a retry is no loss yet and not counted.
+func (s *streamRelay) startAsk(isWaiting bool) (obstacle core.Reason) {
+	if s.lastID == "" && s.started {
+		return ReasonNotResumable
+	}
+	if s.silence.asks >= maxAsks {
+		return ReasonAttempts
+	}
+	plan := *s.activeRequest
+	plan.exclude = append(slices.Clip(s.exclude), s.silence.engine.ID)
+	e, chain, obstacle := plan.planContinuation()
+	if obstacle != "" {
+		return obstacle
+	}
+	if isWaiting && !s.hasRetries(retry.StageRun) || !s.takeRetries(RetryStream, retry.StageRun) {
+		return ReasonRetryBudget
+	}
+	s.Log.WithFields(log.Fields{
+		"Request": s.req.ID, "Target": e.ID, "After": s.lastID, "Run": s.possibleRuns + 1,
+	}).Warn("StreamResumed")
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	ref := s.startWork(e, load.Item{Kind: load.Generate, Chain: chain})
+	c := &continuation{
+		request: *s.activeRequest, engine: e, after: s.lastID, began: time.Now(), limit: s.silence.limits.Notice,
+		done: make(chan struct{}), cancel: func() { cancel(errSuperseded) },
+		finish: func() {
+			cancel(nil)
+			s.finishWork(ref)
+		},
+	}
+	c.request.ctx, c.request.exclude = ctx, plan.exclude
+	s.silence.ask = c
+	s.silence.asks++
+	if s.silence.isNoticed {
+		s.logSilence(SilenceAsked)
+	}
+	go c.run()
+	return ""
+}
+
+// planContinuation chooses an engine that can continue the stream of the request. It returns the
+// obstacle if there is none or if another run is not allowed.
+func (r *activeRequest) planContinuation() (e *roster.Entry, chain prompt.Chain, obstacle core.Reason) {
+	switch {
+	case !r.route.Resumable || r.engineLimits() == nil || r.req.Prompt == nil:
+		return nil, nil, ReasonNotResumable
+	case r.possibleRuns >= r.route.Attempts:
+		return nil, nil, ReasonAttempts
+	case r.remaining() <= 0 || r.ctx.Err() != nil:
+		return nil, nil, ReasonTimeout
+	}
+	e, chain, found := r.chooseContinuation()
+	if !found {
+		return nil, nil, core.ReasonNoTarget
+	}
+	return e, chain, ""
+}
+
+// adopt waits for a continuation and takes over the counts of its request.
+func (s *streamRelay) adopt(c *continuation) {
+	<-c.done
+	r := &c.request
+	s.sends, s.possibleRuns, s.ledger, s.silentTarget = r.sends, r.possibleRuns, r.ledger, r.silentTarget
+	s.lastTarget, s.lastAttempt, s.lastResult = r.lastTarget, r.lastAttempt, r.lastResult
+	s.exclude = append(s.exclude, c.engine.ID)
+}
+
+// continueElsewhere returns the answer of another engine that continues the stream. It waits for
+// the engine that was asked, or asks others. The work of the continuation must be finished when the
+// stream has ended.
+func (s *streamRelay) continueElsewhere() (next *continuation, ok bool) {
+	for s.silence.ask != nil || s.startAsk(false) == "" {
+		c := s.silence.ask
+		s.adopt(c)
+		if c.isAnswered() {
+			if s.silence.isNoticed {
+				s.logSilence(SilenceMoved)
+			}
+			return c, true
+		}
+		if s.silence.isNoticed {
+			s.logSilence(SilenceRefused)
+		}
+		s.silence.ask = nil
+		c.finish()
+	}
+	return nil, false
+}
+
+// hasRetries reports whether the retries that are due before the next send are left.
+func (r *activeRequest) hasRetries(stage retry.Stage) bool {
+	due := r.ledger.Due(stage)
+	return due == 0 || r.Budgets.State(r.service).Left >= float64(due)
+}
+
+// canSendElsewhere reports whether the request could be sent to another target if the current send
+// to e got no answer.
+func (r *activeRequest) canSendElsewhere(e *roster.Entry, a *core.Attempt) bool {
+	next := *r
+	next.exclude = append(slices.Clip(r.exclude), e.ID)
+	next.ledger.Record(stageOf(a), retry.SendUnknown)
+	if !a.PrefillOnly {
+		next.possibleRuns++
+	}
+	switch {
+	case r.ctx.Err() != nil || !next.mayRunAgain():
+		return false
+	case a.ResumeAfter != "":
+		_, _, obstacle := next.planContinuation()
+		return obstacle == "" && next.hasRetries(retry.StageRun)
+	case next.sends >= maxSends:
+		return false
+	case r.req.Prompt != nil && r.engineLimits() != nil:
+		return next.hasRetries(retry.StageCompute) &&
+			r.Assigner.CanAssign(r.Clock.Now(), r.Roster.View(), next.promptRequest(prompt.NewChain(r.req.Prompt)))
+	default:
+		return next.hasRetries(retry.StageRun) && next.chooseCall().Target != nil
+	}
+}
+
+// promptRequest returns the request for an engine that computes the prompt.
+func (r *activeRequest) promptRequest(chain prompt.Chain) *assign.Request {
+	return &assign.Request{
+		Service: r.service, Route: r.route.Name, Engine: r.engineLimits(), Prompt: r.req.Prompt, Chain: chain,
+		Objective: r.remainingObjective(), Remaining: r.remaining(), Exclude: r.exclude,
+	}
+}
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -194,6 +194,8 @@
 	// lastResult is the result of the latest send, lastAttempt what it was.
 	lastResult  sendResult
 	lastAttempt core.Attempt
+	// silentTarget is the target of the latest send if its silence is recorded.
+	silentTarget core.TargetID
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
 	events        int
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -26,10 +26,7 @@
 func (r *activeRequest) servePrompt() {
 	chain := prompt.NewChain(r.req.Prompt)
 	for {
-		req := &assign.Request{
-			Service: r.service, Route: r.route.Name, Engine: r.engineLimits(), Prompt: r.req.Prompt, Chain: chain,
-			Objective: r.remainingObjective(), Remaining: r.remaining(), Exclude: r.exclude,
-		}
+		req := r.promptRequest(chain)
 		d := r.Assigner.Assign(r.Clock.Now(), r.Roster.View(), req)
 		r.logPrompt(&d)
 		if d.Target == nil {
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -7,78 +7,70 @@
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"gorseline/core"
 	"gorseline/core/assign"
-	"gorseline/core/load"
 	"gorseline/core/prompt"
-	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/io/target"
 )
 
-const (
-	// maxEvent bounds one event of a stream, in bytes.
-	maxEvent = 1 << 20
-	// stallPauses is the time without an event, in multiples of the pause objective, after
-	// which a resumable stream is resumed on another engine. Callers disconnect after eight
-	// times the pause objective.
-	stallPauses = 4
-	// minStallTimeout is the lower bound of that time. Pauses of a loaded engine are
-	// shorter.
-	minStallTimeout = 700 * time.Millisecond
-)
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
 
 var errEventTooLong = errors.New("event of a stream is too long")
 
 // relayStream relays events as they arrive, and resumes a resumable stream on another
-// engine when it breaks. It returns false if nothing was relayed and the request may run
-// again.
+// engine when it breaks, or when its engine is silent and another one can go on. It returns false if
+// nothing was relayed and the request may run again.
 func (r *activeRequest) relayStream(e *roster.Entry, answer *target.Answer) (done bool) {
 	s := &streamRelay{activeRequest: r}
 	for {
+		s.watchSilence(e, answer)
 		err := s.relayEvents(answer)
 		if err == nil {
+			s.markHeard(r.Clock.Now())
 			answer.Finish()
 			r.recordEnd(core.OutcomeDone, ReasonAnswered, answer.Status)
 			return true
 		}
 		_ = answer.Close() // reading or writing has failed already
 		if r.in.Context().Err() != nil || s.callerDisconnected {
+			s.endAsk()
 			r.recordEnd(core.OutcomeUnknown, ReasonCallerLeft, 0)
 			panic(http.ErrAbortHandler)
 		}
-		if r.remaining() <= 0 {
+		if r.remaining() <= 0 || r.ctx.Err() != nil {
 			// The deadline of the request has passed, so the failed read isn't recorded as a
 			// missing answer of the engine.
+			s.endAsk()
 			s.abort(answer.Status, ReasonTimeout)
 			return true
 		}
-		if isTimeout(err) {
-			s.logSilence(e, SilenceNoticed)
-		}
 		r.exclude = append(r.exclude, e.ID)
-		r.recordNoAnswer(e)
+		if !isTimeout(err) {
+			r.recordNoAnswer(e)
+		}
 		r.lastAttempt.ResumeAfter = s.lastID
 		r.logAttempt(e, "StreamBroken", answer.Status, err)
-		if !s.started && r.mayRunAgain() {
+		if s.silence.ask == nil && !s.started && r.mayRunAgain() {
 			return false
 		}
-		next, finish, ok := s.resume()
+		next, ok := s.continueElsewhere()
+		if !ok && r.in.Context().Err() != nil {
+			r.recordEnd(core.OutcomeUnknown, ReasonCallerLeft, 0)
+			panic(http.ErrAbortHandler)
+		}
 		if !ok {
-			if isTimeout(err) {
-				s.logSilence(e, SilenceNotPossible)
+			if !s.started && r.mayRunAgain() {
+				return false
 			}
 			s.abort(answer.Status, ReasonAnswerBroken)
 			return true
 		}
-		if isTimeout(err) {
-			s.logSilence(e, SilenceMoved)
-		}
-		defer finish()
-		e, answer = next.entry, next.answer
+		defer next.finish()
+		e, answer = next.engine, next.answer
 	}
 }
 
@@ -90,9 +82,8 @@
 	// lastID is the ID of the last relayed event that had one.
 	lastID string
 	// buffer holds the event that is being read or written.
-	buffer []byte
-	// silenceLines counts the log lines on silences.
-	silenceLines int
+	buffer  []byte
+	silence silence
 }
 
 // relayEvents relays events until the stream ends. It returns nil if the stream ends
@@ -100,7 +91,7 @@
 func (s *streamRelay) relayEvents(answer *target.Answer) error {
 	reader := bufio.NewReaderSize(answer.Body, streamBufferSize)
 	for {
-		if err := answer.SetReadDeadline(time.Now().Add(s.readTimeout())); err != nil {
+		if err := answer.SetReadDeadline(time.Now().Add(min(s.remaining(), s.silence.limits.Notice))); err != nil {
 			return err
 		}
 		id, err := s.readEvent(reader)
@@ -113,6 +104,8 @@
 			}
 			return err
 		}
+		now := s.Clock.Now()
+		s.markHeard(now)
 		if !s.started {
 			s.startAnswer(answer)
 		}
@@ -123,7 +116,7 @@
 		if id != "" {
 			s.lastID = id
 		}
-		s.events, s.lastEventTime = s.events+1, s.Clock.Now().Sub(s.arrived)
+		s.events, s.lastEventTime = s.events+1, now.Sub(s.arrived)
 		if reader.Buffered()+answer.Buffered() > 0 {
 			continue
 		}
@@ -155,14 +148,6 @@
 	s.writeHeader(answer)
 }
 
-// readTimeout returns how long to wait for the next event.
-func (s *streamRelay) readTimeout() time.Duration {
-	if !s.route.Resumable || s.possibleRuns >= s.route.Attempts {
-		return s.remaining()
-	}
-	return min(s.remaining(), max(minStallTimeout, stallPauses*s.route.PauseObjective))
-}
-
 // readEvent reads one event, with the empty line that ends it, into s.buffer and returns
 // its ID. After an error s.buffer holds the part of the event that was read.
 func (s *streamRelay) readEvent(reader *bufio.Reader) (id string, err error) {
@@ -195,49 +180,18 @@
 	}
 }
 
-// resumedStream is a stream that continues on another engine.
-type resumedStream struct {
-	entry  *roster.Entry
-	answer *target.Answer
-}
-
-// resume resumes the stream after the last relayed event, on an engine that computes the
-// prompt again. finish must be called when the stream has ended.
-func (s *streamRelay) resume() (next resumedStream, finish func(), ok bool) {
-	if !s.route.Resumable || s.lastID == "" || s.possibleRuns >= s.route.Attempts || s.remaining() <= 0 {
-		return resumedStream{}, nil, false
-	}
-	if s.engineLimits() == nil || s.req.Prompt == nil || !s.takeRetries(RetryStream, retry.StageRun) {
-		return resumedStream{}, nil, false
-	}
+// chooseContinuation chooses the engine that resumes the stream and computes the prompt again.
+func (r *activeRequest) chooseContinuation() (*roster.Entry, prompt.Chain, bool) {
 	req := &assign.Request{
-		Service: s.service, Engine: s.engineLimits(), Prompt: s.req.Prompt, Chain: prompt.NewChain(s.req.Prompt),
+		Service: r.service, Engine: r.engineLimits(), Prompt: r.req.Prompt, Chain: prompt.NewChain(r.req.Prompt),
 		// The objective applies to the first event, which has been relayed.
-		Objective: s.remaining(), Remaining: s.remaining(), Exclude: s.exclude,
+		Objective: r.remaining(), Remaining: r.remaining(), Exclude: r.exclude,
 	}
 	// There is no exported KV cache to import. The source limits the choice to engines of
 	// this instance's cell and prefers those of its data centre.
-	source := &roster.Entry{Registration: core.Registration{Target: core.Target{DataCentre: s.Assigner.Home()}}}
-	e, found := s.Assigner.AssignGenerator(s.Clock.Now(), s.Roster.View(), req, source)
-	if !found {
-		return resumedStream{}, nil, false
-	}
-	s.Log.WithFields(log.Fields{
-		"Request": s.req.ID, "Target": e.ID, "After": s.lastID, "Run": s.possibleRuns + 1,
-	}).Warn("StreamResumed")
-	ref := s.startWork(e, load.Item{Kind: load.Generate, Chain: req.Chain})
-	finish = func() { s.finishWork(ref) }
-	answer, result := s.send(e, core.Attempt{ResumeAfter: s.lastID}, s.readTimeout())
-	if result != sendAnswered {
-		finish()
-		return resumedStream{}, nil, false
-	}
-	if !isEventStream(answer) {
-		_ = answer.Close() // not a continuation of the stream
-		finish()
-		return resumedStream{}, nil, false
-	}
-	return resumedStream{e, answer}, finish, true
+	source := &roster.Entry{Registration: core.Registration{Target: core.Target{DataCentre: r.Assigner.Home()}}}
+	e, found := r.Assigner.AssignGenerator(r.Clock.Now(), r.Roster.View(), req, source)
+	return e, req.Chain, found
 }
 
 // abort ends a stream that can't be completed. If its header has been sent it aborts the
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -173,8 +173,7 @@
 func (a *Answer) await(r *Request) error {
 	for {
 		_, err := a.conn.reader.Peek(1)
-		var timeout net.Error
-		if r.Extend == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+		if r.Extend == nil || !isTimeout(err) {
 			return errors.Wrap(err, "read answer")
 		}
 		deadline, ok := r.Extend()
@@ -239,6 +238,11 @@
 // SetReadDeadline bounds the following reads of the body.
 func (a *Answer) SetReadDeadline(at time.Time) error { return a.conn.SetReadDeadline(at) }
 
+// OnTimeout sets a function that is called when the deadline of a read passes, on the goroutine that
+// reads. It returns a later deadline for the read to go on, or false for the read to fail. A body
+// can't be read after a failed read.
+func (a *Answer) OnTimeout(extend func() (time.Time, bool)) { a.conn.reader.source.extend = extend }
+
 // Buffered returns the number of bytes that can be read without waiting.
 func (a *Answer) Buffered() int { return a.conn.reader.Buffered() }
 
@@ -250,6 +254,7 @@
 		return
 	}
 	a.ended = true
+	a.OnTimeout(nil)
 	isWritten := true
 	if a.written != nil {
 		select {
@@ -295,12 +300,14 @@
 }
 
 type limitedReader struct {
-	io.Reader
+	net.Conn
 	remaining int64 // negative: unlimited
+	// extend is called after a timeout, see Answer.OnTimeout; nil fails the read.
+	extend func() (time.Time, bool)
 }
 
 func newReader(conn net.Conn) *reader {
-	source := &limitedReader{Reader: conn, remaining: -1}
+	source := &limitedReader{Conn: conn, remaining: -1}
 	return &reader{bufio.NewReaderSize(source, readBufferSize), source}
 }
 
@@ -308,6 +315,11 @@
 // limit.
 func (r *reader) limit(n int64) { r.source.remaining = n }
 
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // Read reads from the connection within the limit. It fails once the limit is reached.
 func (l *limitedReader) Read(b []byte) (int, error) {
 	if l.remaining == 0 {
@@ -316,7 +328,17 @@
 	if l.remaining > 0 && int64(len(b)) > l.remaining {
 		b = b[:l.remaining]
 	}
-	n, err := l.Reader.Read(b)
+	n, err := l.Conn.Read(b)
+	for n == 0 && l.extend != nil && isTimeout(err) {
+		deadline, ok := l.extend()
+		if !ok {
+			break
+		}
+		if err := l.SetReadDeadline(deadline); err != nil {
+			return 0, errors.Wrap(err, "extend the deadline")
+		}
+		n, err = l.Conn.Read(b)
+	}
 	if l.remaining > 0 {
 		l.remaining -= int64(n)
 	}
