--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -123,7 +123,8 @@
 			t.markCancelled(run)
 			return readUntilClosed(conn)
 		}
-		if i == 2 && fault == Pause && !waitUnlessClosed(conn, PauseTime) {
+		isPause := i == 2 && fault == Pause || i == first && fault == PauseFirst
+		if isPause && !waitUnlessClosed(conn, PauseTime) {
 			t.markCancelled(run)
 			return false
 		}
--- a/standin/platform/silence_test.go
+++ b/standin/platform/silence_test.go
@@ -1,6 +1,8 @@
 package platform_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
@@ -15,7 +17,12 @@
 
 // Guards against a stream that is ended because its engine pauses for a second and a half, although
 // the engine goes on: the attempt, the retry or the engine for a continuation was missing.
-func TestStreamSurvivesPauseOfItsEngine(t *testing.T) {
+func TestStreamSurvivesPauseOfItsEngine(t *testing.T) { testPause(t, platform.Pause) }
+
+// Guards against the same between the header and the first event.
+func TestStreamSurvivesPauseBeforeItsFirstEvent(t *testing.T) { testPause(t, platform.PauseFirst) }
+
+func testPause(t *testing.T, pause platform.RequestFault) {
 	tests := []struct {
 		name    string
 		path    string
@@ -40,7 +47,7 @@
 			f := newFixture(t, test.phases...)
 			f.grantRetries(test.retries)
 			// The first of two idle engines is chosen.
-			f.targets[1].InjectFaults(platform.Pause)
+			f.targets[1].InjectFaults(pause)
 			if test.other != "" {
 				f.targets[2].InjectFaults(test.other)
 			}
@@ -53,13 +60,78 @@
 	}
 }
 
+// Guards against a stream of a dead engine that ends, or isn't continued in time, because the first
+// engine that is asked refuses, breaks off or is slow.
+func TestStreamOfDeadEngineIsContinued(t *testing.T) {
+	for _, other := range []platform.RequestFault{"", platform.Shed, platform.Slow, platform.Pause} {
+		t.Run("other-"+string(other), func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "prefill", "decode", "decode", "decode")
+			f.targets[1].InjectFaults(platform.Stall)
+			f.targets[2].InjectFaults(other)
+			began := time.Now()
+			got := f.sendPrompt(t.Context(), "/resumable/x")
+			if got.status != http.StatusOK || got.err != nil || got.body != completeStream() {
+				t.Errorf("response %+v", got)
+			}
+			if took := time.Since(began); other != platform.Pause && took > 2200*time.Millisecond {
+				t.Errorf("complete after %v", took)
+			}
+		})
+	}
+}
+
+// Guards against streams with missing or repeated events, sends beyond the retry budget and runs
+// beyond the attempts of the route, whatever the engines do while others are silent.
+func TestRandomSilencesPreserveGuarantees(t *testing.T) {
+	faults := []platform.RequestFault{
+		"", "", platform.Pause, platform.PauseFirst, platform.Stall, platform.Shed, platform.Slow, platform.Fail, platform.Reset,
+		platform.CutStream, platform.Hang,
+	}
+	rng := rand.New(rand.NewPCG(30, 1))
+	for i := range 48 {
+		f := newFixture(t, "prefill", "decode", "decode", "decode")
+		retries := rng.IntN(4)
+		f.grantRetries(retries)
+		mayLose := false
+		var injected []platform.RequestFault
+		for _, tg := range f.targets[1:] {
+			fault := faults[rng.IntN(len(faults))]
+			injected = append(injected, fault)
+			tg.InjectFaults(fault)
+			switch fault {
+			case "", platform.Pause, platform.PauseFirst, platform.Slow:
+			default:
+				mayLose = true
+			}
+		}
+		t.Run(fmt.Sprintf("%d%v", retries, injected), func(t *testing.T) {
+			t.Parallel()
+			id := fmt.Sprintf("r%d", i)
+			got := f.do(t.Context(), http.MethodPost, "/resumable/x", id, "the prompt", "X-Model", "m", "X-Token-Count", "3000,8",
+				"X-Prompt-Prefix", "ab:2500,cd:500")
+			whole := strings.ReplaceAll(completeStream(), "r1", id)
+			isComplete := got.status == http.StatusOK && got.err == nil
+			if got.status == http.StatusOK && !strings.HasPrefix(whole, got.body) || isComplete && got.body != whole || !isComplete && !mayLose {
+				t.Errorf("response %+v", got)
+			}
+			if extra := f.extraArrivals(id); extra > retries {
+				t.Errorf("%d arrivals beyond the first", extra)
+			}
+			if runs := f.runs(id); len(runs) > 2 {
+				t.Errorf("%d runs", len(runs))
+			}
+			f.checkOverlap(id)
+		})
+	}
+}
+
 // checkOverlap fails the test if a run of a request was cancelled too late after its next one was
 // accepted elsewhere.
 func (f *fixture) checkOverlap(id string) {
 	f.t.Helper()
 	time.Sleep(50 * time.Millisecond) // a target notices at once that its connection was closed
-	var accepted []time.Time
-	var ended []time.Time
+	var accepted, ended []time.Time
 	for _, tg := range f.targets {
 		for _, a := range tg.Arrivals() {
 			if a.ID == id && !a.Prefill && a.Accepted {
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -49,6 +49,8 @@
 	// Pause sends two events, then nothing for PauseTime, then the rest. A plain server pauses
 	// before its response.
 	Pause RequestFault = "Pause"
+	// PauseFirst is Pause between the header of a stream and its first event.
+	PauseFirst RequestFault = "PauseFirst"
 	// LoseHandle refuses a request that imports a KV cache, whose handle is gone.
 	LoseHandle RequestFault = "LoseHandle"
 )
