--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -127,7 +127,9 @@
 		if i == 2 && fault == Stall {
 			// The response never completes, so only the client can close the connection.
 			t.markCancelled(run)
-			return readUntilClosed(conn)
+			_ = readUntilClosed(conn)
+			t.markCancelled(run) // with the time
+			return false
 		}
 		isPause := i == 2 && fault == Pause || i == first && fault == PauseFirst
 		if isPause && !waitUnlessClosed(conn, PauseTime) {
--- a/standin/platform/silence_test.go
+++ b/standin/platform/silence_test.go
@@ -77,6 +77,7 @@
 			if took := time.Since(began); other != platform.Pause && took > 2200*time.Millisecond {
 				t.Errorf("complete after %v", took)
 			}
+			f.checkOverlap("r1")
 		})
 	}
 }
