Send a safe call to its silent target again if all others refuse it

A safe call left its target after 0.75 s of 3 s without an answer; when the other target refused it, the call failed with 502, since the first was excluded. Excluded targets are now allowed once more for a call that may run again, within its attempts and the retry budget. TestCallSurvivesPauseOfItsTarget, case "other target refuses", failed before.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -168,6 +168,16 @@
 	r.recordNoAnswer(e)
 }
 
+// includeAgain allows the excluded targets once more, such as one that was silent while all others
+// refuse now. It returns false if that was done before or the request may not run again.
+func (r *activeRequest) includeAgain() bool {
+	if r.isIncludedAgain || len(r.exclude) == 0 || r.possibleRuns == 0 || !r.mayRunAgain() || r.ctx.Err() != nil {
+		return false
+	}
+	r.isIncludedAgain, r.exclude = true, nil
+	return true
+}
+
 // recordAnswer updates the target's health with an answer. failed reports whether the
 // answer was a failure of the target itself.
 func (r *activeRequest) recordAnswer(e *roster.Entry, failed bool) {
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -35,6 +35,9 @@
 func (r *activeRequest) serveCall() {
 	for {
 		d := r.chooseCall()
+		if d.Target == nil && r.includeAgain() {
+			d = r.chooseCall()
+		}
 		r.logCall(d)
 		if d.Target == nil {
 			r.failWithoutTarget(d.Reason, d.RetryAfter)
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -182,6 +182,8 @@
 	body     []byte
 	// exclude holds the targets that must not be chosen again.
 	exclude []core.TargetID
+	// isIncludedAgain is set once excluded targets have been allowed again.
+	isIncludedAgain bool
 	// possibleRuns counts the sends that may have run the request.
 	possibleRuns int
 	sends        int
