--- a/standin/platform/silence_test.go
+++ b/standin/platform/silence_test.go
@@ -101,6 +101,35 @@
 	}
 }
 
+// Guards against a stream that is moved away from an engine that works on other streams.
+func TestStreamStaysWithEngineThatIsAlive(t *testing.T) {
+	f := newFixture(t, "prefill", "decode", "decode")
+	all := []core.Registration{
+		registration(f.targets[0], "prefill"), registration(f.targets[1], "decode"), registration(f.targets[2], "decode"),
+	}
+	f.roster.Replace(0, 2, all[:2])
+	f.targets[1].InjectFaults(platform.Pause)
+	paused, other := make(chan response, 1), make(chan response, 1)
+	go func() { paused <- f.sendPrompt(t.Context(), "/resumable/x") }()
+	time.Sleep(100 * time.Millisecond) // the stream pauses
+	f.targets[1].SetEvents(80, 25*time.Millisecond)
+	go func() {
+		other <- f.do(t.Context(), http.MethodPost, "/resumable/x", "r2", "the prompt", "X-Model", "m", "X-Token-Count", "3000,8",
+			"X-Prompt-Prefix", "ab:2500,cd:500")
+	}()
+	time.Sleep(100 * time.Millisecond) // the other stream has begun
+	f.roster.Replace(0, 3, all)
+	if got := <-paused; got.status != http.StatusOK || got.err != nil || got.body != completeStream() {
+		t.Errorf("response %+v", got)
+	}
+	if got := <-other; got.status != http.StatusOK || got.err != nil {
+		t.Errorf("response %+v", got)
+	}
+	if got := len(f.targets[2].Arrivals()); got != 0 {
+		t.Errorf("%d requests at the other engine", got)
+	}
+}
+
 // Guards against streams with missing or repeated events, sends beyond the retry budget and runs
 // beyond the attempts of the route, whatever the engines do while others are silent.
 func TestRandomSilencesPreserveGuarantees(t *testing.T) {
