--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -132,7 +132,7 @@
 	return b.String()
 }
 
-// reasonTexts explains the reasons that RequestEnded gives.
+// reasonTexts explains the reasons that RequestEnded and EngineSilent give.
 var reasonTexts = map[string]string{
 	"Answered":         "a target answered",
 	"Backlog":          "refused at once: on each engine the prompts ahead of it would have made the first token late",
@@ -146,6 +146,8 @@
 	"NoAnswer":         "failed: the target gave no answer; the request may have run",
 	"Timeout":          "failed: the deadline of the caller or the route passed; the request may have run",
 	"AnswerBroken":     "failed: the target's answer ended before it was complete",
+	"NotResumable":     "the stream can't be continued on another engine: its route or its last event doesn't allow it",
+	"Attempts":         "the stream can't be continued on another engine: the attempts of its route are used up",
 	"CallerLeft":       "the caller closed its connection first",
 	"Malformed":        "rejected: the request is malformed",
 	"BodyTooLarge":     "rejected: the body is larger than the configuration allows",
