--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -42,6 +42,8 @@
 	ObserveRequest(kind core.RouteKind, outcome core.OutcomeKind, reason core.Reason, took, first time.Duration)
 	// ObserveSend counts a send by its result.
 	ObserveSend(service core.Service, result string)
+	// ObserveSilence counts the steps of an engine's silence in the middle of a stream.
+	ObserveSilence(service core.Service, step SilenceStep)
 	// ObserveRetry counts retries that the budget of a service allowed or denied.
 	ObserveRetry(service core.Service, cause RetryCause, retries int, allowed bool, state retry.ShareState)
 }
@@ -183,6 +185,8 @@
 	body     []byte
 	// exclude holds the targets that must not be chosen again.
 	exclude []core.TargetID
+	// isIncludedAgain is set once excluded targets have been allowed again.
+	isIncludedAgain bool
 	// possibleRuns counts the sends that may have run the request.
 	possibleRuns int
 	sends        int
@@ -198,6 +202,8 @@
 	// notSent is true if a send was left out, because the instance leaves before the request
 	// would end.
 	notSent bool
+	// silentTarget is the target of the latest send if its silence is recorded.
+	silentTarget core.TargetID
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
 	events        int
