Answer and log the requests that are cut when the grace period ends

The instance now ends these requests itself: what has not been answered gets 503 if it certainly has not run, else 502; an answer that has begun is cut, so that it does not look complete. Each has its line RequestEnded with reason Stopped, counted in ForwardedReasons.Stopped, and LeftEarly has their number.

The reserve for the exit of 0.7 s is now at most half of the grace period, so that a short one still finishes requests.

--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -141,6 +141,7 @@
 	"ConcurrencyLimit": "refused at once: all targets are at their limit of running and queued requests",
 	"TargetsRefused":   "refused: each target that was tried reported that it did not run the request",
 	"Leaving":          "refused or not repeated: this instance leaves, and the request may take longer than the time that is left",
+	"Stopped":          "ended: the grace period of this instance was over; if it had been sent, it may have run",
 	"RetryBudget":      "abandoned: another send would have exceeded the retry budget that all instances share",
 	"NoConfiguration":  "refused: the instance had not received a configuration yet",
 	"NoRoute":          "rejected: no route of the configuration in force matches host and path",
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -252,7 +252,8 @@
 	// addressTTLFactor allows for callers that cache addresses for up to three times their
 	// TTL.
 	addressTTLFactor = 3
-	// exitReserve is the part of the grace period that is kept for the exit of the process.
+	// exitReserve is the part of the grace period that is kept for the exit of the process, but
+	// at most half of it.
 	exitReserve = 700 * time.Millisecond
 )
 
@@ -260,7 +261,8 @@
 // cached addresses, and finishes the requests in progress within the grace period.
 func (n *node) drain() {
 	start := time.Now()
-	deadline := start.Add(n.bounds().StopGrace - exitReserve)
+	grace := n.bounds().StopGrace
+	deadline := start.Add(drainTime(grace))
 	n.draining.Store(true)
 	n.forwarder.StartDraining(time.Until(deadline))
 	n.digests.Leave()
@@ -272,12 +274,28 @@
 	time.Sleep(accept)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	err := n.callerServer.Shutdown(ctx)
+	if err := n.callerServer.Shutdown(ctx); err != nil {
+		n.endRequests(grace)
+	}
 	n.forwarder.WaitForReleases()
-	entry := n.log.WithFields(log.Fields{"Active": n.forwarder.Active(), "TookMs": time.Since(start).Milliseconds()})
+	n.log.WithFields(log.Fields{"Active": n.forwarder.Active(), "TookMs": time.Since(start).Milliseconds()}).Info("Left")
+}
+
+// endRequests ends the requests that are still in progress, and waits for a part of the reserve
+// until callers have their answers.
+func (n *node) endRequests(grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), (grace-drainTime(grace))/4)
+	defer cancel()
+	cut := n.forwarder.EndRequests()
+	err := n.callerServer.Shutdown(ctx)
+	entry := n.log.WithFields(log.Fields{"Cut": cut, "Active": n.forwarder.Active()})
 	if err != nil {
-		entry.WithError(err).Warn("LeftEarly")
-		return
+		entry = entry.WithError(err)
 	}
-	entry.Info("Left")
+	entry.Warn("LeftEarly")
+}
+
+// drainTime returns the part of the grace period in which requests are finished.
+func drainTime(grace time.Duration) time.Duration {
+	return grace - min(exitReserve, grace/2)
 }
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -74,6 +74,9 @@
 	// leaving is nil until StartDraining is called.
 	leaving   atomic.Pointer[leaving]
 	durations *drain.Durations
+	// stopped ends when EndRequests is called.
+	stopped     context.Context
+	endRequests context.CancelFunc
 
 	mu sync.Mutex
 	// maxCallerTimeout is the longest timeout that a caller has stated, by name of the route.
@@ -87,7 +90,9 @@
 // New returns a forwarder without a configuration. It refuses all requests until
 // Configure is called.
 func New(o Options) *Forwarder {
-	return &Forwarder{Options: o, durations: drain.NewDurations(), maxCallerTimeout: map[string]time.Duration{}}
+	f := &Forwarder{Options: o, durations: drain.NewDurations(), maxCallerTimeout: map[string]time.Duration{}}
+	f.stopped, f.endRequests = context.WithCancel(context.Background())
+	return f
 }
 
 // Configure sets the route table for new requests. Requests in progress keep the table
@@ -146,6 +151,7 @@
 	ReasonAnswerBroken    core.Reason = "AnswerBroken"
 	ReasonAnswered        core.Reason = "Answered"
 	ReasonLeaving         core.Reason = "Leaving"
+	ReasonStopped         core.Reason = "Stopped"
 )
 
 // notReadyRetryAfter is the retry delay for callers of an instance that has just started
@@ -218,6 +224,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.in.Context(), time.Now().Add(r.remaining()))
 	defer cancel()
+	stopWatch := context.AfterFunc(r.stopped, cancel)
+	defer stopWatch()
 	r.ctx = ctx
 	r.Budgets.Deposit(r.service)
 	if r.req.Prompt != nil && r.engineLimits() != nil {
@@ -287,12 +295,18 @@
 	control := http.NewResponseController(r.w)
 	// If deadlines are not supported, the read still ends with the context of the request.
 	_ = control.SetReadDeadline(time.Now().Add(r.remaining()))
+	stopWatch := context.AfterFunc(r.stopped, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := readAll(http.MaxBytesReader(r.w, r.in.Body, limit), r.in.ContentLength)
+	stopWatch()
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		r.body = body
 		return true
 	}
+	if r.stopped.Err() != nil {
+		r.refuse(ReasonStopped, drain.RetryAfter)
+		return false
+	}
 	if isTooLarge(err) {
 		r.reject(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "body is larger than the limit")
 		return false
@@ -355,7 +369,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if r.possibleRuns == 0 {
-		r.refuse(reason, r.remaining()/4)
+		r.refuse(reason, r.retryAfter())
 		return
 	}
 	status := http.StatusBadGateway
@@ -369,6 +383,7 @@
 
 // recordEnd logs and counts the end of a request.
 func (r *activeRequest) recordEnd(outcome core.OutcomeKind, reason core.Reason, status int) {
+	reason = r.endReason(reason)
 	took := r.Clock.Now().Sub(r.arrived)
 	kind, name := core.RouteOnce, ""
 	if r.route != nil {
--- a/io/forward/leaving.go
+++ b/io/forward/leaving.go
@@ -25,6 +25,30 @@
 	f.leaving.CompareAndSwap(nil, &leaving{began: now, deadline: now.Add(left)})
 }
 
+// EndRequests ends all requests in progress and returns their number. Those whose answer hasn't
+// begun are answered with an error, the others are cut.
+func (f *Forwarder) EndRequests() int64 {
+	n := f.Active()
+	f.endRequests()
+	return n
+}
+
+// endReason returns the reason of the end of a request: Stopped if EndRequests caused it.
+func (r *activeRequest) endReason(reason core.Reason) core.Reason {
+	if r.stopped.Err() != nil && (reason == ReasonNoAnswer || reason == ReasonAnswerBroken) {
+		return ReasonStopped
+	}
+	return reason
+}
+
+// retryAfter returns the retry delay of a request that failed and has not run.
+func (r *activeRequest) retryAfter() time.Duration {
+	if r.stopped.Err() != nil {
+		return drain.RetryAfter
+	}
+	return r.remaining() / 4
+}
+
 // allowArrival reports whether a request that has been read can be finished before the instance
 // leaves. Otherwise it refuses the request.
 func (r *activeRequest) allowArrival() bool {
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -193,7 +193,7 @@
 // resume resumes the stream after the last relayed event, on an engine that computes the
 // prompt again. finish must be called when the stream has ended.
 func (s *streamRelay) resume() (next resumedStream, finish func(), ok bool) {
-	if !s.route.Resumable || s.lastID == "" || s.possibleRuns >= s.route.Attempts || s.remaining() <= 0 {
+	if !s.route.Resumable || s.lastID == "" || s.possibleRuns >= s.route.Attempts || s.remaining() <= 0 || s.ctx.Err() != nil {
 		return resumedStream{}, nil, false
 	}
 	if s.engineLimits() == nil || s.req.Prompt == nil || !s.takeRetries(RetryStream, retry.StageRun) {
