Keep the bound of a very long answer from overflowing

A caller may state an answer of up to 2^30 tokens; with a time of 10 s per event the bound was negative and fitted any time (TestBoundDoesNotOverflow fails without the limit).

--- a/core/drain/durations.go
+++ b/core/drain/durations.go
@@ -20,6 +20,8 @@
 	// covers. Shorter streams are taken together, since a single long pause says little about
 	// the pace of a long stream.
 	minPauses = 16
+	// maxBound is the largest bound. It is longer than any grace period.
+	maxBound = 24 * time.Hour
 )
 
 // window holds the latest samples of a duration.
@@ -138,5 +140,9 @@
 	}
 	first, firstKnown := s.first.slow()
 	perEvent, perEventKnown := s.perEvent.slow()
+	// The division keeps the product from overflowing.
+	if perEvent > 0 && time.Duration(w.MaxTokens) > maxBound/perEvent {
+		return maxBound, firstKnown && perEventKnown
+	}
 	return max(first-w.Computed, 0) + time.Duration(w.MaxTokens)*perEvent, firstKnown && perEventKnown
 }
--- a/core/drain/durations_test.go
+++ b/core/drain/durations_test.go
@@ -39,6 +39,7 @@
 		{"short history", minSamples - 1, stream(4), 4 * time.Second, 5 * time.Second, false},
 		{"no limit on the answer", 40, stream(0), 4 * time.Second, 5 * time.Second, false},
 		{"other service", 40, Work{Service: "others", Route: "stream", MaxTokens: 4}, 4 * time.Second, 5 * time.Second, false},
+		{"longest answer that a caller can state", 40, stream(1 << 30), time.Hour / 2, time.Hour, false},
 		{"no time left", 40, plain, -time.Millisecond, time.Second, false},
 	}
 	for _, test := range tests {
@@ -103,6 +104,15 @@
 	}
 }
 
+// Guards against a bound that overflows and then fits any time.
+func TestBoundDoesNotOverflow(t *testing.T) {
+	d := NewDurations()
+	learn(d, 40, 10*time.Second)
+	if fit := d.Fit(&Work{Service: "models", MaxTokens: 1 << 30}, time.Minute, time.Hour); fit.Fits() {
+		t.Errorf("%+v", fit)
+	}
+}
+
 // Guards against durations of routes and services that no longer exist.
 func TestRetainForgetsRoutes(t *testing.T) {
 	d := NewDurations()
