--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -45,7 +45,11 @@
 			// The deadline of the request has passed, so the failed read isn't recorded as a
 			// missing answer of the engine.
 			s.endAsk()
-			s.abort(answer.Status, ReasonTimeout)
+			reason := ReasonTimeout
+			if r.remaining() > 0 {
+				reason = ReasonAnswerBroken
+			}
+			s.abort(answer.Status, reason)
 			return true
 		}
 		r.exclude = append(r.exclude, e.ID)
