Show the software version of targets and the stream that a request continues

An entry of the registry states the version of a target's software. It is decoded and passed on to peers; an entry without a valid one still holds. Requests that continue a stream show the attempt that began it (Resumes) and the last event received (After). Decisions don't use them yet.

--- a/core/forwarding.go
+++ b/core/forwarding.go
@@ -126,10 +126,25 @@
 	// CallerTimeout is how long the caller waits, counted from the arrival; 0 means that the
 	// request states none.
 	CallerTimeout time.Duration
+	// ResumeAfter is the ID of the last event that the caller has received, or empty for a
+	// new stream.
+	ResumeAfter string
+	// ResumedRequest is the caller's attempt that brought the first event of the stream that
+	// it continues, or empty if the request names none.
+	ResumedRequest RequestID
 	// Prompt is nil if the request describes no prompt.
 	Prompt *Prompt
 }
 
+// StreamRequest returns the caller's attempt that brought the first event of the stream. For a
+// new stream, or if the request doesn't name that attempt, it is the request itself.
+func (r *ForwardRequest) StreamRequest() RequestID {
+	if r.ResumeAfter == "" || r.ResumedRequest == "" {
+		return r.ID
+	}
+	return r.ResumedRequest
+}
+
 // Registration is a target's entry in the platform's registry.
 type Registration struct {
 	Target
@@ -146,6 +161,8 @@
 	// Sequence is the heartbeat number: the count of entries that the target wrote since its
 	// start. A lower number belongs to an older entry that arrived late.
 	Sequence uint64 `cbor:"Beat"`
+	// Version is the version of the target's software; empty means unknown.
+	Version SoftwareVersion `cbor:",omitempty"`
 }
 
 // CacheSource locates a KV cache that a target imports before it generates tokens.
--- a/io/dialect.go
+++ b/io/dialect.go
@@ -36,7 +36,8 @@
 
 // InboundReader reads the headers of callers' requests.
 type InboundReader interface {
-	// ReadInbound returns the ID, host, path, deadline and prompt that a request states.
+	// ReadInbound returns the ID, host, path, deadline and prompt that a request states, and
+	// the stream that it continues.
 	// The error names the missing or malformed header; such a request must not be
 	// forwarded.
 	ReadInbound(r *http.Request) (core.ForwardRequest, error)
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -45,7 +45,7 @@
 	a.Remaining = r.remaining()
 	limit = min(limit, a.Remaining)
 	r.sends++
-	r.lastTarget, r.lastAttempt = e.ID, a
+	r.lastTarget, r.lastVersion, r.lastAttempt = e.ID, e.Version, a
 	answer, err := r.Pool.Do(r.ctx, &target.Request{
 		Address: e.Address, Method: r.in.Method, URI: requestURI(r.in), Host: r.in.Host,
 		Header: r.Dialect.OutboundHeader(r.in.Header, &a), Body: r.body,
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -205,12 +205,13 @@
 		"Running": d.Running, "Candidates": d.Candidates, "Roster": r.Roster.View().Version,
 		"LeftMs": r.remaining().Milliseconds(),
 	}
+	r.addContinuation(fields)
 	if d.Target == nil {
 		fields["RetryAfterMs"] = d.RetryAfter.Milliseconds()
 		r.Log.WithFields(fields).Warn("RequestRefused")
 		return
 	}
-	fields["Target"] = d.Target.ID
+	fields["Target"], fields["Version"] = d.Target.ID, d.Target.Version
 	r.Log.WithFields(fields).Info("RequestAssigned")
 }
 
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -189,6 +189,7 @@
 	refusedBefore   bool
 	timeToFirstByte time.Duration
 	lastTarget      core.TargetID
+	lastVersion     core.SoftwareVersion
 	// lastResult is the result of the latest send, lastAttempt what it was.
 	lastResult  sendResult
 	lastAttempt core.Attempt
@@ -368,8 +369,9 @@
 	fields := log.Fields{
 		"Request": r.req.ID, "Route": name, "Service": r.service, "Outcome": outcome, "Reason": reason,
 		"Status": status, "Sends": r.sends, "Runs": r.possibleRuns, "Extra": r.ledger.Extra(), "TookMs": took.Milliseconds(),
-		"FirstMs": r.timeToFirstByte.Milliseconds(), "Target": r.lastTarget, "Returned": r.refusedBefore,
+		"FirstMs": r.timeToFirstByte.Milliseconds(), "Target": r.lastTarget, "Version": r.lastVersion, "Returned": r.refusedBefore,
 	}
+	r.addContinuation(fields)
 	if r.prefillTime > 0 {
 		fields["PrefillMs"], fields["ImportMs"] = r.prefillTime.Milliseconds(), r.importTime.Milliseconds()
 	}
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -235,13 +235,15 @@
 		"Roster": r.Roster.View().Version, "LeftMs": r.remaining().Milliseconds(),
 	}
 	if d.FetchSource != nil {
+		fields["FetchVersion"] = d.FetchSource.Version
 		fields["Fetch"], fields["TransferMs"] = d.FetchSource.ID, d.FetchTime.Milliseconds()
 	}
+	r.addContinuation(fields)
 	if d.Target == nil {
 		fields["RetryAfterMs"] = d.RetryAfter.Milliseconds()
 		r.Log.WithFields(fields).Warn("RequestRefused")
 		return
 	}
-	fields["Target"], fields["Kind"] = d.Target.ID, d.Kind
+	fields["Target"], fields["Version"], fields["Kind"] = d.Target.ID, d.Target.Version, d.Kind
 	r.Log.WithFields(fields).Info("RequestAssigned")
 }
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -212,7 +212,7 @@
 		return resumedStream{}, nil, false
 	}
 	s.Log.WithFields(log.Fields{
-		"Request": s.req.ID, "Target": e.ID, "After": s.lastID, "Run": s.possibleRuns + 1,
+		"Request": s.req.ID, "Target": e.ID, "Version": e.Version, "After": s.lastID, "Run": s.possibleRuns + 1,
 	}).Warn("StreamResumed")
 	ref := s.startWork(e, load.Item{Kind: load.Generate, Chain: req.Chain})
 	finish = func() { s.finishWork(ref) }
