--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -57,7 +57,11 @@
 	Clock     core.ClockProvider
 	Publisher WorkPublisher
 	Observer  Observer
-	Log       log.Interface
+	// StreamStarts records at which versions resumable streams begin here, StreamVersions knows
+	// those of all instances.
+	StreamStarts   core.StreamStartRecorder
+	StreamVersions core.StreamVersionProvider
+	Log            log.Interface
 	// Sender identifies this process in load keys. It must be unique among live processes.
 	Sender uint32
 	// MaxBodyBytes bounds the body of a request if the configuration doesn't.
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -40,6 +40,7 @@
 	targets   []*platform.Target
 	logs      *memory.Handler
 	budgets   *retry.Shares
+	streams   *streamRecord
 }
 
 type noopPublisher struct{}
@@ -61,25 +62,34 @@
 // is a plain target.
 func newFixture(t *testing.T, phases ...string) *fixture {
 	t.Helper()
-	f := &fixture{
-		t: t, roster: roster.New(time.Second), logs: memory.New(),
-		budgets: retry.NewShares(1, 1000),
-	}
-	f.budgets.SetInstances(1)
-	for range 100 { // retries enough for any test
-		f.budgets.Deposit("calls")
-		f.budgets.Deposit("models")
-	}
+	var targets []*platform.Target
 	var list []core.Registration
 	for i, phase := range phases {
 		tg, err := platform.NewTarget("i-"+string(rune('a'+i)), phase)
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.targets = append(f.targets, tg)
+		t.Cleanup(tg.Close)
+		targets = append(targets, tg)
 		list = append(list, registration(tg, phase))
 	}
+	f := startFixture(t, targets, &streamRecord{versions: map[streamKey]core.SoftwareVersion{}})
 	f.roster.Replace(0, 1, list)
+	return f
+}
+
+// startFixture starts a forwarder with an empty roster.
+func startFixture(t *testing.T, targets []*platform.Target, streams *streamRecord) *fixture {
+	t.Helper()
+	f := &fixture{
+		t: t, roster: roster.New(time.Second), logs: memory.New(),
+		budgets: retry.NewShares(1, 1000), targets: targets, streams: streams,
+	}
+	f.budgets.SetInstances(1)
+	for range 100 { // retries enough for any test
+		f.budgets.Deposit("calls")
+		f.budgets.Deposit("models")
+	}
 	source := random.New(7)
 	tracker := load.NewTracker()
 	health := retry.NewHealth(retry.DefaultHealthOptions(), source)
@@ -91,13 +101,14 @@
 		Loads: tracker, Roster: f.roster, Health: health,
 		Budgets: f.budgets,
 		Clock:   core.NewProcessClock(), Publisher: noopPublisher{}, Observer: noopObserver{},
+		StreamStarts: streams, StreamVersions: streams,
 		Log: &log.Logger{Handler: f.logs, Level: log.InfoLevel}, Sender: 1, MaxBodyBytes: 1 << 20,
 	})
 	f.forwarder.Configure(route.NewTable(configuration(1)))
 	f.server = httptest.NewUnstartedServer(f.forwarder)
 	f.server.Config.MaxHeaderBytes = 16 << 10
 	f.server.Start()
-	t.Cleanup(f.close)
+	t.Cleanup(f.server.Close)
 	return f
 }
 
