Let a request require the software version of its engines

A request can require a version. Its prompt is then computed, imported, fetched and generated by engines of that version only, plain calls included. So that a continuation isn't refused while engines of its version have room, they may be in another cell, and generating engines compute the prompt however busy they are if no prefill engine has the version. A refusal because no ready target has it states NoEngineOfVersion.

New streams fetch KV cache from engines of the same version only, and prefer a generating engine of the version that computed the prompt by 10 ms: nothing shows that a KV cache of one version is fit for another.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -49,6 +49,9 @@
 	// RemotePenalty is added to the score of a target in another data centre. It represents
 	// the cost of traffic between data centres.
 	RemotePenalty time.Duration
+	// VersionPenalty is added to the score of a generating engine whose software version isn't
+	// that of the engine that computed the prompt.
+	VersionPenalty time.Duration
 	// ShortPromptTime is the computing time up to which a prompt is computed on any generating
 	// engine: it delays the streams there by little more than a decoding step.
 	ShortPromptTime time.Duration
@@ -71,7 +74,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		OnTimeShare: 0.80, LateShare: 0.6, WorkWeight: 4, CopyWeight: 1, RemotePenalty: 10 * time.Millisecond,
-		ShortPromptTime: 4 * time.Millisecond, MaxMixedStreams: 4, MaxRetryShare: 0.33,
+		VersionPenalty: 10 * time.Millisecond, ShortPromptTime: 4 * time.Millisecond, MaxMixedStreams: 4, MaxRetryShare: 0.33,
 		ReservedShare: 0.12, BriefSlotTime: 250 * time.Millisecond, MinBriefShare: 0.1,
 	}
 }
@@ -90,6 +93,9 @@
 	Remaining time.Duration
 	// Exclude lists the targets that were already tried.
 	Exclude []core.TargetID
+	// Version is the software version of the engines that may serve the request; nil allows
+	// any. The continuation of a stream requires that at which it began.
+	Version *core.SoftwareVersion
 }
 
 // Decision is the outcome of an assignment. Target is nil for a refusal.
@@ -128,6 +134,8 @@
 	models map[core.Service]*serviceModel
 	// candidateBuffer is reused to avoid an allocation per decision.
 	candidateBuffer []candidate
+	// holderBuffer is reused in the same way.
+	holderBuffer []cacheHolder
 	// remoteWaits holds the recent waiting times in other cells.
 	remoteWaits map[core.DataCentre]*remoteWait
 }
@@ -201,7 +209,7 @@
 		return a.refuse(req, Decision{Reason: core.ReasonNoSlot}, req.Objective)
 	}
 	if best.Target == nil {
-		return a.refuse(req, Decision{Reason: core.ReasonNoTarget}, req.Objective)
+		return a.refuse(req, Decision{Reason: missingReason(view, req.Service, req.Version)}, req.Objective)
 	}
 	best.Candidates, best.Limit = len(candidates), limit
 	if !ok {
@@ -255,17 +263,18 @@
 	list = a.candidateBuffer[:0]
 	reserved := a.reservedShare(m, req)
 	hasGenerators, hasFree := a.generators(now, view, req, reserved)
-	var holder cacheHolder
+	mustMix := a.mustMix(now, view, req)
+	a.holderBuffer = a.holderBuffer[:0]
 	for _, e := range view.Ready(req.Service) {
-		if !a.isLoadKnown(e) || !a.isUsable(now, e, req.Exclude) {
+		if !a.isLoadKnown(e) || !a.isUsable(now, e, req.Exclude, req.Version) {
 			continue
 		}
 		state := a.opts.Loads.State(now, e.ID, req.Chain.SharedPrefix())
-		a.considerHolder(&holder, e, state.CachedTokens)
+		a.considerHolder(e, state.CachedTokens)
 		if e.Role == core.RolePrefill && !hasFree {
 			continue
 		}
-		c, ok := a.evaluate(e, &state, req, m, reserved)
+		c, ok := a.evaluate(e, &state, req, m, reserved, mustMix)
 		if !ok {
 			continue
 		}
@@ -284,14 +293,17 @@
 	for i := range list {
 		c := &list[i]
 		held := c.CachedTokens
-		a.considerFetch(c, &holder, req, m)
+		a.considerFetch(c, req, m)
 		c.score += a.copyPenalty(c.Target, c.Kind, held, prefix, m)
 	}
 	a.candidateBuffer = list
 	return list, shortest, hasGenerators && !hasFree
 }
 
-func (a *Assigner) isUsable(now core.Instant, e *roster.Entry, exclude []core.TargetID) bool {
+func (a *Assigner) isUsable(now core.Instant, e *roster.Entry, exclude []core.TargetID, required *core.SoftwareVersion) bool {
+	if !hasVersion(e, required) {
+		return false
+	}
 	for _, id := range exclude {
 		if id == e.ID {
 			return false
@@ -301,9 +313,9 @@
 }
 
 // evaluate returns the candidate for one engine. ok is false if the engine has no free slot
-// or if the prompt would delay other requests on it for too long.
+// or if the prompt would delay other requests on it for too long, unless mustMix is set.
 func (a *Assigner) evaluate(
-	e *roster.Entry, state *load.State, req *Request, m *serviceModel, reserved float64,
+	e *roster.Entry, state *load.State, req *Request, m *serviceModel, reserved float64, mustMix bool,
 ) (c candidate, ok bool) {
 	if !hasSlot(e, state, reserved) {
 		return candidate{}, false
@@ -313,7 +325,7 @@
 	c.ComputeTime = m.prefill.Time(c.Work)
 	c.Kind = load.Prefill
 	if e.Role != core.RolePrefill {
-		if c.ComputeTime > a.opts.ShortPromptTime && a.isBusyGenerating(state) {
+		if !mustMix && c.ComputeTime > a.opts.ShortPromptTime && a.isBusyGenerating(state) {
 			return candidate{}, false
 		}
 		c.Kind = load.Whole
@@ -347,7 +359,7 @@
 
 // AssignGenerator chooses the engine that imports the prompt's KV cache from source and
 // generates the answer. It prefers engines of the local cell, whose loads are known, to other
-// engines of the source's cell.
+// engines of the source's cell, or of any cell if a version is required.
 func (a *Assigner) AssignGenerator(now core.Instant, view *roster.View, req *Request, source *roster.Entry) (*roster.Entry, bool) {
 	var best *roster.Entry
 	var least time.Duration
@@ -356,7 +368,10 @@
 	m := a.model(req.Service)
 	reserved := a.reservedShare(m, req)
 	for _, e := range view.Ready(req.Service) {
-		if !e.Role.AcceptsDecode() || !a.isUsable(now, e, req.Exclude) || a.cell(e) != a.cell(source) && !a.isLoadKnown(e) {
+		if !a.mayGenerate(e, req) && (!e.Role.AcceptsDecode() || a.cell(e) != a.cell(source)) {
+			continue
+		}
+		if !a.isUsable(now, e, req.Exclude, req.Version) {
 			continue
 		}
 		state := a.opts.Loads.State(now, e.ID, nil)
@@ -373,6 +388,9 @@
 			// Loads in other cells are unknown, so the choice among them is random.
 			score = time.Second + time.Duration(a.opts.Random.Float64()*float64(time.Second))
 		}
+		if req.Version == nil && e.Version != source.Version {
+			score += a.opts.VersionPenalty
+		}
 		if best == nil || score < least {
 			best, least = e, score
 		}
--- a/core/assign/call.go
+++ b/core/assign/call.go
@@ -12,6 +12,9 @@
 	Service   core.Service
 	Remaining time.Duration // until the deadline
 	Exclude   []core.TargetID
+	// Version is the software version of the targets that may serve the request; nil allows
+	// any.
+	Version *core.SoftwareVersion
 }
 
 // CallDecision is the target of a request without a prompt. Target is nil for a refusal.
@@ -31,10 +34,10 @@
 // AssignCall chooses a target of a plain service: the one with the fewest outstanding requests
 // per slot, with a preference for the local data centre.
 func (a *Assigner) AssignCall(now core.Instant, view *roster.View, req *CallRequest) CallDecision {
-	d := CallDecision{Reason: core.ReasonNoTarget}
+	d := CallDecision{}
 	least := 0.0
 	for _, e := range view.Ready(req.Service) {
-		if !a.isUsable(now, e, req.Exclude) {
+		if !a.isUsable(now, e, req.Exclude, req.Version) {
 			continue
 		}
 		state := a.opts.Loads.State(now, e.ID, nil)
@@ -66,6 +69,7 @@
 	case d.Target != nil:
 		d.Reason = core.ReasonLeastDelay
 	default:
+		d.Reason = missingReason(view, req.Service, req.Version)
 		if d.Candidates > 0 {
 			d.Reason = core.ReasonConcurrency
 		}
--- a/core/assign/home.go
+++ b/core/assign/home.go
@@ -38,7 +38,7 @@
 	key := chain[len(chain)-1].Key
 	var highest uint64
 	for _, e := range view.Ready(req.Service) {
-		if e.Role != core.RolePrefill || !a.isUsable(now, e, req.Exclude) {
+		if e.Role != core.RolePrefill || !a.isUsable(now, e, req.Exclude, req.Version) {
 			continue
 		}
 		if weight := random.Mix(key ^ xxhash.Sum64String(string(e.ID))); p.home == nil || weight > highest {
@@ -70,5 +70,5 @@
 		state.Backlog = max(state.Backlog, w.current(now))
 	}
 	state.CachedTokens = p.tokens
-	return a.evaluate(p.home, &state, req, m, 0)
+	return a.evaluate(p.home, &state, req, m, 0, false)
 }
--- a/core/assign/remote.go
+++ b/core/assign/remote.go
@@ -38,19 +38,20 @@
 	return time.Duration(decay * float64(w.duration))
 }
 
-// bestRemote chooses a prefill engine of another cell for a prompt that the local cell can't
+// bestRemote chooses a prefill engine of another cell, or any engine if none has the required version, for a prompt that the local cell can't
 // compute in time, for example after callers moved to this data centre. Of the loads of
 // other cells, only this instance's own sends and the waiting times of earlier prompts are
 // known.
 func (a *Assigner) bestRemote(now core.Instant, view *roster.View, req *Request, m *serviceModel) (best candidate, ok bool) {
 	least, seen := 0.0, 0
 	reserved := a.reservedShare(m, req)
+	mustMix := a.mustMix(now, view, req)
 	for _, e := range view.Ready(req.Service) {
-		if a.isLoadKnown(e) || e.Role != core.RolePrefill || !a.isUsable(now, e, req.Exclude) {
+		if a.isLoadKnown(e) || e.Role != core.RolePrefill && !mustMix || !a.isUsable(now, e, req.Exclude, req.Version) {
 			continue
 		}
 		state := a.opts.Loads.State(now, e.ID, req.Chain.SharedPrefix())
-		c, fits := a.evaluate(e, &state, req, m, reserved)
+		c, fits := a.evaluate(e, &state, req, m, reserved, mustMix)
 		if !fits {
 			continue
 		}
--- a/core/assign/slots.go
+++ b/core/assign/slots.go
@@ -36,7 +36,7 @@
 	now core.Instant, view *roster.View, req *Request, reserved float64,
 ) (found, hasFree bool) {
 	for _, e := range view.Ready(req.Service) {
-		if !e.Role.AcceptsDecode() || !a.isLoadKnown(e) || !a.isUsable(now, e, req.Exclude) {
+		if !a.mayGenerate(e, req) || !a.isUsable(now, e, req.Exclude, req.Version) {
 			continue
 		}
 		found = true
