Continue a stream at the software version that began it only

Callers saw streams whose beginning came from one software version and whose rest from another. Nothing asked for the version: neither the continuation within one answer, nor the choice of engines for a later attempt of the caller at any instance.

The version of the engine that generates, by the registry entry that the request was sent by, is recorded before the first event is relayed, and binds the rest of the answer. A later attempt is bound to the recorded version of the attempt that Resumes names. It is refused as not run if the version isn't known (StreamVersionUnknown, again after 100 ms: another instance may know it) or no engine has it (NoEngineOfVersion). Its service in a split is chosen by the first attempt's ID as well: each attempt has its own. RequestRefused, RequestAssigned, StreamNotResumed and RequestEnded show the version that is required, and Continuations.* count the results.

--- a/cmd/entry/node/instruments.go
+++ b/cmd/entry/node/instruments.go
@@ -68,6 +68,13 @@
 	metrics.GetOrRegisterGaugeFloat64("RetryShare."+string(service), i.registry).Update(state.Share)
 }
 
+// ObserveContinuation counts a request that continues a stream.
+func (i *instruments) ObserveContinuation(service core.Service, result forward.ContinuationResult) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counter("Continuations." + string(service) + "." + string(result)).Inc(1)
+}
+
 // ObserveCall counts a call to the platform's store, and records the time of an answered
 // one. The time of Follow is left out: it is mostly the wait for a change.
 func (i *instruments) ObserveCall(call, result string, took time.Duration) {
--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"io"
@@ -145,9 +146,21 @@
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
 		Clock: clock, Publisher: digests, Observer: i, Log: l, Sender: id.sender, MaxBodyBytes: defaultMaxBodyBytes,
+		StreamStarts: unrecordedStreams{}, StreamVersions: unrecordedStreams{},
 	})
 }
 
+// unrecordedStreams records nothing, so that callers can't continue streams in later attempts.
+type unrecordedStreams struct{}
+
+// RecordStreamStart does nothing.
+func (unrecordedStreams) RecordStreamStart(core.StreamStart) {}
+
+// StreamVersion returns false.
+func (unrecordedStreams) StreamVersion(context.Context, core.Service, core.RequestID) (core.SoftwareVersion, bool) {
+	return "", false
+}
+
 func newWatcher(
 	lc fx.Lifecycle, options Options, store *platform.Store, l log.Interface, clock core.ClockProvider,
 	r *roster.Roster, f *forward.Forwarder, updater *stateUpdater, tracker *catchup.Tracker,
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -52,7 +52,7 @@
 // chooseCall chooses a target that has not been tried.
 func (r *activeRequest) chooseCall() assign.CallDecision {
 	return r.Assigner.AssignCall(r.Clock.Now(), r.Roster.View(), &assign.CallRequest{
-		Service: r.service, Remaining: r.remaining(), Exclude: r.exclude,
+		Service: r.service, Remaining: r.remaining(), Exclude: r.exclude, Version: r.version,
 	})
 }
 
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -43,6 +43,8 @@
 	ObserveSend(service core.Service, result string)
 	// ObserveRetry counts retries that the budget of a service allowed or denied.
 	ObserveRetry(service core.Service, cause RetryCause, retries int, allowed bool, state retry.ShareState)
+	// ObserveContinuation counts a request that continues a stream by what became of it.
+	ObserveContinuation(service core.Service, result ContinuationResult)
 }
 
 // Options holds the dependencies and limits of a Forwarder. All fields are required.
@@ -194,6 +196,8 @@
 	timeToFirstByte time.Duration
 	lastTarget      core.TargetID
 	lastVersion     core.SoftwareVersion
+	// version is the only version at which the stream may go on; nil allows any.
+	version *core.SoftwareVersion
 	// lastResult is the result of the latest send, lastAttempt what it was.
 	lastResult  sendResult
 	lastAttempt core.Attempt
@@ -215,6 +219,9 @@
 	defer cancel()
 	r.ctx = ctx
 	r.Budgets.Deposit(r.service)
+	if !r.requireVersion() {
+		return
+	}
 	if r.req.Prompt != nil && r.engineLimits() != nil {
 		r.servePrompt()
 		return
@@ -242,7 +249,7 @@
 		return false
 	}
 	r.route = matched
-	r.service = route.SelectService(matched, req.ID)
+	r.service = route.SelectService(matched, req.StreamRequest())
 	timeout := matched.Timeout
 	if req.CallerTimeout > 0 && (timeout == 0 || req.CallerTimeout < timeout) {
 		timeout = req.CallerTimeout
@@ -376,6 +383,7 @@
 		"FirstMs": r.timeToFirstByte.Milliseconds(), "Target": r.lastTarget, "Version": r.lastVersion, "Returned": r.refusedBefore,
 	}
 	r.addContinuation(fields)
+	r.observeContinuation(reason)
 	if r.prefillTime > 0 {
 		fields["PrefillMs"], fields["ImportMs"] = r.prefillTime.Milliseconds(), r.importTime.Milliseconds()
 	}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -37,7 +37,7 @@
 // engine when it breaks. It returns false if nothing was relayed and the request may run
 // again.
 func (r *activeRequest) relayStream(e *roster.Entry, answer *target.Answer) (done bool) {
-	s := &streamRelay{activeRequest: r}
+	s := &streamRelay{activeRequest: r, first: e}
 	for {
 		err := s.relayEvents(answer)
 		if err == nil {
@@ -76,6 +76,8 @@
 // streamRelay is the state of a relayed stream.
 type streamRelay struct {
 	*activeRequest
+	// first is the engine that began the answer.
+	first              *roster.Entry
 	started            bool
 	callerDisconnected bool
 	// lastID is the ID of the last relayed event that had one.
@@ -140,6 +142,7 @@
 // startAnswer writes the header of the answer.
 func (s *streamRelay) startAnswer(answer *target.Answer) {
 	s.started = true
+	s.recordStart(s.first)
 	s.timeToFirstByte = s.Clock.Now().Sub(s.arrived)
 	s.writeHeader(answer)
 }
@@ -203,12 +206,14 @@
 		Service: s.service, Engine: s.engineLimits(), Prompt: s.req.Prompt, Chain: prompt.NewChain(s.req.Prompt),
 		// The objective applies to the first event, which has been relayed.
 		Objective: s.remaining(), Remaining: s.remaining(), Exclude: s.exclude,
+		Version: s.version,
 	}
 	// There is no exported KV cache to import. The source limits the choice to engines of
 	// this instance's cell and prefers those of its data centre.
 	source := &roster.Entry{Registration: core.Registration{Target: core.Target{DataCentre: s.Assigner.Home()}}}
 	e, found := s.Assigner.AssignGenerator(s.Clock.Now(), s.Roster.View(), req, source)
 	if !found {
+		s.logNotResumed()
 		return resumedStream{}, nil, false
 	}
 	s.Log.WithFields(log.Fields{
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -41,6 +42,7 @@
 	logs      *memory.Handler
 	budgets   *retry.Shares
 	streams   *streamRecord
+	observer  *continuationObserver
 }
 
 type noopPublisher struct{}
@@ -58,6 +60,21 @@
 
 func (noopObserver) ObserveRetry(core.Service, forward.RetryCause, int, bool, retry.ShareState) {}
 
+// continuationObserver counts continuations by their result.
+type continuationObserver struct {
+	noopObserver
+
+	mu     sync.Mutex
+	counts map[forward.ContinuationResult]int
+}
+
+// ObserveContinuation counts a continuation.
+func (o *continuationObserver) ObserveContinuation(_ core.Service, result forward.ContinuationResult) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.counts[result]++
+}
+
 // newFixture starts a forwarder with one target for each of the given phases; an empty phase
 // is a plain target.
 func newFixture(t *testing.T, phases ...string) *fixture {
@@ -84,6 +101,7 @@
 	f := &fixture{
 		t: t, roster: roster.New(time.Second), logs: memory.New(),
 		budgets: retry.NewShares(1, 1000), targets: targets, streams: streams,
+		observer: &continuationObserver{counts: map[forward.ContinuationResult]int{}},
 	}
 	f.budgets.SetInstances(1)
 	for range 100 { // retries enough for any test
@@ -100,7 +118,7 @@
 		}),
 		Loads: tracker, Roster: f.roster, Health: health,
 		Budgets: f.budgets,
-		Clock:   core.NewProcessClock(), Publisher: noopPublisher{}, Observer: noopObserver{},
+		Clock:   core.NewProcessClock(), Publisher: noopPublisher{}, Observer: f.observer,
 		StreamStarts: streams, StreamVersions: streams,
 		Log: &log.Logger{Handler: f.logs, Level: log.InfoLevel}, Sender: 1, MaxBodyBytes: 1 << 20,
 	})
--- a/standin/platform/version_test.go
+++ b/standin/platform/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"testing"
@@ -11,7 +12,9 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"gorseline/core"
+	"gorseline/core/assign"
 	"gorseline/core/route"
+	"gorseline/io/forward"
 	"gorseline/standin/platform"
 )
 
@@ -306,3 +309,30 @@
 		t.Errorf("response %+v", got)
 	}
 }
+
+// Guards against continuations that are counted as something else than what became of them, or
+// whose refusal doesn't say why.
+func TestContinuationsAreCounted(t *testing.T) {
+	f := newVersionFixture(t, engine{"prefill", "v1"}, engine{"decode", "v1"})
+	f.streams.RecordStreamStart(core.StreamStart{Service: "models", Request: "old", Version: "v0"})
+	f.sendStream("r1")
+	f.sendStream("r2", "Last-Event-Id", "1", "Resumes", "r1")
+	f.sendStream("r3", "Last-Event-Id", "1", "Resumes", "old")
+	f.sendStream("r4", "Last-Event-Id", "1", "Resumes", "unknown")
+	f.server.Close() // waits for the requests, which may still write log lines
+	want := map[forward.ContinuationResult]int{
+		forward.ContinuationRelayed: 1, forward.ContinuationNoEngine: 1, forward.ContinuationVersionUnknown: 1,
+	}
+	if !maps.Equal(f.observer.counts, want) {
+		t.Errorf("counted %v, want %v", f.observer.counts, want)
+	}
+	reasons := map[any]any{}
+	for _, e := range f.logs.Entries {
+		if e.Message == "RequestRefused" {
+			reasons[e.Fields["Request"]] = e.Fields["Reason"]
+		}
+	}
+	if reasons[core.RequestID("r3")] != assign.ReasonNoEngineOfVersion || reasons[core.RequestID("r4")] != forward.ReasonStreamVersionUnknown {
+		t.Errorf("logged reasons %v", reasons)
+	}
+}
