Don't count the lookup of a stream's version against its objective

A continuation whose version was looked up at peers for 200 ms was refused on a route with an objective of 150 ms (Reason Backlog): the limit for its first event had passed before engines were compared. TestSlowLookupDoesNotRefuseContinuation failed before with status 503. The caller got its first event in an earlier attempt, so each continuation has the whole objective.

--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -61,6 +61,16 @@
 	return false
 }
 
+// firstEventObjective returns the time within which the first event of an answer is wanted. The
+// caller of a continuation got the first event of its stream in an earlier attempt, so the time
+// that the lookup of the version takes doesn't count.
+func (r *activeRequest) firstEventObjective() time.Duration {
+	if r.isContinuation() {
+		return r.route.Objective
+	}
+	return r.remainingObjective()
+}
+
 // recordStart records at which version a resumable stream begins or continues, before an event of
 // it is relayed, and limits the rest of the stream to that version. e is the entry of the engine
 // as it was when the request was sent, since an engine may restart at another version.
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -28,7 +28,7 @@
 	for {
 		req := &assign.Request{
 			Service: r.service, Route: r.route.Name, Engine: r.engineLimits(), Prompt: r.req.Prompt, Chain: chain,
-			Objective: r.remainingObjective(), Remaining: r.remaining(), Exclude: r.exclude,
+			Objective: r.firstEventObjective(), Remaining: r.remaining(), Exclude: r.exclude,
 			Version: r.version,
 		}
 		d := r.Assigner.Assign(r.Clock.Now(), r.Roster.View(), req)
--- a/standin/platform/streamrecord_test.go
+++ b/standin/platform/streamrecord_test.go
@@ -10,8 +10,8 @@
 
 // streamRecord records the starts of streams in memory. Forwarders may share it.
 type streamRecord struct {
-	// delay is how long a recording takes.
-	delay time.Duration
+	// delay is how long a recording takes, lookupDelay how long a lookup takes.
+	delay, lookupDelay time.Duration
 
 	mu       sync.Mutex
 	versions map[streamKey]core.SoftwareVersion
@@ -39,6 +39,7 @@
 
 // StreamVersion returns the version at which a stream began, if it is recorded.
 func (r *streamRecord) StreamVersion(_ context.Context, service core.Service, request core.RequestID) (core.SoftwareVersion, bool) {
+	time.Sleep(r.lookupDelay)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	version, ok := r.versions[streamKey{service, request}]
--- a/standin/platform/version_test.go
+++ b/standin/platform/version_test.go
@@ -336,3 +336,19 @@
 		t.Errorf("logged reasons %v", reasons)
 	}
 }
+
+// Guards against refusing to continue a stream because the lookup of its version took most of the
+// objective for the first event, which the caller got in an earlier attempt.
+func TestSlowLookupDoesNotRefuseContinuation(t *testing.T) {
+	f := newVersionFixture(t, engine{"prefill", "v1"}, engine{"decode", "v1"})
+	c := configuration(2)
+	for i := range c.Routes {
+		c.Routes[i].Objective = 150 * time.Millisecond
+	}
+	f.forwarder.Configure(route.NewTable(c))
+	f.streams.RecordStreamStart(core.StreamStart{Service: "models", Request: "r1", Version: "v1"})
+	f.streams.lookupDelay = 200 * time.Millisecond
+	if got := f.sendStream("r2", "Last-Event-Id", "1", "Resumes", "r1"); got.status != http.StatusOK {
+		t.Errorf("response %+v", got)
+	}
+}
