Keep the known version of a process whose entry states none

An entry without a valid version made the engine one of an unknown version until its next entry: streams of its version were refused (NoEngineOfVersion), and those that began meanwhile could only go on at engines of unknown version. A process doesn't change its version, so the roster keeps the one that it knows for the same start of the process. TestVersionIsThatOfTheProcess failed before at its second step.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -357,9 +357,13 @@
 		return changes
 	}
 	delete(r.lapsedAt, u.ID)
-	entries[u.ID] = &Entry{Registration: *u.Registration}
-	if kind, changed := changeKind(old, u.Registration); changed {
-		changes = append(changes, Change{*u.Registration, kind})
+	entry := &Entry{Registration: *u.Registration}
+	if known && entry.Version == "" && isSameProcess(&entry.Registration, &old.Registration) {
+		entry.Version = old.Version
+	}
+	entries[u.ID] = entry
+	if kind, changed := changeKind(old, &entry.Registration); changed {
+		changes = append(changes, Change{entry.Registration, kind})
 	}
 	return changes
 }
@@ -370,6 +374,9 @@
 	return r.Started < known.Started || r.Started == known.Started && r.Started != 0 && r.Sequence < known.Sequence
 }
 
+// isSameProcess reports whether two entries were certainly written by the same process.
+func isSameProcess(a, b *core.Registration) bool { return a.Started != 0 && a.Started == b.Started }
+
 func changeKind(old *Entry, now *core.Registration) (kind ChangeKind, changed bool) {
 	switch {
 	case old == nil:
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -121,3 +121,37 @@
 	}
 	expectReady(t, r, "b")
 }
+
+// Guards against engines whose streams can't go on because one of their entries states no valid
+// version, and against a version that outlives its process.
+func TestVersionIsThatOfTheProcess(t *testing.T) {
+	written := func(started int64, sequence uint64, version core.SoftwareVersion) *core.Registration {
+		e := entry("a")
+		e.Started, e.Sequence, e.Version = started, sequence, version
+		return &e
+	}
+	r := newRoster("b")
+	for i, step := range []struct {
+		entry *core.Registration
+		want  core.SoftwareVersion
+	}{
+		{written(5, 1, "v1"), "v1"},
+		{written(5, 2, ""), "v1"},
+		{written(5, 3, "v1"), "v1"},
+		{written(6, 1, ""), ""},
+		{written(6, 2, "v1.1"), "v1.1"},
+		{written(7, 1, "v1"), "v1"},
+		{written(0, 1, ""), "v1"}, // an older entry
+	} {
+		r.Apply(0, uint64(2+i), []roster.Update{{ID: "a", Registration: step.entry}})
+		if e, ok := r.View().Find("a"); !ok || e.Version != step.want {
+			t.Errorf("step %d: version %q, want %q", i, e.Version, step.want)
+		}
+	}
+	r = newRoster("b")
+	r.Apply(0, 2, []roster.Update{{ID: "a", Registration: written(0, 1, "v1")}})
+	r.Apply(0, 3, []roster.Update{{ID: "a", Registration: written(0, 2, "")}})
+	if e, _ := r.View().Find("a"); e.Version != "" {
+		t.Errorf("version %q of a process whose start isn't known", e.Version)
+	}
+}
