--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -357,47 +357,6 @@
 	return d
 }
 
-// AssignGenerator chooses the engine that imports the prompt's KV cache from source and
-// generates the answer. It prefers engines of the local cell, whose loads are known, to other
-// engines of the source's cell, or of any cell if a version is required.
-func (a *Assigner) AssignGenerator(now core.Instant, view *roster.View, req *Request, source *roster.Entry) (*roster.Entry, bool) {
-	var best *roster.Entry
-	var least time.Duration
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	m := a.model(req.Service)
-	reserved := a.reservedShare(m, req)
-	for _, e := range view.Ready(req.Service) {
-		if !a.mayGenerate(e, req) && (!e.Role.AcceptsDecode() || a.cell(e) != a.cell(source)) {
-			continue
-		}
-		if !a.isUsable(now, e, req.Exclude, req.Version) {
-			continue
-		}
-		state := a.opts.Loads.State(now, e.ID, nil)
-		if !hasSlot(e, &state, reserved) {
-			continue
-		}
-		isLocal := e.DataCentre == source.DataCentre
-		score := prompt.TransferTime(req.Engine, req.Prompt.Tokens, isLocal)*time.Duration(1+state.Generating) +
-			state.Backlog/4 + m.handoverTime*time.Duration(state.Generating)/8
-		if e.DataCentre != a.opts.Home {
-			score += a.opts.RemotePenalty
-		}
-		if !a.isLoadKnown(e) {
-			// Loads in other cells are unknown, so the choice among them is random.
-			score = time.Second + time.Duration(a.opts.Random.Float64()*float64(time.Second))
-		}
-		if req.Version == nil && e.Version != source.Version {
-			score += a.opts.VersionPenalty
-		}
-		if best == nil || score < least {
-			best, least = e, score
-		}
-	}
-	return best, best != nil
-}
-
 // ObservePrompt records how long an engine took to compute a prompt, without queueing.
 func (a *Assigner) ObservePrompt(service core.Service, kind load.WorkKind, w prompt.Work, took time.Duration) {
 	a.mu.Lock()
--- a/core/assign/version.go
+++ b/core/assign/version.go
@@ -28,13 +28,6 @@
 	return ReasonNoEngineOfVersion
 }
 
-// mayGenerate reports whether an engine may generate an answer wherever its prompt is computed.
-// Engines of unknown load may only if the version is required: all that have it may
-// be in other cells.
-func (a *Assigner) mayGenerate(e *roster.Entry, req *Request) bool {
-	return e.Role.AcceptsDecode() && (req.Version != nil || a.isLoadKnown(e))
-}
-
 // mustMix reports whether generating engines have to compute a prompt however busy they are,
 // because no prefill engine of the required version is usable.
 func (a *Assigner) mustMix(now core.Instant, view *roster.View, req *Request) bool {
