--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -134,23 +134,24 @@
 
 // reasonTexts explains the reasons that RequestEnded gives.
 var reasonTexts = map[string]string{
-	"Answered":             "a target answered",
-	"Backlog":              "refused at once: on each engine the prompts ahead of it would have made the first token late",
-	"NoTarget":             "refused at once: the registry lists no usable target with free capacity",
-	"NoSlot":               "refused at once: no engine that generates has a slot free for an answer of this kind",
-	"ConcurrencyLimit":     "refused at once: all targets are at their limit of running and queued requests",
-	"TargetsRefused":       "refused: each target that was tried reported that it did not run the request",
-	"RetryBudget":          "abandoned: another send would have exceeded the retry budget that all instances share",
-	"NoConfiguration":      "refused: the instance had not received a configuration yet",
-	"NoRoute":              "rejected: no route of the configuration in force matches host and path",
-	"NoAnswer":             "failed: the target gave no answer; the request may have run",
-	"Timeout":              "failed: the deadline of the caller or the route passed; the request may have run",
-	"AnswerBroken":         "failed: the target's answer ended before it was complete",
-	"CallerLeft":           "the caller closed its connection first",
-	"Malformed":            "rejected: the request is malformed",
+	"Answered":         "a target answered",
+	"Backlog":          "refused at once: on each engine the prompts ahead of it would have made the first token late",
+	"NoTarget":         "refused at once: the registry lists no usable target with free capacity",
+	"NoSlot":           "refused at once: no engine that generates has a slot free for an answer of this kind",
+	"ConcurrencyLimit": "refused at once: all targets are at their limit of running and queued requests",
+	"TargetsRefused":   "refused: each target that was tried reported that it did not run the request",
+	"RetryBudget":      "abandoned: another send would have exceeded the retry budget that all instances share",
+	"NoConfiguration":  "refused: the instance had not received a configuration yet",
+	"NoRoute":          "rejected: no route of the configuration in force matches host and path",
+	"NoAnswer":         "failed: the target gave no answer; the request may have run",
+	"Timeout":          "failed: the deadline of the caller or the route passed; the request may have run",
+	"AnswerBroken":     "failed: the target's answer ended before it was complete",
+	"CallerLeft":       "the caller closed its connection first",
+	"Malformed":        "rejected: the request is malformed",
+	"BodyTooLarge":     "rejected: the body is larger than the configuration allows",
+
 	"StreamVersionUnknown": "refused at once: it isn't known at which software version the stream began that the request continues",
 	"NoEngineOfVersion":    "refused at once: no engine of the software version at which the stream began is ready",
-	"BodyTooLarge":         "rejected: the body is larger than the configuration allows",
 }
 
 // endText describes in one line how a request ended.
