--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -37,8 +37,9 @@
 // engine when it breaks. It returns false if nothing was relayed and the request may run
 // again.
 func (r *activeRequest) relayStream(e *roster.Entry, answer *target.Answer) (done bool) {
-	s := &streamRelay{activeRequest: r, first: e}
+	s := &streamRelay{activeRequest: r}
 	for {
+		s.engine = e
 		err := s.relayEvents(answer)
 		if err == nil {
 			answer.Finish()
@@ -76,8 +77,8 @@
 // streamRelay is the state of a relayed stream.
 type streamRelay struct {
 	*activeRequest
-	// first is the engine that began the answer.
-	first              *roster.Entry
+	// engine is the engine whose answer is relayed.
+	engine             *roster.Entry
 	started            bool
 	callerDisconnected bool
 	// lastID is the ID of the last relayed event that had one.
@@ -142,7 +143,7 @@
 // startAnswer writes the header of the answer.
 func (s *streamRelay) startAnswer(answer *target.Answer) {
 	s.started = true
-	s.recordStart(s.first)
+	s.recordStart(s.engine)
 	s.timeToFirstByte = s.Clock.Now().Sub(s.arrived)
 	s.writeHeader(answer)
 }
