--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -41,6 +41,8 @@
 	ObserveRequest(kind core.RouteKind, outcome core.OutcomeKind, reason core.Reason, took, first time.Duration)
 	// ObserveSend counts a send by its result.
 	ObserveSend(service core.Service, result string)
+	// ObserveSilence counts the steps of an engine's silence in the middle of a stream.
+	ObserveSilence(service core.Service, step SilenceStep)
 	// ObserveRetry counts retries that the budget of a service allowed or denied.
 	ObserveRetry(service core.Service, cause RetryCause, retries int, allowed bool, state retry.ShareState)
 	// ObserveContinuation counts a request that continues a stream by what became of it.
@@ -201,6 +203,8 @@
 	// lastResult is the result of the latest send, lastAttempt what it was.
 	lastResult  sendResult
 	lastAttempt core.Attempt
+	// silentTarget is the target of the latest send if its silence is recorded.
+	silentTarget core.TargetID
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
 	events        int
--- a/io/forward/streamversion.go
+++ b/io/forward/streamversion.go
@@ -102,8 +102,11 @@
 	}
 }
 
-// logNotResumed logs that a broken stream can't go on because no engine of its version is usable.
+// logNotResumed logs that no engine of its version could go on with a broken stream.
 func (s *streamRelay) logNotResumed() {
+	if s.version == nil {
+		return
+	}
 	s.Log.WithFields(log.Fields{
 		"Request": s.req.ID, "Service": s.service, "Version": *s.version, "After": s.lastID, "Reason": core.ReasonNoTarget,
 		"Roster": s.Roster.View().Version,
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -58,6 +58,8 @@
 
 func (noopObserver) ObserveSend(core.Service, string) {}
 
+func (noopObserver) ObserveSilence(core.Service, forward.SilenceStep) {}
+
 func (noopObserver) ObserveRetry(core.Service, forward.RetryCause, int, bool, retry.ShareState) {}
 
 // continuationObserver counts continuations by their result.
--- a/standin/platform/version_test.go
+++ b/standin/platform/version_test.go
@@ -352,3 +352,20 @@
 		t.Errorf("response %+v", got)
 	}
 }
+
+// Guards against recording the version of an engine that was silent before the first event, when
+// an engine of another version began the stream instead.
+func TestStreamHasTheVersionOfItsFirstEvent(t *testing.T) {
+	f := newVersionFixture(t, engine{"prefill", "v1"}, engine{"decode", "v1"}, engine{"decode", "v1.1"})
+	f.targets[1].InjectFaults(platform.PauseFirst)
+	if got := f.sendStream("r1"); got.status != http.StatusOK || got.body != completeStream() {
+		t.Fatalf("response %+v", got)
+	}
+	began := core.SoftwareVersion("v1")
+	if len(f.targets[2].Runs()) > 0 {
+		began = "v1.1"
+	}
+	if starts := f.streams.allStarts(); len(starts) != 1 || starts[0].Version != began {
+		t.Errorf("recorded %+v, began at %s", starts, began)
+	}
+}
