--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -148,6 +148,7 @@
 // startAnswer writes the header of the answer.
 func (s *streamRelay) startAnswer(answer *target.Answer) {
 	s.started = true
+	s.recordStart(s.silence.engine)
 	s.timeToFirstByte = s.Clock.Now().Sub(s.arrived)
 	s.writeHeader(answer)
 }
@@ -190,6 +191,7 @@
 		Service: r.service, Engine: r.engineLimits(), Prompt: r.req.Prompt, Chain: prompt.NewChain(r.req.Prompt),
 		// The objective applies to the first event, which has been relayed.
 		Objective: r.remaining(), Remaining: r.remaining(), Exclude: r.exclude,
+		Version: r.version,
 	}
 	// There is no exported KV cache to import. The source limits the choice to engines of
 	// this instance's cell and prefers those of its data centre.
