Tell since when an instance's copies are known to be complete

Evidence that a service runs one software version needs a view of the targets that is known to be recent, also on followers, which don't read the platform. Tracker.CurrentAt returns the time of the own reads, or of the last announcement of a reader whose versions this instance has.

--- a/core/catchup/catchup.go
+++ b/core/catchup/catchup.go
@@ -65,6 +65,19 @@
 	// hasReader is set if readerSeenAt, the time of the last announcement of a reader, is valid.
 	hasReader    bool
 	readerSeenAt core.Instant
+	// announced is the oldest announcement of a reader whose versions this instance doesn't
+	// have yet. confirmedAt is the time of the last announcement whose versions it has, valid
+	// if isConfirmed.
+	announced   announcement
+	isConfirmed bool
+	confirmedAt core.Instant
+}
+
+// announcement holds the versions that a reader with recent reads announced at a time.
+type announcement struct {
+	isSet    bool
+	at       core.Instant
+	versions [2]uint64
 }
 
 type resourceState struct {
@@ -105,6 +118,7 @@
 	defer t.mu.Unlock()
 	state := &t.resources[r]
 	state.version = max(state.version, version)
+	t.confirmAnnounced()
 }
 
 // Versions returns the versions that this instance has.
@@ -175,6 +189,52 @@
 	t.hasReader, t.readerSeenAt = true, now
 }
 
+// ObserveReaderVersions records the versions that a reader with recent reads announced.
+func (t *Tracker) ObserveReaderVersions(now core.Instant, configuration, targets uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.announced.isSet {
+		t.announced = announcement{true, now, [...]uint64{configuration, targets}}
+	}
+	t.confirmAnnounced()
+}
+
+// confirmAnnounced ends the wait for the announced versions once this instance has them. The
+// lock must be held.
+func (t *Tracker) confirmAnnounced() {
+	if !t.announced.isSet {
+		return
+	}
+	for i := range t.resources {
+		if t.resources[i].version < t.announced.versions[i] {
+			return
+		}
+	}
+	t.isConfirmed, t.confirmedAt = true, t.announced.at
+	t.announced.isSet = false
+}
+
+// CurrentAt returns the last time at which the copies of this instance are known to have been
+// complete: that of its own reads, or that of the announcement of a reader whose versions it
+// has. The reads of that reader may be up to readValidity older. It returns false if there is
+// none.
+func (t *Tracker) CurrentAt() (core.Instant, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.confirmedAt, t.isConfirmed
+	read := t.resources[0].readAt
+	for i := range t.resources {
+		if !t.resources[i].hasRead {
+			return at, ok
+		}
+		read = min(read, t.resources[i].readAt)
+	}
+	if !ok || read > at {
+		return read, true
+	}
+	return at, true
+}
+
 // MustRead reports whether this instance has to read the platform itself: it is not a follower,
 // lacks a resource, or has received no announcement of a reader for ReaderTimeout.
 func (t *Tracker) MustRead(now core.Instant) bool {
--- a/core/forwarding.go
+++ b/core/forwarding.go
@@ -146,6 +146,8 @@
 	// Sequence is the heartbeat number: the count of entries that the target wrote since its
 	// start. A lower number belongs to an older entry that arrived late.
 	Sequence uint64 `cbor:"Beat"`
+	// Version is the version of the target's software; empty means unknown.
+	Version SoftwareVersion `cbor:",omitempty"`
 }
 
 // CacheSource locates a KV cache that a target imports before it generates tokens.
