Keep the versions at which streams began, beyond the loss of an instance

Records go to homes that rendezvous hashing selects, unless the service has run a single version for longer than its streams last. A lookup answers a record, or the single version if all evidence agrees and is recent, and nothing otherwise.

go test ./core/streamstart

--- /dev/null
+++ b/core/streamstart/fleet_test.go
@@ -0,0 +1,420 @@
+package streamstart
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gorseline/core"
+)
+
+const (
+	simService = core.Service("chat")
+	simTick    = 100 * time.Millisecond
+	simTimeout = 20 * time.Second
+	// simDetection is how long a dead instance stays in the views of the others.
+	simDetection = 5 * time.Second
+)
+
+var simConfiguration = &core.Forwarding{Routes: []core.Route{{
+	Host: "h", Prefix: "/", Resumable: true, Timeout: simTimeout, Splits: []core.Split{{Service: simService, Weight: 1}},
+}}}
+
+// simInstance is one process of the simulated fleet.
+type simInstance struct {
+	id       core.InstanceID
+	dc       core.DataCentre
+	register *Register
+	homes    *Homes
+	alive    bool
+	diedAt   core.Instant
+	// side is the side of a partition that the instance is on.
+	side int
+	// frozenAt is the time of the last view of an instance that is cut off from the store.
+	isCut    bool
+	frozenAt core.Instant
+	lag      time.Duration
+}
+
+type simStream struct {
+	id       core.RequestID
+	version  core.SoftwareVersion
+	relay    *simInstance
+	began    core.Instant
+	deadline core.Instant
+}
+
+type simLookup struct {
+	stream  *simStream
+	at      *simInstance
+	arrived core.Instant
+}
+
+// simFleet runs the registers of a fleet in virtual time.
+type simFleet struct {
+	t         *testing.T
+	rng       *rand.Rand
+	now       core.Instant
+	instances []*simInstance
+	// versions holds, for each tick, the versions that targets run.
+	versions [][]core.SoftwareVersion
+	streams  []*simStream
+	lookups  []simLookup
+	loss     float64
+	// published counts records sent, resumed the lookups at instances in touch, and known those
+	// of them that were answered.
+	published, resumed, known int
+	results                   map[Result]int
+	nextID                    int
+	// settledAt is the time from which on the members are the same in all views.
+	settledAt core.Instant
+	// splitAt is the time of the last partition.
+	splitAt   core.Instant
+	byAddress map[string]*simInstance
+}
+
+func newSimFleet(t *testing.T, count, dataCentres int, seed uint64) *simFleet {
+	f := &simFleet{t: t, rng: rand.New(rand.NewPCG(seed, 7)), loss: 0.01, results: map[Result]int{}, byAddress: map[string]*simInstance{}}
+	for i := range count {
+		f.instances = append(f.instances, &simInstance{
+			id: core.InstanceID(fmt.Sprintf("n%d", i)), dc: core.DataCentre(fmt.Sprintf("dc%d", i%dataCentres)),
+			register: New(1 << 14), alive: true, lag: time.Duration(f.rng.IntN(80)) * time.Millisecond,
+		})
+		f.byAddress[string(f.instances[i].id)] = f.instances[i]
+	}
+	f.versions = [][]core.SoftwareVersion{{"v1"}}
+	return f
+}
+
+func (f *simFleet) present() []core.SoftwareVersion { return f.versions[len(f.versions)-1] }
+
+// viewAt returns the versions that an instance sees.
+func (f *simFleet) viewAt(i *simInstance) (core.Instant, []core.SoftwareVersion) {
+	at := max(0, f.now.Add(-i.lag))
+	if i.isCut {
+		at = i.frozenAt
+	}
+	// Rounded up, so that an instance sees a change within its lag.
+	return at, f.versions[min(int((at+core.Instant(simTick)-1)/core.Instant(simTick)), len(f.versions)-1)]
+}
+
+func (f *simFleet) updatePeers(i *simInstance) {
+	var peers []Peer
+	if i.homes != nil && f.now >= f.settledAt {
+		return
+	}
+	for _, p := range f.instances {
+		isLost := !p.alive && f.now.Sub(p.diedAt) >= simDetection
+		isSplit := p.side != i.side && f.now.Sub(f.splitAt) >= simDetection
+		if p == i || isLost || isSplit {
+			continue
+		}
+		peers = append(peers, Peer{ID: p.id, DataCentre: p.dc, Address: string(p.id)})
+	}
+	i.homes = NewHomes(i.dc, peers)
+}
+
+func (f *simFleet) observe(i *simInstance) {
+	asOf, versions := f.viewAt(i)
+	_, records := i.register.Observe(f.now, Observation{
+		AsOf: asOf, IsConfirmed: true, Configuration: simConfiguration,
+		Versions: map[core.Service][]core.SoftwareVersion{simService: versions},
+	})
+	for _, r := range records {
+		f.publish(i, r)
+	}
+}
+
+func (f *simFleet) publish(from *simInstance, r Record) {
+	for _, address := range from.homes.Of(r.Request) {
+		f.published++
+		if to := f.find(address); to.alive && to.side == from.side && f.rng.Float64() >= f.loss {
+			to.register.Hold(f.now, r)
+		}
+	}
+}
+
+func (f *simFleet) find(address string) *simInstance {
+	return f.byAddress[address]
+}
+
+func (f *simFleet) alive() []*simInstance {
+	var list []*simInstance
+	for _, i := range f.instances {
+		if i.alive {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// begin starts a stream at an instance.
+func (f *simFleet) begin(i *simInstance) {
+	_, versions := f.viewAt(i)
+	if len(versions) == 0 {
+		return
+	}
+	f.nextID++
+	s := &simStream{
+		id: core.RequestID(fmt.Sprintf("r%d", f.nextID)), version: versions[f.rng.IntN(len(versions))], relay: i, began: f.now,
+		deadline: f.now.Add(time.Second + time.Duration(f.rng.Int64N(int64(simTimeout-time.Second)))),
+	}
+	f.streams = append(f.streams, s)
+	if r, ok := i.register.Start(f.now, core.StreamStart{
+		Service: simService, Request: s.id, Version: s.version, Deadline: s.deadline,
+	}); ok {
+		f.publish(i, r)
+	}
+}
+
+// run advances the fleet.
+func (f *simFleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now < end; {
+		f.now = f.now.Add(simTick)
+		f.versions = append(f.versions, f.present())
+		for _, i := range f.alive() {
+			f.updatePeers(i)
+			f.observe(i)
+		}
+		for _, i := range f.alive() {
+			if f.rng.Float64() < 0.3 {
+				f.begin(i)
+			}
+		}
+		due := f.lookups
+		f.lookups = nil
+		for _, l := range due {
+			f.finish(l)
+		}
+		f.streams = slices.DeleteFunc(f.streams, func(s *simStream) bool { return s.deadline <= f.now })
+	}
+}
+
+// kill ends instances, whose streams are continued at others. Those of a fleet without instances
+// end.
+func (f *simFleet) kill(killed ...*simInstance) {
+	f.settledAt = f.now.Add(simDetection + 2*simTick)
+	for _, i := range killed {
+		i.alive, i.diedAt = false, f.now
+	}
+	alive := f.alive()
+	for _, s := range f.streams {
+		if !s.relay.alive && s.relay.diedAt == f.now && len(alive) > 0 {
+			f.lookups = append(f.lookups, simLookup{s, alive[f.rng.IntN(len(alive))], f.now})
+		}
+	}
+}
+
+// restart starts a dead instance without its memory.
+func (f *simFleet) restart(i *simInstance) {
+	f.settledAt = max(f.settledAt, f.now.Add(2*simTick))
+	i.alive, i.isCut, i.side, i.register = true, false, 0, New(1<<14)
+}
+
+// finish looks a stream up, 100 ms after the caller has come.
+func (f *simFleet) finish(l simLookup) {
+	i, hash := l.at, HashRequest(l.stream.id)
+	if !i.alive || l.stream.deadline <= f.now {
+		return
+	}
+	f.observe(i)
+	candidates := i.homes.Candidates(hash)
+	var answers []Evidence
+	for _, address := range candidates {
+		c := f.find(address)
+		if c.alive && c.side == i.side && f.rng.Float64() >= f.loss {
+			f.observe(c)
+			answers = append(answers, c.register.Evidence(f.now, simService, hash))
+		}
+	}
+	tag, result := Decide(l.arrived, i.register.Evidence(f.now, simService, hash), answers, len(answers) == len(candidates))
+	f.results[result]++
+	// Streams of a version that no target runs can't be continued.
+	isInTouch := !i.isCut && i.side == 0 && slices.Contains(f.present(), l.stream.version)
+	if isInTouch {
+		f.resumed++
+	}
+	if !result.IsFound() {
+		return
+	}
+	version, seen := i.register.Version(simService, tag)
+	if !seen {
+		return
+	}
+	if version != l.stream.version {
+		f.t.Errorf("%v: %s answers %s (%s) for a stream that began at %s at %v", time.Duration(f.now), i.id, version, result,
+			l.stream.version, time.Duration(l.stream.began))
+	}
+	if isInTouch {
+		f.known++
+	}
+	if r, ok := i.register.Adopt(f.now, simService, hash, tag, result); ok {
+		f.publish(i, r)
+	}
+	l.stream.relay = i
+}
+
+// settle runs until the single version is covered.
+func (f *simFleet) settle() { f.run(simTimeout + windowSlack + 2*time.Second) }
+
+func (f *simFleet) pick(count int) []*simInstance {
+	alive := f.alive()
+	f.rng.Shuffle(len(alive), func(a, b int) { alive[a], alive[b] = alive[b], alive[a] })
+	return alive[:min(count, len(alive))]
+}
+
+func (f *simFleet) setVersions(versions ...core.SoftwareVersion) {
+	f.versions[len(f.versions)-1] = versions
+}
+
+type simScenario struct {
+	name string
+	// minKnown is the least share of lookups at instances in touch with a known version.
+	minKnown float64
+	play     func(f *simFleet)
+}
+
+func killed(share func(count int) int) func(f *simFleet) {
+	return func(f *simFleet) {
+		f.settle()
+		f.setVersions("v1", "v2")
+		f.run(15 * time.Second)
+		f.kill(f.pick(share(len(f.instances)))...)
+		f.run(3 * time.Second)
+	}
+}
+
+var simScenarios = []simScenario{
+	{"OneKilledWhileMixed", 0.99, killed(func(int) int { return 1 })},
+	{"TwoKilledWhileMixed", 0.98, killed(func(int) int { return 2 })},
+	{"HalfKilledWhileMixed", 0.85, killed(func(count int) int { return count / 2 })},
+	{"OneKilledWhileSingle", 0.99, func(f *simFleet) {
+		f.settle()
+		f.kill(f.pick(1)...)
+		f.run(time.Second)
+	}},
+	{"AllButOneKilledWhileSingle", 0.9, func(f *simFleet) {
+		f.settle()
+		f.kill(f.pick(len(f.instances) - 1)...)
+		f.run(time.Second)
+	}},
+	{"KilledJustAfterNewVersion", 0.9, func(f *simFleet) {
+		f.settle()
+		f.setVersions("v1", "v2")
+		f.run(500 * time.Millisecond)
+		f.kill(f.pick(2)...)
+		f.run(3 * time.Second)
+	}},
+	{"ThreeVersionsAndKillsInSeries", 0.95, func(f *simFleet) {
+		f.settle()
+		for _, versions := range [][]core.SoftwareVersion{{"v1", "v2"}, {"v2"}, {"v2", "v3"}, {"v1", "v2", "v3"}, {"v3"}, {"v1"}} {
+			f.setVersions(versions...)
+			f.run(time.Duration(1+f.rng.IntN(12)) * time.Second)
+			dead := f.pick(2)
+			f.kill(dead...)
+			f.run(time.Duration(1+f.rng.IntN(8)) * time.Second)
+			for _, i := range dead {
+				f.restart(i)
+			}
+		}
+		f.run(3 * time.Second)
+	}},
+	{"CutOffFromStoreAndPeers", 0.9, func(f *simFleet) {
+		f.settle()
+		cut := f.pick(max(2, len(f.instances)/4))
+		f.splitAt, f.settledAt = f.now, f.now.Add(simDetection+2*simTick)
+		for _, i := range cut {
+			i.isCut, i.frozenAt, i.side = true, f.now.Add(-i.lag), 1
+		}
+		f.run(2 * time.Second)
+		f.setVersions("v2")
+		f.run(30 * time.Second)
+		f.kill(slices.DeleteFunc(f.pick(len(f.instances)/2), func(i *simInstance) bool { return i.isCut })...)
+		f.run(3 * time.Second)
+	}},
+	{"StoreAwayForAll", 0.85, func(f *simFleet) {
+		f.settle()
+		for _, i := range f.instances {
+			i.isCut, i.frozenAt = true, f.now.Add(-i.lag)
+		}
+		f.run(10 * time.Second)
+		for _, i := range f.instances {
+			i.isCut = false
+		}
+		f.setVersions("v1", "v2")
+		f.run(2 * time.Second)
+		f.kill(f.pick(2)...)
+		f.run(3 * time.Second)
+	}},
+	{"AllRestartAfterVersionLeft", 0, func(f *simFleet) {
+		f.settle()
+		f.setVersions("v1", "v2")
+		f.run(4 * time.Second)
+		f.setVersions("v2")
+		f.run(time.Second)
+		old := slices.Clone(f.streams)
+		f.kill(f.instances...)
+		for _, i := range f.instances {
+			f.restart(i)
+		}
+		f.run(2 * time.Second)
+		for range 3 {
+			for _, s := range old {
+				f.lookups = append(f.lookups, simLookup{s, f.pick(1)[0], f.now})
+			}
+			f.run(5 * time.Second)
+		}
+	}},
+	{"RollingRestarts", 0.9, func(f *simFleet) {
+		f.settle()
+		f.setVersions("v1", "v2")
+		f.run(8 * time.Second)
+		for _, i := range f.instances[:min(7, len(f.instances))] {
+			f.kill(i)
+			f.run(2 * time.Second)
+			f.restart(i)
+			f.run(4 * time.Second)
+		}
+	}},
+	{"DataCentreLost", 0.9, func(f *simFleet) {
+		f.settle()
+		f.setVersions("v1", "v2")
+		f.run(10 * time.Second)
+		var lost []*simInstance
+		for _, i := range f.instances {
+			if i.dc == "dc0" && len(f.instances) > 9 {
+				lost = append(lost, i)
+			}
+		}
+		f.kill(lost...)
+		f.run(3 * time.Second)
+	}},
+}
+
+// Guards against a stream that goes on at another version than the one it began at, and against
+// one that can't go on because its version was lost with an instance.
+func TestVersionsSurviveLossOfInstances(t *testing.T) {
+	for _, size := range []struct{ count, dataCentres, seeds int }{{7, 1, 10}, {9, 3, 5}, {24, 1, 3}, {60, 3, 2}} {
+		for _, s := range simScenarios {
+			t.Run(fmt.Sprintf("%s/%dIn%d", s.name, size.count, size.dataCentres), func(t *testing.T) {
+				t.Parallel()
+				resumed, known := 0, 0
+				results := map[Result]int{}
+				for seed := range size.seeds {
+					f := newSimFleet(t, size.count, size.dataCentres, uint64(seed))
+					s.play(f)
+					resumed, known = resumed+f.resumed, known+f.known
+					for result, count := range f.results {
+						results[result] += count
+					}
+				}
+				t.Logf("%d of %d known, results %v", known, resumed, results)
+				if float64(known) < s.minKnown*float64(resumed) {
+					t.Errorf("%d of %d known, want a share of %v; results %v", known, resumed, s.minKnown, results)
+				}
+			})
+		}
+	}
+}
