Exchange the records of streams' versions between instances

New packets carry records to the homes of a request, questions for the version of a stream and answers. A lookup asks the candidates each 50 ms and ends after 150 ms.

go test ./io/digest

--- a/core/streamstart/fleet_test.go
+++ b/core/streamstart/fleet_test.go
@@ -14,6 +14,7 @@
 	simService = core.Service("chat")
 	simTick    = 100 * time.Millisecond
 	simTimeout = 20 * time.Second
+	simWindow  = 2*simTimeout + windowSlack
 	// simDetection is how long a dead instance stays in the views of the others.
 	simDetection = 5 * time.Second
 )
@@ -158,13 +159,18 @@
 	}
 	f.nextID++
 	s := &simStream{
-		id: core.RequestID(fmt.Sprintf("r%d", f.nextID)), version: versions[f.rng.IntN(len(versions))], relay: i, began: f.now,
-		deadline: f.now.Add(time.Second + time.Duration(f.rng.Int64N(int64(simTimeout-time.Second)))),
+		id: core.RequestID(fmt.Sprintf("r%d", f.nextID)), version: versions[f.rng.IntN(len(versions))], began: f.now,
+		deadline: f.now.Add(time.Second + time.Duration(f.rng.Int64N(int64(2*simTimeout-time.Second)))),
 	}
 	f.streams = append(f.streams, s)
-	if r, ok := i.register.Start(f.now, core.StreamStart{
-		Service: simService, Request: s.id, Version: s.version, Deadline: s.deadline,
-	}); ok {
+	f.relay(i, s)
+}
+
+// relay makes an instance relay a stream.
+func (f *simFleet) relay(i *simInstance, s *simStream) {
+	s.relay = i
+	start := core.StreamStart{Service: simService, Request: s.id, Version: s.version, Deadline: s.deadline}
+	if r, ok := i.register.Start(f.now, start); ok {
 		f.publish(i, r)
 	}
 }
@@ -250,14 +256,11 @@
 	if isInTouch {
 		f.known++
 	}
-	if r, ok := i.register.Adopt(f.now, simService, hash, tag, result); ok {
-		f.publish(i, r)
-	}
-	l.stream.relay = i
+	f.relay(i, l.stream)
 }
 
 // settle runs until the single version is covered.
-func (f *simFleet) settle() { f.run(simTimeout + windowSlack + 2*time.Second) }
+func (f *simFleet) settle() { f.run(simWindow + 2*time.Second) }
 
 func (f *simFleet) pick(count int) []*simInstance {
 	alive := f.alive()
--- a/core/streamstart/history.go
+++ b/core/streamstart/history.go
@@ -11,11 +11,11 @@
 	// maxAge is the age up to which a view of the targets counts as evidence. Views are confirmed
 	// by reads that wait up to 1.5 s for a change, and on followers by announcements after that.
 	maxAge = 3 * time.Second
-	// windowSlack is added to the longest timeout of a service's streams. It covers streams that
+	// windowSlack is added to the longest time for which streams are continued. It covers streams that
 	// another instance began on the targets of a view that was maxAge old, and the time until
 	// this instance has seen that a target left.
 	windowSlack = 10 * time.Second
-	// defaultWindow replaces the longest timeout while no resumable route to the service is known.
+	// defaultWindow replaces that time while no resumable route to the service is known.
 	defaultWindow = 2 * time.Minute
 	// routesInterval is the time between two looks at an unchanged configuration.
 	routesInterval = time.Second
@@ -164,11 +164,11 @@
 	}
 }
 
-// window returns the time within which the streams of a service began that may still be
-// continued.
+// window returns the time within which the streams of a service began, or were last continued,
+// that may still be continued. Callers may do so for up to twice the timeout of their route.
 func (h *history) window(service core.Service) time.Duration {
 	if timeout := h.timeouts[service]; timeout > 0 {
-		return timeout + windowSlack
+		return 2*timeout + windowSlack
 	}
 	return defaultWindow + windowSlack
 }
--- a/core/streamstart/register.go
+++ b/core/streamstart/register.go
@@ -46,34 +46,22 @@
 	return Counts{Held: len(r.table.entries), Evicted: r.table.evicted}
 }
 
-// Start records a stream that this instance relays. It returns true if the homes need the record,
+// Start records a stream that this instance begins or continues to relay. It returns true if the homes need the record,
 // because other instances can't know the version otherwise.
 func (r *Register) Start(now core.Instant, s core.StreamStart) (Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.history.see(now, s.Service, s.Version)
 	record := Record{HashRequest(s.Request), NewTag(s.Service, s.Version), max(s.Deadline, now).Add(expirySlack)}
-	return record, r.putOwn(now, s.Service, record, r.history.belief(now, s.Service).Kind != Single)
-}
-
-// Adopt records a stream that this instance continues. It returns true if the homes need the
-// record, of which some may be lost.
-func (r *Register) Adopt(now core.Instant, service core.Service, request uint64, tag Tag, result Result) (Record, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	record := Record{request, tag, now.Add(r.history.window(service))}
-	return record, r.putOwn(now, service, record, result == FoundRecord || r.history.belief(now, service).Kind != Single)
-}
-
-func (r *Register) putOwn(now core.Instant, service core.Service, record Record, mustPublish bool) bool {
 	e := r.table.put(now, record)
-	e.service = service
+	e.service = s.Service
+	mustPublish := r.history.belief(now, s.Service).Kind != Single
 	if mustPublish {
 		e.isPublished = true
 	} else if !e.isPublished {
-		r.hasUnpublished[service] = true
+		r.hasUnpublished[s.Service] = true
 	}
-	return mustPublish
+	return record, mustPublish
 }
 
 // Hold keeps a record of another instance.
--- a/core/streamstart/register_test.go
+++ b/core/streamstart/register_test.go
@@ -20,7 +20,7 @@
 	return now
 }
 
-const covered = simTimeout + windowSlack + time.Second
+const covered = simWindow + time.Second
 
 func kindAt(r *Register, now core.Instant) EvidenceKind { return r.Evidence(now, simService, 1).Kind }
 
@@ -46,7 +46,7 @@
 	}
 	now = observeFor(r, now, covered, "v1")
 	now = observeFor(r, now, time.Second, "v1", "v2")
-	now = observeFor(r, now, simTimeout+windowSlack-2*time.Second, "v1")
+	now = observeFor(r, now, simWindow-2*time.Second, "v1")
 	if kind := kindAt(r, now); kind != EvidenceMixed {
 		t.Errorf("evidence %v while streams of v2 may go on", kind)
 	}
@@ -80,14 +80,15 @@
 // Guards against records that dwindle while a stream is continued again and again.
 func TestContinuedStreamIsPublishedAgain(t *testing.T) {
 	r := New(10)
-	now := observeFor(r, 0, covered, "v1")
-	tag := NewTag(simService, "v1")
-	if _, publish := r.Adopt(now, simService, 1, tag, FoundSingle); publish {
-		t.Error("a record is published though the version is the single one")
-	}
-	if _, publish := r.Adopt(now, simService, 2, tag, FoundRecord); !publish {
+	now := observeFor(r, 0, time.Second, "v1", "v2")
+	r.Hold(now, Record{HashRequest("a"), NewTag(simService, "v1"), now.Add(time.Second)})
+	start := core.StreamStart{Service: simService, Request: "a", Version: "v1", Deadline: now.Add(time.Minute)}
+	if _, publish := r.Start(now, start); !publish {
 		t.Error("a record that only homes had is not published again")
 	}
+	if records := r.Published(now.Add(30 * time.Second)); len(records) != 1 {
+		t.Errorf("published records %v, want that of the continued stream", records)
+	}
 }
 
 // Guards against a version that is taken from one of two contradicting records.
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -20,6 +20,9 @@
 	packetCall
 	packetReply
 	packetVersions
+	packetStreamStarts
+	packetStreamQuery
+	packetStreamAnswer
 )
 
 // maxPacketSize is the largest size of a datagram in bytes. It fits one Ethernet frame.
@@ -49,6 +52,10 @@
 	// IsFullState is set on the first of the packets that list all outstanding work of the
 	// sender. The receiver first removes all work that it has recorded for the sender.
 	IsFullState bool `cbor:"11,keyasint,omitempty"`
+	// StreamStarts holds records of streams, see encodeStarts.
+	StreamStarts []byte        `cbor:"12,keyasint,omitempty"`
+	StreamQuery  *streamQuery  `cbor:"13,keyasint,omitempty"`
+	StreamAnswer *streamAnswer `cbor:"14,keyasint,omitempty"`
 }
 
 // operation is the kind of change of an item.
@@ -130,6 +137,8 @@
 			return nil, errors.New("decode datagram: message is missing")
 		}
 		return p, nil
+	case packetStreamStarts, packetStreamQuery, packetStreamAnswer:
+		return p, p.checkStreams()
 	}
 	return nil, errors.Errorf("decode datagram: unknown kind %d", p.Kind)
 }
--- /dev/null
+++ b/io/digest/lookup.go
@@ -0,0 +1,184 @@
+package digest
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+
+	"gorseline/core"
+	"gorseline/core/streamstart"
+)
+
+const (
+	// lookupTimeout limits a lookup. Instances that are asked get the question again every
+	// queryInterval, because datagrams may be lost and evidence may become recent enough.
+	lookupTimeout = 150 * time.Millisecond
+	queryInterval = 50 * time.Millisecond
+)
+
+// pendingQuery is a datagram of a lookup that may still be answered.
+type pendingQuery struct {
+	sentAt  core.Instant
+	answers chan<- queryAnswer
+}
+
+// queryAnswer is the answer of an instance to a query.
+type queryAnswer struct {
+	streamAnswer
+	from   string
+	sentAt core.Instant
+}
+
+// lookup asks the candidates for the home of a request.
+type lookup struct {
+	streams    *streams
+	service    core.Service
+	hash       uint64
+	arrived    core.Instant
+	candidates []net.Addr
+	answers    chan queryAnswer
+	serials    []uint32
+	// evidence holds the last answer of each instance, and recordFrom the first one with a
+	// record.
+	evidence   map[string]streamstart.Evidence
+	recordFrom string
+}
+
+// StreamVersion returns the version at which the stream of a request began. It asks the homes
+// of the request unless this instance relayed the stream.
+func (n *Node) StreamVersion(ctx context.Context, service core.Service, request core.RequestID) (core.SoftwareVersion, bool) {
+	s := n.streams
+	if s.source == nil {
+		return "", false
+	}
+	l := &lookup{
+		streams: s, service: service, hash: streamstart.HashRequest(request), arrived: n.opts.Clock.Now(),
+		evidence: map[string]streamstart.Evidence{},
+	}
+	tag, result := l.run(ctx)
+	var version core.SoftwareVersion
+	if result.IsFound() {
+		var seen bool
+		if version, seen = s.register.Version(service, tag); !seen {
+			result = streamstart.NotFoundUnseen
+		}
+	}
+	s.mu.Lock()
+	s.lookups[result]++
+	s.mu.Unlock()
+	n.opts.Log.WithFields(log.Fields{
+		"Request": request, "Service": service, "Result": string(result), "Version": version, "Asked": len(l.candidates),
+		"Answers": len(l.evidence), "Peer": l.recordFrom, "Took": n.opts.Clock.Now().Sub(l.arrived),
+	}).Info("StreamVersionLookedUp")
+	return version, result.IsFound()
+}
+
+// run asks until the version is known or the time is over.
+func (l *lookup) run(ctx context.Context) (streamstart.Tag, streamstart.Result) {
+	if tag, result := l.decide(); result == streamstart.FoundOwn {
+		return tag, result
+	}
+	homes := l.streams.homes.Load()
+	for _, address := range homes.Candidates(l.hash) {
+		l.candidates = append(l.candidates, homes.addresses[address])
+	}
+	if len(l.candidates) == 0 {
+		return l.decide()
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	l.answers = make(chan queryAnswer, 2*len(l.candidates))
+	defer l.forget()
+	l.ask()
+	ticker := time.NewTicker(queryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return l.decide()
+		case <-ticker.C:
+			l.ask()
+		case a := <-l.answers:
+			l.add(a)
+			tag, result := l.decide()
+			if result == streamstart.FoundRecord || result == streamstart.FoundOwn || len(l.evidence) == len(l.candidates) {
+				return tag, result
+			}
+		}
+	}
+}
+
+// ask sends the question to all candidates.
+func (l *lookup) ask() {
+	s := l.streams
+	serial := s.node.serial.Add(1)
+	s.mu.Lock()
+	s.pending[serial] = pendingQuery{s.node.opts.Clock.Now(), l.answers}
+	s.mu.Unlock()
+	l.serials = append(l.serials, serial)
+	s.send(&packet{
+		Kind: packetStreamQuery, Serial: serial, StreamQuery: &streamQuery{Service: l.service, Request: l.hash},
+	}, l.candidates...)
+}
+
+// forget ends the wait for answers.
+func (l *lookup) forget() {
+	l.streams.mu.Lock()
+	defer l.streams.mu.Unlock()
+	for _, serial := range l.serials {
+		delete(l.streams.pending, serial)
+	}
+}
+
+func (l *lookup) add(a queryAnswer) {
+	if a.Kind == streamstart.EvidenceRecord && l.recordFrom == "" {
+		l.recordFrom = a.from
+	}
+	l.evidence[a.from] = streamstart.Evidence{
+		Kind: a.Kind, Tag: a.Tag, AsOf: a.sentAt.Add(-time.Duration(a.AgeMs) * time.Millisecond),
+	}
+}
+
+func (l *lookup) decide() (streamstart.Tag, streamstart.Result) {
+	s := l.streams
+	s.observe()
+	own := s.register.Evidence(s.node.opts.Clock.Now(), l.service, l.hash)
+	answers := make([]streamstart.Evidence, 0, len(l.evidence))
+	for _, e := range l.evidence {
+		answers = append(answers, e)
+	}
+	return streamstart.Decide(l.arrived, own, answers, len(answers) == len(l.candidates))
+}
+
+// answer answers the query of another instance.
+func (s *streams) answer(p *packet, from net.Addr) {
+	if s.source == nil {
+		return
+	}
+	s.observe()
+	now := s.node.opts.Clock.Now()
+	e := s.register.Evidence(now, p.StreamQuery.Service, p.StreamQuery.Request)
+	a := &streamAnswer{Kind: e.Kind, Tag: e.Tag}
+	if e.Kind == streamstart.EvidenceSingle {
+		// Rounded up, so that the evidence doesn't seem more recent than it is.
+		a.AgeMs = uint32(now.Sub(e.AsOf)/time.Millisecond) + 1
+	}
+	s.send(&packet{Kind: packetStreamAnswer, Serial: p.Serial, StreamAnswer: a}, from)
+}
+
+// handleAnswer passes an answer to the lookup that waits for it. Answers that exceed its buffer
+// are dropped like lost datagrams.
+func (s *streams) handleAnswer(p *packet, from net.Addr) {
+	s.mu.Lock()
+	q, ok := s.pending[p.Serial]
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case q.answers <- queryAnswer{*p.StreamAnswer, from.String(), q.sentAt}:
+	default:
+	}
+}
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -26,7 +26,7 @@
 	"gorseline/core/membership"
 )
 
-// Options configure a Node. All fields are required.
+// Options configure a Node. All fields but Streams are required.
 type Options struct {
 	// Self is the record of this instance. Conn receives the datagrams for its address.
 	Self membership.Record
@@ -43,6 +43,9 @@
 	// provides and applies the content of these versions.
 	Catchup   *catchup.Tracker
 	Snapshots Snapshots
+	// Streams provides what the versions of streams depend on. Without it, which is allowed,
+	// streams are not recorded.
+	Streams StreamSource
 }
 
 const (
@@ -73,6 +76,7 @@
 	serial  atomic.Uint32
 	peers   atomic.Pointer[peerSet]
 	done    chan struct{}
+	streams *streams
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -103,6 +107,7 @@
 	// Packets carry the versions of the sender, so membership messages carry no revisions.
 	header := func(core.Instant) (applied, head core.Revision, ageMs uint32) { return 0, 0, 0 }
 	n.members = membership.New(o.Self, rand.New(rand.NewPCG(o.Seed, 0)), header, n.logMemberChange)
+	n.streams = newStreams(n)
 	n.peers.Store(&peerSet{cells: load.NewCells(o.Self.DataCentre, map[core.DataCentre]int{o.Self.DataCentre: 1})})
 	return n
 }
@@ -146,6 +151,8 @@
 	loops.Go(func() { n.loopEvents(ctx) })
 	loops.Go(func() { n.loopPulls(ctx) })
 	loops.Go(func() { n.loopAnnounce(ctx) })
+	loops.Go(func() { n.streams.loopRecords(ctx) })
+	loops.Go(func() { n.streams.loopObserve(ctx) })
 	<-ctx.Done()
 	_ = n.opts.Conn.Close() // ends loopRead
 	loops.Wait()
@@ -267,12 +274,14 @@
 	home := n.opts.Self.DataCentre
 	p := &peerSet{otherCells: map[core.DataCentre][]netip.AddrPort{}, isReader: n.members.IsExpectedDelegate()}
 	counts := map[core.DataCentre]int{home: 1}
+	var others []streamPeer
 	for _, r := range n.members.Members() {
 		to, err := netip.ParseAddrPort(r.Address)
 		if err != nil || r.ID == n.opts.Self.ID {
 			continue
 		}
 		counts[r.DataCentre]++
+		others = append(others, streamPeer{r.ID, r.DataCentre, to})
 		if r.DataCentre == home {
 			p.inCell = append(p.inCell, to)
 		} else {
@@ -295,6 +304,7 @@
 		p.otherCells[dc] = list[:min(len(list), maxPeersPerCell)]
 	}
 	n.peers.Store(p)
+	n.streams.setPeers(others)
 }
 
 func (n *Node) loopRead(ctx context.Context) {
@@ -327,6 +337,8 @@
 		n.handleCall(p, from)
 	case packetReply:
 		n.handleReply(p)
+	case packetStreamStarts, packetStreamQuery, packetStreamAnswer:
+		n.streams.handle(p, from)
 	}
 }
 
