--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -128,7 +128,7 @@
 			Capacity: callerCapacity(settings),
 		},
 		Conn: conn, Sender: id.sender, Loads: loads, Lister: instances, Clock: clock, Seed: id.seed, Log: l,
-		Catchup: tracker, Snapshots: updater, Streams: streamSource{tracker, updater.roster, updater.Configuration},
+		Catchup: tracker, Snapshots: updater, Streams: streamSource{tracker, updater.roster, updater.confirmTargets, updater.Configuration},
 	})
 	updater.digests = n
 	lifecycle.Register(lc, n)
--- a/cmd/entry/node/state_updater.go
+++ b/cmd/entry/node/state_updater.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+
 	"github.com/apex/log"
 
 	"gorseline/core"
@@ -70,6 +72,9 @@
 	u.watcher.PublishChanges(u.roster.ReplaceFromPeer(u.clock.Now(), list.Version, list.Targets, list.Lapsed))
 }
 
+// confirmTargets reads the changes of the targets once.
+func (u *stateUpdater) confirmTargets(ctx context.Context) error { return u.watcher.Confirm(ctx) }
+
 // setCapacity sets the size of a target's KV cache by the limits of its service.
 func (u *stateUpdater) setCapacity(r *core.Registration) {
 	c := u.Configuration()
--- a/cmd/entry/node/streams.go
+++ b/cmd/entry/node/streams.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"slices"
 
 	"gorseline/core"
@@ -14,12 +15,17 @@
 type streamSource struct {
 	tracker *catchup.Tracker
 	roster  *roster.Roster
+	// confirm reads the changes of the targets.
+	confirm func(ctx context.Context) error
 	// configuration returns the configuration in force, or nil.
 	configuration func() *core.Forwarding
 }
 
 var _ digest.StreamSource = streamSource{}
 
+// Confirm reads the changes of the targets.
+func (s streamSource) Confirm(ctx context.Context) error { return s.confirm(ctx) }
+
 // Observation returns the present targets and routes. Targets that leave count, since their
 // streams go on.
 func (s streamSource) Observation() streamstart.Observation {
--- a/cmd/entry/node/streams_bench_test.go
+++ b/cmd/entry/node/streams_bench_test.go
@@ -24,7 +24,7 @@
 				}, Version: "v1"})
 			}
 			r.Replace(0, 1, list)
-			s := streamSource{catchup.New(random.New(1)), r, func() *core.Forwarding { return nil }}
+			s := streamSource{catchup.New(random.New(1)), r, nil, func() *core.Forwarding { return nil }}
 			register := streamstart.New(streamstart.DefaultCapacity)
 			now := core.Instant(0)
 			b.ReportAllocs()
--- a/cmd/entry/node/streams_test.go
+++ b/cmd/entry/node/streams_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -16,7 +17,7 @@
 func TestObservedVersionsIncludeLeavingTargets(t *testing.T) {
 	r := roster.New(time.Second)
 	tracker := catchup.New(random.New(1))
-	s := streamSource{tracker, r, func() *core.Forwarding { return nil }}
+	s := streamSource{tracker, r, nil, func() *core.Forwarding { return nil }}
 	var list []core.Registration
 	for _, e := range []struct {
 		id      core.TargetID
@@ -38,7 +39,33 @@
 	}
 	tracker.RecordRead(5, catchup.Configuration, true)
 	tracker.RecordRead(7, catchup.Targets, true)
-	if o := s.Observation(); !o.IsConfirmed || o.AsOf != 5 {
+	if o := s.Observation(); !o.IsConfirmed || o.AsOf != 7 {
 		t.Errorf("confirmed %v as of %v", o.IsConfirmed, o.AsOf)
 	}
 }
+
+// Guards against targets that are taken for complete although the store has others, or can't be
+// read.
+func TestConfirmedTargetsAreComplete(t *testing.T) {
+	s := newSite(t)
+	i := s.start("n1")
+	source := streamSource{i.updater.tracker, i.roster, i.updater.confirmTargets, i.updater.Configuration}
+	for n := range 20 {
+		id := fmt.Sprintf("late-%d", n)
+		s.store.Put("servers", id, s.targets[1].RegistryEntry("late", "a", "ready"))
+		before := i.updater.clock.Now()
+		if err := source.Confirm(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if _, ok := i.roster.View().Find(core.TargetID(id)); !ok {
+			t.Errorf("%s is not known after the confirmation", id)
+		}
+		if o := source.Observation(); !o.IsConfirmed || o.AsOf < before {
+			t.Errorf("confirmed %v as of %v, want %v", o.IsConfirmed, o.AsOf, before)
+		}
+	}
+	s.server.Close()
+	if err := source.Confirm(t.Context()); err == nil {
+		t.Error("confirmed without the store")
+	}
+}
--- a/core/catchup/catchup.go
+++ b/core/catchup/catchup.go
@@ -66,8 +66,8 @@
 	hasReader    bool
 	readerSeenAt core.Instant
 	// announced is the oldest announcement of a reader whose versions this instance doesn't
-	// have yet. confirmedAt is the time of the last announcement whose versions it has, valid
-	// if isConfirmed.
+	// have yet. confirmedAt is the time of the oldest read that the last announcement may rest on
+	// whose versions it has, valid if isConfirmed.
 	announced   announcement
 	isConfirmed bool
 	confirmedAt core.Instant
@@ -194,7 +194,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.announced.isSet {
-		t.announced = announcement{true, now, [...]uint64{configuration, targets}}
+		t.announced = announcement{true, now.Add(-readValidity), [...]uint64{configuration, targets}}
 	}
 	t.confirmAnnounced()
 }
@@ -214,25 +214,38 @@
 	t.announced.isSet = false
 }
 
-// CurrentAt returns the last time at which the copies of this instance are known to have been
-// complete: that of its own reads, or that of the announcement of a reader whose versions it
-// has. The reads of that reader may be up to readValidity older. It returns false if there is
-// none.
-func (t *Tracker) CurrentAt() (core.Instant, bool) {
+// ConfirmTargets records that the targets of this instance were complete at a time.
+func (t *Tracker) ConfirmTargets(at core.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	at, ok := t.confirmedAt, t.isConfirmed
-	read := t.resources[0].readAt
-	for i := range t.resources {
-		if !t.resources[i].hasRead {
-			return at, ok
-		}
-		read = min(read, t.resources[i].readAt)
+	state := &t.resources[Targets]
+	if !state.hasRead || at > state.readAt {
+		state.hasRead, state.readAt = true, at
 	}
-	if !ok || read > at {
-		return read, true
+}
+
+// CurrentAt returns the last time at which the targets of this instance are known to have been
+// complete, from its own reads or from announcements of readers whose versions it has. The
+// configuration may be up to readValidity older. It returns false if there is no such time.
+func (t *Tracker) CurrentAt() (core.Instant, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	targets, hasTargets := t.currentAt(Targets)
+	configuration, hasConfiguration := t.currentAt(Configuration)
+	return min(targets, configuration.Add(readValidity)), hasTargets && hasConfiguration
+}
+
+// currentAt returns the last time at which a resource is known to have been complete. The lock
+// must be held.
+func (t *Tracker) currentAt(r Resource) (core.Instant, bool) {
+	state := &t.resources[r]
+	switch {
+	case !state.hasRead:
+		return t.confirmedAt, t.isConfirmed
+	case !t.isConfirmed:
+		return state.readAt, true
 	}
-	return at, true
+	return max(state.readAt, t.confirmedAt), true
 }
 
 // MustRead reports whether this instance has to read the platform itself: it is not a follower,
--- a/core/catchup/current_test.go
+++ b/core/catchup/current_test.go
@@ -19,23 +19,31 @@
 			t.Errorf("%s: %v %v, want %v %v", what, got, ok, want, wantOK)
 		}
 	}
-	check("nothing read", 0, false)
 	tracker.RecordRead(at(time.Second), Targets, true)
-	check("configuration not read", 0, false)
+	if _, ok := tracker.CurrentAt(); ok {
+		t.Error("current without a configuration")
+	}
 	tracker.RecordRead(at(2*time.Second), Configuration, true)
 	check("both read", at(time.Second), true)
 	tracker.RecordRead(at(3*time.Second), Targets, false)
 	check("a failed read", at(time.Second), true)
+	tracker.ConfirmTargets(at(3 * time.Second))
+	check("targets confirmed", at(3*time.Second), true)
+	tracker.ConfirmTargets(at(9 * time.Second))
+	check("an older configuration", at(2*time.Second).Add(readValidity), true)
 	tracker.SetVersion(Configuration, 5)
 	tracker.SetVersion(Targets, 7)
-	tracker.ObserveReaderVersions(at(4*time.Second), 5, 7)
-	check("versions of a reader", at(4*time.Second), true)
-	tracker.ObserveReaderVersions(at(5*time.Second), 5, 9)
-	tracker.ObserveReaderVersions(at(6*time.Second), 5, 11)
-	check("behind a reader", at(4*time.Second), true)
+	announce := func(read time.Duration, targets uint64) {
+		tracker.ObserveReaderVersions(at(read).Add(readValidity), 5, targets)
+	}
+	announce(10*time.Second, 7)
+	check("versions of a reader", at(10*time.Second), true)
+	announce(11*time.Second, 9)
+	announce(12*time.Second, 11)
+	check("behind a reader", at(10*time.Second), true)
 	tracker.SetVersion(Targets, 10)
-	check("the first announced versions reached", at(5*time.Second), true)
-	tracker.ObserveReaderVersions(at(7*time.Second), 5, 12)
+	check("the first announced versions reached", at(11*time.Second), true)
+	announce(13*time.Second, 12)
 	tracker.SetVersion(Targets, 12)
-	check("the next announced versions reached", at(7*time.Second), true)
+	check("the next announced versions reached", at(13*time.Second), true)
 }
--- a/core/streamstart/decide.go
+++ b/core/streamstart/decide.go
@@ -58,15 +58,15 @@
 func (r Result) IsFound() bool { return r == FoundOwn || r == FoundRecord || r == FoundSingle }
 
 // Decide returns the version that follows from the evidence of this instance and of those that
-// have answered so far. arrived is when the caller asked, and isComplete is set if all
-// instances that were asked have answered.
+// have answered so far. arrived is when the caller asked, and isSufficient is set if enough of
+// the instances that were asked have answered, see Homes.Suffice.
 //
 // An instance that begins a stream at a second version publishes it. So if no record exists, the
 // stream began while only one version was known to the instance that relayed it. Evidence of a
 // single version counts if it holds as of a time after the start of the stream, which was before
-// arrived. Somewhat older evidence counts if no home is missing that could have the record of a
-// version that appeared since.
-func Decide(arrived core.Instant, own Evidence, answers []Evidence, isComplete bool) (Tag, Result) {
+// arrived. Somewhat older evidence counts if homes have answered, which would have the record of a
+// stream at a version that appeared since.
+func Decide(arrived core.Instant, own Evidence, answers []Evidence, isSufficient bool) (Tag, Result) {
 	if own.Kind == EvidenceRecord {
 		return own.Tag, FoundOwn
 	}
@@ -95,7 +95,7 @@
 		hasSingle = hasSingle || e.Kind == EvidenceSingle
 		isProven = isProven || e.Kind == EvidenceSingle && e.AsOf >= arrived
 	}
-	if isProven || hasSingle && isComplete {
+	if isProven || hasSingle && isSufficient {
 		return tag, FoundSingle
 	}
 	return 0, NotFoundSilent
--- a/core/streamstart/decide_test.go
+++ b/core/streamstart/decide_test.go
@@ -19,21 +19,21 @@
 		mixed  = Evidence{Kind: EvidenceMixed}
 	)
 	for _, c := range []struct {
-		name       string
-		own        Evidence
-		answers    []Evidence
-		isComplete bool
-		want       Result
+		name         string
+		own          Evidence
+		answers      []Evidence
+		isSufficient bool
+		want         Result
 	}{
 		{"own record", record, nil, false, FoundOwn},
 		{"record of a home", mixed, []Evidence{none, mixed, record}, false, FoundRecord},
 		{"record against a single version", single, []Evidence{{Kind: EvidenceRecord, Tag: 2}}, false, FoundRecord},
 		{"contradicting records", none, []Evidence{record, {Kind: EvidenceRecord, Tag: 2}}, true, NotFoundConflict},
-		{"all answered, one knows", none, []Evidence{single, none}, true, FoundSingle},
-		{"own knowledge, all answered", single, []Evidence{none}, true, FoundSingle},
+		{"enough answered, one knows", none, []Evidence{single, none}, true, FoundSingle},
+		{"own knowledge, enough answered", single, []Evidence{none}, true, FoundSingle},
 		{"alone", single, nil, true, FoundSingle},
-		{"a home is silent", single, []Evidence{single}, false, NotFoundSilent},
-		{"a home is silent, later evidence", seen, []Evidence{proven}, false, FoundSingle},
+		{"too many are silent", single, []Evidence{single}, false, NotFoundSilent},
+		{"too many are silent, later evidence", seen, []Evidence{proven}, false, FoundSingle},
 		{"nobody answers, own later evidence", proven, nil, false, FoundSingle},
 		{"nobody answers", single, nil, false, NotFoundSilent},
 		{"nobody knows", seen, []Evidence{seen, none}, true, NotFoundSilent},
@@ -44,7 +44,7 @@
 		{"nothing", none, nil, true, NotFoundSilent},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			tag, result := Decide(arrived, c.own, c.answers, c.isComplete)
+			tag, result := Decide(arrived, c.own, c.answers, c.isSufficient)
 			if result != c.want {
 				t.Errorf("result %v, want %v", result, c.want)
 			}
--- a/core/streamstart/fleet_test.go
+++ b/core/streamstart/fleet_test.go
@@ -15,6 +15,8 @@
 	simTick    = 100 * time.Millisecond
 	simTimeout = 20 * time.Second
 	simWindow  = 2*simTimeout + windowSlack
+	// simConfirmation is the time between two confirmations of an unchanged view.
+	simConfirmation = 1500 * time.Millisecond
 	// simDetection is how long a dead instance stays in the views of the others.
 	simDetection = 5 * time.Second
 )
@@ -117,8 +119,16 @@
 	i.homes = NewHomes(i.dc, peers)
 }
 
-func (f *simFleet) observe(i *simInstance) {
+func (f *simFleet) observe(i *simInstance) { f.observeAsOf(i, false) }
+
+// observeAsOf makes an instance observe its view, which isConfirming confirms up to now.
+func (f *simFleet) observeAsOf(i *simInstance, isConfirming bool) {
 	asOf, versions := f.viewAt(i)
+	if isConfirming && !i.isCut {
+		asOf, versions = f.now, f.present()
+	} else {
+		asOf -= asOf % core.Instant(simConfirmation)
+	}
 	_, records := i.register.Observe(f.now, Observation{
 		AsOf: asOf, IsConfirmed: true, Configuration: simConfiguration,
 		Versions: map[core.Service][]core.SoftwareVersion{simService: versions},
@@ -129,16 +139,16 @@
 }
 
 func (f *simFleet) publish(from *simInstance, r Record) {
-	for _, address := range from.homes.Of(r.Request) {
+	for _, home := range from.homes.Of(r.Request) {
 		f.published++
-		if to := f.find(address); to.alive && to.side == from.side && f.rng.Float64() >= f.loss {
+		if to := f.find(home); to.alive && to.side == from.side && f.rng.Float64() >= f.loss {
 			to.register.Hold(f.now, r)
 		}
 	}
 }
 
-func (f *simFleet) find(address string) *simInstance {
-	return f.byAddress[address]
+func (f *simFleet) find(p Peer) *simInstance {
+	return f.byAddress[p.Address]
 }
 
 func (f *simFleet) alive() []*simInstance {
@@ -225,17 +235,22 @@
 	if !i.alive || l.stream.deadline <= f.now {
 		return
 	}
-	f.observe(i)
 	candidates := i.homes.Candidates(hash)
 	var answers []Evidence
-	for _, address := range candidates {
-		c := f.find(address)
+	hasAnswered := map[Peer]bool{}
+	for _, candidate := range candidates {
+		c := f.find(candidate)
 		if c.alive && c.side == i.side && f.rng.Float64() >= f.loss {
 			f.observe(c)
+			hasAnswered[candidate] = true
 			answers = append(answers, c.register.Evidence(f.now, simService, hash))
 		}
 	}
-	tag, result := Decide(l.arrived, i.register.Evidence(f.now, simService, hash), answers, len(answers) == len(candidates))
+	isSufficient := i.homes.Suffice(candidates, func(p Peer) bool { return hasAnswered[p] })
+	if !isSufficient {
+		f.observeAsOf(i, true)
+	}
+	tag, result := Decide(l.arrived, i.register.Evidence(f.now, simService, hash), answers, isSufficient)
 	f.results[result]++
 	// Streams of a version that no target runs can't be continued.
 	isInTouch := !i.isCut && i.side == 0 && slices.Contains(f.present(), l.stream.version)
@@ -337,7 +352,12 @@
 		f.kill(f.pick(1)...)
 		f.run(time.Second)
 	}, false},
-	{"AllButOneKilledWhileSingle", 0.9, func(f *simFleet) {
+	{"HalfKilledWhileSingle", 0.99, func(f *simFleet) {
+		f.settle()
+		f.kill(f.pick(len(f.instances) / 2)...)
+		f.run(time.Second)
+	}, false},
+	{"AllButOneKilledWhileSingle", 0.99, func(f *simFleet) {
 		f.settle()
 		f.kill(f.pick(len(f.instances) - 1)...)
 		f.run(time.Second)
@@ -372,7 +392,7 @@
 		}
 		f.run(2 * time.Second)
 		f.setVersions("v2")
-		f.run(30 * time.Second)
+		f.run(45 * time.Second)
 		f.kill(slices.DeleteFunc(f.pick(len(f.instances)/2), func(i *simInstance) bool { return i.isCut })...)
 		f.run(3 * time.Second)
 	}, false},
--- a/core/streamstart/history.go
+++ b/core/streamstart/history.go
@@ -9,8 +9,9 @@
 
 const (
 	// maxAge is the age up to which a view of the targets counts as evidence. Views are confirmed
-	// by reads that wait up to 1.5 s for a change, and on followers by announcements after that.
-	maxAge = 3 * time.Second
+	// by reads that wait up to 1.5 s for a change, and on followers by announcements of readers
+	// whose reads may be 2 s old.
+	maxAge = 5 * time.Second
 	// windowSlack is added to the longest time for which streams are continued. It covers streams that
 	// another instance began on the targets of a view that was maxAge old, and the time until
 	// this instance has seen that a target left.
--- a/core/streamstart/homes.go
+++ b/core/streamstart/homes.go
@@ -69,38 +69,60 @@
 // Count returns the number of peers.
 func (h *Homes) Count() int { return len(h.peers) }
 
-// Of returns the addresses of the homes of a request that this instance relays.
-func (h *Homes) Of(request uint64) []string {
+// Of returns the homes of a request that this instance relays.
+func (h *Homes) Of(request uint64) []Peer {
 	if len(h.peers) <= maxPeersForAll {
 		return appendFirst(nil, request, h.peers, len(h.peers))
 	}
 	distant := max(min(len(h.others), homeCount-localHomes), homeCount-len(h.local))
-	homes := appendFirst(make([]string, 0, homeCount), request, h.others, distant)
+	homes := appendFirst(make([]Peer, 0, homeCount), request, h.others, distant)
 	return appendFirst(homes, request, h.local, homeCount-len(homes))
 }
 
-// Candidates returns the addresses of the instances that may be homes of a request that another
-// instance relayed, wherever that is.
-func (h *Homes) Candidates(request uint64) []string {
-	if len(h.peers) <= maxPeersForAll+1 {
+// Candidates returns the instances that may be homes of a request that another instance relayed,
+// wherever that is.
+func (h *Homes) Candidates(request uint64) []Peer {
+	if h.isSmall() {
 		return appendFirst(nil, request, h.peers, len(h.peers))
 	}
 	ranks := homeCount + spareRanks
 	if len(h.dataCentres) > 2 {
 		ranks = localHomes + spareRanks
 	}
-	var list []string
+	var list []Peer
 	for _, peers := range h.dataCentres {
 		list = appendFirst(list, request, peers, ranks)
 	}
 	return list
 }
 
-// appendFirst appends the addresses of the first peers by the rank for a request.
-func appendFirst(list []string, request uint64, peers []rankedPeer, count int) []string {
+// isSmall reports whether all peers are candidates. One more than maxPeersForAll may be, because
+// the relay doesn't count itself, and its view may differ.
+func (h *Homes) isSmall() bool { return len(h.peers) <= maxPeersForAll+1 }
+
+// Suffice reports whether a home must be among the candidates that have answered. In small
+// fleets all of them have to, because a partition may keep records from the others.
+func (h *Homes) Suffice(candidates []Peer, hasAnswered func(Peer) bool) bool {
+	silent := map[core.DataCentre]int{}
+	count := 0
+	for _, c := range candidates {
+		if !hasAnswered(c) {
+			silent[c.DataCentre]++
+			count++
+		}
+	}
+	if count == 0 || h.isSmall() {
+		return count == 0
+	}
+	// A home is always outside the data centre of the others.
+	return count < homeCount || len(silent) == 1 && len(h.dataCentres) > 2
+}
+
+// appendFirst appends the first peers by the rank for a request.
+func appendFirst(list []Peer, request uint64, peers []rankedPeer, count int) []Peer {
 	if len(peers) <= count {
 		for i := range peers {
-			list = append(list, peers[i].Address)
+			list = append(list, peers[i].Peer)
 		}
 		return list
 	}
@@ -128,7 +150,7 @@
 		best = slices.Insert(best, at, weighted{weight, i})
 	}
 	for _, b := range best {
-		list = append(list, peers[b.index].Address)
+		list = append(list, peers[b.index].Peer)
 	}
 	return list
 }
--- a/core/streamstart/register_test.go
+++ b/core/streamstart/register_test.go
@@ -192,18 +192,55 @@
 				continue
 			}
 			asked := map[string]bool{peers[asker].Address: true}
-			for _, address := range without(asker).Candidates(request) {
-				asked[address] = true
+			for _, p := range without(asker).Candidates(request) {
+				asked[p.Address] = true
 			}
 			homes := without(relay).Of(request)
 			if want := min(c.count-1, homeCount); len(homes) < want {
 				t.Errorf("%+v: %d homes, want %d", c, len(homes), want)
 			}
 			for _, home := range homes {
-				if !asked[home] {
-					t.Errorf("%+v: home %s of request %d is not asked", c, home, i)
+				if !asked[home.Address] {
+					t.Errorf("%+v: home %v of request %d is not asked", c, home, i)
 				}
 			}
 		}
 	}
 }
+
+// Guards against evidence that counts although no home may have answered.
+func TestAnswersThatSuffice(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		count, dataCentres int
+		isSilent           func(n int, p Peer) bool
+		want               bool
+	}{
+		{"all", 6, 1, func(int, Peer) bool { return false }, true},
+		{"alone", 0, 1, nil, true},
+		{"none", 6, 1, func(int, Peer) bool { return true }, false},
+		{"all but one of a small fleet", 6, 1, func(n int, _ Peer) bool { return n == 0 }, false},
+		{"all but two", 60, 3, func(n int, _ Peer) bool { return n%5 == 0 && n < 10 }, true},
+		{"all but three", 60, 3, func(n int, _ Peer) bool { return n%5 == 0 }, false},
+		{"all but a data centre", 60, 3, func(_ int, p Peer) bool { return p.DataCentre == "dc1" }, true},
+		{"one of two data centres", 60, 2, func(_ int, p Peer) bool { return p.DataCentre == "dc1" }, false},
+		{"one of three data centres", 60, 3, func(_ int, p Peer) bool { return p.DataCentre != "dc0" }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var peers []Peer
+			for i := range c.count {
+				peers = append(peers, Peer{ID: core.InstanceID(fmt.Sprint(i)), DataCentre: core.DataCentre(fmt.Sprintf("dc%d", i%c.dataCentres))})
+			}
+			h := NewHomes("dc0", peers)
+			candidates := h.Candidates(1)
+			n := -1
+			got := h.Suffice(candidates, func(p Peer) bool {
+				n++
+				return !c.isSilent(n, p)
+			})
+			if got != c.want {
+				t.Errorf("suffice %v with %d candidates", got, len(candidates))
+			}
+		})
+	}
+}
--- a/io/digest/lookup.go
+++ b/io/digest/lookup.go
@@ -37,7 +37,9 @@
 	service    core.Service
 	hash       uint64
 	arrived    core.Instant
-	candidates []net.Addr
+	homes      *streamHomes
+	candidates []streamstart.Peer
+	addresses  []net.Addr
 	answers    chan queryAnswer
 	serials    []uint32
 	// evidence holds the last answer of each instance, and recordFrom the first one with a
@@ -55,8 +57,9 @@
 	}
 	l := &lookup{
 		streams: s, service: service, hash: streamstart.HashRequest(request), arrived: n.opts.Clock.Now(),
-		evidence: map[string]streamstart.Evidence{},
+		homes: s.homes.Load(), evidence: map[string]streamstart.Evidence{},
 	}
+	l.candidates = l.homes.Candidates(l.hash)
 	tag, result := l.run(ctx)
 	var version core.SoftwareVersion
 	if result.IsFound() {
@@ -80,13 +83,12 @@
 	if tag, result := l.decide(); result == streamstart.FoundOwn {
 		return tag, result
 	}
-	homes := l.streams.homes.Load()
-	for _, address := range homes.Candidates(l.hash) {
-		l.candidates = append(l.candidates, homes.addresses[address])
-	}
 	if len(l.candidates) == 0 {
 		return l.decide()
 	}
+	for _, c := range l.candidates {
+		l.addresses = append(l.addresses, l.homes.addresses[c.Address])
+	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	l.answers = make(chan queryAnswer, 2*len(l.candidates))
@@ -99,7 +101,12 @@
 		case <-ctx.Done():
 			return l.decide()
 		case <-ticker.C:
+			// All had two occasions to answer, so those that are silent are dead or cut off.
+			if tag, result := l.decide(); len(l.serials) > 1 && result.IsFound() {
+				return tag, result
+			}
 			l.ask()
+			l.requestConfirmation()
 		case a := <-l.answers:
 			l.add(a)
 			tag, result := l.decide()
@@ -120,7 +127,15 @@
 	l.serials = append(l.serials, serial)
 	s.send(&packet{
 		Kind: packetStreamQuery, Serial: serial, StreamQuery: &streamQuery{Service: l.service, Request: l.hash},
-	}, l.candidates...)
+	}, l.addresses...)
+}
+
+// requestConfirmation requests a read of the targets in place of the answers that are missing.
+func (l *lookup) requestConfirmation() {
+	select {
+	case l.streams.confirm <- struct{}{}:
+	default:
+	}
 }
 
 // forget ends the wait for answers.
@@ -149,7 +164,11 @@
 	for _, e := range l.evidence {
 		answers = append(answers, e)
 	}
-	return streamstart.Decide(l.arrived, own, answers, len(answers) == len(l.candidates))
+	isSufficient := l.homes.Suffice(l.candidates, func(p streamstart.Peer) bool {
+		_, ok := l.evidence[p.Address]
+		return ok
+	})
+	return streamstart.Decide(l.arrived, own, answers, isSufficient)
 }
 
 // answer answers the query of another instance.
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -153,6 +153,7 @@
 	loops.Go(func() { n.loopAnnounce(ctx) })
 	loops.Go(func() { n.streams.loopRecords(ctx) })
 	loops.Go(func() { n.streams.loopObserve(ctx) })
+	loops.Go(func() { n.streams.loopConfirm(ctx) })
 	<-ctx.Done()
 	_ = n.opts.Conn.Close() // ends loopRead
 	loops.Wait()
--- a/io/digest/streams.go
+++ b/io/digest/streams.go
@@ -22,6 +22,9 @@
 	// Observation returns the present targets and routes. Their confirmation must be read
 	// before them.
 	Observation() streamstart.Observation
+	// Confirm reads the changes of the targets, so that they are complete as of the call. It
+	// returns an error if they can't be read.
+	Confirm(ctx context.Context) error
 }
 
 const (
@@ -35,6 +38,12 @@
 	// that lookups need in addition.
 	observeInterval    = 100 * time.Millisecond
 	minObserveInterval = 20 * time.Millisecond
+	// minConfirmInterval is the pause after a read that confirms the targets for all lookups that
+	// wait, and confirmIntervalPerPeer the pause in large fleets, since all instances share the
+	// reads of the store. confirmTimeout limits one read.
+	minConfirmInterval     = 50 * time.Millisecond
+	confirmIntervalPerPeer = time.Millisecond
+	confirmTimeout         = 100 * time.Millisecond
 )
 
 // StreamStats counts records of streams since the start of the process, and those held now.
@@ -66,6 +75,8 @@
 	register *streamstart.Register
 	queue    chan streamstart.Record
 	homes    atomic.Pointer[streamHomes]
+	// confirm has a value while a lookup waits for a confirmation.
+	confirm chan struct{}
 
 	sent, received, dropped atomic.Uint64
 
@@ -85,7 +96,8 @@
 func newStreams(n *Node) *streams {
 	s := &streams{
 		node: n, source: n.opts.Streams, register: streamstart.New(streamstart.DefaultCapacity),
-		queue: make(chan streamstart.Record, startQueueLength), observedAt: -core.Instant(time.Hour),
+		queue:   make(chan streamstart.Record, startQueueLength),
+		confirm: make(chan struct{}, 1), observedAt: -core.Instant(time.Hour),
 		pending: map[uint32]pendingQuery{}, lookups: map[streamstart.Result]uint64{},
 	}
 	s.setPeers(nil)
@@ -171,6 +183,23 @@
 	}
 }
 
+// loopConfirm confirms the targets for lookups that lack answers.
+func (s *streams) loopConfirm(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.confirm:
+			bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
+			if err := s.source.Confirm(bounded); err != nil && ctx.Err() == nil {
+				s.node.opts.Log.WithError(err).Warn("TargetsNotConfirmed")
+			}
+			cancel()
+			pause.For(ctx, max(minConfirmInterval, time.Duration(s.homes.Load().Count())*confirmIntervalPerPeer))
+		}
+	}
+}
+
 // loopRecords sends queued records to their homes.
 func (s *streams) loopRecords(ctx context.Context) {
 	batch := make([]streamstart.Record, 0, recordsPerPacket)
@@ -205,8 +234,8 @@
 	homes := s.homes.Load()
 	byHome := map[string][]streamstart.Record{}
 	for _, r := range batch {
-		for _, address := range homes.Of(r.Request) {
-			byHome[address] = append(byHome[address], r)
+		for _, home := range homes.Of(r.Request) {
+			byHome[home.Address] = append(byHome[home.Address], r)
 		}
 	}
 	for address, records := range byHome {
@@ -230,7 +259,7 @@
 	}
 	var records []streamstart.Record
 	for _, r := range s.register.Published(s.node.opts.Clock.Now()) {
-		if slices.Contains(homes.Of(r.Request), to) {
+		if slices.ContainsFunc(homes.Of(r.Request), func(p streamstart.Peer) bool { return p.Address == to }) {
 			records = append(records, r)
 		}
 	}
--- a/io/digest/streams_test.go
+++ b/io/digest/streams_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"gorseline/core"
 	"gorseline/core/catchup"
@@ -112,16 +113,21 @@
 	clock core.ClockProvider
 	mu    sync.Mutex
 	// cutAt is the time since which the view is not confirmed, if isCut.
-	isCut    bool
-	cutAt    core.Instant
-	versions []core.SoftwareVersion
+	isCut bool
+	cutAt core.Instant
+	// confirmedAt is the time of the last confirmation that was requested, and confirmations
+	// their number.
+	confirmedAt   core.Instant
+	confirmations int
+	versions      []core.SoftwareVersion
 }
 
 func (v *streamView) Observation() streamstart.Observation {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	o := streamstart.Observation{
-		AsOf: v.clock.Now(), IsConfirmed: true, Versions: map[core.Service][]core.SoftwareVersion{"chat": v.versions},
+		// A store without changes confirms views at intervals only.
+		AsOf: max(v.confirmedAt, v.clock.Now()-v.clock.Now()%core.Instant(1500*time.Millisecond)), IsConfirmed: true, Versions: map[core.Service][]core.SoftwareVersion{"chat": v.versions},
 		Configuration: &core.Forwarding{Routes: []core.Route{{
 			Prefix: "/", Resumable: true, Timeout: 20 * time.Second, Splits: []core.Split{{Service: "chat", Weight: 1}},
 		}}},
@@ -132,6 +138,23 @@
 	return o
 }
 
+func (v *streamView) Confirm(context.Context) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.confirmations++
+	if v.isCut {
+		return errors.New("cut off")
+	}
+	v.confirmedAt = v.clock.Now()
+	return nil
+}
+
+func (v *streamView) countConfirmations() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.confirmations
+}
+
 func (v *streamView) set(versions ...core.SoftwareVersion) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -269,7 +292,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newStreamFleet(t, 7, "v1")
 		time.Sleep(time.Minute)
-		for i := range 50 {
+		for i := range 22 {
 			f.begin(0, core.RequestID(fmt.Sprintf("r%d", i)), "v1")
 		}
 		time.Sleep(time.Second)
@@ -277,13 +300,21 @@
 			t.Errorf("%d packets of records are sent", count)
 		}
 		f.kill(0)
-		f.expect(1, "r0", "v1")
+		for i := range 20 {
+			f.expect(1, core.RequestID(fmt.Sprintf("r%d", i)), "v1")
+		}
+		time.Sleep(10 * time.Second)
+		confirmations := f.views[1].countConfirmations()
+		f.expect(1, "r20", "v1")
+		if f.views[1].countConfirmations() != confirmations {
+			t.Error("the store is read although all answer")
+		}
 		f.kill(2)
 		f.kill(3)
 		f.kill(4)
 		f.kill(5)
 		f.kill(6)
-		f.expect(1, "r1", "v1")
+		f.expect(1, "r21", "v1")
 	})
 }
 
