--- a/io/digest/lookup.go
+++ b/io/digest/lookup.go
@@ -73,7 +73,7 @@
 	s.mu.Unlock()
 	n.opts.Log.WithFields(log.Fields{
 		"Request": request, "Service": service, "Result": string(result), "Version": version, "Asked": len(l.candidates),
-		"Answers": len(l.evidence), "Peer": l.recordFrom, "Took": n.opts.Clock.Now().Sub(l.arrived),
+		"Answers": len(l.evidence), "Peer": l.recordFrom, "TookMs": n.opts.Clock.Now().Sub(l.arrived).Milliseconds(),
 	}).Info("StreamVersionLookedUp")
 	return version, result.IsFound()
 }
