Wait for the version of a record within a lookup

An instance whose view of the targets was some milliseconds behind refused a stream that a home had recorded, because it hadn't seen the version (Result=Unseen, in a trial with three instances under the race detector). The lookup now waits for it for the rest of its 150 ms. TestLookupWaitsForTheViewOfTheTargets failed before.

--- a/io/digest/lookup.go
+++ b/io/digest/lookup.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/core/streamstart"
 )
 
@@ -64,7 +65,7 @@
 	var version core.SoftwareVersion
 	if result.IsFound() {
 		var seen bool
-		if version, seen = s.register.Version(service, tag); !seen {
+		if version, seen = l.resolve(ctx, tag); !seen {
 			result = streamstart.NotFoundUnseen
 		}
 	}
@@ -78,6 +79,21 @@
 	return version, result.IsFound()
 }
 
+// resolve returns the version that a tag stands for. The view of the targets may be behind that of
+// the instance that recorded it, so it waits for the rest of the lookup.
+func (l *lookup) resolve(ctx context.Context, tag streamstart.Tag) (core.SoftwareVersion, bool) {
+	for {
+		l.streams.observe()
+		if version, ok := l.streams.register.Version(l.service, tag); ok {
+			return version, true
+		}
+		isOver := l.streams.node.opts.Clock.Now().Sub(l.arrived) >= lookupTimeout
+		if isOver || !pause.For(ctx, minObserveInterval) {
+			return "", false
+		}
+	}
+}
+
 // run asks until the version is known or the time is over.
 func (l *lookup) run(ctx context.Context) (streamstart.Tag, streamstart.Result) {
 	if tag, result := l.decide(); result == streamstart.FoundOwn {
--- a/io/digest/streams_test.go
+++ b/io/digest/streams_test.go
@@ -356,6 +356,19 @@
 	})
 }
 
+// Guards against refusals because the view of the targets is some milliseconds behind a record.
+func TestLookupWaitsForTheViewOfTheTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStreamFleet(t, 3, "v1")
+		f.views[0].set("v1", "v2")
+		f.begin(0, "a", "v2")
+		time.Sleep(startBatchInterval + time.Millisecond)
+		time.AfterFunc(60*time.Millisecond, func() { f.views[1].set("v1", "v2") })
+		f.expect(1, "a", "v2")
+		f.expect(2, "a", "")
+	})
+}
+
 // Guards against a restarted home without the records of streams that still run.
 func TestRestartedHomeReceivesRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
