--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"io"
@@ -129,7 +128,7 @@
 			Capacity: callerCapacity(settings),
 		},
 		Conn: conn, Sender: id.sender, Loads: loads, Lister: instances, Clock: clock, Seed: id.seed, Log: l,
-		Catchup: tracker, Snapshots: updater,
+		Catchup: tracker, Snapshots: updater, Streams: streamSource{tracker, updater.roster, updater.confirmTargets, updater.Configuration},
 	})
 	updater.digests = n
 	lifecycle.Register(lc, n)
@@ -146,21 +145,10 @@
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
 		Clock: clock, Publisher: digests, Observer: i, Log: l, Sender: id.sender, MaxBodyBytes: defaultMaxBodyBytes,
-		StreamStarts: unrecordedStreams{}, StreamVersions: unrecordedStreams{},
+		StreamStarts: digests, StreamVersions: digests,
 	})
 }
 
-// unrecordedStreams records nothing, so that callers can't continue streams in later attempts.
-type unrecordedStreams struct{}
-
-// RecordStreamStart does nothing.
-func (unrecordedStreams) RecordStreamStart(core.StreamStart) {}
-
-// StreamVersion returns false.
-func (unrecordedStreams) StreamVersion(context.Context, core.Service, core.RequestID) (core.SoftwareVersion, bool) {
-	return "", false
-}
-
 func newWatcher(
 	lc fx.Lifecycle, options Options, store *platform.Store, l log.Interface, clock core.ClockProvider,
 	r *roster.Roster, f *forward.Forwarder, updater *stateUpdater, tracker *catchup.Tracker,
--- a/standin/platform/version_test.go
+++ b/standin/platform/version_test.go
@@ -76,8 +76,8 @@
 	return other
 }
 
-// sendStream sends a request with a prompt on the resumable route.
-func (f *fixture) sendStream(id string, header ...string) response {
+// sendAttempt sends a request with a prompt on the resumable route.
+func (f *fixture) sendAttempt(id string, header ...string) response {
 	f.t.Helper()
 	header = append(header, "X-Model", "m", "X-Token-Count", "3000,8", "X-Prompt-Prefix", "ab:2500,cd:500")
 	return f.do(f.t.Context(), http.MethodPost, "/resumable/x", id, "the prompt", header...)
@@ -108,7 +108,7 @@
 			f := newVersionFixture(t, engine{"prefill", "v1"}, engine{"decode", "v1"}, engine{"decode", "v1.1"}, engine{"decode", test.last})
 			// The first of several idle engines of the prompt's version is chosen.
 			f.targets[1].InjectFaults(platform.CutStream)
-			got := f.sendStream("r1")
+			got := f.sendAttempt("r1")
 			if isComplete := got.err == nil && got.body == completeStream(); isComplete != test.isComplete {
 				t.Errorf("response %+v", got)
 			}
@@ -126,7 +126,7 @@
 func TestStreamOfUnknownVersionStaysThere(t *testing.T) {
 	f := newVersionFixture(t, engine{"prefill", ""}, engine{"decode", ""}, engine{"decode", "v1"})
 	f.targets[1].InjectFaults(platform.CutStream)
-	if got := f.sendStream("r1"); got.err == nil || f.arrivals(2) != 0 {
+	if got := f.sendAttempt("r1"); got.err == nil || f.arrivals(2) != 0 {
 		t.Errorf("response %+v, %d requests reached the other engine", got, f.arrivals(2))
 	}
 }
@@ -142,13 +142,13 @@
 			only := make([]engine, len(all))
 			copy(only[first:], all[first:first+2])
 			f.register(3, only)
-			if got := f.sendStream("r1"); got.status != http.StatusOK {
+			if got := f.sendAttempt("r1"); got.status != http.StatusOK {
 				t.Fatalf("response %+v", got)
 			}
 			other := f.another(all...)
 			for i := range 6 {
 				id := fmt.Sprint("later", i)
-				if got := other.sendStream(id, "Last-Event-Id", "1", "Resumes", "r1"); got.status != http.StatusOK {
+				if got := other.sendAttempt(id, "Last-Event-Id", "1", "Resumes", "r1"); got.status != http.StatusOK {
 					t.Fatalf("response %+v", got)
 				}
 				for target, tg := range f.targets {
@@ -208,7 +208,7 @@
 				}
 			}
 			began := time.Now()
-			got := f.sendStream("later", append(test.resumes, "Last-Event-Id", "1", "X-Deadline-Ms", "2000")...)
+			got := f.sendAttempt("later", append(test.resumes, "Last-Event-Id", "1", "X-Deadline-Ms", "2000")...)
 			wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 			if got.status != http.StatusServiceUnavailable || err != nil || wait <= 0 || wait > 2.0/3 {
 				t.Errorf("response %+v", got)
@@ -260,7 +260,7 @@
 	f := newVersionFixture(t, engine{"prefill", "v1"}, engine{"decode", "v1"})
 	f.targets[1].SetProcessingTime(200 * time.Millisecond)
 	done := make(chan response, 1)
-	go func() { done <- f.sendStream("r1") }()
+	go func() { done <- f.sendAttempt("r1") }()
 	for len(f.targets[1].Runs()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -280,7 +280,7 @@
 	f := newVersionFixture(t, engine{"prefill", "v1"}, engine{"decode", "v1"})
 	f.sendPrompt(t.Context(), "/single/x")
 	f.targets[1].InjectFaults(platform.Fail)
-	f.sendStream("r2", "X-Deadline-Ms", "300")
+	f.sendAttempt("r2", "X-Deadline-Ms", "300")
 	if starts := f.streams.allStarts(); len(starts) != 0 {
 		t.Errorf("recorded %+v", starts)
 	}
@@ -305,7 +305,7 @@
 		ids[route.SelectService(&core.Route{Splits: splits}, core.RequestID(id))] = id
 	}
 	f.streams.RecordStreamStart(core.StreamStart{Service: "models", Request: core.RequestID(ids["models"]), Version: "v1"})
-	if got := f.sendStream(ids["others"], "Last-Event-Id", "1", "Resumes", ids["models"]); got.status != http.StatusOK {
+	if got := f.sendAttempt(ids["others"], "Last-Event-Id", "1", "Resumes", ids["models"]); got.status != http.StatusOK {
 		t.Errorf("response %+v", got)
 	}
 }
@@ -315,10 +315,10 @@
 func TestContinuationsAreCounted(t *testing.T) {
 	f := newVersionFixture(t, engine{"prefill", "v1"}, engine{"decode", "v1"})
 	f.streams.RecordStreamStart(core.StreamStart{Service: "models", Request: "old", Version: "v0"})
-	f.sendStream("r1")
-	f.sendStream("r2", "Last-Event-Id", "1", "Resumes", "r1")
-	f.sendStream("r3", "Last-Event-Id", "1", "Resumes", "old")
-	f.sendStream("r4", "Last-Event-Id", "1", "Resumes", "unknown")
+	f.sendAttempt("r1")
+	f.sendAttempt("r2", "Last-Event-Id", "1", "Resumes", "r1")
+	f.sendAttempt("r3", "Last-Event-Id", "1", "Resumes", "old")
+	f.sendAttempt("r4", "Last-Event-Id", "1", "Resumes", "unknown")
 	f.server.Close() // waits for the requests, which may still write log lines
 	want := map[forward.ContinuationResult]int{
 		forward.ContinuationRelayed: 1, forward.ContinuationNoEngine: 1, forward.ContinuationVersionUnknown: 1,
@@ -348,7 +348,7 @@
 	f.forwarder.Configure(route.NewTable(c))
 	f.streams.RecordStreamStart(core.StreamStart{Service: "models", Request: "r1", Version: "v1"})
 	f.streams.lookupDelay = 200 * time.Millisecond
-	if got := f.sendStream("r2", "Last-Event-Id", "1", "Resumes", "r1"); got.status != http.StatusOK {
+	if got := f.sendAttempt("r2", "Last-Event-Id", "1", "Resumes", "r1"); got.status != http.StatusOK {
 		t.Errorf("response %+v", got)
 	}
 }
@@ -358,7 +358,7 @@
 func TestStreamHasTheVersionOfItsFirstEvent(t *testing.T) {
 	f := newVersionFixture(t, engine{"prefill", "v1"}, engine{"decode", "v1"}, engine{"decode", "v1.1"})
 	f.targets[1].InjectFaults(platform.PauseFirst)
-	if got := f.sendStream("r1"); got.status != http.StatusOK || got.body != completeStream() {
+	if got := f.sendAttempt("r1"); got.status != http.StatusOK || got.body != completeStream() {
 		t.Fatalf("response %+v", got)
 	}
 	began := core.SoftwareVersion("v1")
