--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -149,6 +149,9 @@
 	"CallerLeft":       "the caller closed its connection first",
 	"Malformed":        "rejected: the request is malformed",
 	"BodyTooLarge":     "rejected: the body is larger than the configuration allows",
+
+	"StreamVersionUnknown": "refused at once: it isn't known at which software version the stream began that the request continues",
+	"NoEngineOfVersion":    "refused at once: no engine of the software version at which the stream began is ready",
 }
 
 // endText describes in one line how a request ended.
--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -145,6 +145,7 @@
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
 		Clock: clock, Publisher: digests, Observer: i, Log: l, Sender: id.sender, MaxBodyBytes: defaultMaxBodyBytes,
+		StreamStarts: digests, StreamVersions: digests,
 	})
 }
 
--- a/core/forwarding.go
+++ b/core/forwarding.go
@@ -126,10 +126,25 @@
 	// CallerTimeout is how long the caller waits, counted from the arrival; 0 means that the
 	// request states none.
 	CallerTimeout time.Duration
+	// ResumeAfter is the ID of the last event that the caller has received, or empty for a
+	// new stream.
+	ResumeAfter string
+	// ResumedRequest is the caller's attempt that brought the first event of the stream that
+	// it continues, or empty if the request names none.
+	ResumedRequest RequestID
 	// Prompt is nil if the request describes no prompt.
 	Prompt *Prompt
 }
 
+// StreamRequest returns the caller's attempt that brought the first event of the stream. For a
+// new stream, or if the request doesn't name that attempt, it is the request itself.
+func (r *ForwardRequest) StreamRequest() RequestID {
+	if r.ResumeAfter == "" || r.ResumedRequest == "" {
+		return r.ID
+	}
+	return r.ResumedRequest
+}
+
 // Registration is a target's entry in the platform's registry.
 type Registration struct {
 	Target
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -28,7 +28,8 @@
 	for {
 		req := &assign.Request{
 			Service: r.service, Route: r.route.Name, Engine: r.engineLimits(), Prompt: r.req.Prompt, Chain: chain,
-			Objective: r.remainingObjective(), Remaining: r.remaining(), Exclude: r.exclude,
+			Objective: r.firstEventObjective(), Remaining: r.remaining(), Exclude: r.exclude,
+			Version: r.version,
 		}
 		d := r.Assigner.Assign(r.Clock.Now(), r.Roster.View(), req)
 		r.logPrompt(&d)
@@ -235,13 +236,15 @@
 		"Roster": r.Roster.View().Version, "LeftMs": r.remaining().Milliseconds(),
 	}
 	if d.FetchSource != nil {
+		fields["FetchVersion"] = d.FetchSource.Version
 		fields["Fetch"], fields["TransferMs"] = d.FetchSource.ID, d.FetchTime.Milliseconds()
 	}
+	r.addContinuation(fields)
 	if d.Target == nil {
 		fields["RetryAfterMs"] = d.RetryAfter.Milliseconds()
 		r.Log.WithFields(fields).Warn("RequestRefused")
 		return
 	}
-	fields["Target"], fields["Kind"] = d.Target.ID, d.Kind
+	fields["Target"], fields["Version"], fields["Kind"] = d.Target.ID, d.Target.Version, d.Kind
 	r.Log.WithFields(fields).Info("RequestAssigned")
 }
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -39,6 +39,7 @@
 func (r *activeRequest) relayStream(e *roster.Entry, answer *target.Answer) (done bool) {
 	s := &streamRelay{activeRequest: r}
 	for {
+		s.engine = e
 		err := s.relayEvents(answer)
 		if err == nil {
 			answer.Finish()
@@ -76,6 +77,8 @@
 // streamRelay is the state of a relayed stream.
 type streamRelay struct {
 	*activeRequest
+	// engine is the engine whose answer is relayed.
+	engine             *roster.Entry
 	started            bool
 	callerDisconnected bool
 	// lastID is the ID of the last relayed event that had one.
@@ -140,6 +143,7 @@
 // startAnswer writes the header of the answer.
 func (s *streamRelay) startAnswer(answer *target.Answer) {
 	s.started = true
+	s.recordStart(s.engine)
 	s.timeToFirstByte = s.Clock.Now().Sub(s.arrived)
 	s.writeHeader(answer)
 }
@@ -203,16 +207,18 @@
 		Service: s.service, Engine: s.engineLimits(), Prompt: s.req.Prompt, Chain: prompt.NewChain(s.req.Prompt),
 		// The objective applies to the first event, which has been relayed.
 		Objective: s.remaining(), Remaining: s.remaining(), Exclude: s.exclude,
+		Version: s.version,
 	}
 	// There is no exported KV cache to import. The source limits the choice to engines of
 	// this instance's cell and prefers those of its data centre.
 	source := &roster.Entry{Registration: core.Registration{Target: core.Target{DataCentre: s.Assigner.Home()}}}
 	e, found := s.Assigner.AssignGenerator(s.Clock.Now(), s.Roster.View(), req, source)
 	if !found {
+		s.logNotResumed()
 		return resumedStream{}, nil, false
 	}
 	s.Log.WithFields(log.Fields{
-		"Request": s.req.ID, "Target": e.ID, "After": s.lastID, "Run": s.possibleRuns + 1,
+		"Request": s.req.ID, "Target": e.ID, "Version": e.Version, "After": s.lastID, "Run": s.possibleRuns + 1,
 	}).Warn("StreamResumed")
 	ref := s.startWork(e, load.Item{Kind: load.Generate, Chain: req.Chain})
 	finish = func() { s.finishWork(ref) }
