--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -128,7 +128,7 @@
 			Capacity: callerCapacity(settings),
 		},
 		Conn: conn, Sender: id.sender, Loads: loads, Lister: instances, Clock: clock, Seed: id.seed, Log: l,
-		Catchup: tracker, Snapshots: updater,
+		Catchup: tracker, Snapshots: updater, Streams: streamSource{tracker, updater.roster, updater.confirmTargets, updater.Configuration},
 	})
 	updater.digests = n
 	lifecycle.Register(lc, n)
@@ -145,6 +145,7 @@
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
 		Clock: clock, Publisher: digests, Observer: i, Log: l, Sender: id.sender, MaxBodyBytes: defaultMaxBodyBytes,
+		StreamStarts: digests, StreamVersions: digests,
 	})
 }
 
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -56,7 +56,7 @@
 // chooseCall chooses a target that has not been tried.
 func (r *activeRequest) chooseCall() assign.CallDecision {
 	return r.Assigner.AssignCall(r.Clock.Now(), r.Roster.View(), &assign.CallRequest{
-		Service: r.service, Remaining: r.remaining(), Exclude: r.exclude,
+		Service: r.service, Remaining: r.remaining(), Exclude: r.exclude, Version: r.version,
 	})
 }
 
@@ -211,12 +211,13 @@
 		"Running": d.Running, "Candidates": d.Candidates, "Roster": r.Roster.View().Version,
 		"LeftMs": r.remaining().Milliseconds(),
 	}
+	r.addContinuation(fields)
 	if d.Target == nil {
 		fields["RetryAfterMs"] = d.RetryAfter.Milliseconds()
 		r.Log.WithFields(fields).Warn("RequestRefused")
 		return
 	}
-	fields["Target"] = d.Target.ID
+	fields["Target"], fields["Version"] = d.Target.ID, d.Target.Version
 	r.Log.WithFields(fields).Info("RequestAssigned")
 }
 
--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -91,7 +91,7 @@
 		return ReasonRetryBudget
 	}
 	s.Log.WithFields(log.Fields{
-		"Request": s.req.ID, "Target": e.ID, "After": s.lastID, "Run": s.possibleRuns + 1,
+		"Request": s.req.ID, "Target": e.ID, "Version": e.Version, "After": s.lastID, "Run": s.possibleRuns + 1,
 	}).Warn("StreamResumed")
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	ref := s.startWork(e, load.Item{Kind: load.Generate, Chain: chain})
@@ -136,7 +136,7 @@
 	<-c.done
 	r := &c.request
 	s.sends, s.possibleRuns, s.ledger, s.silentTarget = r.sends, r.possibleRuns, r.ledger, r.silentTarget
-	s.lastTarget, s.lastAttempt, s.lastResult = r.lastTarget, r.lastAttempt, r.lastResult
+	s.lastTarget, s.lastVersion, s.lastAttempt, s.lastResult = r.lastTarget, r.lastVersion, r.lastAttempt, r.lastResult
 	s.exclude = append(s.exclude, c.engine.ID)
 }
 
@@ -159,6 +159,7 @@
 		s.silence.ask = nil
 		c.finish()
 	}
+	s.logNotResumed()
 	return nil, false
 }
 
@@ -197,6 +198,7 @@
 func (r *activeRequest) promptRequest(chain prompt.Chain) *assign.Request {
 	return &assign.Request{
 		Service: r.service, Route: r.route.Name, Engine: r.engineLimits(), Prompt: r.req.Prompt, Chain: chain,
-		Objective: r.remainingObjective(), Remaining: r.remaining(), Exclude: r.exclude,
+		Objective: r.firstEventObjective(), Remaining: r.remaining(), Exclude: r.exclude,
+		Version: r.version,
 	}
 }
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -46,6 +46,8 @@
 	ObserveSilence(service core.Service, step SilenceStep)
 	// ObserveRetry counts retries that the budget of a service allowed or denied.
 	ObserveRetry(service core.Service, cause RetryCause, retries int, allowed bool, state retry.ShareState)
+	// ObserveContinuation counts a request that continues a stream by what became of it.
+	ObserveContinuation(service core.Service, result ContinuationResult)
 }
 
 // Options holds the dependencies and limits of a Forwarder. All fields are required.
@@ -60,7 +62,11 @@
 	Clock     core.ClockProvider
 	Publisher WorkPublisher
 	Observer  Observer
-	Log       log.Interface
+	// StreamStarts records at which versions resumable streams begin here, StreamVersions knows
+	// those of all instances.
+	StreamStarts   core.StreamStartRecorder
+	StreamVersions core.StreamVersionProvider
+	Log            log.Interface
 	// Sender identifies this process in load keys. It must be unique among live processes.
 	Sender uint32
 	// MaxBodyBytes bounds the body of a request if the configuration doesn't.
@@ -202,6 +208,9 @@
 	refusedBefore   bool
 	timeToFirstByte time.Duration
 	lastTarget      core.TargetID
+	lastVersion     core.SoftwareVersion
+	// version is the only version at which the stream may go on; nil allows any.
+	version *core.SoftwareVersion
 	// lastResult is the result of the latest send, lastAttempt what it was.
 	lastResult  sendResult
 	lastAttempt core.Attempt
@@ -234,6 +243,9 @@
 	defer stopWatch()
 	r.ctx = ctx
 	r.Budgets.Deposit(r.service)
+	if !r.requireVersion() {
+		return
+	}
 	if r.req.Prompt != nil && r.engineLimits() != nil {
 		r.servePrompt()
 		return
@@ -261,7 +273,7 @@
 		return false
 	}
 	r.route = matched
-	r.service = route.SelectService(matched, req.ID)
+	r.service = route.SelectService(matched, req.StreamRequest())
 	timeout := matched.Timeout
 	if req.CallerTimeout > 0 && (timeout == 0 || req.CallerTimeout < timeout) {
 		timeout = req.CallerTimeout
@@ -400,8 +412,10 @@
 	fields := log.Fields{
 		"Request": r.req.ID, "Route": name, "Service": r.service, "Outcome": outcome, "Reason": reason,
 		"Status": status, "Sends": r.sends, "Runs": r.possibleRuns, "Extra": r.ledger.Extra(), "TookMs": took.Milliseconds(),
-		"FirstMs": r.timeToFirstByte.Milliseconds(), "Target": r.lastTarget, "Returned": r.refusedBefore,
+		"FirstMs": r.timeToFirstByte.Milliseconds(), "Target": r.lastTarget, "Version": r.lastVersion, "Returned": r.refusedBefore,
 	}
+	r.addContinuation(fields)
+	r.observeContinuation(reason)
 	if r.prefillTime > 0 {
 		fields["PrefillMs"], fields["ImportMs"] = r.prefillTime.Milliseconds(), r.importTime.Milliseconds()
 	}
