--- a/cmd/commands/soak.go
+++ b/cmd/commands/soak.go
@@ -23,6 +23,7 @@
 	Length    time.Duration `long:"length" env:"SOAK_LENGTH" description:"Time over which faults are injected per seed" default:"10s"`
 	Instances int           `long:"instances" env:"SOAK_INSTANCES" description:"Number of instances" default:"3"`
 	Callers   int           `long:"callers" env:"SOAK_CALLERS" description:"Number of callers" default:"8"`
+	Planned   bool          `long:"planned" env:"SOAK_PLANNED" description:"Only planned work and what sound targets do: instances stopped in series, changed configurations, silent targets, with long streams"`
 	Entry     string        `long:"entry" env:"SOAK_ENTRY" description:"Program to run as instances, such as that of an earlier commit; the default is this one"`
 	Dir       string        `long:"dir" env:"SOAK_DIR" description:"Directory for settings and logs" default:"/tmp/gorseline-soak"`
 }
@@ -81,8 +82,8 @@
 func (c *soakCommand) runSeed(ctx context.Context, command []string, seed uint64) (soak.Report, error) {
 	return soak.Run(ctx, soak.Options{
 		Command: command, Seed: seed, FaultDuration: c.Length, Instances: c.Instances, Callers: c.Callers,
-		Retries: soak.RandomRetryLimit(seed),
-		Dir:     filepath.Join(c.Dir, strconv.FormatUint(seed, 10)),
+		Planned: c.Planned, Retries: soak.RandomRetryLimit(seed),
+		Dir: filepath.Join(c.Dir, strconv.FormatUint(seed, 10)),
 	})
 }
 
--- a/standin/platform/soak/callers.go
+++ b/standin/platform/soak/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -34,6 +35,7 @@
 type callers struct {
 	instances []*instance
 	client    *http.Client
+	routes    []string
 
 	mu      sync.Mutex
 	results []result
@@ -41,11 +43,11 @@
 	sent map[string][]time.Time
 }
 
-func newCallers(instances []*instance) *callers {
-	return &callers{instances: instances, sent: map[string][]time.Time{}, client: &http.Client{
+func newCallers(instances []*instance, routes []string) *callers {
+	return &callers{instances: instances, routes: routes, sent: map[string][]time.Time{}, client: &http.Client{
 		// Connections are reused for many requests, until the instance's process ends.
 		Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true, ResponseHeaderTimeout: 6 * time.Second},
-		Timeout:   8 * time.Second,
+		Timeout:   longTimeout + 5*time.Second,
 	}}
 }
 
@@ -53,13 +55,17 @@
 // twice gets twice the load.
 var routeMix = []string{"once", "once", "safe", "stream", "single"}
 
+// plannedRouteMix is the mix beside planned work. Most requests are streams that may last as long
+// as a grace period.
+var plannedRouteMix = []string{"once", "safe", "stream", "long", "long", "long-single", "long-single"}
+
 // run sends the requests of the caller with the given number until ctx ends, and completes
 // the last one.
 func (c *callers) run(ctx context.Context, number int, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, uint64(number)))
 	for i := 0; ctx.Err() == nil; i++ {
 		inst := c.instances[rng.IntN(len(c.instances))]
-		route := routeMix[rng.IntN(len(routeMix))]
+		route := c.routes[rng.IntN(len(c.routes))]
 		id := fmt.Sprintf("%s-%d-%d-%d", route, seed, number, i)
 		r := c.send(context.WithoutCancel(ctx), inst, route, id, rng.IntN(20_000))
 		c.mu.Lock()
@@ -70,7 +76,41 @@
 }
 
 // callerTimeout is how long a caller waits for a response, as it states in its requests.
-const callerTimeout = 2500 * time.Millisecond
+// longTimeout applies to long streams.
+const (
+	callerTimeout = 2500 * time.Millisecond
+	longTimeout   = 10 * time.Second
+)
+
+// timeoutOf returns how long a caller waits for a response on a route. The ID of a request begins
+// with its route and can be given instead.
+func timeoutOf(route string) time.Duration {
+	if strings.HasPrefix(route, "long") {
+		return longTimeout
+	}
+	return callerTimeout
+}
+
+// isStream reports whether a route's answers are streams.
+func isStream(route string) bool {
+	return route == "stream" || route == "single" || strings.HasPrefix(route, "long")
+}
+
+// Numbers of events of a stream. An engine takes eventInterval for each.
+const (
+	shortEvents                  = 4
+	minLongEvents, maxLongEvents = 10, 140
+)
+
+// eventCount returns the number of events of a request's stream, which its caller states.
+func eventCount(route, id string) int {
+	if !strings.HasPrefix(route, "long") {
+		return shortEvents
+	}
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, id) // never fails
+	return minLongEvents + int(h.Sum32()%(maxLongEvents-minLongEvents+1))
+}
 
 // send sends one request with a body of the given size in bytes and returns its result.
 func (c *callers) send(ctx context.Context, inst *instance, route, id string, size int) (r result) {
@@ -88,10 +128,10 @@
 	req.GetBody = nil
 	req.Host = host
 	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
-	if route == "stream" || route == "single" {
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(timeoutOf(route).Milliseconds(), 10))
+	if isStream(route) {
 		req.Header.Set("X-Model", "m")
-		req.Header.Set("X-Token-Count", "4000,8")
+		req.Header.Set("X-Token-Count", fmt.Sprintf("4000,%d", eventCount(route, id)))
 		req.Header.Set("X-Prompt-Prefix", "ab:3000,"+fmt.Sprintf("%x", len(id))+":1000")
 	}
 	resp, err := c.client.Do(req)
--- a/standin/platform/soak/check.go
+++ b/standin/platform/soak/check.go
@@ -34,7 +34,7 @@
 	report := func(format string, args ...any) {
 		violations = append(violations, r.id+" at "+r.instance+": "+fmt.Sprintf(format, args...))
 	}
-	isOnce := r.route == "once" || r.route == "single"
+	isOnce := r.route == "once" || r.route == "single" || r.route == "long-single"
 	if isOnce && runs > 1 {
 		report("ran %d times", runs)
 	}
@@ -59,8 +59,8 @@
 	if r.status == 404 {
 		report("answered 404 for a route of every configuration")
 	}
-	if took := r.finished.Sub(r.started); took > callerTimeout+deadlineTolerance {
-		report("answered after %v, the caller waits %v", took, callerTimeout)
+	if took := r.finished.Sub(r.started); took > timeoutOf(r.route)+deadlineTolerance {
+		report("answered after %v, the caller waits %v", took, timeoutOf(r.route))
 	}
 	return violations
 }
@@ -74,7 +74,7 @@
 		return "answer to " + r.id
 	}
 	var b strings.Builder
-	for i := range 4 {
+	for i := range eventCount(r.route, r.id) {
 		fmt.Fprintf(&b, "id: %d\ndata: piece %d of %s\n\n", i, i, r.id)
 	}
 	return b.String()
--- a/standin/platform/soak/faults.go
+++ b/standin/platform/soak/faults.go
@@ -187,10 +187,11 @@
 	var running sync.WaitGroup
 	for ctx.Err() == nil {
 		for range 1 + rng.IntN(3) {
-			f := faults[rng.IntN(len(faults))]
+			kinds := s.options.faults()
+			f := kinds[rng.IntN(len(kinds))]
 			source := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 			s.injected = append(s.injected, fmt.Sprintf("%.1fs %s", time.Since(s.started).Seconds(), f.name))
-			running.Go(func() { f.run(ctx, s, source) })
+			running.Go(func() { s.runFault(ctx, f, source) })
 		}
 		if rng.IntN(2) == 0 {
 			running.Wait()
@@ -199,3 +200,17 @@
 	}
 	running.Wait()
 }
+
+// runFault injects a fault and records the disruption.
+func (s *soak) runFault(ctx context.Context, f fault, rng *rand.Rand) {
+	began := time.Now()
+	f.run(ctx, s, rng)
+	if disruptive[f.name] {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.disruptions = append(s.disruptions, interval{began, time.Now()})
+	}
+}
+
+// disruptive names the faults that disrupt processes and links without a plan.
+var disruptive = map[string]bool{"Kill": true, "KillAll": true, "KillAllWhileRefused": true, "Pause": true, "TargetLink": true}
--- a/standin/platform/soak/instance.go
+++ b/standin/platform/soak/instance.go
@@ -15,9 +15,12 @@
 	"gorseline/standin/platform"
 )
 
-// stopGracePeriod is the time between the signal that stops a process and SIGKILL. It equals
-// grace_s in the settings.
-const stopGracePeriod = 4 * time.Second
+// shortGrace and longGrace are the times in seconds between the signal that stops a process and
+// SIGKILL, as in the settings. Long streams need the longer one.
+const (
+	shortGrace = 4
+	longGrace  = 8
+)
 
 // instance is an instance of gorseline, which may be restarted as a new process.
 type instance struct {
@@ -28,6 +31,10 @@
 	logFile       *os.File
 	command       []string
 	storeProxy    *proxy
+	// grace is the time between the signal that stops a process and SIGKILL.
+	grace time.Duration
+	// answerTTL is how long callers may keep the addresses of instances.
+	answerTTL time.Duration
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -39,6 +46,8 @@
 	startedAt  time.Time
 	// unexpectedExits is the number of processes that exited without being stopped.
 	unexpectedExits int
+	// stops holds the times at which a process was told to stop.
+	stops []time.Time
 }
 
 // signalSetupTimeout bounds the time until a new process has installed its signal handlers.
@@ -51,7 +60,7 @@
 const restartDelay = 200 * time.Millisecond
 
 // settingsFormat is the settings file of an instance. Its arguments are the name, the data
-// centre, five ports, the limit on retries and the store's address.
+// centre, five ports, the grace period, the limit on retries and the store's address.
 const settingsFormat = `node_name = %q
 ip = "127.0.0.1"
 zone = %q
@@ -64,7 +73,7 @@
 directory = "127.0.0.1:%d"
 [bounds]
 drain_ms = 2000
-grace_s = 4
+grace_s = %d
 retry_budget_ratio = %g
 budget_slack = %g
 lease_ms = 1000
@@ -81,10 +90,12 @@
 		return nil, err
 	}
 	inst := &instance{
-		name: name, command: o.Command, storeProxy: storeProxy, settingsPath: filepath.Join(dir, name+".toml"),
+		name: name, command: o.Command, storeProxy: storeProxy, grace: o.grace(), answerTTL: o.answerTTL(),
+		settingsPath:  filepath.Join(dir, name+".toml"),
 		callerAddress: "127.0.0.1:" + strconv.Itoa(ports[1]), readyAddress: "127.0.0.1:" + strconv.Itoa(ports[2]),
 	}
-	text := fmt.Sprintf(settingsFormat, name, dc, ports[0], ports[0], ports[1], ports[2], ports[3], o.Retries.Ratio, o.Retries.Slack, storeProxy.address())
+	text := fmt.Sprintf(settingsFormat, name, dc, ports[0], ports[0], ports[1], ports[2], ports[3],
+		int(o.grace().Seconds()), o.Retries.Ratio, o.Retries.Slack, storeProxy.address())
 	if err := os.WriteFile(inst.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "write settings")
 	}
@@ -101,7 +112,7 @@
 	if inst.process != nil {
 		return nil
 	}
-	args := append(append([]string{}, inst.command[1:]...), "--settings", inst.settingsPath, "--metrics-port", "0", "--answer-keep", "300ms")
+	args := append(append([]string{}, inst.command[1:]...), "--settings", inst.settingsPath, "--metrics-port", "0", "--answer-keep", inst.answerTTL.String())
 	cmd := exec.Command(inst.command[0], args...)
 	cmd.Stdout, cmd.Stderr = inst.logFile, inst.logFile
 	cmd.Env = append(os.Environ(), childEnvVar+"=1")
@@ -141,20 +152,41 @@
 	}
 }
 
-// stop sends a signal to the process and waits for its exit. It sends SIGKILL after
-// stopGracePeriod.
+// signalAgain sends a signal to the process if it is being stopped already.
+func (inst *instance) signalAgain(s syscall.Signal) {
+	inst.mu.Lock()
+	defer inst.mu.Unlock()
+	if inst.process != nil && inst.isStopping {
+		_ = inst.process.Process.Signal(s) // the process may just have exited
+	}
+}
+
+// allStops returns a copy of the times at which a process was told to stop.
+func (inst *instance) allStops() []time.Time {
+	inst.mu.Lock()
+	defer inst.mu.Unlock()
+	return append([]time.Time(nil), inst.stops...)
+}
+
+// stop sends a signal to the process and waits for its exit. It sends SIGKILL after the grace
+// period.
 func (inst *instance) stop(s syscall.Signal) {
 	inst.mu.Lock()
-	inst.isStopping = true
 	exited, isRunning := inst.exited, inst.process != nil
+	if isRunning && !inst.isStopping && s == syscall.SIGTERM {
+		inst.stops = append(inst.stops, time.Now())
+	}
+	inst.isStopping = true
+	if isRunning {
+		_ = inst.process.Process.Signal(s) // the process may just have exited
+	}
 	inst.mu.Unlock()
 	if !isRunning {
 		return
 	}
-	inst.signal(s)
 	select {
 	case <-exited:
-	case <-time.After(stopGracePeriod):
+	case <-time.After(inst.grace):
 		inst.signal(syscall.SIGKILL)
 		<-exited
 	}
--- a/standin/platform/soak/remaining.go
+++ b/standin/platform/soak/remaining.go
@@ -31,7 +31,7 @@
 		}
 		isLate := again && a.At.Sub(before.At) > remainingTolerance
 		endsLate := again && a.At.Add(a.Remaining).Sub(before.At.Add(before.Remaining)) > remainingTolerance
-		if a.Remaining <= 0 || a.Remaining > callerTimeout+remainingTolerance || isLate && endsLate {
+		if a.Remaining <= 0 || a.Remaining > timeoutOf(a.ID)+remainingTolerance || isLate && endsLate {
 			excessive++
 		}
 	}
--- a/standin/platform/soak/retries.go
+++ b/standin/platform/soak/retries.go
@@ -44,7 +44,7 @@
 
 // routeService returns the service of a route of the testbed.
 func routeService(route string) string {
-	if route == "stream" || route == "single" {
+	if isStream(route) {
 		return "models"
 	}
 	return "calls"
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -30,12 +30,39 @@
 	Instances int
 	// Callers is the number of concurrent callers.
 	Callers int
+	// Planned limits the faults to planned work and to what sound targets do: instances are stopped in
+	// series, beside long streams, changes of the configuration and silences of targets.
+	Planned bool
 	// Retries is the limit on retries in the settings of the instances.
 	Retries RetryLimit
 	// Dir is the directory for settings and logs; it is created if absent.
 	Dir string
 }
 
+// grace returns the time between the signal that stops a process and SIGKILL.
+func (o *Options) grace() time.Duration {
+	if o.Planned {
+		return longGrace * time.Second
+	}
+	return shortGrace * time.Second
+}
+
+// answerTTL returns how long callers may keep the addresses of instances.
+func (o *Options) answerTTL() time.Duration {
+	if o.Planned {
+		return time.Second
+	}
+	return 300 * time.Millisecond
+}
+
+// faults returns the kinds of faults.
+func (o *Options) faults() []fault {
+	if o.Planned {
+		return plannedFaults
+	}
+	return faults
+}
+
 // Report is the outcome of a soak.
 type Report struct {
 	Seed     uint64
@@ -74,6 +101,8 @@
 
 	mu   sync.Mutex
 	errs []error
+	// disruptions holds the unplanned disruptions of processes and links.
+	disruptions []interval
 }
 
 // Timeouts of a soak.
@@ -123,6 +152,7 @@
 	s.testbed.store.WaitForDelayedWrites()
 	results := s.callers.allResults()
 	violations = append(violations, checkResults(results, s.testbed.targets)...)
+	violations = append(violations, s.checkLosses(results)...)
 	violations = append(violations, s.checkRetries()...)
 	for _, inst := range s.instances {
 		if inst.unexpectedExits > 0 {
@@ -169,7 +199,14 @@
 			return err
 		}
 	}
-	s.callers = newCallers(s.instances)
+	routes := routeMix
+	if s.options.Planned {
+		routes = plannedRouteMix
+		for _, t := range s.testbed.targets {
+			t.SetEvents(maxLongEvents, eventInterval)
+		}
+	}
+	s.callers = newCallers(s.instances, routes)
 	return nil
 }
 
--- a/standin/platform/soak/testbed.go
+++ b/standin/platform/soak/testbed.go
@@ -117,6 +117,8 @@
 		{"safe", host, "/safe/", "safe", 2000, 200, "calls", 2, false, false, 0},
 		{"stream", host, "/stream/", "stream", 2500, 300, "models", 2, true, true, 100},
 		{"single", host, "/single/", "stream", 2500, 300, "models", 1, true, false, 100},
+		{"long", host, "/long/", "stream", 12000, 300, "models", 2, true, true, 100},
+		{"long-single", host, "/long-single/", "stream", 12000, 300, "models", 1, true, false, 100},
 	}
 	for v := max(1, tb.version-1); v <= tb.version; v++ {
 		routes = append(routes, operatorRoute{fmt.Sprintf("v%d", v), host, fmt.Sprintf("/v%d/", v), "safe", 2000, 200, "calls", 2, false, false, 0})
