--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -113,7 +113,7 @@
 			s.lastID = id
 		}
 		s.events, s.lastEventTime = s.events+1, s.Clock.Now().Sub(s.arrived)
-		if reader.Buffered()+answer.Buffered() > 0 {
+		if hasEvent(reader) {
 			continue
 		}
 		if err := s.flush(answer); err != nil {
@@ -122,6 +122,13 @@
 	}
 }
 
+// hasEvent reports whether a complete event is buffered, which can be read without waiting. Its end
+// is an empty line.
+func hasEvent(reader *bufio.Reader) bool {
+	buffered, _ := reader.Peek(reader.Buffered()) // never fails for buffered bytes
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
+
 // streamBufferSize is the size of the read buffer of a stream in bytes.
 const streamBufferSize = 2 << 10
 
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -218,6 +218,9 @@
 func (a *Answer) accept(response *http.Response) {
 	a.Status, a.Header, a.Length = response.StatusCode, response.Header, response.ContentLength
 	a.Body = response.Body
+	if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
+		a.Body = &chunkedBody{reader: a.conn.reader.Reader}
+	}
 	a.keepAlive, a.idleTimeout = !response.Close, keepAliveTimeout(response.Header)
 }
 
--- a/standin/platform/flush_test.go
+++ b/standin/platform/flush_test.go
@@ -75,7 +75,8 @@
 	// The response must arrive well before the forwarder gives up on the target.
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	defer close(h.proceed)
+	proceed := sync.OnceFunc(func() { close(h.proceed) })
+	defer proceed()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+"/single/x", strings.NewReader("the prompt"))
 	if err != nil {
 		t.Fatal(err)
@@ -94,7 +95,7 @@
 	if _, err := io.ReadFull(resp.Body, got); err != nil || string(got) != want {
 		t.Fatalf("%q while the target is silent, want %q: %v", got, want, err)
 	}
-	h.proceed <- struct{}{}
+	proceed()
 	rest, err := io.ReadAll(resp.Body)
 	if err != nil || string(rest) != "id: 2\ndata: c\n\n" {
 		t.Errorf("%q after the silence: %v", rest, err)
