--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -217,6 +217,9 @@
 func (a *Answer) accept(response *http.Response) {
 	a.Status, a.Header, a.Length = response.StatusCode, response.Header, response.ContentLength
 	a.Body = response.Body
+	if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
+		a.Body = &chunkedBody{reader: a.conn.reader.Reader}
+	}
 	a.keepAlive, a.idleTimeout = !response.Close, keepAliveTimeout(response.Header)
 }
 
@@ -243,9 +246,6 @@
 // can't be read after a failed read.
 func (a *Answer) OnTimeout(extend func() (time.Time, bool)) { a.conn.reader.source.extend = extend }
 
-// Buffered returns the number of bytes that can be read without waiting.
-func (a *Answer) Buffered() int { return a.conn.reader.Buffered() }
-
 // Finish ends an answer whose body was read to its end. It returns the connection to the
 // pool unless the target closes it, the request was not written completely, unread bytes
 // remain or the context has ended.
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -147,6 +147,10 @@
 			t.markCancelled(run)
 			return false
 		}
+		if !t.waitWhileFrozen(conn) {
+			t.markCancelled(run)
+			return false
+		}
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			t.markCancelled(run)
 			return false
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -70,6 +70,10 @@
 	// CancelledAt is when that was noticed, which is at once while the target pauses or hangs in
 	// the middle of a stream.
 	CancelledAt time.Time
+	// StartedAt and EndedAt are the start and the end of the run; EndedAt is zero during the run.
+	StartedAt, EndedAt time.Time
+	// Fault is the fault that was injected into the request; empty is none.
+	Fault RequestFault
 }
 
 // Arrival is a request that reached a target, also one that the target refused.
@@ -114,6 +118,8 @@
 	connectionCount int
 	// cacheList is the body of the answer to a request for the cached parts.
 	cacheList string
+	// frozenUntil is the end of the latest freeze.
+	frozenUntil time.Time
 }
 
 // NewTarget starts a target on a loopback address. phase is prefill, decode or empty for
@@ -346,7 +352,11 @@
 	if importFails {
 		return writeResponse(conn, 503, echo+"X-Not-Executed: 1\r\n", "")
 	}
-	run := t.recordRun(r, string(body))
+	if !t.waitWhileFrozen(conn) {
+		return false
+	}
+	run := t.recordRun(r, string(body), fault)
+	defer t.recordEnd(run)
 	time.Sleep(t.currentProcessingTime())
 	if t.phase != "" {
 		return t.respondStream(conn, r, fault, run)
@@ -373,11 +383,12 @@
 }
 
 // recordRun appends a request to the runs and returns its index.
-func (t *Target) recordRun(r *http.Request, body string) int {
+func (t *Target) recordRun(r *http.Request, body string, fault RequestFault) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs = append(t.runs, Run{
 		ID: r.Header.Get("X-Request-Id"), Method: r.Method, Path: r.RequestURI, Body: body, Header: r.Header,
+		StartedAt: time.Now(), Fault: fault,
 	})
 	return len(t.runs) - 1
 }
