Continuations: try engines that seem full, wait longer, retry soon

Right after instances were killed, callers who continued a stream were refused NoSlot or Backlog with a Retry-After of seconds, while new streams were served.

Cause: a continuation may use only the engines of its version. The streams of a dead instance count at them until its sender is removed, so all their slots may seem taken. A busy prefill engine of the version kept the prompt off generating engines with more than MaxMixedStreams streams, which may compute it if there is no such prefill engine. The limit was that of a new stream's first event.

If other versions serve too and the usual rules find nothing, a second search permits long prompts on all generating engines, 1 s until the first event, no reserved slots and, if all generating engines of the version seem full, the least loaded of them: a full engine refuses to run the request, which costs a send. Prompts aren't computed for such engines on prefill engines, whose work would be lost. AssignGenerator falls back to the least loaded one too, for imports and for streams that broke within one answer, but not while the present engine is only silent: a refusal would exclude the other engine from later tries. CanAssign keeps the usual rules, since it decides whether to give up an engine. Refusals of such continuations name a retry delay of 150 to 300 ms with jitter.

Nothing changes without a required version or while all engines have that version (TestOneVersionChangesNoDecision).

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -67,6 +67,12 @@
 	MinBriefShare float64
 	// MaxRetryShare bounds the retry time of a refusal, as a share of the remaining time.
 	MaxRetryShare float64
+	// ContinuationWait is the time within which the first token of a continuation must be
+	// expected if only some engines have its version, or the usual limit if that is longer.
+	ContinuationWait time.Duration
+	// ContinuationRetry bounds the retry time of such a continuation. Its caller has few
+	// attempts and little time.
+	ContinuationRetry time.Duration
 }
 
 // DefaultTuning returns the default weights and thresholds; docs/POLICIES.md compares them
@@ -76,6 +82,7 @@
 		OnTimeShare: 0.80, LateShare: 0.6, WorkWeight: 4, CopyWeight: 1, RemotePenalty: 10 * time.Millisecond,
 		VersionPenalty: 10 * time.Millisecond, ShortPromptTime: 4 * time.Millisecond, MaxMixedStreams: 4, MaxRetryShare: 0.33,
 		ReservedShare: 0.12, BriefSlotTime: 250 * time.Millisecond, MinBriefShare: 0.1,
+		ContinuationWait: time.Second, ContinuationRetry: 300 * time.Millisecond,
 	}
 }
 
@@ -96,6 +103,9 @@
 	// Version is the software version of the engines that may serve the request; nil allows
 	// any. The continuation of a stream requires that at which it began.
 	Version *core.SoftwareVersion
+	// OnlyFree excludes generating engines without a known free slot from AssignGenerator in any
+	// case, for a stream whose present engine may still go on.
+	OnlyFree bool
 }
 
 // Decision is the outcome of an assignment. Target is nil for a refusal.
@@ -195,27 +205,21 @@
 	m := a.model(req.Service)
 	m.counts.Requests++
 	m.countBrief(a.isLong(m, req))
-	candidates, shortest, isFull := a.candidates(now, view, req, m)
-	limit := a.limit(req, shortest)
-	best, ok := choose(candidates, limit)
-	if !ok {
-		if remote, found := a.bestRemote(now, view, req, m); found && (len(candidates) == 0 || remote.Expected < best.Expected) {
-			best, limit = remote, a.limit(req, remote.Expected-remote.Backlog)
-			ok = best.Expected <= limit
-		}
+	best, ok, isFull := a.find(now, view, req, m, a.usualRules(now, view, req, m))
+	restricted := isRestricted(view, req)
+	if !ok && restricted {
+		best, ok, isFull = a.find(now, view, req, m, a.continuationRules())
 	}
-	if best.Target == nil && isFull {
+	switch {
+	case best.Target == nil && isFull:
 		m.counts.NoSlot++
-		return a.refuse(req, Decision{Reason: core.ReasonNoSlot}, req.Objective)
-	}
-	if best.Target == nil {
-		return a.refuse(req, Decision{Reason: missingReason(view, req.Service, req.Version)}, req.Objective)
-	}
-	best.Candidates, best.Limit = len(candidates), limit
-	if !ok {
+		return a.refuse(req, Decision{Reason: core.ReasonNoSlot}, req.Objective, restricted)
+	case best.Target == nil:
+		return a.refuse(req, Decision{Reason: missingReason(view, req.Service, req.Version)}, req.Objective, restricted)
+	case !ok:
 		m.counts.Backlog++
 		best.Target, best.Reason = nil, ReasonBacklog
-		return a.refuse(req, best.Decision, best.Expected-limit)
+		return a.refuse(req, best.Decision, best.Expected-best.Limit, restricted)
 	}
 	best.Reason = core.ReasonLeastDelay
 	if best.CachedTokens > 0 {
@@ -224,20 +228,6 @@
 	return best.Decision
 }
 
-// limit returns the greatest acceptable time until the first token. shortest is the time that
-// the fastest engine would take if it were idle. Usually the limit is OnTimeShare of the
-// objective. If shortest exceeds half of that, the limit is shortest plus that half, so that
-// long prompts are not refused while engines are idle. In either case the limit is at most
-// LateShare of the remaining time.
-func (a *Assigner) limit(req *Request, shortest time.Duration) time.Duration {
-	onTime := time.Duration(a.opts.OnTimeShare * float64(req.Objective))
-	late := time.Duration(a.opts.LateShare * float64(req.Remaining))
-	if shortest > onTime/2 {
-		onTime = shortest + onTime/2
-	}
-	return min(onTime, late)
-}
-
 // choose returns the candidate with the least score among those within the limit. If there
 // is none, ok is false and the candidate with the earliest first token is returned.
 func choose(candidates []candidate, limit time.Duration) (best candidate, ok bool) {
@@ -258,12 +248,11 @@
 // backlog. isFull reports that there are generating engines but none has a free slot. The slice
 // is valid until the next call.
 func (a *Assigner) candidates(
-	now core.Instant, view *roster.View, req *Request, m *serviceModel,
+	now core.Instant, view *roster.View, req *Request, m *serviceModel, r rules,
 ) (list []candidate, shortest time.Duration, isFull bool) {
 	list = a.candidateBuffer[:0]
-	reserved := a.reservedShare(m, req)
-	hasGenerators, hasFree := a.generators(now, view, req, reserved)
-	mustMix := a.mustMix(now, view, req)
+	hasGenerators, hasFree := a.generators(now, view, req, r.reserved)
+	r.anySlot = r.anySlot && !hasFree
 	a.holderBuffer = a.holderBuffer[:0]
 	for _, e := range view.Ready(req.Service) {
 		if !a.isLoadKnown(e) || !a.isUsable(now, e, req.Exclude, req.Version) {
@@ -274,7 +263,7 @@
 		if e.Role == core.RolePrefill && !hasFree {
 			continue
 		}
-		c, ok := a.evaluate(e, &state, req, m, reserved, mustMix)
+		c, ok := a.evaluate(e, &state, req, m, r)
 		if !ok {
 			continue
 		}
@@ -313,11 +302,11 @@
 }
 
 // evaluate returns the candidate for one engine. ok is false if the engine has no free slot
-// or if the prompt would delay other requests on it for too long, unless mustMix is set.
+// or if the prompt would delay other requests on it for too long, unless the rules permit that.
 func (a *Assigner) evaluate(
-	e *roster.Entry, state *load.State, req *Request, m *serviceModel, reserved float64, mustMix bool,
+	e *roster.Entry, state *load.State, req *Request, m *serviceModel, r rules,
 ) (c candidate, ok bool) {
-	if !hasSlot(e, state, reserved) {
+	if !r.permitsSlot(e, state) {
 		return candidate{}, false
 	}
 	c = candidate{Decision: Decision{Target: e, CachedTokens: state.CachedTokens, Backlog: state.Backlog}}
@@ -325,7 +314,7 @@
 	c.ComputeTime = m.prefill.Time(c.Work)
 	c.Kind = load.Prefill
 	if e.Role != core.RolePrefill {
-		if !mustMix && c.ComputeTime > a.opts.ShortPromptTime && a.isBusyGenerating(state) {
+		if !r.mustMix && c.ComputeTime > a.opts.ShortPromptTime && a.isBusyGenerating(state) {
 			return candidate{}, false
 		}
 		c.Kind = load.Whole
@@ -339,6 +328,9 @@
 	if e.DataCentre != a.opts.Home {
 		c.score += a.opts.RemotePenalty
 	}
+	if r.anySlot {
+		c.score += fullPenalty(e, state)
+	}
 	return c, true
 }
 
@@ -348,15 +340,6 @@
 	return state.Prompts > 0 || state.Generating > a.opts.MaxMixedStreams
 }
 
-// refuse sets the retry time of a refusal. Jitter over the upper half of the permitted range
-// prevents synchronised retries and retries before the queue has drained.
-func (a *Assigner) refuse(req *Request, d Decision, excess time.Duration) Decision {
-	longest := time.Duration(a.opts.MaxRetryShare * float64(req.Remaining))
-	after := max(excess, longest/2)
-	d.RetryAfter = min(longest, after+time.Duration(a.opts.Random.Float64()*float64(longest/2)))
-	return d
-}
-
 // ObservePrompt records how long an engine took to compute a prompt, without queueing.
 func (a *Assigner) ObservePrompt(service core.Service, kind load.WorkKind, w prompt.Work, took time.Duration) {
 	a.mu.Lock()
--- a/core/assign/generator.go
+++ b/core/assign/generator.go
@@ -10,7 +10,8 @@
 
 // AssignGenerator chooses the engine that imports the prompt's KV cache from source and
 // generates the answer. It prefers engines of the local cell, whose loads are known, to other
-// engines of the source's cell, or of any cell if a version is required.
+// engines of the source's cell, or of any cell if a version is required. If all engines of a
+// required version that others lack seem full, it chooses the least loaded.
 func (a *Assigner) AssignGenerator(now core.Instant, view *roster.View, req *Request, source *roster.Entry) (*roster.Entry, bool) {
 	var best *roster.Entry
 	var least time.Duration
@@ -18,6 +19,9 @@
 	defer a.mu.Unlock()
 	m := a.model(req.Service)
 	reserved := a.reservedShare(m, req)
+	var full *roster.Entry
+	var leastFull time.Duration
+	mayBeFull := !req.OnlyFree && isRestricted(view, req)
 	for _, e := range view.Ready(req.Service) {
 		if !a.mayGenerate(e, req) && (!e.Role.AcceptsDecode() || a.cell(e) != a.cell(source)) {
 			continue
@@ -27,6 +31,9 @@
 		}
 		state := a.opts.Loads.State(now, e.ID, nil)
 		if !hasSlot(e, &state, reserved) {
+			if p := fullPenalty(e, &state); mayBeFull && (full == nil || p < leastFull) {
+				full, leastFull = e, p
+			}
 			continue
 		}
 		isLocal := e.DataCentre == source.DataCentre
@@ -46,6 +53,9 @@
 			best, least = e, score
 		}
 	}
+	if best == nil {
+		best = full
+	}
 	return best, best != nil
 }
 
--- a/core/assign/home.go
+++ b/core/assign/home.go
@@ -70,5 +70,5 @@
 		state.Backlog = max(state.Backlog, w.current(now))
 	}
 	state.CachedTokens = p.tokens
-	return a.evaluate(p.home, &state, req, m, 0, false)
+	return a.evaluate(p.home, &state, req, m, rules{})
 }
--- a/core/assign/remote.go
+++ b/core/assign/remote.go
@@ -38,20 +38,18 @@
 	return time.Duration(decay * float64(w.duration))
 }
 
-// bestRemote chooses a prefill engine of another cell, or any engine if none has the required version, for a prompt that the local cell can't
-// compute in time, for example after callers moved to this data centre. Of the loads of
-// other cells, only this instance's own sends and the waiting times of earlier prompts are
+// bestRemote chooses a prefill engine of another cell, or any engine if the rules permit long
+// prompts on all, for a prompt that the local cell can't compute in time, for example after callers
+// moved to this data centre. Of the loads of other cells, only this instance's own sends and the waiting times of earlier prompts are
 // known.
-func (a *Assigner) bestRemote(now core.Instant, view *roster.View, req *Request, m *serviceModel) (best candidate, ok bool) {
+func (a *Assigner) bestRemote(now core.Instant, view *roster.View, req *Request, m *serviceModel, r rules) (best candidate, ok bool) {
 	least, seen := 0.0, 0
-	reserved := a.reservedShare(m, req)
-	mustMix := a.mustMix(now, view, req)
 	for _, e := range view.Ready(req.Service) {
-		if a.isLoadKnown(e) || e.Role != core.RolePrefill && !mustMix || !a.isUsable(now, e, req.Exclude, req.Version) {
+		if a.isLoadKnown(e) || e.Role != core.RolePrefill && !r.mustMix || !a.isUsable(now, e, req.Exclude, req.Version) {
 			continue
 		}
 		state := a.opts.Loads.State(now, e.ID, req.Chain.SharedPrefix())
-		c, fits := a.evaluate(e, &state, req, m, reserved, mustMix)
+		c, fits := a.evaluate(e, &state, req, m, r)
 		if !fits {
 			continue
 		}
--- a/core/assign/version.go
+++ b/core/assign/version.go
@@ -15,6 +15,19 @@
 	return required == nil || e.Version == *required
 }
 
+// isRestricted reports whether a request requires a version that only some engines have.
+func isRestricted(view *roster.View, req *Request) bool {
+	if req.Version == nil {
+		return false
+	}
+	for _, e := range view.Ready(req.Service) {
+		if e.Version != *req.Version {
+			return true
+		}
+	}
+	return false
+}
+
 // missingReason returns the reason why there is no candidate for a request.
 func missingReason(view *roster.View, service core.Service, required *core.SoftwareVersion) core.Reason {
 	for _, e := range view.Ready(service) {
--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -83,7 +83,7 @@
 	}
 	plan := *s.activeRequest
 	plan.exclude = append(slices.Clip(s.exclude), s.silence.engine.ID)
-	e, chain, obstacle := plan.planContinuation()
+	e, chain, obstacle := plan.planContinuation(isWaiting)
 	if obstacle != "" {
 		return obstacle
 	}
@@ -114,8 +114,9 @@
 }
 
 // planContinuation chooses an engine that can continue the stream of the request. It returns the
-// obstacle if there is none or if another run is not allowed.
-func (r *activeRequest) planContinuation() (e *roster.Entry, chain prompt.Chain, obstacle core.Reason) {
+// obstacle if there is none or if another run is not allowed. onlyFree excludes engines that seem
+// full.
+func (r *activeRequest) planContinuation(onlyFree bool) (e *roster.Entry, chain prompt.Chain, obstacle core.Reason) {
 	switch {
 	case !r.route.Resumable || r.engineLimits() == nil || r.req.Prompt == nil:
 		return nil, nil, ReasonNotResumable
@@ -124,7 +125,7 @@
 	case r.remaining() <= 0 || r.ctx.Err() != nil:
 		return nil, nil, ReasonTimeout
 	}
-	e, chain, found := r.chooseContinuation()
+	e, chain, found := r.chooseContinuation(onlyFree)
 	if !found {
 		return nil, nil, core.ReasonNoTarget
 	}
@@ -182,7 +183,7 @@
 	case r.ctx.Err() != nil || !next.mayRunAgain():
 		return false
 	case a.ResumeAfter != "":
-		_, _, obstacle := next.planContinuation()
+		_, _, obstacle := next.planContinuation(true)
 		return obstacle == "" && next.hasRetries(retry.StageRun)
 	case next.sends >= maxSends:
 		return false
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -186,12 +186,14 @@
 }
 
 // chooseContinuation chooses the engine that resumes the stream and computes the prompt again.
-func (r *activeRequest) chooseContinuation() (*roster.Entry, prompt.Chain, bool) {
+// onlyFree excludes engines that seem full: while the present engine may still go on, a refusal
+// would only exclude them from later tries.
+func (r *activeRequest) chooseContinuation(onlyFree bool) (*roster.Entry, prompt.Chain, bool) {
 	req := &assign.Request{
 		Service: r.service, Engine: r.engineLimits(), Prompt: r.req.Prompt, Chain: prompt.NewChain(r.req.Prompt),
 		// The objective applies to the first event, which has been relayed.
 		Objective: r.remaining(), Remaining: r.remaining(), Exclude: r.exclude,
-		Version: r.version,
+		Version: r.version, OnlyFree: onlyFree,
 	}
 	// There is no exported KV cache to import. The source limits the choice to engines of
 	// this instance's cell and prefers those of its data centre.
