Ignore answers to queries about other streams

A lookup at an instance that had just restarted could take the late answer to a query of the process before for its own: serials began at 1 in each process and answers didn't name their request. The caller's stream could then go on at a wrong version. Answers now return the hash of the request, which is checked on arrival, and serials begin at the ID of the process.

TestAnswerAboutAnotherRequestIsIgnored failed before with version "v1" instead of none (without the check), and with serials that begin alike (without the second change). Answers of instances that don't return the hash yet are ignored.

--- a/io/digest/lookup.go
+++ b/io/digest/lookup.go
@@ -21,6 +21,7 @@
 
 // pendingQuery is a datagram of a lookup that may still be answered.
 type pendingQuery struct {
+	request uint64
 	sentAt  core.Instant
 	answers chan<- queryAnswer
 }
@@ -138,7 +139,7 @@
 	s := l.streams
 	serial := s.node.serial.Add(1)
 	s.mu.Lock()
-	s.pending[serial] = pendingQuery{s.node.opts.Clock.Now(), l.answers}
+	s.pending[serial] = pendingQuery{l.hash, s.node.opts.Clock.Now(), l.answers}
 	s.mu.Unlock()
 	l.serials = append(l.serials, serial)
 	s.send(&packet{
@@ -195,7 +196,7 @@
 	s.observe()
 	now := s.node.opts.Clock.Now()
 	e := s.register.Evidence(now, p.StreamQuery.Service, p.StreamQuery.Request)
-	a := &streamAnswer{Kind: e.Kind, Tag: e.Tag}
+	a := &streamAnswer{Kind: e.Kind, Tag: e.Tag, Request: p.StreamQuery.Request}
 	if e.Kind == streamstart.EvidenceSingle {
 		// Rounded up, so that the evidence doesn't seem more recent than it is.
 		a.AgeMs = uint32(now.Sub(e.AsOf)/time.Millisecond) + 1
@@ -204,12 +205,13 @@
 }
 
 // handleAnswer passes an answer to the lookup that waits for it. Answers that exceed its buffer
-// are dropped like lost datagrams.
+// are dropped like lost datagrams. A late answer to an earlier process may have the serial of a
+// query about another request.
 func (s *streams) handleAnswer(p *packet, from net.Addr) {
 	s.mu.Lock()
 	q, ok := s.pending[p.Serial]
 	s.mu.Unlock()
-	if !ok {
+	if !ok || p.StreamAnswer.Request != q.request {
 		return
 	}
 	select {
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -108,6 +108,7 @@
 	header := func(core.Instant) (applied, head core.Revision, ageMs uint32) { return 0, 0, 0 }
 	n.members = membership.New(o.Self, rand.New(rand.NewPCG(o.Seed, 0)), header, n.logMemberChange)
 	n.streams = newStreams(n)
+	n.serial.Store(o.Sender) // late replies to an earlier process match no call
 	n.peers.Store(&peerSet{cells: load.NewCells(o.Self.DataCentre, map[core.DataCentre]int{o.Self.DataCentre: 1})})
 	return n
 }
--- /dev/null
+++ b/io/digest/restart_test.go
@@ -0,0 +1,61 @@
+package digest
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a wrong version because of a late answer to the process before a restart, whose
+// serial is that of a query about another stream.
+func TestAnswerAboutAnotherRequestIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStreamFleet(t, 4, "v1", "v2")
+		var mu sync.Mutex
+		var late []*packet
+		asker := f.list[0].Address
+		f.network.setDrop(func(_, to string, p *packet) bool {
+			if p.Kind == packetStreamAnswer && to == asker {
+				mu.Lock()
+				defer mu.Unlock()
+				late = append(late, p)
+			}
+			return to == asker && (p.Kind == packetStreamAnswer || p.Kind == packetStreamStarts)
+		})
+		f.begin(1, "old", "v1")
+		time.Sleep(time.Second)
+		f.expect(0, "old", "")
+		if len(late) == 0 {
+			t.Fatal("no instance answers")
+		}
+		f.kill(0)
+		f.start(0)
+		if f.nodes[0].serial.Load() < f.nodes[0].opts.Sender {
+			t.Error("the serials of all processes begin alike")
+		}
+		time.Sleep(time.Second)
+		f.begin(2, "new", "v2")
+		answers := late
+		f.network.setDrop(func(from, to string, p *packet) bool {
+			if p.Kind == packetStreamAnswer && to == asker {
+				for _, answer := range answers {
+					altered := *answer
+					altered.Serial = p.Serial
+					f.nodes[0].handle(&altered, stringAddress(from))
+				}
+			}
+			return to == asker && (p.Kind == packetStreamAnswer || p.Kind == packetStreamStarts)
+		})
+		f.expect(0, "new", "")
+	})
+}
+
+// stringAddress is the address of an instance of a test.
+type stringAddress string
+
+var _ net.Addr = stringAddress("")
+
+func (stringAddress) Network() string  { return "udp" }
+func (a stringAddress) String() string { return string(a) }
--- a/io/digest/streamcodec.go
+++ b/io/digest/streamcodec.go
@@ -22,6 +22,8 @@
 	Tag  streamstart.Tag          `cbor:"2,keyasint,omitempty"`
 	// AgeMs is the age of evidence of a single version, in milliseconds.
 	AgeMs uint32 `cbor:"3,keyasint,omitempty"`
+	// Request is that of the query.
+	Request uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // checkStreams returns an error if the packet lacks what its kind requires.
