Send records of running streams to new members

Streams that an instance began in the moments after its start, before it had joined, were unknown to all others when it was lost: without homes the records were dropped but counted as published, and the first announcement of a peer was used up before its address was known. Members in other cells never announce themselves at all. When members are added, they now get the published records they are homes for.

TestRecordsOfUnjoinedInstanceReachItsHomes failed before with version "" instead of "v2".

--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -204,10 +204,11 @@
 		calls = append(calls, n.members.HandleFailure(now, p.call)...)
 	}
 	packets := n.registerCalls(now, calls)
-	n.updatePeers()
+	added := n.updatePeers()
 	n.removeSilentPeers(now)
 	n.mu.Unlock()
 	n.sendAll(packets)
+	n.streams.sendPublished(added...)
 	for _, onResult := range expired {
 		onResult(false)
 	}
@@ -271,8 +272,9 @@
 	return addresses
 }
 
-// updatePeers rebuilds the peer set from the current members. The lock must be held.
-func (n *Node) updatePeers() {
+// updatePeers rebuilds the peer set from the current members, and returns the addresses of those
+// added. The lock must be held.
+func (n *Node) updatePeers() []string {
 	home := n.opts.Self.DataCentre
 	p := &peerSet{otherCells: map[core.DataCentre][]netip.AddrPort{}, isReader: n.members.IsExpectedDelegate()}
 	counts := map[core.DataCentre]int{home: 1}
@@ -306,7 +308,7 @@
 		p.otherCells[dc] = list[:min(len(list), maxPeersPerCell)]
 	}
 	n.peers.Store(p)
-	n.streams.setPeers(others)
+	return n.streams.setPeers(others)
 }
 
 func (n *Node) loopRead(ctx context.Context) {
--- a/io/digest/restart_test.go
+++ b/io/digest/restart_test.go
@@ -52,6 +52,27 @@
 	})
 }
 
+// Guards against streams without records that an instance began before it knew its homes, also
+// those that never announce themselves to it.
+func TestRecordsOfUnjoinedInstanceReachItsHomes(t *testing.T) {
+	for _, early := range []time.Duration{0, 10 * time.Millisecond, 90 * time.Millisecond, 250 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newStreamFleet(t, 7, "v1", "v2")
+			f.kill(0)
+			time.Sleep(700 * time.Millisecond)
+			f.network.setDrop(func(_, to string, p *packet) bool {
+				return to == f.list[0].Address && p.Kind == packetVersions && early == 0
+			})
+			f.start(0)
+			time.Sleep(early)
+			f.begin(0, "a", "v2")
+			time.Sleep(5 * time.Second)
+			f.kill(0)
+			f.expect(1, "a", "v2")
+		})
+	}
+}
+
 // stringAddress is the address of an instance of a test.
 type stringAddress string
 
--- a/io/digest/streams.go
+++ b/io/digest/streams.go
@@ -136,19 +136,24 @@
 	}
 }
 
-// setPeers selects the homes among the current peers.
-func (s *streams) setPeers(peers []streamPeer) {
-	if old := s.homes.Load(); old != nil && slices.Equal(old.peers, peers) {
-		return
+// setPeers selects the homes among the current peers, and returns the addresses of those added.
+func (s *streams) setPeers(peers []streamPeer) (added []string) {
+	old := s.homes.Load()
+	if old != nil && slices.Equal(old.peers, peers) {
+		return nil
 	}
 	h := &streamHomes{peers: peers, addresses: make(map[string]net.Addr, len(peers))}
 	list := make([]streamstart.Peer, len(peers))
 	for i, p := range peers {
 		list[i] = streamstart.Peer{ID: p.id, DataCentre: p.dc, Address: p.address.String()}
 		h.addresses[list[i].Address] = net.UDPAddrFromAddrPort(p.address)
+		if old == nil || old.addresses[list[i].Address] == nil {
+			added = append(added, list[i].Address)
+		}
 	}
 	h.Homes = streamstart.NewHomes(s.node.opts.Self.DataCentre, list)
 	s.homes.Store(h)
+	return added
 }
 
 // loopObserve observes the versions of services.
@@ -249,22 +254,30 @@
 	s.send(&packet{Kind: packetStreamStarts, StreamStarts: encodeStarts(s.node.opts.Clock.Now(), records)}, to)
 }
 
-// sendPublished sends the records of this instance's streams to a home that has just started, or
-// that missed datagrams.
-func (s *streams) sendPublished(to string) {
+// sendPublished sends the records of this instance's streams to homes that have just started or
+// become members, or that missed datagrams.
+func (s *streams) sendPublished(to ...string) {
 	homes := s.homes.Load()
-	address, ok := homes.addresses[to]
-	if !ok {
+	byHome := map[string][]streamstart.Record{}
+	for _, address := range to {
+		if homes.addresses[address] != nil {
+			byHome[address] = nil
+		}
+	}
+	if len(byHome) == 0 {
 		return
 	}
-	var records []streamstart.Record
 	for _, r := range s.register.Published(s.node.opts.Clock.Now()) {
-		if slices.ContainsFunc(homes.Of(r.Request), func(p streamstart.Peer) bool { return p.Address == to }) {
-			records = append(records, r)
+		for _, home := range homes.Of(r.Request) {
+			if records, ok := byHome[home.Address]; ok {
+				byHome[home.Address] = append(records, r)
+			}
 		}
 	}
-	for part := range slices.Chunk(records, recordsPerPacket) {
-		s.sendRecords(address, part)
+	for address, records := range byHome {
+		for part := range slices.Chunk(records, recordsPerPacket) {
+			s.sendRecords(homes.addresses[address], part)
+		}
 	}
 }
 
