Wait for members in lookups just after the start

A caller that came to an instance that had not joined yet was refused at once, since there was nobody to ask. Within 10 s after the start a lookup without candidates now waits for some, within its 150 ms, and selects them again with each question. Members may be incomplete then, so their answers don't suffice for a single version without a record or a confirmation.

TestLookupWaitsForMembers failed before with version "" instead of "v2". TestLookupOfLoneInstanceEndsAtOnce catches a wait that doesn't end with the start.

--- a/io/digest/lookup.go
+++ b/io/digest/lookup.go
@@ -17,6 +17,11 @@
 	// queryInterval, because datagrams may be lost and evidence may become recent enough.
 	lookupTimeout = 150 * time.Millisecond
 	queryInterval = 50 * time.Millisecond
+	// joinTime is the time after the start of the process within which lookups without candidates
+	// wait for some.
+	joinTime = 10 * time.Second
+	// minAnswers is the least capacity for answers: candidates may be added during a lookup.
+	minAnswers = 32
 )
 
 // pendingQuery is a datagram of a lookup that may still be answered.
@@ -41,13 +46,15 @@
 	arrived    core.Instant
 	homes      *streamHomes
 	candidates []streamstart.Peer
-	addresses  []net.Addr
 	answers    chan queryAnswer
 	serials    []uint32
 	// evidence holds the last answer of each instance, and recordFrom the first one with a
 	// record.
 	evidence   map[string]streamstart.Evidence
 	recordFrom string
+	// isEarly is set if there were no candidates after the start of the process. Members may be
+	// incomplete then, so candidates are selected again with each question.
+	isEarly bool
 }
 
 // StreamVersion returns the version at which the stream of a request began. It asks the homes
@@ -59,9 +66,9 @@
 	}
 	l := &lookup{
 		streams: s, service: service, hash: streamstart.HashRequest(request), arrived: n.opts.Clock.Now(),
-		homes: s.homes.Load(), evidence: map[string]streamstart.Evidence{},
+		evidence: map[string]streamstart.Evidence{},
 	}
-	l.candidates = l.homes.Candidates(l.hash)
+	l.loadCandidates()
 	tag, result := l.run(ctx)
 	var version core.SoftwareVersion
 	if result.IsFound() {
@@ -100,15 +107,12 @@
 	if tag, result := l.decide(); result == streamstart.FoundOwn {
 		return tag, result
 	}
-	if len(l.candidates) == 0 {
-		return l.decide()
-	}
-	for _, c := range l.candidates {
-		l.addresses = append(l.addresses, l.homes.addresses[c.Address])
-	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	l.answers = make(chan queryAnswer, 2*len(l.candidates))
+	if !l.awaitCandidates(ctx) {
+		return l.decide()
+	}
+	l.answers = make(chan queryAnswer, max(2*len(l.candidates), minAnswers))
 	defer l.forget()
 	l.ask()
 	ticker := time.NewTicker(queryInterval)
@@ -127,16 +131,43 @@
 		case a := <-l.answers:
 			l.add(a)
 			tag, result := l.decide()
-			if result == streamstart.FoundRecord || result == streamstart.FoundOwn || len(l.evidence) == len(l.candidates) {
+			hasAll := !l.isEarly && len(l.evidence) == len(l.candidates)
+			if result == streamstart.FoundRecord || result == streamstart.FoundOwn || hasAll {
 				return tag, result
 			}
 		}
 	}
 }
 
+// loadCandidates selects the instances to ask among the current members.
+func (l *lookup) loadCandidates() {
+	l.homes = l.streams.homes.Load()
+	l.candidates = l.homes.Candidates(l.hash)
+}
+
+// awaitCandidates waits for candidates after the start of the process. It returns false if there
+// are none.
+func (l *lookup) awaitCandidates(ctx context.Context) bool {
+	for len(l.candidates) == 0 {
+		l.isEarly = l.arrived.Sub(l.streams.startedAt) < joinTime
+		if !l.isEarly || !pause.For(ctx, minObserveInterval) {
+			return false
+		}
+		l.loadCandidates()
+	}
+	return true
+}
+
 // ask sends the question to all candidates.
 func (l *lookup) ask() {
 	s := l.streams
+	if l.isEarly {
+		l.loadCandidates()
+	}
+	addresses := make([]net.Addr, 0, len(l.candidates))
+	for _, c := range l.candidates {
+		addresses = append(addresses, l.homes.addresses[c.Address])
+	}
 	serial := s.node.serial.Add(1)
 	s.mu.Lock()
 	s.pending[serial] = pendingQuery{l.hash, s.node.opts.Clock.Now(), l.answers}
@@ -144,7 +175,7 @@
 	l.serials = append(l.serials, serial)
 	s.send(&packet{
 		Kind: packetStreamQuery, Serial: serial, StreamQuery: &streamQuery{Service: l.service, Request: l.hash},
-	}, l.addresses...)
+	}, addresses...)
 }
 
 // requestConfirmation requests a read of the targets in place of the answers that are missing.
@@ -181,7 +212,7 @@
 	for _, e := range l.evidence {
 		answers = append(answers, e)
 	}
-	isSufficient := l.homes.Suffice(l.candidates, func(p streamstart.Peer) bool {
+	isSufficient := !l.isEarly && l.homes.Suffice(l.candidates, func(p streamstart.Peer) bool {
 		_, ok := l.evidence[p.Address]
 		return ok
 	})
--- a/io/digest/restart_test.go
+++ b/io/digest/restart_test.go
@@ -73,6 +73,39 @@
 	}
 }
 
+// Guards against refusals because a caller comes to an instance that hasn't joined yet.
+func TestLookupWaitsForMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStreamFleet(t, 7, "v1", "v2")
+		f.begin(1, "a", "v2")
+		time.Sleep(time.Second)
+		f.kill(0)
+		f.kill(1)
+		time.Sleep(700 * time.Millisecond)
+		f.network.setDrop(func(_, to string, p *packet) bool { return p.Kind == packetStreamStarts })
+		f.start(0)
+		time.Sleep(3 * tickInterval / 4) // joining takes one or two ticks
+		f.expect(0, "a", "v2")
+	})
+}
+
+// Guards against refusals, and against a wait of each lookup, at a lone instance.
+func TestLookupOfLoneInstanceEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStreamFleet(t, 1, "v1")
+		time.Sleep(time.Minute + time.Second)
+		before := f.clock.Now()
+		f.expect(0, "a", "v1")
+		f.views[0].set("v1", "v2")
+		time.Sleep(observeInterval)
+		before = before.Add(observeInterval)
+		f.expect(0, "a", "")
+		if took := f.clock.Now().Sub(before); took != 0 {
+			t.Errorf("the lookup took %v", took)
+		}
+	})
+}
+
 // stringAddress is the address of an instance of a test.
 type stringAddress string
 
--- a/io/digest/streams.go
+++ b/io/digest/streams.go
@@ -73,8 +73,10 @@
 	node     *Node
 	source   StreamSource
 	register *streamstart.Register
-	queue    chan streamstart.Record
-	homes    atomic.Pointer[streamHomes]
+	// startedAt is the start of the process.
+	startedAt core.Instant
+	queue     chan streamstart.Record
+	homes     atomic.Pointer[streamHomes]
 	// confirm has a value while a lookup waits for a confirmation.
 	confirm chan struct{}
 
@@ -96,8 +98,9 @@
 func newStreams(n *Node) *streams {
 	s := &streams{
 		node: n, source: n.opts.Streams, register: streamstart.New(streamstart.DefaultCapacity),
-		queue:   make(chan streamstart.Record, startQueueLength),
-		confirm: make(chan struct{}, 1), observedAt: -core.Instant(time.Hour),
+		startedAt: n.opts.Clock.Now(),
+		queue:     make(chan streamstart.Record, startQueueLength),
+		confirm:   make(chan struct{}, 1), observedAt: -core.Instant(time.Hour),
 		pending: map[uint32]pendingQuery{}, lookups: map[streamstart.Result]uint64{},
 	}
 	s.setPeers(nil)
