Give restarted instances the records of streams of a single version

When the instances of a fleet with one version were restarted one after the other, callers of the last one's streams were refused: it believed in a single version and sent no records, while its restarted peers need twice the longest timeout and 10 s to believe the same. New and restarted members now get all records they are homes for of streams that still run, and streams that begin within that time are published if one of their homes is new.

TestRestartedInstancesKnowStreamsOfOneVersion failed before with version "" for both streams, and for the one begun after the restarts without the check of new homes. TestContinuedStreamIsPublishedAgain asks Relayed in place of Published and checks the flag itself.

--- a/core/streamstart/register.go
+++ b/core/streamstart/register.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"gorseline/core"
 )
@@ -121,19 +122,31 @@
 	return records
 }
 
-// Published returns the published records of streams that this instance relays.
-func (r *Register) Published(now core.Instant) []Record {
+// Relayed returns the records of streams that this instance relays, published or not.
+func (r *Register) Relayed(now core.Instant) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var records []Record
 	for request, e := range r.table.entries {
-		if e.isPublished && now < e.expires {
+		if e.service != "" && now < e.expires {
 			records = append(records, Record{request, e.tag, e.expires})
 		}
 	}
 	return records
 }
 
+// Window returns the time within which streams of a service, and of those that share routes with
+// it, began that may still be continued.
+func (r *Register) Window(service core.Service) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	window := r.history.window(service)
+	for _, other := range r.history.related[service] {
+		window = max(window, r.history.window(other))
+	}
+	return window
+}
+
 // Evidence returns what this instance knows about the version at which a stream began.
 func (r *Register) Evidence(now core.Instant, service core.Service, request uint64) Evidence {
 	r.mu.Lock()
--- a/core/streamstart/register_test.go
+++ b/core/streamstart/register_test.go
@@ -86,7 +86,7 @@
 	if _, publish := r.Start(now, start); !publish {
 		t.Error("a record that only homes had is not published again")
 	}
-	if records := r.Published(now.Add(30 * time.Second)); len(records) != 1 {
+	if records := r.Relayed(now.Add(30 * time.Second)); len(records) != 1 || !r.table.entries[HashRequest("a")].isPublished {
 		t.Errorf("published records %v, want that of the continued stream", records)
 	}
 }
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -208,7 +208,7 @@
 	n.removeSilentPeers(now)
 	n.mu.Unlock()
 	n.sendAll(packets)
-	n.streams.sendPublished(added...)
+	n.streams.sendRelayed(added...)
 	for _, onResult := range expired {
 		onResult(false)
 	}
--- a/io/digest/restart_test.go
+++ b/io/digest/restart_test.go
@@ -106,6 +106,27 @@
 	})
 }
 
+// Guards against refusals when the instances of a fleet with one version are replaced one by one:
+// the last one's streams, begun before and after the restarts, are known to nobody else.
+func TestRestartedInstancesKnowStreamsOfOneVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStreamFleet(t, 4, "v1")
+		time.Sleep(time.Minute)
+		f.begin(0, "before", "v1")
+		for i := 1; i < 4; i++ {
+			f.kill(i)
+			time.Sleep(700 * time.Millisecond)
+			f.start(i)
+			time.Sleep(2 * time.Second)
+		}
+		f.begin(0, "after", "v1")
+		time.Sleep(time.Second)
+		f.kill(0)
+		f.expect(1, "before", "v1")
+		f.expect(2, "after", "v1")
+	})
+}
+
 // stringAddress is the address of an instance of a test.
 type stringAddress string
 
--- a/io/digest/streams.go
+++ b/io/digest/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -87,7 +88,11 @@
 
 	mu      sync.Mutex
 	pending map[uint32]pendingQuery
-	lookups map[streamstart.Result]uint64
+	// newSince holds the time since which the addresses of new or restarted members are known,
+	// and lastNew the latest.
+	newSince map[string]core.Instant
+	lastNew  core.Instant
+	lookups  map[streamstart.Result]uint64
 }
 
 var (
@@ -101,7 +106,7 @@
 		startedAt: n.opts.Clock.Now(),
 		queue:     make(chan streamstart.Record, startQueueLength),
 		confirm:   make(chan struct{}, 1), observedAt: -core.Instant(time.Hour),
-		pending: map[uint32]pendingQuery{}, lookups: map[streamstart.Result]uint64{},
+		newSince: map[string]core.Instant{}, pending: map[uint32]pendingQuery{}, lookups: map[streamstart.Result]uint64{},
 	}
 	s.setPeers(nil)
 	return s
@@ -110,7 +115,8 @@
 // RecordStreamStart records the start of a stream and queues the record for its homes if they
 // need it.
 func (n *Node) RecordStreamStart(start core.StreamStart) {
-	if record, ok := n.streams.register.Start(n.opts.Clock.Now(), start); ok {
+	record, ok := n.streams.register.Start(n.opts.Clock.Now(), start)
+	if ok || n.streams.hasNewHome(record, start.Service) {
 		n.streams.enqueue(record)
 	}
 }
@@ -251,15 +257,43 @@
 	}
 }
 
+// markNew records that the members at some addresses are new.
+func (s *streams) markNew(addresses map[string][]streamstart.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	homes := s.homes.Load()
+	maps.DeleteFunc(s.newSince, func(address string, _ core.Instant) bool { return homes.addresses[address] == nil })
+	s.lastNew = s.node.opts.Clock.Now()
+	for address := range addresses {
+		s.newSince[address] = s.lastNew
+	}
+}
+
+// hasNewHome reports whether a home of a stream is so new that it can't know that its service has
+// a single version.
+func (s *streams) hasNewHome(r streamstart.Record, service core.Service) bool {
+	now, window := s.node.opts.Clock.Now(), s.register.Window(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isNew := func(since core.Instant) bool { return now.Sub(since) <= window }
+	if len(s.newSince) == 0 || !isNew(s.lastNew) {
+		return false
+	}
+	return slices.ContainsFunc(s.homes.Load().Of(r.Request), func(p streamstart.Peer) bool {
+		since, ok := s.newSince[p.Address]
+		return ok && isNew(since)
+	})
+}
+
 // sendRecords sends up to recordsPerPacket records to one instance.
 func (s *streams) sendRecords(to net.Addr, records []streamstart.Record) {
 	s.sent.Add(uint64(len(records)))
 	s.send(&packet{Kind: packetStreamStarts, StreamStarts: encodeStarts(s.node.opts.Clock.Now(), records)}, to)
 }
 
-// sendPublished sends the records of this instance's streams to homes that have just started or
+// sendRelayed sends the records of this instance's streams to homes that have just started or
 // become members, or that missed datagrams.
-func (s *streams) sendPublished(to ...string) {
+func (s *streams) sendRelayed(to ...string) {
 	homes := s.homes.Load()
 	byHome := map[string][]streamstart.Record{}
 	for _, address := range to {
@@ -270,7 +304,8 @@
 	if len(byHome) == 0 {
 		return
 	}
-	for _, r := range s.register.Published(s.node.opts.Clock.Now()) {
+	s.markNew(byHome)
+	for _, r := range s.register.Relayed(s.node.opts.Clock.Now()) {
 		for _, home := range homes.Of(r.Request) {
 			if records, ok := byHome[home.Address]; ok {
 				byHome[home.Address] = append(records, r)
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -104,7 +104,7 @@
 	if needsSync {
 		n.opts.Log.WithFields(log.Fields{"Peer": p.Address, "Sender": p.Sender}).Info("PeerToldOutstandingWork")
 		n.sendAllOutstanding(p.Address)
-		n.streams.sendPublished(p.Address)
+		n.streams.sendRelayed(p.Address)
 	}
 	n.opts.Catchup.ObservePeerVersion(now, catchup.Configuration, p.Address, p.Configuration)
 	n.opts.Catchup.ObservePeerVersion(now, catchup.Targets, p.Address, p.Targets)
