Hand over the records of running streams when an instance leaves

A leaving instance of a fleet with one version left no records, so its streams were refused once the store was away. TestLeavingInstanceHandsOverRecords failed before with version "" instead of "v1".

--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -8,9 +8,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -399,8 +401,10 @@
 	}
 }
 
-// Leave announces to members that this instance leaves.
+// Leave announces to members that this instance leaves, and sends them the records of the streams
+// that it still relays.
 func (n *Node) Leave() {
+	n.streams.sendRelayed(slices.Collect(maps.Keys(n.streams.homes.Load().addresses))...)
 	n.mu.Lock()
 	packets := n.registerCalls(n.opts.Clock.Now(), n.members.Leave(n.opts.Clock.Now()))
 	n.mu.Unlock()
--- a/io/digest/restart_test.go
+++ b/io/digest/restart_test.go
@@ -82,7 +82,7 @@
 		f.kill(0)
 		f.kill(1)
 		time.Sleep(700 * time.Millisecond)
-		f.network.setDrop(func(_, to string, p *packet) bool { return p.Kind == packetStreamStarts })
+		f.network.setDrop(func(_, _ string, p *packet) bool { return p.Kind == packetStreamStarts })
 		f.start(0)
 		time.Sleep(3 * tickInterval / 4) // joining takes one or two ticks
 		f.expect(0, "a", "v2")
@@ -127,6 +127,22 @@
 	})
 }
 
+// Guards against streams of a leaving instance that nobody knows once the store is away.
+func TestLeavingInstanceHandsOverRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStreamFleet(t, 3, "v1")
+		time.Sleep(time.Minute)
+		f.begin(0, "a", "v1")
+		f.nodes[0].Leave()
+		time.Sleep(time.Second)
+		f.kill(0)
+		f.views[1].cut()
+		f.views[2].cut()
+		time.Sleep(7 * time.Second)
+		f.expect(1, "a", "v1")
+	})
+}
+
 // stringAddress is the address of an instance of a test.
 type stringAddress string
 
