Confirm views of peers for lookups at restarted instances

With one version and two instances lost at once, the one that was back refused all streams without a record for seconds: the other lost one was still a member and didn't answer, and only the view of the instance that asks was confirmed, which covers too little time after a start. A peer with a single version that is asked again now requests a read of its own, under the same limits as for its own lookups, so that its next answer can hold as of a time after the caller came.

TestRestartedInstanceTrustsConfirmedPeers failed before with version "" instead of "v1". It also checks that peers that can't read prove nothing.

--- a/io/digest/lookup.go
+++ b/io/digest/lookup.go
@@ -127,7 +127,7 @@
 				return tag, result
 			}
 			l.ask()
-			l.requestConfirmation()
+			l.streams.requestConfirmation()
 		case a := <-l.answers:
 			l.add(a)
 			tag, result := l.decide()
@@ -174,14 +174,15 @@
 	s.mu.Unlock()
 	l.serials = append(l.serials, serial)
 	s.send(&packet{
-		Kind: packetStreamQuery, Serial: serial, StreamQuery: &streamQuery{Service: l.service, Request: l.hash},
+		Kind: packetStreamQuery, Serial: serial,
+		StreamQuery: &streamQuery{Service: l.service, Request: l.hash, IsRepeated: len(l.serials) > 1},
 	}, addresses...)
 }
 
 // requestConfirmation requests a read of the targets in place of the answers that are missing.
-func (l *lookup) requestConfirmation() {
+func (s *streams) requestConfirmation() {
 	select {
-	case l.streams.confirm <- struct{}{}:
+	case s.confirm <- struct{}{}:
 	default:
 	}
 }
@@ -231,6 +232,9 @@
 	if e.Kind == streamstart.EvidenceSingle {
 		// Rounded up, so that the evidence doesn't seem more recent than it is.
 		a.AgeMs = uint32(now.Sub(e.AsOf)/time.Millisecond) + 1
+		if p.StreamQuery.IsRepeated {
+			s.requestConfirmation() // the view of the one that asks may not cover enough time
+		}
 	}
 	s.send(&packet{Kind: packetStreamAnswer, Serial: p.Serial, StreamAnswer: a}, from)
 }
--- a/io/digest/restart_test.go
+++ b/io/digest/restart_test.go
@@ -143,6 +143,29 @@
 	})
 }
 
+// Guards against refusals at a restarted instance while others that were lost with it are in the
+// view: its own confirmed view says too little.
+func TestRestartedInstanceTrustsConfirmedPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStreamFleet(t, 7, "v1")
+		time.Sleep(time.Minute)
+		f.begin(1, "a", "v1")
+		f.begin(1, "b", "v1")
+		time.Sleep(time.Second)
+		f.kill(0)
+		f.kill(1)
+		time.Sleep(700 * time.Millisecond)
+		f.start(0)
+		time.Sleep(300 * time.Millisecond)
+		f.expect(0, "a", "v1")
+		for _, view := range f.views {
+			view.cut()
+		}
+		time.Sleep(time.Second)
+		f.expect(0, "b", "")
+	})
+}
+
 // stringAddress is the address of an instance of a test.
 type stringAddress string
 
--- a/io/digest/streamcodec.go
+++ b/io/digest/streamcodec.go
@@ -14,6 +14,8 @@
 type streamQuery struct {
 	Service core.Service `cbor:"1,keyasint"`
 	Request uint64       `cbor:"2,keyasint"`
+	// IsRepeated is set if the first query didn't bring the version.
+	IsRepeated bool `cbor:"3,keyasint,omitempty"`
 }
 
 // streamAnswer is what an instance knows about the version at which a stream began.
