--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -8,9 +8,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,6 +110,7 @@
 	header := func(core.Instant) (applied, head core.Revision, ageMs uint32) { return 0, 0, 0 }
 	n.members = membership.New(o.Self, rand.New(rand.NewPCG(o.Seed, 0)), header, n.logMemberChange)
 	n.streams = newStreams(n)
+	n.serial.Store(o.Sender) // late replies to an earlier process match no call
 	n.peers.Store(&peerSet{cells: load.NewCells(o.Self.DataCentre, map[core.DataCentre]int{o.Self.DataCentre: 1})})
 	return n
 }
@@ -203,10 +206,11 @@
 		calls = append(calls, n.members.HandleFailure(now, p.call)...)
 	}
 	packets := n.registerCalls(now, calls)
-	n.updatePeers()
+	added := n.updatePeers()
 	n.removeSilentPeers(now)
 	n.mu.Unlock()
 	n.sendAll(packets)
+	n.streams.sendRelayed(added...)
 	for _, onResult := range expired {
 		onResult(false)
 	}
@@ -270,8 +274,9 @@
 	return addresses
 }
 
-// updatePeers rebuilds the peer set from the current members. The lock must be held.
-func (n *Node) updatePeers() {
+// updatePeers rebuilds the peer set from the current members, and returns the addresses of those
+// added. The lock must be held.
+func (n *Node) updatePeers() []string {
 	home := n.opts.Self.DataCentre
 	p := &peerSet{otherCells: map[core.DataCentre][]netip.AddrPort{}, isReader: n.members.IsExpectedDelegate()}
 	counts := map[core.DataCentre]int{home: 1}
@@ -305,7 +310,7 @@
 		p.otherCells[dc] = list[:min(len(list), maxPeersPerCell)]
 	}
 	n.peers.Store(p)
-	n.streams.setPeers(others)
+	return n.streams.setPeers(others)
 }
 
 func (n *Node) loopRead(ctx context.Context) {
@@ -396,8 +401,10 @@
 	}
 }
 
-// Leave announces to members that this instance leaves.
+// Leave announces to members that this instance leaves, and sends them the records of the streams
+// that it still relays.
 func (n *Node) Leave() {
+	n.streams.sendRelayed(slices.Collect(maps.Keys(n.streams.homes.Load().addresses))...)
 	n.mu.Lock()
 	packets := n.registerCalls(n.opts.Clock.Now(), n.members.Leave(n.opts.Clock.Now()))
 	n.mu.Unlock()
--- a/io/digest/streamcodec.go
+++ b/io/digest/streamcodec.go
@@ -14,6 +14,8 @@
 type streamQuery struct {
 	Service core.Service `cbor:"1,keyasint"`
 	Request uint64       `cbor:"2,keyasint"`
+	// IsRepeated is set if the first query didn't bring the version.
+	IsRepeated bool `cbor:"3,keyasint,omitempty"`
 }
 
 // streamAnswer is what an instance knows about the version at which a stream began.
@@ -22,6 +24,8 @@
 	Tag  streamstart.Tag          `cbor:"2,keyasint,omitempty"`
 	// AgeMs is the age of evidence of a single version, in milliseconds.
 	AgeMs uint32 `cbor:"3,keyasint,omitempty"`
+	// Request is that of the query.
+	Request uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // checkStreams returns an error if the packet lacks what its kind requires.
