--- a/core/retry/silence.go
+++ b/core/retry/silence.go
@@ -9,15 +9,15 @@
 // Silence holds the times after which the silence of an engine in the middle of a stream has
 // consequences. A sound engine may be silent for a second and a half and go on.
 type Silence struct {
-	// Notice is the time after which the silence counts against the engine's health, and after which
-	// a stream of an engine that is no longer listed may move.
+	// Notice is the time after which the silence counts against the engine's health.
 	Notice time.Duration
 	// Move is the time after which the stream may move to another engine. It leaves the other one
 	// time for the prompt before the caller disconnects.
 	Move time.Duration
 	// MoveAlive is the same for an engine that still answers other requests.
 	MoveAlive time.Duration
-	// Overlap is how long the silent engine is still listened to while another one is asked.
+	// Overlap is how long the silent engine is still listened to while another one is asked. Together
+	// with Move it exceeds the silence of a sound engine.
 	Overlap time.Duration
 }
 
@@ -28,7 +28,7 @@
 	// two seconds or eight times the pause objective, whichever is longer.
 	pausesToMove = 4
 	// silenceOverlap is well below the time for which two engines may run the same request.
-	silenceOverlap = 250 * time.Millisecond
+	silenceOverlap = 300 * time.Millisecond
 	// silenceRecheck is the time between two decisions.
 	silenceRecheck = 100 * time.Millisecond
 	// signOfLifeTime is how long an engine counts as alive after it sent anything.
@@ -49,8 +49,6 @@
 	Silent time.Duration
 	// LastHeard is when the engine last sent anything to any request, or 0.
 	LastHeard core.Instant
-	// IsListed is false if the engine has left the roster.
-	IsListed bool
 	// CanMove is true if the stream can be continued on another engine now.
 	CanMove bool
 }
@@ -64,13 +62,11 @@
 }
 
 // Decide decides whether a stream moves to another engine. A stream that can't move waits for its
-// engine, however long that is silent.
+// engine, however long that is silent. An engine that has left the roster counts like any other: its
+// entry may have lapsed because of the same pause.
 func (s Silence) Decide(now core.Instant, state *SilenceState) SilenceDecision {
 	after := s.Move
-	switch {
-	case !state.IsListed:
-		after = s.Notice
-	case state.LastHeard != 0 && now.Sub(state.LastHeard) < signOfLifeTime:
+	if state.LastHeard != 0 && now.Sub(state.LastHeard) < signOfLifeTime {
 		after = s.MoveAlive
 	}
 	if left := after - state.Silent; left > 0 {
--- a/io/forward/silence.go
+++ b/io/forward/silence.go
@@ -90,10 +90,8 @@
 func (s *streamRelay) decideSilence() (until time.Time, ok bool) {
 	q := &s.silence
 	now := s.Clock.Now()
-	view := s.Roster.View()
-	_, isListed := view.Find(q.engine.ID)
 	state := retry.SilenceState{
-		Silent: now.Sub(q.since), LastHeard: max(q.heard.At(), s.Loads.LastComputed(q.engine.ID)), IsListed: isListed, CanMove: true,
+		Silent: now.Sub(q.since), LastHeard: max(q.heard.At(), s.Loads.LastComputed(q.engine.ID)), CanMove: true,
 	}
 	d := q.limits.Decide(now, &state)
 	if d.Move {
--- a/standin/platform/silence_test.go
+++ b/standin/platform/silence_test.go
@@ -306,3 +306,23 @@
 		t.Errorf("steps %q", got)
 	}
 }
+
+// Guards against a stream that is cut because its engine's entry lapses during a pause.
+func TestStreamSurvivesPauseOfUnlistedEngine(t *testing.T) {
+	for _, other := range []platform.RequestFault{platform.Hang, platform.Fail, platform.Reset, platform.Shed} {
+		t.Run(string(other), func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "prefill", "decode", "decode")
+			f.targets[1].InjectFaults(platform.Pause)
+			f.targets[2].InjectFaults(other)
+			time.AfterFunc(200*time.Millisecond, func() {
+				f.roster.Replace(0, 2, []core.Registration{registration(f.targets[0], "prefill"), registration(f.targets[2], "decode")})
+			})
+			got := f.sendPrompt(t.Context(), "/resumable/x")
+			if got.status != http.StatusOK || got.err != nil || got.body != completeStream() {
+				t.Errorf("response %+v", got)
+			}
+			f.checkOverlap("r1")
+		})
+	}
+}
