--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -131,15 +131,22 @@
 	return e, chain, ""
 }
 
-// adopt waits for a continuation and takes over the counts of its request.
-func (s *streamRelay) adopt(c *continuation) {
+// adoptCounts waits for a continuation and takes over the counts of its request.
+func (s *streamRelay) adoptCounts(c *continuation) {
 	<-c.done
 	r := &c.request
-	s.sends, s.possibleRuns, s.ledger, s.silentTarget = r.sends, r.possibleRuns, r.ledger, r.silentTarget
-	s.lastTarget, s.lastVersion, s.lastAttempt, s.lastResult = r.lastTarget, r.lastVersion, r.lastAttempt, r.lastResult
+	s.sends, s.possibleRuns, s.ledger = r.sends, r.possibleRuns, r.ledger
 	s.exclude = append(s.exclude, c.engine.ID)
 }
 
+// adopt takes over a continuation as the latest send of the request.
+func (s *streamRelay) adopt(c *continuation) {
+	s.adoptCounts(c)
+	r := &c.request
+	s.silentTarget, s.lastTarget, s.lastVersion = r.silentTarget, r.lastTarget, r.lastVersion
+	s.lastAttempt, s.lastResult = r.lastAttempt, r.lastResult
+}
+
 // continueElsewhere returns the answer of another engine that continues the stream. It waits for
 // the engine that was asked, or asks others. The work of the continuation must be finished when the
 // stream has ended.
--- a/io/forward/silence.go
+++ b/io/forward/silence.go
@@ -125,7 +125,8 @@
 	q.isNoticed, q.isStuck = false, false
 }
 
-// endAsk cancels the continuation on another engine, if one was asked, and takes over what it did.
+// endAsk cancels the continuation on another engine, if one was asked, and takes over its counts.
+// The latest send remains that to the present engine.
 func (s *streamRelay) endAsk() {
 	c := s.silence.ask
 	if c == nil {
@@ -133,7 +134,7 @@
 	}
 	isRefused := c.isDone() && !c.isAnswered()
 	c.cancel()
-	s.adopt(c)
+	s.adoptCounts(c)
 	if isRefused {
 		s.logSilence(SilenceRefused)
 	}
--- a/standin/platform/silence_test.go
+++ b/standin/platform/silence_test.go
@@ -326,3 +326,27 @@
 		})
 	}
 }
+
+// Guards against an entry of a request that names the engine that was asked in vain.
+func TestSilenceEndedNamesServingEngine(t *testing.T) {
+	f := newFixture(t, "prefill", "decode", "decode")
+	f.targets[1].InjectFaults(platform.Pause)
+	f.targets[2].InjectFaults(platform.Hang)
+	if got := f.sendPrompt(t.Context(), "/resumable/x"); got.status != http.StatusOK || got.err != nil {
+		t.Fatalf("response %+v", got)
+	}
+	f.server.Close()
+	ended := 0
+	for _, e := range f.logs.Entries {
+		if e.Message != "RequestEnded" {
+			continue
+		}
+		ended++
+		if want := core.TargetID(f.targets[1].ID()); e.Fields["Target"] != want {
+			t.Errorf("target %v, served by %v", e.Fields["Target"], want)
+		}
+	}
+	if ended != 1 {
+		t.Errorf("%d entries", ended)
+	}
+}
