--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -87,6 +87,9 @@
 	if obstacle != "" {
 		return obstacle
 	}
+	if s.lastID == "" && !s.fits(&core.Attempt{}) {
+		return ReasonLeaving // send wouldn't send it
+	}
 	if isWaiting && !s.hasRetries(retry.StageRun) || !s.takeRetries(RetryStream, retry.StageRun) {
 		return ReasonRetryBudget
 	}
--- a/standin/platform/leaving_test.go
+++ b/standin/platform/leaving_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/io/forward"
 	"gorseline/standin/platform"
 )
 
@@ -172,3 +173,35 @@
 		t.Errorf("response %+v, %d runs", got, len(f.runs("r1")))
 	}
 }
+
+// Guards against retries taken, and sends logged, for continuations that a leaving instance doesn't
+// send.
+func TestLeavingInstanceAsksNoEngineInVain(t *testing.T) {
+	f := newLearnedFixture(t, "prefill", "decode", "decode", "decode", "decode", "decode")
+	for _, tg := range f.targets[1:] {
+		tg.InjectFaults(platform.PauseFirst)
+	}
+	time.AfterFunc(300*time.Millisecond, func() { f.forwarder.StartDraining(1200 * time.Millisecond) })
+	if got := f.sendStream("r1", "/resumable/x", 40); got.status != http.StatusOK || got.err != nil {
+		t.Errorf("response %+v", got)
+	}
+	f.server.Close()
+	obstacles := 0
+	for _, e := range f.logs.Entries {
+		if e.Fields["Request"] != core.RequestID("r1") {
+			continue
+		}
+		switch step, _ := e.Fields["Step"].(string); {
+		case step == "NotPossible":
+			obstacles++
+			if e.Fields["Reason"] != forward.ReasonLeaving {
+				t.Errorf("obstacle %v", e.Fields["Reason"])
+			}
+		case step == "Asked", step == "Refused", e.Message == "RetryTaken", e.Message == "StreamResumed":
+			t.Errorf("%s %s", e.Message, step)
+		}
+	}
+	if obstacles != 1 {
+		t.Errorf("%d obstacles", obstacles)
+	}
+}
