--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -204,11 +204,16 @@
 	}
 }
 
-// promptRequest returns the request for an engine that computes the prompt.
+// promptRequest returns the request for an engine that computes the prompt. The objective applies to
+// the first send: after a silent engine it has usually passed, and would rule out all others.
 func (r *activeRequest) promptRequest(chain prompt.Chain) *assign.Request {
+	objective := r.firstEventObjective()
+	if r.sends > 0 {
+		objective = r.remaining()
+	}
 	return &assign.Request{
 		Service: r.service, Route: r.route.Name, Engine: r.engineLimits(), Prompt: r.req.Prompt, Chain: chain,
-		Objective: r.firstEventObjective(), Remaining: r.remaining(), Exclude: r.exclude,
+		Objective: objective, Remaining: r.remaining(), Exclude: r.exclude,
 		Version: r.version,
 	}
 }
--- a/standin/platform/silence_test.go
+++ b/standin/platform/silence_test.go
@@ -350,3 +350,30 @@
 		t.Errorf("%d entries", ended)
 	}
 }
+
+// Guards against a request that waits for a hung engine until its deadline while another is free.
+func TestPromptLeavesHungEngineBeforeItsAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		phases []string
+		hung   int
+	}{
+		{"whole", []string{"decode", "decode"}, 0},
+		{"generation", []string{"prefill", "decode", "decode"}, 1},
+		{"computation", []string{"prefill", "prefill", "decode"}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, test.phases...)
+			f.targets[test.hung].InjectFaults(platform.Hang)
+			began := time.Now()
+			got := f.sendPrompt(t.Context(), "/resumable/x")
+			if got.status != http.StatusOK || got.err != nil || got.body != completeStream() {
+				t.Errorf("response %+v", got)
+			}
+			if took := time.Since(began); took > 2*time.Second {
+				t.Errorf("complete after %v", took)
+			}
+		})
+	}
+}
