--- a/core/assign/bench_test.go
+++ b/core/assign/bench_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/core/prompt"
 )
 
 // BenchmarkAssign measures one decision among 14 loaded engines. The goal is 5 µs without
@@ -19,3 +20,20 @@
 		f.assigner.Assign(core.Instant(time.Second), f.view, req)
 	}
 }
+
+// BenchmarkCanAssign measures one check whether a waiting request can be sent elsewhere, made ten
+// times a second for each request that waits for a header.
+func BenchmarkCanAssign(b *testing.B) {
+	f := newFleet()
+	list := arrivals(1, 500, time.Second)
+	f.run(list, nil)
+	req := testRequest(9000)
+	req.Objective = -time.Second // no engine is within the limit
+	b.ReportAllocs()
+	for b.Loop() {
+		req.Chain = prompt.NewChain(req.Prompt)
+		if f.assigner.CanAssign(core.Instant(time.Second), f.view, req) {
+			b.Fatal("an engine is within the limit")
+		}
+	}
+}
