--- a/core/retry/silence.go
+++ b/core/retry/silence.go
@@ -86,3 +86,9 @@
 	}
 	return min(remaining, silenceRecheck), true
 }
+
+// ExceedsPause reports whether a target has been waited for longer than a sound one may be silent, or
+// for two thirds of the time until the deadline.
+func (s Silence) ExceedsPause(waited, remaining time.Duration) bool {
+	return waited >= min(s.Move+s.Overlap, (waited+remaining)*2/3)
+}
--- a/core/retry/silence_test.go
+++ b/core/retry/silence_test.go
@@ -119,3 +119,18 @@
 		t.Error("never avoided")
 	}
 }
+
+// Guards against a request that leaves a target that only pauses, and against one that waits for a
+// dead one for most of its time.
+func TestExceedsPause(t *testing.T) {
+	const ms = time.Millisecond
+	silence := retry.NewSilence(0)
+	for _, test := range []struct {
+		waited, remaining time.Duration
+		exceeds           bool
+	}{{1500 * ms, 1500 * ms, false}, {1600 * ms, 1400 * ms, true}, {600 * ms, 400 * ms, false}, {670 * ms, 330 * ms, true}} {
+		if got := silence.ExceedsPause(test.waited, test.remaining); got != test.exceeds {
+			t.Errorf("waited %v, remaining %v: %v", test.waited, test.remaining, got)
+		}
+	}
+}
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -78,7 +78,8 @@
 			}
 		}
 		waited := now.Sub(began)
-		wait, ok := silence.WaitForHeader(waited, r.remaining(), r.canSendElsewhere(e, a), !a.PrefillOnly)
+		canMove := r.canSendElsewhere(e, a, !silence.ExceedsPause(waited, r.remaining()))
+		wait, ok := silence.WaitForHeader(waited, r.remaining(), canMove, !a.PrefillOnly)
 		if ok && r.silentTarget != e.ID && waited >= r.route.Objective {
 			r.silentTarget = e.ID
 			r.recordSilence(e)
--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -180,8 +180,8 @@
 }
 
 // canSendElsewhere reports whether the request could be sent to another target if the current send
-// to e got no answer.
-func (r *activeRequest) canSendElsewhere(e *roster.Entry, a *core.Attempt) bool {
+// to e got no answer. While e may only pause, another one must meet the objective: it may refuse.
+func (r *activeRequest) canSendElsewhere(e *roster.Entry, a *core.Attempt, mayPause bool) bool {
 	next := *r
 	next.exclude = append(slices.Clip(r.exclude), e.ID)
 	next.ledger.Record(stageOf(a), retry.SendUnknown)
@@ -197,8 +197,11 @@
 	case next.sends >= maxSends:
 		return false
 	case r.req.Prompt != nil && r.engineLimits() != nil:
-		return next.hasRetries(retry.StageCompute) &&
-			r.Assigner.CanAssign(r.Clock.Now(), r.Roster.View(), next.promptRequest(prompt.NewChain(r.req.Prompt)))
+		req := next.promptRequest(prompt.NewChain(r.req.Prompt))
+		if mayPause {
+			req.Objective = r.firstEventObjective()
+		}
+		return next.hasRetries(retry.StageCompute) && r.Assigner.CanAssign(r.Clock.Now(), r.Roster.View(), req)
 	default:
 		return next.hasRetries(retry.StageRun) && next.chooseCall().Target != nil
 	}
--- a/standin/platform/silence_test.go
+++ b/standin/platform/silence_test.go
@@ -271,16 +271,22 @@
 		// fault and processingTime are those of the first engine.
 		fault          platform.RequestFault
 		processingTime time.Duration
+		// other is the fault of the last engine.
+		other platform.RequestFault
 	}{
-		{"no other engine", []string{"decode"}, 9, "", platform.PauseTime},
-		{"no retry left", []string{"decode", "decode"}, 0, "", platform.PauseTime},
-		{"prompt apart, no retry left", []string{"prefill", "decode"}, 0, platform.Slow, 0},
+		{"no other engine", []string{"decode"}, 9, "", platform.PauseTime, ""},
+		{"no retry left", []string{"decode", "decode"}, 0, "", platform.PauseTime, ""},
+		{"prompt apart, no retry left", []string{"prefill", "decode"}, 0, platform.Slow, 0, ""},
+		{"other engine refuses", []string{"decode", "decode"}, 9, "", platform.PauseTime, platform.Shed},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			f := newFixture(t, test.phases...)
 			f.grantRetries(test.retries)
 			f.targets[0].InjectFaults(test.fault)
+			if test.other != "" {
+				f.targets[len(f.targets)-1].InjectFaults(test.other, test.other, test.other, test.other)
+			}
 			f.targets[0].SetProcessingTime(test.processingTime)
 			got := f.sendPrompt(t.Context(), "/resumable/x")
 			if got.status != http.StatusOK || got.err != nil || got.body != completeStream() {
