--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -87,6 +87,9 @@
 	if obstacle != "" {
 		return obstacle
 	}
+	if s.lastID == "" && !s.fits(&core.Attempt{}) {
+		return ReasonLeaving // send wouldn't send it
+	}
 	if isWaiting && !s.hasRetries(retry.StageRun) || !s.takeRetries(RetryStream, retry.StageRun) {
 		return ReasonRetryBudget
 	}
@@ -132,15 +135,22 @@
 	return e, chain, ""
 }
 
-// adopt waits for a continuation and takes over the counts of its request.
-func (s *streamRelay) adopt(c *continuation) {
+// adoptCounts waits for a continuation and takes over the counts of its request.
+func (s *streamRelay) adoptCounts(c *continuation) {
 	<-c.done
 	r := &c.request
-	s.sends, s.possibleRuns, s.ledger, s.silentTarget = r.sends, r.possibleRuns, r.ledger, r.silentTarget
-	s.lastTarget, s.lastVersion, s.lastAttempt, s.lastResult = r.lastTarget, r.lastVersion, r.lastAttempt, r.lastResult
+	s.sends, s.possibleRuns, s.ledger = r.sends, r.possibleRuns, r.ledger
 	s.exclude = append(s.exclude, c.engine.ID)
 }
 
+// adopt takes over a continuation as the latest send of the request.
+func (s *streamRelay) adopt(c *continuation) {
+	s.adoptCounts(c)
+	r := &c.request
+	s.silentTarget, s.lastTarget, s.lastVersion = r.silentTarget, r.lastTarget, r.lastVersion
+	s.lastAttempt, s.lastResult = r.lastAttempt, r.lastResult
+}
+
 // continueElsewhere returns the answer of another engine that continues the stream. It waits for
 // the engine that was asked, or asks others. The work of the continuation must be finished when the
 // stream has ended.
@@ -171,8 +181,8 @@
 }
 
 // canSendElsewhere reports whether the request could be sent to another target if the current send
-// to e got no answer.
-func (r *activeRequest) canSendElsewhere(e *roster.Entry, a *core.Attempt) bool {
+// to e got no answer. While e may only pause, another one must meet the objective: it may refuse.
+func (r *activeRequest) canSendElsewhere(e *roster.Entry, a *core.Attempt, mayPause bool) bool {
 	next := *r
 	next.exclude = append(slices.Clip(r.exclude), e.ID)
 	next.ledger.Record(stageOf(a), retry.SendUnknown)
@@ -188,18 +198,26 @@
 	case next.sends >= maxSends:
 		return false
 	case r.req.Prompt != nil && r.engineLimits() != nil:
-		return next.hasRetries(retry.StageCompute) &&
-			r.Assigner.CanAssign(r.Clock.Now(), r.Roster.View(), next.promptRequest(prompt.NewChain(r.req.Prompt)))
+		req := next.promptRequest(prompt.NewChain(r.req.Prompt))
+		if mayPause {
+			req.Objective = r.firstEventObjective()
+		}
+		return next.hasRetries(retry.StageCompute) && r.Assigner.CanAssign(r.Clock.Now(), r.Roster.View(), req)
 	default:
 		return next.hasRetries(retry.StageRun) && next.chooseCall().Target != nil
 	}
 }
 
-// promptRequest returns the request for an engine that computes the prompt.
+// promptRequest returns the request for an engine that computes the prompt. The objective applies to
+// the first send: after a silent engine it has usually passed, and would rule out all others.
 func (r *activeRequest) promptRequest(chain prompt.Chain) *assign.Request {
+	objective := r.firstEventObjective()
+	if r.sends > 0 {
+		objective = r.remaining()
+	}
 	return &assign.Request{
 		Service: r.service, Route: r.route.Name, Engine: r.engineLimits(), Prompt: r.req.Prompt, Chain: chain,
-		Objective: r.firstEventObjective(), Remaining: r.remaining(), Exclude: r.exclude,
+		Objective: objective, Remaining: r.remaining(), Exclude: r.exclude,
 		Version: r.version,
 	}
 }
--- a/io/forward/silence.go
+++ b/io/forward/silence.go
@@ -90,10 +90,8 @@
 func (s *streamRelay) decideSilence() (until time.Time, ok bool) {
 	q := &s.silence
 	now := s.Clock.Now()
-	view := s.Roster.View()
-	_, isListed := view.Find(q.engine.ID)
 	state := retry.SilenceState{
-		Silent: now.Sub(q.since), LastHeard: max(q.heard.At(), s.Loads.LastComputed(q.engine.ID)), IsListed: isListed, CanMove: true,
+		Silent: now.Sub(q.since), LastHeard: max(q.heard.At(), s.Loads.LastComputed(q.engine.ID)), CanMove: true,
 	}
 	d := q.limits.Decide(now, &state)
 	if d.Move {
@@ -127,7 +125,8 @@
 	q.isNoticed, q.isStuck = false, false
 }
 
-// endAsk cancels the continuation on another engine, if one was asked, and takes over what it did.
+// endAsk cancels the continuation on another engine, if one was asked, and takes over its counts.
+// The latest send remains that to the present engine.
 func (s *streamRelay) endAsk() {
 	c := s.silence.ask
 	if c == nil {
@@ -135,7 +134,7 @@
 	}
 	isRefused := c.isDone() && !c.isAnswered()
 	c.cancel()
-	s.adopt(c)
+	s.adoptCounts(c)
 	if isRefused {
 		s.logSilence(SilenceRefused)
 	}
--- a/standin/platform/silence_test.go
+++ b/standin/platform/silence_test.go
@@ -271,16 +271,22 @@
 		// fault and processingTime are those of the first engine.
 		fault          platform.RequestFault
 		processingTime time.Duration
+		// other is the fault of the last engine.
+		other platform.RequestFault
 	}{
-		{"no other engine", []string{"decode"}, 9, "", platform.PauseTime},
-		{"no retry left", []string{"decode", "decode"}, 0, "", platform.PauseTime},
-		{"prompt apart, no retry left", []string{"prefill", "decode"}, 0, platform.Slow, 0},
+		{"no other engine", []string{"decode"}, 9, "", platform.PauseTime, ""},
+		{"no retry left", []string{"decode", "decode"}, 0, "", platform.PauseTime, ""},
+		{"prompt apart, no retry left", []string{"prefill", "decode"}, 0, platform.Slow, 0, ""},
+		{"other engine refuses", []string{"decode", "decode"}, 9, "", platform.PauseTime, platform.Shed},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			f := newFixture(t, test.phases...)
 			f.grantRetries(test.retries)
 			f.targets[0].InjectFaults(test.fault)
+			if test.other != "" {
+				f.targets[len(f.targets)-1].InjectFaults(test.other, test.other, test.other, test.other)
+			}
 			f.targets[0].SetProcessingTime(test.processingTime)
 			got := f.sendPrompt(t.Context(), "/resumable/x")
 			if got.status != http.StatusOK || got.err != nil || got.body != completeStream() {
@@ -306,3 +312,74 @@
 		t.Errorf("steps %q", got)
 	}
 }
+
+// Guards against a stream that is cut because its engine's entry lapses during a pause.
+func TestStreamSurvivesPauseOfUnlistedEngine(t *testing.T) {
+	for _, other := range []platform.RequestFault{platform.Hang, platform.Fail, platform.Reset, platform.Shed} {
+		t.Run(string(other), func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "prefill", "decode", "decode")
+			f.targets[1].InjectFaults(platform.Pause)
+			f.targets[2].InjectFaults(other)
+			time.AfterFunc(200*time.Millisecond, func() {
+				f.roster.Replace(0, 2, []core.Registration{registration(f.targets[0], "prefill"), registration(f.targets[2], "decode")})
+			})
+			got := f.sendPrompt(t.Context(), "/resumable/x")
+			if got.status != http.StatusOK || got.err != nil || got.body != completeStream() {
+				t.Errorf("response %+v", got)
+			}
+			f.checkOverlap("r1")
+		})
+	}
+}
+
+// Guards against an entry of a request that names the engine that was asked in vain.
+func TestSilenceEndedNamesServingEngine(t *testing.T) {
+	f := newFixture(t, "prefill", "decode", "decode")
+	f.targets[1].InjectFaults(platform.Pause)
+	f.targets[2].InjectFaults(platform.Hang)
+	if got := f.sendPrompt(t.Context(), "/resumable/x"); got.status != http.StatusOK || got.err != nil {
+		t.Fatalf("response %+v", got)
+	}
+	f.server.Close()
+	ended := 0
+	for _, e := range f.logs.Entries {
+		if e.Message != "RequestEnded" {
+			continue
+		}
+		ended++
+		if want := core.TargetID(f.targets[1].ID()); e.Fields["Target"] != want {
+			t.Errorf("target %v, served by %v", e.Fields["Target"], want)
+		}
+	}
+	if ended != 1 {
+		t.Errorf("%d entries", ended)
+	}
+}
+
+// Guards against a request that waits for a hung engine until its deadline while another is free.
+func TestPromptLeavesHungEngineBeforeItsAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		phases []string
+		hung   int
+	}{
+		{"whole", []string{"decode", "decode"}, 0},
+		{"generation", []string{"prefill", "decode", "decode"}, 1},
+		{"computation", []string{"prefill", "prefill", "decode"}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, test.phases...)
+			f.targets[test.hung].InjectFaults(platform.Hang)
+			began := time.Now()
+			got := f.sendPrompt(t.Context(), "/resumable/x")
+			if got.status != http.StatusOK || got.err != nil || got.body != completeStream() {
+				t.Errorf("response %+v", got)
+			}
+			if took := time.Since(began); took > 2*time.Second {
+				t.Errorf("complete after %v", took)
+			}
+		})
+	}
+}
