--- a/core/drain/durations.go
+++ b/core/drain/durations.go
@@ -68,7 +68,7 @@
 	return &Durations{streams: map[core.Service]*streamDurations{}, routes: map[string]*window{}}
 }
 
-// ObserveRequest records the duration of a request on a route.
+// ObserveRequest records the duration of a request on a route without streams.
 func (d *Durations) ObserveRequest(route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -118,7 +118,8 @@
 	}
 }
 
-// bound returns an upper bound of the duration of a request, or false if it isn't known.
+// bound returns an upper bound of the duration of a request, or false if it isn't known. Streams
+// of a route say nothing about the length of another one without a limit.
 func (d *Durations) bound(w *Work) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -126,7 +127,7 @@
 		return d.streamBound(w)
 	}
 	samples, ok := d.routes[w.Route]
-	if !ok {
+	if !ok || w.Kind == core.RouteStream {
 		return 0, false
 	}
 	return samples.slow()
--- a/core/drain/durations_test.go
+++ b/core/drain/durations_test.go
@@ -8,17 +8,21 @@
 )
 
 // learn records n streams of 21 events with the given pace, and as many plain requests of 100 ms.
+// The route of the streams had plain requests before.
 func learn(d *Durations, n int, pace time.Duration) {
 	for range n {
 		d.ObserveStream("models", 21, 200*time.Millisecond, 20*pace)
 		d.ObserveRequest("plain", 100*time.Millisecond)
+		d.ObserveRequest("stream", 100*time.Millisecond)
 	}
 }
 
 // Guards against a leaving instance that takes work which it can't finish, and one that refuses
 // work which it can.
 func TestFit(t *testing.T) {
-	stream := func(tokens int) Work { return Work{Service: "models", Route: "stream", MaxTokens: tokens} }
+	stream := func(tokens int) Work {
+		return Work{Service: "models", Route: "stream", Kind: core.RouteStream, MaxTokens: tokens}
+	}
 	plain := Work{Service: "calls", Route: "plain"}
 	const pace = 50 * time.Millisecond
 	tests := []struct {
@@ -38,7 +42,7 @@
 		{"nothing known, deadline is near", 0, stream(4), 4 * time.Second, 3 * time.Second, true},
 		{"short history", minSamples - 1, stream(4), 4 * time.Second, 5 * time.Second, false},
 		{"no limit on the answer", 40, stream(0), 4 * time.Second, 5 * time.Second, false},
-		{"other service", 40, Work{Service: "others", Route: "stream", MaxTokens: 4}, 4 * time.Second, 5 * time.Second, false},
+		{"other service", 40, Work{Service: "others", Route: "stream", Kind: core.RouteStream, MaxTokens: 4}, 4 * time.Second, 5 * time.Second, false},
 		{"longest answer that a caller can state", 40, stream(1 << 30), time.Hour / 2, time.Hour, false},
 		{"no time left", 40, plain, -time.Millisecond, time.Second, false},
 	}
--- a/core/drain/fit.go
+++ b/core/drain/fit.go
@@ -10,6 +10,7 @@
 type Work struct {
 	Service core.Service
 	Route   string
+	Kind    core.RouteKind
 	// MaxTokens is the limit on the length of a generated answer; 0 if nothing is generated or
 	// no limit is stated.
 	MaxTokens int
--- a/io/forward/leaving.go
+++ b/io/forward/leaving.go
@@ -100,7 +100,7 @@
 // fit compares the time that the request needs, if this attempt is sent now, with the time that
 // is left.
 func (r *activeRequest) fit(l *leaving, a *core.Attempt) drain.Fit {
-	w := drain.Work{Service: r.service, Route: r.route.Name}
+	w := drain.Work{Service: r.service, Route: r.route.Name, Kind: r.route.Kind}
 	if r.req.Prompt != nil {
 		w.MaxTokens = r.req.Prompt.MaxOutput
 	}
@@ -117,7 +117,9 @@
 	if r.sends == 0 || !isAnswered && r.remaining() > 0 {
 		return
 	}
-	r.durations.ObserveRequest(r.route.Name, r.Clock.Now().Sub(r.accepted))
+	if r.route.Kind != core.RouteStream {
+		r.durations.ObserveRequest(r.route.Name, r.Clock.Now().Sub(r.accepted))
+	}
 	if r.events > 0 {
 		first := r.timeToFirstByte - r.accepted.Sub(r.arrived)
 		r.durations.ObserveStream(r.service, r.events, first, r.lastEventTime-r.timeToFirstByte)
--- a/standin/platform/leaving_test.go
+++ b/standin/platform/leaving_test.go
@@ -172,3 +172,28 @@
 		t.Errorf("response %+v, %d runs", got, len(f.runs("r1")))
 	}
 }
+
+// Guards against a stream without a limit on its answer that a leaving instance takes because
+// earlier, shorter ones would have fitted.
+func TestLeavingInstanceRefusesStreamWithoutLimit(t *testing.T) {
+	for _, count := range []string{"3000,0", ""} {
+		f := newFixture(t, "prefill", "decode")
+		for _, tg := range f.targets {
+			tg.SetEvents(20, eventInterval)
+		}
+		send := func(id string) response {
+			header := []string{"X-Model", "m", "X-Prompt-Prefix", "ab:2500,cd:500"}
+			if count != "" {
+				header = append(header, "X-Token-Count", count)
+			}
+			return f.do(t.Context(), http.MethodPost, "/single/x", id, "the prompt", header...)
+		}
+		for n := range 10 {
+			if got := send("learn" + strconv.Itoa(n)); got.status != 200 || got.err != nil {
+				t.Fatalf("%q: %+v", count, got)
+			}
+		}
+		f.forwarder.StartDraining(800 * time.Millisecond)
+		f.checkRefused("long", send("long"))
+	}
+}
