--- a/cmd/entry/node/drain_test.go
+++ b/cmd/entry/node/drain_test.go
@@ -23,6 +23,9 @@
 func TestLeavingInstanceCutsNoStream(t *testing.T) {
 	s := newSite(t)
 	i := s.start("n1")
+	i.mu.Lock()
+	i.settings.Bounds.StopGrace = 4600 * time.Millisecond
+	i.mu.Unlock()
 	for _, tg := range s.targets {
 		tg.SetEvents(1000, 5*time.Millisecond)
 	}
@@ -40,7 +43,7 @@
 	if got := i.call(t, "/stream/x", "short", promptHeader(20)...); got.status != 200 || strings.Count(got.body, "id: ") != 20 {
 		t.Errorf("%+v", got)
 	}
-	// 1.9 s, of which at most 1.7 s are left.
+	// 1.9 s and 1.6 s for a pause; at most 3.3 s are left.
 	if got := i.call(t, "/stream/x", "long", promptHeader(380)...); got.status != 503 || !got.close {
 		t.Errorf("status %d, %d events", got.status, strings.Count(got.body, "id: "))
 	}
--- a/core/drain/durations_test.go
+++ b/core/drain/durations_test.go
@@ -17,6 +17,12 @@
 	}
 }
 
+// pausing returns work whose target may pause.
+func pausing(w Work, pause time.Duration) Work {
+	w.Pause = pause
+	return w
+}
+
 // Guards against a leaving instance that takes work which it can't finish, and one that refuses
 // work which it can.
 func TestFit(t *testing.T) {
@@ -36,6 +42,9 @@
 		{"short stream", 40, stream(60), 4200 * time.Millisecond, 15 * time.Second, true},
 		{"long stream whose deadline is near", 40, stream(140), 4200 * time.Millisecond, 4 * time.Second, true},
 		{"long stream early", 40, stream(110), 7200 * time.Millisecond, 15 * time.Second, true},
+		{"short stream that may pause", 40, pausing(stream(50), 1500*time.Millisecond), 4200 * time.Millisecond, 15 * time.Second, false},
+		{"short stream that may pause early", 40, pausing(stream(50), 1500*time.Millisecond), 4600 * time.Millisecond, 15 * time.Second, true},
+		{"pause beyond a near deadline", 40, pausing(stream(50), 1500*time.Millisecond), 4200 * time.Millisecond, 4 * time.Second, true},
 		{"plain request", 40, plain, 200 * time.Millisecond, time.Second, true},
 		{"plain request too late", 40, plain, 105 * time.Millisecond, time.Second, false},
 		{"nothing known", 0, stream(4), 4 * time.Second, 5 * time.Second, false},
--- a/core/drain/fit.go
+++ b/core/drain/fit.go
@@ -16,6 +16,8 @@
 	MaxTokens int
 	// Computed is the time that the computation of the prompt took, if it is complete.
 	Computed time.Duration
+	// Pause is the length of a pause of a sound target that the request has to outlast.
+	Pause time.Duration
 }
 
 // Fit compares the time that a request may take with the time that a leaving instance has left.
@@ -38,7 +40,7 @@
 // until the deadline of the request, at which it ends in any case.
 func (d *Durations) Fit(w *Work, left, remaining time.Duration) Fit {
 	bound, learned := d.bound(w)
-	bound += bound / marginDivisor
+	bound += bound/marginDivisor + w.Pause
 	if !learned || bound >= remaining {
 		return Fit{Need: remaining, Left: left}
 	}
--- a/io/forward/leaving.go
+++ b/io/forward/leaving.go
@@ -8,6 +8,7 @@
 
 	"gorseline/core"
 	"gorseline/core/drain"
+	"gorseline/core/retry"
 )
 
 // leaving is the state of a forwarder whose instance leaves.
@@ -104,6 +105,9 @@
 	if r.req.Prompt != nil {
 		w.MaxTokens = r.req.Prompt.MaxOutput
 	}
+	if r.route.Kind == core.RouteStream {
+		w.Pause = retry.NewSilence(r.route.PauseObjective).MoveAlive
+	}
 	if !a.Source.IsZero() {
 		w.Computed = r.prefillTime
 	}
