--- a/cmd/entry/node/drain_test.go
+++ b/cmd/entry/node/drain_test.go
@@ -112,6 +112,34 @@
 	}
 }
 
+// Guards against an exit after the grace period because the release of a KV cache isn't answered.
+func TestReleasesEndWithGrace(t *testing.T) {
+	const grace = 1500 * time.Millisecond
+	s := newSite(t)
+	i := s.start("n1")
+	i.mu.Lock()
+	i.settings.Bounds.StopGrace = grace
+	i.mu.Unlock()
+	s.targets[3].InjectFaults(standin.Hang)
+	stream := make(chan reply, 1)
+	go func() { stream <- i.call(t, "/stream/x", "r1", promptHeader(50)...) }()
+	s.eventually(time.Second, "the prompt has been computed", func() bool {
+		return len(s.targets[3].Arrivals()) > 0
+	})
+	s.targets[2].Freeze(2 * grace)
+	began := time.Now()
+	i.drain()
+	if took := time.Since(began); took > grace-100*time.Millisecond {
+		t.Errorf("took %v of a grace period of %v", took, grace)
+	}
+	if got := <-stream; got.status != 502 {
+		t.Errorf("%+v", got)
+	}
+	s.eventually(time.Second, "a log line for a release that was given up", func() bool {
+		return strings.Contains(i.output.String(), "Event=ReleaseFailed")
+	})
+}
+
 // stop lets the instance leave and stops it, as after a signal.
 func (i *instance) stop(t *testing.T) {
 	t.Helper()
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -278,7 +278,7 @@
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.endRequests(grace)
 	}
-	n.forwarder.WaitForReleases()
+	n.waitForReleases(start, grace)
 	n.log.WithFields(log.Fields{"Active": n.forwarder.Active(), "TookMs": time.Since(start).Milliseconds()}).Info("Left")
 }
 
@@ -296,6 +296,14 @@
 	entry.Warn("LeftEarly")
 }
 
+// waitForReleases waits for calls that free exports, at most until half of the reserve is used. An
+// export that isn't freed expires.
+func (n *node) waitForReleases(start time.Time, grace time.Duration) {
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add((grace+drainTime(grace))/2))
+	defer cancel()
+	n.forwarder.WaitForReleases(ctx)
+}
+
 // drainTime returns the part of the grace period in which requests are finished.
 func drainTime(grace time.Duration) time.Duration {
 	return grace - min(exitReserve, grace/2)
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -225,10 +224,9 @@
 // background.
 func (r *activeRequest) releaseExport(e *roster.Entry, handle string) {
 	method, uri := r.Dialect.ReleaseRequest(handle)
-	// The call must not be cancelled when the request ends.
-	ctx := context.WithoutCancel(r.in.Context())
 	r.releases.Go(func() {
-		answer, err := r.Pool.Do(ctx, &target.Request{
+		// The call must not be cancelled when the request ends.
+		answer, err := r.Pool.Do(r.released, &target.Request{
 			Address: e.Address, Method: method, URI: uri, Host: e.Address,
 			Header: http.Header{}, Deadline: time.Now().Add(releaseTimeout), MaxIdle: r.maxIdle(),
 		})
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -89,8 +89,10 @@
 	mu sync.Mutex
 	// maxCallerTimeout is the longest timeout that a caller has stated, by name of the route.
 	maxCallerTimeout map[string]time.Duration
-	// releases tracks background calls that free exports.
-	releases sync.WaitGroup
+	// releases tracks background calls that free exports. They end with released.
+	releases    sync.WaitGroup
+	released    context.Context
+	endReleases context.CancelFunc
 }
 
 var _ http.Handler = (*Forwarder)(nil)
@@ -100,6 +102,7 @@
 func New(o Options) *Forwarder {
 	f := &Forwarder{Options: o, durations: drain.NewDurations(), maxCallerTimeout: map[string]time.Duration{}}
 	f.stopped, f.endRequests = context.WithCancel(context.Background())
+	f.released, f.endReleases = context.WithCancel(context.Background())
 	return f
 }
 
@@ -142,8 +145,13 @@
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int64 { return f.active.Load() }
 
-// WaitForReleases blocks until all background calls that free exports have ended.
-func (f *Forwarder) WaitForReleases() { f.releases.Wait() }
+// WaitForReleases blocks until all background calls that free exports have ended. At the end of ctx
+// it gives up those in progress; each writes a log line.
+func (f *Forwarder) WaitForReleases(ctx context.Context) {
+	stop := context.AfterFunc(ctx, f.endReleases)
+	defer stop()
+	f.releases.Wait()
+}
 
 // Reasons of refusals, failures and answers that originate in the forwarder.
 const (
--- a/standin/platform/freeze.go
+++ b/standin/platform/freeze.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Freeze makes the target send nothing for a time, in all of its streams and to new requests. It
+// Freeze makes the target send nothing for a time, in all of its streams, to new requests and to
+// releases of handles. It
 // then goes on as if nothing had happened.
 func (t *Target) Freeze(d time.Duration) {
 	t.mu.Lock()
--- a/standin/platform/leaving_test.go
+++ b/standin/platform/leaving_test.go
@@ -117,7 +117,7 @@
 	f.targets[0].SetProcessingTime(150 * time.Millisecond)
 	time.AfterFunc(50*time.Millisecond, func() { f.forwarder.StartDraining(time.Second + pauseAllowance) })
 	got := f.sendStream("r1", "/single/x", 250)
-	f.forwarder.WaitForReleases()
+	f.forwarder.WaitForReleases(t.Context())
 	if released := f.targets[0].ReleasedHandles(); released != 1 {
 		t.Errorf("%d handles released", released)
 	}
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -171,7 +171,7 @@
 // serveControl serves load reports, role orders and the release of handles.
 func (t *Target) serveControl(conn net.Conn, r *http.Request) bool {
 	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if err != nil || r.Method == http.MethodDelete && !t.waitWhileFrozen(conn) {
 		return false
 	}
 	t.mu.Lock()
--- a/standin/platform/stream_test.go
+++ b/standin/platform/stream_test.go
@@ -130,7 +130,7 @@
 	if got.status != 503 {
 		t.Fatalf("status %d", got.status)
 	}
-	f.forwarder.WaitForReleases()
+	f.forwarder.WaitForReleases(t.Context())
 	if released := f.targets[0].ReleasedHandles(); released != 1 {
 		t.Errorf("%d handles released", released)
 	}
