--- a/cmd/entry/node/drain_test.go
+++ b/cmd/entry/node/drain_test.go
@@ -91,6 +91,9 @@
 		text := i.output.String()
 		return strings.Count(text, "Reason=Stopped") == 3 && strings.Contains(text, "Event=LeftEarly") && strings.Contains(text, "Cut=3")
 	})
+	if strings.Contains(i.output.String(), "Event=Left ") {
+		t.Error("a log line says that no request was ended")
+	}
 }
 
 // Guards against a grace period of which nothing is left for the requests in progress.
@@ -140,6 +143,30 @@
 	})
 }
 
+// Guards against an idle instance that waits for a connection without a request, and then reports
+// that it ended requests.
+func TestUnusedConnectionDoesNotDelayExit(t *testing.T) {
+	s := newSite(t)
+	i := s.start("n1")
+	conn, err := net.Dial("tcp4", i.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	time.Sleep(50 * time.Millisecond) // until the server has accepted it
+	began := time.Now()
+	i.drain()
+	if took := time.Since(began); took > 1500*time.Millisecond {
+		t.Errorf("took %v", took)
+	}
+	s.eventually(time.Second, "a log line says that the instance has left", func() bool {
+		return strings.Contains(i.output.String(), "Event=Left ")
+	})
+	if strings.Contains(i.output.String(), "Event=LeftEarly") {
+		t.Error("a log line says that requests were ended")
+	}
+}
+
 // stop lets the instance leave and stops it, as after a signal.
 func (i *instance) stop(t *testing.T) {
 	t.Helper()
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -45,6 +45,7 @@
 	updater      *stateUpdater
 	draining     atomic.Bool
 	callerServer *http.Server
+	callers      newConnections
 	servers      []*http.Server
 	registry     metrics.Registry
 	// metricsAddress is empty if no metrics are served.
@@ -83,6 +84,7 @@
 	n.registerGauges(p.Instruments, p.Roles, p.Tracker)
 	lifecycle.Register(lc, n)
 	n.callerServer = newServer(p.Forwarder)
+	n.callers.watch(n.callerServer)
 	if err := n.serve(lc, p.Settings.CallerAddress, n.callerServer); err != nil {
 		return nil, err
 	}
@@ -275,25 +277,30 @@
 	time.Sleep(accept)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	stopClose := time.AfterFunc(unusedTime, n.callers.close)
+	defer stopClose.Stop()
+	cut := int64(0)
 	if err := n.callerServer.Shutdown(ctx); err != nil {
-		n.endRequests(grace)
+		cut = n.endRequests(grace)
 	}
 	n.waitForReleases(start, grace)
-	n.log.WithFields(log.Fields{"Active": n.forwarder.Active(), "TookMs": time.Since(start).Milliseconds()}).Info("Left")
+	entry := n.log.WithFields(log.Fields{"Active": n.forwarder.Active(), "Cut": cut, "TookMs": time.Since(start).Milliseconds()})
+	if cut > 0 {
+		entry.Warn("LeftEarly")
+		return
+	}
+	entry.Info("Left")
 }
 
 // endRequests ends the requests that are still in progress, and waits for a part of the reserve
-// until callers have their answers.
-func (n *node) endRequests(grace time.Duration) {
+// until callers have their answers. It returns the number of requests.
+func (n *node) endRequests(grace time.Duration) int64 {
 	ctx, cancel := context.WithTimeout(context.Background(), (grace-drainTime(grace))/4)
 	defer cancel()
 	cut := n.forwarder.EndRequests()
-	err := n.callerServer.Shutdown(ctx)
-	entry := n.log.WithFields(log.Fields{"Cut": cut, "Active": n.forwarder.Active()})
-	if err != nil {
-		entry = entry.WithError(err)
-	}
-	entry.Warn("LeftEarly")
+	// Active in the log line of the exit shows the requests that are still in progress.
+	_ = n.callerServer.Shutdown(ctx)
+	return cut
 }
 
 // waitForReleases waits for calls that free exports, at most until half of the reserve is used. An
