--- a/cmd/entry/node/drain_test.go
+++ b/cmd/entry/node/drain_test.go
@@ -23,6 +23,9 @@
 func TestLeavingInstanceCutsNoStream(t *testing.T) {
 	s := newSite(t)
 	i := s.start("n1")
+	i.mu.Lock()
+	i.settings.Bounds.StopGrace = 4600 * time.Millisecond
+	i.mu.Unlock()
 	for _, tg := range s.targets {
 		tg.SetEvents(1000, 5*time.Millisecond)
 	}
@@ -40,7 +43,7 @@
 	if got := i.call(t, "/stream/x", "short", promptHeader(20)...); got.status != 200 || strings.Count(got.body, "id: ") != 20 {
 		t.Errorf("%+v", got)
 	}
-	// 1.9 s, of which at most 1.7 s are left.
+	// 1.9 s and 1.6 s for a pause; at most 3.3 s are left.
 	if got := i.call(t, "/stream/x", "long", promptHeader(380)...); got.status != 503 || !got.close {
 		t.Errorf("status %d, %d events", got.status, strings.Count(got.body, "id: "))
 	}
@@ -88,6 +91,9 @@
 		text := i.output.String()
 		return strings.Count(text, "Reason=Stopped") == 3 && strings.Contains(text, "Event=LeftEarly") && strings.Contains(text, "Cut=3")
 	})
+	if strings.Contains(i.output.String(), "Event=Left ") {
+		t.Error("a log line says that no request was ended")
+	}
 }
 
 // Guards against a grace period of which nothing is left for the requests in progress.
@@ -109,6 +115,58 @@
 	}
 }
 
+// Guards against an exit after the grace period because the release of a KV cache isn't answered.
+func TestReleasesEndWithGrace(t *testing.T) {
+	const grace = 1500 * time.Millisecond
+	s := newSite(t)
+	i := s.start("n1")
+	i.mu.Lock()
+	i.settings.Bounds.StopGrace = grace
+	i.mu.Unlock()
+	s.targets[3].InjectFaults(standin.Hang)
+	stream := make(chan reply, 1)
+	go func() { stream <- i.call(t, "/stream/x", "r1", promptHeader(50)...) }()
+	s.eventually(time.Second, "the prompt has been computed", func() bool {
+		return len(s.targets[3].Arrivals()) > 0
+	})
+	s.targets[2].Freeze(2 * grace)
+	began := time.Now()
+	i.drain()
+	if took := time.Since(began); took > grace-100*time.Millisecond {
+		t.Errorf("took %v of a grace period of %v", took, grace)
+	}
+	if got := <-stream; got.status != 502 {
+		t.Errorf("%+v", got)
+	}
+	s.eventually(time.Second, "a log line for a release that was given up", func() bool {
+		return strings.Contains(i.output.String(), "Event=ReleaseFailed")
+	})
+}
+
+// Guards against an idle instance that waits for a connection without a request, and then reports
+// that it ended requests.
+func TestUnusedConnectionDoesNotDelayExit(t *testing.T) {
+	s := newSite(t)
+	i := s.start("n1")
+	conn, err := net.Dial("tcp4", i.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	time.Sleep(50 * time.Millisecond) // until the server has accepted it
+	began := time.Now()
+	i.drain()
+	if took := time.Since(began); took > 1500*time.Millisecond {
+		t.Errorf("took %v", took)
+	}
+	s.eventually(time.Second, "a log line says that the instance has left", func() bool {
+		return strings.Contains(i.output.String(), "Event=Left ")
+	})
+	if strings.Contains(i.output.String(), "Event=LeftEarly") {
+		t.Error("a log line says that requests were ended")
+	}
+}
+
 // stop lets the instance leave and stops it, as after a signal.
 func (i *instance) stop(t *testing.T) {
 	t.Helper()
--- a/io/forward/leaving.go
+++ b/io/forward/leaving.go
@@ -8,6 +8,7 @@
 
 	"gorseline/core"
 	"gorseline/core/drain"
+	"gorseline/core/retry"
 )
 
 // leaving is the state of a forwarder whose instance leaves.
@@ -100,10 +101,13 @@
 // fit compares the time that the request needs, if this attempt is sent now, with the time that
 // is left.
 func (r *activeRequest) fit(l *leaving, a *core.Attempt) drain.Fit {
-	w := drain.Work{Service: r.service, Route: r.route.Name}
+	w := drain.Work{Service: r.service, Route: r.route.Name, Kind: r.route.Kind}
 	if r.req.Prompt != nil {
 		w.MaxTokens = r.req.Prompt.MaxOutput
 	}
+	if r.route.Kind == core.RouteStream {
+		w.Pause = retry.NewSilence(r.route.PauseObjective).MoveAlive
+	}
 	if !a.Source.IsZero() {
 		w.Computed = r.prefillTime
 	}
@@ -117,7 +121,9 @@
 	if r.sends == 0 || !isAnswered && r.remaining() > 0 {
 		return
 	}
-	r.durations.ObserveRequest(r.route.Name, r.Clock.Now().Sub(r.accepted))
+	if r.route.Kind != core.RouteStream {
+		r.durations.ObserveRequest(r.route.Name, r.Clock.Now().Sub(r.accepted))
+	}
 	if r.events > 0 {
 		first := r.timeToFirstByte - r.accepted.Sub(r.arrived)
 		r.durations.ObserveStream(r.service, r.events, first, r.lastEventTime-r.timeToFirstByte)
