--- a/cmd/commands/soak.go
+++ b/cmd/commands/soak.go
@@ -24,6 +24,7 @@
 	Instances int           `long:"instances" env:"SOAK_INSTANCES" description:"Number of instances" default:"3"`
 	Callers   int           `long:"callers" env:"SOAK_CALLERS" description:"Number of callers" default:"8"`
 	Planned   bool          `long:"planned" env:"SOAK_PLANNED" description:"Only planned work and what sound targets do: instances stopped in series, changed configurations, silent targets, with long streams"`
+	Versions  int           `long:"versions" env:"SOAK_VERSIONS" description:"Software versions of the engines, 1 to 3; from 2 on there are releases, killed instances and callers that take up broken streams" default:"1"`
 	Entry     string        `long:"entry" env:"SOAK_ENTRY" description:"Program to run as instances, such as that of an earlier commit; the default is this one"`
 	Dir       string        `long:"dir" env:"SOAK_DIR" description:"Directory for settings and logs" default:"/tmp/gorseline-soak"`
 }
@@ -44,6 +45,9 @@
 	if c.Instances < 2 || c.Instances > 50 || c.Callers < 1 || c.Callers > 200 {
 		return invalidSetting("--instances, --callers", fmt.Sprint(c.Instances, ", ", c.Callers), "2 to 50, 1 to 200")
 	}
+	if c.Versions < 1 || c.Versions > 3 || c.Versions > 1 && c.Planned {
+		return invalidSetting("--versions", strconv.Itoa(c.Versions), "1 to 3, and 1 with --planned")
+	}
 	command := []string{c.Entry}
 	if c.Entry == "" {
 		binary, err := os.Executable()
@@ -82,7 +86,7 @@
 func (c *soakCommand) runSeed(ctx context.Context, command []string, seed uint64) (soak.Report, error) {
 	return soak.Run(ctx, soak.Options{
 		Command: command, Seed: seed, FaultDuration: c.Length, Instances: c.Instances, Callers: c.Callers,
-		Planned: c.Planned, Retries: soak.RandomRetryLimit(seed),
+		Planned: c.Planned, Versions: c.Versions, Retries: soak.RandomRetryLimit(seed),
 		Dir: filepath.Join(c.Dir, strconv.FormatUint(seed, 10)),
 	})
 }
@@ -92,6 +96,9 @@
 	fmt.Fprintf(c.terminal.out, "seed %d: %d requests, %d answered, %d refused, %d faults, %d violations\n",
 		seed, r.Requests, r.Answered, r.Refused, len(r.Faults), len(r.Violations))
 	fmt.Fprintf(c.terminal.out, "  retries: %s\n", strings.Join(r.RetryPeaks, "; "))
+	if r.Streams != "" {
+		fmt.Fprintf(c.terminal.out, "  streams: %s\n", r.Streams)
+	}
 	if err != nil {
 		fmt.Fprintf(c.terminal.out, "  failed: %v\n", err)
 	}
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -107,6 +107,9 @@
 	return count, t.eventInterval
 }
 
+// VersionNote precedes the software version at the end of an event of an engine with SetVersion.
+const VersionNote = " by "
+
 // respondStream answers with events 0 to t.eventCount-1, or with those after Last-Event-Id.
 // run is the index of the request in t.runs.
 func (t *Target) respondStream(conn net.Conn, r *http.Request, fault RequestFault, run int) bool {
@@ -122,6 +125,10 @@
 		return false
 	}
 	count, interval := t.events(r)
+	by := ""
+	if t.version != "" {
+		by = VersionNote + t.version
+	}
 	first := 0
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
@@ -130,7 +137,7 @@
 		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, t.id, id)
 	for i := first; i < count; i++ {
 		time.Sleep(interval)
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", i, i, id)
+		event := fmt.Sprintf("id: %d\ndata: piece %d of %s%s\n\n", i, i, id, by)
 		if i == 2 && fault == CutStream {
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:8])
 			return resetOnClose(conn)
--- a/standin/platform/soak/callers.go
+++ b/standin/platform/soak/callers.go
@@ -18,15 +18,19 @@
 
 // result is the outcome of one request as its caller saw it.
 type result struct {
-	id         string
-	route      string
-	instance   string
-	started    time.Time
-	finished   time.Time
-	status     int
-	stamp      string
-	retryAfter string
-	body       string
+	id    string
+	route string
+	// stream is the ID of the caller's first try, resumes that of the try that brought the first
+	// event of the stream that this one takes up. The answer begins with event first.
+	stream, resumes string
+	first           int
+	instance        string
+	started         time.Time
+	finished        time.Time
+	status          int
+	stamp           string
+	retryAfter      string
+	body            string
 	// err is set if there was no complete response.
 	err error
 }
@@ -36,6 +40,8 @@
 	instances []*instance
 	client    *http.Client
 	routes    []string
+	// takesUp is set if callers take up broken streams.
+	takesUp bool
 
 	mu      sync.Mutex
 	results []result
@@ -67,10 +73,12 @@
 		inst := c.instances[rng.IntN(len(c.instances))]
 		route := c.routes[rng.IntN(len(c.routes))]
 		id := fmt.Sprintf("%s-%d-%d-%d", route, seed, number, i)
-		r := c.send(context.WithoutCancel(ctx), inst, route, id, rng.IntN(20_000))
-		c.mu.Lock()
-		c.results = append(c.results, r)
-		c.mu.Unlock()
+		a := attempt{route: route, id: id, stream: id, size: rng.IntN(20_000)}
+		if c.takesUp && isResumable(route) {
+			c.sendUntilWhole(context.WithoutCancel(ctx), inst, a, rng)
+		} else {
+			c.record(c.sendAttempt(context.WithoutCancel(ctx), inst, a))
+		}
 		pause.For(ctx, time.Duration(5+rng.IntN(40))*time.Millisecond)
 	}
 }
@@ -113,13 +121,19 @@
 }
 
 // send sends one request with a body of the given size in bytes and returns its result.
-func (c *callers) send(ctx context.Context, inst *instance, route, id string, size int) (r result) {
-	r = result{id: id, route: route, instance: inst.name, started: time.Now()}
+func (c *callers) send(ctx context.Context, inst *instance, route, id string, size int) result {
+	return c.sendAttempt(ctx, inst, attempt{route: route, id: id, stream: id, size: size})
+}
+
+// sendAttempt sends one try of a request and returns its result.
+func (c *callers) sendAttempt(ctx context.Context, inst *instance, a attempt) (r result) {
+	route, id := a.route, a.id
+	r = result{id: id, route: route, instance: inst.name, started: time.Now(), stream: a.stream, resumes: a.resumes, first: a.first}
 	c.mu.Lock()
 	c.sent[route] = append(c.sent[route], r.started)
 	c.mu.Unlock()
 	defer func() { r.finished = time.Now() }()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+inst.callerAddress+"/"+route+"/x", strings.NewReader(strings.Repeat("b", size)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+inst.callerAddress+"/"+route+"/x", strings.NewReader(strings.Repeat("b", a.size)))
 	if err != nil {
 		r.err = err
 		return r
@@ -131,8 +145,12 @@
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(timeoutOf(route).Milliseconds(), 10))
 	if isStream(route) {
 		req.Header.Set("X-Model", "m")
-		req.Header.Set("X-Token-Count", fmt.Sprintf("4000,%d", eventCount(route, id)))
-		req.Header.Set("X-Prompt-Prefix", "ab:3000,"+fmt.Sprintf("%x", len(id))+":1000")
+		req.Header.Set("X-Token-Count", fmt.Sprintf("4000,%d", eventCount(route, a.stream)))
+		req.Header.Set("X-Prompt-Prefix", "ab:3000,"+fmt.Sprintf("%x", len(a.stream))+":1000")
+	}
+	if a.resumes != "" {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(a.first-1))
+		req.Header.Set("Resumes", a.resumes)
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
--- a/standin/platform/soak/check.go
+++ b/standin/platform/soak/check.go
@@ -53,7 +53,7 @@
 	if r.stamp != "" && !strings.HasSuffix(r.stamp, "."+r.id) {
 		report("has the stamp %s of another request", r.stamp)
 	}
-	if r.status == 200 && r.body != completeBody(r) {
+	if r.status == 200 && versionNotes.ReplaceAllString(r.body, "\n\n") != completeBody(r) {
 		report("complete response with a wrong body of %d bytes: %.60q", len(r.body), r.body)
 	}
 	if r.status == 404 {
@@ -74,7 +74,7 @@
 		return "answer to " + r.id
 	}
 	var b strings.Builder
-	for i := range eventCount(r.route, r.id) {
+	for i := r.first; i < eventCount(r.route, r.stream); i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: piece %d of %s\n\n", i, i, r.id)
 	}
 	return b.String()
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -33,6 +33,10 @@
 	// Planned limits the faults to planned work and to what sound targets do: instances are stopped in
 	// series, beside long streams, changes of the configuration and silences of targets.
 	Planned bool
+	// Versions is the number of software versions of the engines. From 2 on the faults are releases that
+	// replace engines, broken answers of engines and killed instances, and callers take up broken
+	// streams at any instance.
+	Versions int
 	// Retries is the limit on retries in the settings of the instances.
 	Retries RetryLimit
 	// Dir is the directory for settings and logs; it is created if absent.
@@ -41,7 +45,7 @@
 
 // grace returns the time between the signal that stops a process and SIGKILL.
 func (o *Options) grace() time.Duration {
-	if o.Planned {
+	if o.hasLongStreams() {
 		return longGrace * time.Second
 	}
 	return shortGrace * time.Second
@@ -57,6 +61,9 @@
 
 // faults returns the kinds of faults.
 func (o *Options) faults() []fault {
+	if o.Versions > 1 {
+		return versionFaults
+	}
 	if o.Planned {
 		return plannedFaults
 	}
@@ -76,6 +83,8 @@
 	// RetryPeaks describes, for each service, the window that came closest to the limit on
 	// retries.
 	RetryPeaks []string
+	// Streams describes the streams that callers took up; empty without several versions.
+	Streams string
 	// Violations lists the guarantees that were broken; empty if none was.
 	Violations []string
 }
@@ -98,11 +107,21 @@
 	injected []string
 	// retryPeaks describes the window of each service that came closest to the limit on retries.
 	retryPeaks []string
+	// streams describes the streams that callers took up.
+	streams string
+	// killing is locked while instances are killed and others must not be.
+	killing sync.Mutex
+	// releasing is locked during a release, which changes slots.
+	releasing sync.Mutex
+	// slots holds the index of the version of each engine that a release has replaced.
+	slots map[int]int
 
 	mu   sync.Mutex
 	errs []error
 	// disruptions holds the unplanned disruptions of processes and links.
 	disruptions []interval
+	// kills holds the times for which instances were down, by instance.
+	kills map[string][]interval
 }
 
 // Timeouts of a soak.
@@ -118,7 +137,7 @@
 // Run runs one soak. It returns an error if the soak itself failed; violations are only in the
 // report.
 func Run(ctx context.Context, o Options) (Report, error) {
-	s := &soak{options: o, started: time.Now()}
+	s := &soak{options: o, started: time.Now(), kills: map[string][]interval{}, slots: map[int]int{}}
 	defer s.close()
 	if err := s.prepare(); err != nil {
 		return Report{}, err
@@ -153,6 +172,7 @@
 	results := s.callers.allResults()
 	violations = append(violations, checkResults(results, s.testbed.targets)...)
 	violations = append(violations, s.checkLosses(results)...)
+	violations = append(violations, s.checkVersions(results)...)
 	violations = append(violations, s.checkRetries()...)
 	for _, inst := range s.instances {
 		if inst.unexpectedExits > 0 {
@@ -163,7 +183,7 @@
 }
 
 func (s *soak) report(results []result, violations []string) Report {
-	r := Report{Seed: s.options.Seed, Requests: len(results), Faults: s.injected, RetryPeaks: s.retryPeaks, Violations: violations}
+	r := Report{Seed: s.options.Seed, Requests: len(results), Faults: s.injected, RetryPeaks: s.retryPeaks, Streams: s.streams, Violations: violations}
 	for i := range results {
 		switch results[i].status {
 		case 200:
@@ -181,7 +201,7 @@
 		return errors.Wrap(err, "create directory")
 	}
 	var err error
-	if s.testbed, err = newTestbed(); err != nil {
+	if s.testbed, err = newTestbed(&s.options); err != nil {
 		return err
 	}
 	for i := range s.options.Instances {
@@ -202,11 +222,17 @@
 	routes := routeMix
 	if s.options.Planned {
 		routes = plannedRouteMix
+	}
+	if s.options.Versions > 1 {
+		routes = versionRouteMix
+	}
+	if s.options.hasLongStreams() {
 		for _, t := range s.testbed.targets {
 			t.SetEvents(maxLongEvents, eventInterval)
 		}
 	}
 	s.callers = newCallers(s.instances, routes)
+	s.callers.takesUp = s.options.Versions > 1
 	return nil
 }
 
--- a/standin/platform/soak/testbed.go
+++ b/standin/platform/soak/testbed.go
@@ -23,15 +23,21 @@
 	// proxies holds the proxy of each target, by the same index.
 	proxies []*proxy
 
+	// phases holds the phases of the targets of one software version. The targets of the next
+	// version follow with the same phases.
+	phases []string
+
 	mu      sync.Mutex
 	version int // of the newest configuration
+	// ready holds the changes of the number of ready engines, in order.
+	ready []readyChange
 }
 
 // targetPhases are the phases of the targets by index; empty is a plain target.
 var targetPhases = []string{"", "", "", "", "decode", "decode", "decode", "decode", "decode", "prefill"}
 
-func newTestbed() (*testbed, error) {
-	tb := &testbed{store: platform.NewStore()}
+func newTestbed(o *Options) (*testbed, error) {
+	tb := &testbed{store: platform.NewStore(), phases: o.phases()}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the store")
@@ -39,8 +45,8 @@
 	tb.storeAddress = listener.Addr().String()
 	tb.server = &http.Server{Handler: tb.store.Handler()}
 	go tb.run(listener)
-	for i, phase := range targetPhases {
-		t, err := platform.NewTarget(fmt.Sprintf("i-%d", i), phase)
+	for i := range len(tb.phases) * max(1, o.Versions) {
+		t, err := platform.NewTarget(fmt.Sprintf("i-%d", i), tb.phases[i%len(tb.phases)])
 		if err != nil {
 			return nil, errors.Wrap(err, "start target")
 		}
@@ -49,7 +55,18 @@
 			return nil, errors.Wrap(err, "start proxy")
 		}
 		tb.targets, tb.proxies = append(tb.targets, t), append(tb.proxies, p)
-		tb.register(i, "ready")
+		switch {
+		case o.Versions < 2:
+			tb.register(i, "ready")
+		case tb.serviceOf(i) == "models":
+			t.SetVersion(tb.versionOf(i))
+			// The engines start at all versions in turn.
+			if slot := i % len(tb.phases); slot%o.Versions == i/len(tb.phases) {
+				tb.setReady(i, true)
+			}
+		case i < len(tb.phases):
+			tb.register(i, "ready")
+		}
 	}
 	return tb, tb.configure()
 }
@@ -66,8 +83,8 @@
 }
 
 // serviceOf returns the service of the target with an index.
-func serviceOf(i int) string {
-	if targetPhases[i] == "" {
+func (tb *testbed) serviceOf(i int) string {
+	if tb.phases[i%len(tb.phases)] == "" {
 		return "calls"
 	}
 	return "models"
@@ -77,7 +94,7 @@
 func (tb *testbed) targetsOf(service string) []*platform.Target {
 	var list []*platform.Target
 	for i, t := range tb.targets {
-		if serviceOf(i) == service {
+		if tb.serviceOf(i) == service {
 			list = append(list, t)
 		}
 	}
@@ -87,7 +104,7 @@
 // register writes the registry entry of a target, with its proxy's address in place of its own.
 func (tb *testbed) register(i int, state string) {
 	t := tb.targets[i]
-	text := strings.Replace(string(t.RegistryEntry(serviceOf(i), "a", state)), t.Address(), tb.proxies[i].address(), 1)
+	text := strings.Replace(string(t.RegistryEntry(tb.serviceOf(i), "a", state)), t.Address(), tb.proxies[i].address(), 1)
 	tb.store.Put("servers", t.ID(), []byte(text))
 }
 
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -91,6 +92,7 @@
 type Target struct {
 	id       string
 	phase    string
+	version  string
 	listener net.Listener
 	// goroutines counts those of the listener and of open connections.
 	goroutines sync.WaitGroup
@@ -184,6 +186,10 @@
 	t.eventCount, t.eventInterval = count, interval
 }
 
+// SetVersion sets the software version in the registry entry and makes the events of streams name it.
+// It must be called before the first request.
+func (t *Target) SetVersion(version string) { t.version = version }
+
 // Runs returns the executed requests, without prompts computed for another engine.
 func (t *Target) Runs() []Run {
 	t.mu.Lock()
@@ -250,7 +256,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	entry := map[string]any{
-		"service": service, "address": t.Address(), "zone": zone, "version": "v1", "slots": 8, "state": state,
+		"service": service, "address": t.Address(), "zone": zone, "version": cmp.Or(t.version, "v1"), "slots": 8, "state": state,
 		"cold_left_ms": 0, "seq": 1, "born": 1700000000000,
 	}
 	if t.phase != "" {
