--- a/standin/platform/soak/takeup.go
+++ b/standin/platform/soak/takeup.go
@@ -30,6 +30,9 @@
 // takeUpInterval is the time between a broken answer and the next try.
 const takeUpInterval = 100 * time.Millisecond
 
+// maxWaitPart is the divisor of a caller's remaining time that gives the longest wait it accepts.
+const maxWaitPart = 3
+
 // sendUntilWhole sends a request, the first time to the given instance, until it has its whole
 // stream, has been refused for good, or its time is over. It records all results.
 func (c *callers) sendUntilWhole(ctx context.Context, inst *instance, a attempt, rng *rand.Rand) {
@@ -50,11 +53,11 @@
 		wait := takeUpInterval
 		switch {
 		case r.status == 503 || r.status == 429:
-			seconds, err := strconv.Atoi(r.retryAfter)
+			seconds, err := strconv.ParseFloat(r.retryAfter, 64)
 			if err != nil {
 				return
 			}
-			wait = max(wait, time.Duration(seconds)*time.Second)
+			wait = max(wait, min(time.Duration(seconds*float64(time.Second)), (longTimeout-time.Since(began))/maxWaitPart))
 		case r.err == nil || a.first >= eventCount(a.route, a.stream):
 			return
 		}
