--- a/core/assign/rules.go
+++ b/core/assign/rules.go
@@ -74,8 +74,8 @@
 // limit returns the greatest acceptable time until the first token. shortest is the time that
 // the fastest engine would take if it were idle. Usually the limit is OnTimeShare of the
 // objective. If shortest exceeds half of that, the limit is shortest plus that half, so that
-// long prompts are not refused while engines are idle. The rules may permit a longer wait. In any case the limit is at most
-// LateShare of the remaining time.
+// long prompts are not refused while engines are idle. The rules may permit a longer wait. In any
+// case the limit is at most LateShare of the remaining time.
 func (a *Assigner) limit(req *Request, shortest time.Duration, r rules) time.Duration {
 	onTime := time.Duration(a.opts.OnTimeShare * float64(req.Objective))
 	late := time.Duration(a.opts.LateShare * float64(req.Remaining))
