--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -64,10 +64,11 @@
 			func(n *digest.Node) load.CellProvider { return n },
 			newRoleController,
 			newCacheReader,
+			newQuarantineKeeper,
 			newNode,
 		),
 		// No other component depends on it.
-		fx.Invoke(func(*cacheReader) {}),
+		fx.Invoke(func(*cacheReader, *quarantineKeeper) {}),
 	)
 }
 
@@ -145,7 +146,7 @@
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
 		Clock: clock, Publisher: digests, Observer: i, Log: l, Sender: id.sender, MaxBodyBytes: defaultMaxBodyBytes,
-		StreamStarts: digests, StreamVersions: digests,
+		StreamStarts: digests, StreamVersions: digests, Quarantine: digests,
 	})
 }
 
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -128,6 +128,7 @@
 	})
 	i.registerGauge("LoadEventsDropped", func() int64 { return int64(n.digests.DroppedEvents()) })
 	registerStreamGauges(i, n.digests)
+	registerQuarantineGauges(i, n.digests)
 	i.registerGauge("LeasesHeld", func() int64 { return int64(len(r.leases.Leases())) })
 	i.registerGauge("Ready", func() int64 {
 		if n.isReady() {
--- a/core/forwarding.go
+++ b/core/forwarding.go
@@ -117,6 +117,9 @@
 	ExpectedOutput int
 }
 
+// SharedParts returns the parts that other requests may share, which are all but the last one.
+func (p *Prompt) SharedParts() []PromptPart { return p.Parts[:max(0, len(p.Parts)-1)] }
+
 // ForwardRequest describes a request that is forwarded unchanged.
 type ForwardRequest struct {
 	ID   RequestID
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -10,6 +10,7 @@
 	"gorseline/core/load"
 	"gorseline/core/membership"
 	"gorseline/core/prompt"
+	"gorseline/core/quarantine"
 )
 
 // packetKind is the kind of a datagram.
@@ -23,6 +24,10 @@
 	packetStreamStarts
 	packetStreamQuery
 	packetStreamAnswer
+	packetLosses
+	packetPartQuestion
+	packetPartAnswer
+	packetFindings
 )
 
 // maxPacketSize is the largest size of a datagram in bytes. It fits one Ethernet frame.
@@ -56,6 +61,12 @@
 	StreamStarts []byte        `cbor:"12,keyasint,omitempty"`
 	StreamQuery  *streamQuery  `cbor:"13,keyasint,omitempty"`
 	StreamAnswer *streamAnswer `cbor:"14,keyasint,omitempty"`
+	// Losses holds lost requests. Part is the part that a question is about, and Survived the
+	// number of requests with it that engines have survived at the sender.
+	Losses   []quarantine.Loss    `cbor:"15,keyasint,omitempty"`
+	Part     uint64               `cbor:"16,keyasint,omitempty"`
+	Survived uint64               `cbor:"17,keyasint,omitempty"`
+	Findings []quarantine.Finding `cbor:"18,keyasint,omitempty"`
 }
 
 // operation is the kind of change of an item.
@@ -130,7 +141,7 @@
 		return nil, errors.Wrap(err, "decode datagram")
 	}
 	switch p.Kind {
-	case packetLoad, packetVersions:
+	case packetLoad, packetVersions, packetLosses, packetPartQuestion, packetPartAnswer, packetFindings:
 		return p, nil
 	case packetCall, packetReply:
 		if p.Message == nil {
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -79,6 +79,7 @@
 	peers   atomic.Pointer[peerSet]
 	done    chan struct{}
 	streams *streams
+	parts   *parts
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -110,6 +111,7 @@
 	header := func(core.Instant) (applied, head core.Revision, ageMs uint32) { return 0, 0, 0 }
 	n.members = membership.New(o.Self, rand.New(rand.NewPCG(o.Seed, 0)), header, n.logMemberChange)
 	n.streams = newStreams(n)
+	n.parts = newParts(n)
 	n.serial.Store(o.Sender) // late replies to an earlier process match no call
 	n.peers.Store(&peerSet{cells: load.NewCells(o.Self.DataCentre, map[core.DataCentre]int{o.Self.DataCentre: 1})})
 	return n
@@ -157,6 +159,9 @@
 	loops.Go(func() { n.streams.loopRecords(ctx) })
 	loops.Go(func() { n.streams.loopObserve(ctx) })
 	loops.Go(func() { n.streams.loopConfirm(ctx) })
+	loops.Go(func() { n.parts.loopLosses(ctx) })
+	loops.Go(func() { n.parts.loopQuestions(ctx) })
+	loops.Go(func() { n.parts.loopFindings(ctx) })
 	<-ctx.Done()
 	_ = n.opts.Conn.Close() // ends loopRead
 	loops.Wait()
@@ -211,6 +216,7 @@
 	n.mu.Unlock()
 	n.sendAll(packets)
 	n.streams.sendRelayed(added...)
+	n.parts.sendTo(added...)
 	for _, onResult := range expired {
 		onResult(false)
 	}
@@ -345,6 +351,8 @@
 		n.handleReply(p)
 	case packetStreamStarts, packetStreamQuery, packetStreamAnswer:
 		n.streams.handle(p, from)
+	case packetLosses, packetPartQuestion, packetPartAnswer, packetFindings:
+		n.parts.handle(p, from)
 	}
 }
 
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -37,7 +37,7 @@
 // budget doesn't allow it or the instance leaves too soon, whatever the caller has decided.
 func (r *activeRequest) send(e *roster.Entry, a core.Attempt, limit time.Duration) (answer *target.Answer, result sendResult) {
 	defer func() { r.lastResult = result }()
-	if !r.allowSend(&a) || !r.takeRetries(r.retryCause(), stageOf(&a)) {
+	if !r.allowSend(&a) || !r.allowParts() || !r.takeRetries(r.retryCause(), stageOf(&a)) {
 		return nil, sendNotRun
 	}
 	began := r.Clock.Now()
@@ -149,6 +149,9 @@
 	}
 	if r.in.Context().Err() == nil && !errors.Is(context.Cause(r.ctx), errSuperseded) {
 		r.handleNoAnswer(e, err, r.Clock.Now().Sub(began))
+		if result == sendUnknown {
+			r.recordLost(e, err)
+		}
 		r.logAttempt(e, result.String(), 0, err)
 		r.Observer.ObserveSend(r.service, result.String())
 	}
--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -69,6 +69,7 @@
 const (
 	ReasonNotResumable core.Reason = "NotResumable"
 	ReasonAttempts     core.Reason = "Attempts"
+	ReasonPartSuspect  core.Reason = "PartSuspect"
 )
 
 // startAsk asks another engine to continue the stream after the last relayed event, or to begin it
@@ -125,6 +126,10 @@
 		return nil, nil, ReasonNotResumable
 	case r.possibleRuns >= r.route.Attempts:
 		return nil, nil, ReasonAttempts
+	case r.mayCrashAgain():
+		return nil, nil, ReasonPartSuspect
+	case r.hasQuarantinedPart():
+		return nil, nil, ReasonPartQuarantined
 	case r.remaining() <= 0 || r.ctx.Err() != nil:
 		return nil, nil, ReasonTimeout
 	}
@@ -139,7 +144,7 @@
 func (s *streamRelay) adoptCounts(c *continuation) {
 	<-c.done
 	r := &c.request
-	s.sends, s.possibleRuns, s.ledger = r.sends, r.possibleRuns, r.ledger
+	s.sends, s.possibleRuns, s.ledger, s.wasLost = r.sends, r.possibleRuns, r.ledger, s.wasLost || r.wasLost
 	s.exclude = append(s.exclude, c.engine.ID)
 }
 
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -66,6 +66,7 @@
 	// those of all instances.
 	StreamStarts   core.StreamStartRecorder
 	StreamVersions core.StreamVersionProvider
+	Quarantine     core.PartQuarantine
 	Log            log.Interface
 	// Sender identifies this process in load keys. It must be unique among live processes.
 	Sender uint32
@@ -168,6 +169,7 @@
 	ReasonAnswered        core.Reason = "Answered"
 	ReasonLeaving         core.Reason = "Leaving"
 	ReasonStopped         core.Reason = "Stopped"
+	ReasonPartQuarantined core.Reason = "PartQuarantined"
 )
 
 // notReadyRetryAfter is the retry delay for callers of an instance that has just started
@@ -227,6 +229,11 @@
 	notSent bool
 	// silentTarget is the target of the latest send if its silence is recorded.
 	silentTarget core.TargetID
+	// isProbe is set if the request is sent to find out whether a quarantined part still crashes
+	// engines, isQuarantined if a send was left out because of such a part.
+	isProbe, isQuarantined bool
+	// wasLost is set once an engine has lost the request.
+	wasLost bool
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
 	events        int
@@ -255,6 +262,9 @@
 		return
 	}
 	if r.req.Prompt != nil && r.engineLimits() != nil {
+		if !r.allowPrompt() {
+			return
+		}
 		r.servePrompt()
 		return
 	}
@@ -358,7 +368,7 @@
 
 // mayRunAgain reports whether another send may run the request.
 func (r *activeRequest) mayRunAgain() bool {
-	return r.possibleRuns == 0 || r.route.Repeatable() && r.possibleRuns < r.route.Attempts
+	return r.possibleRuns == 0 || r.route.Repeatable() && r.possibleRuns < r.route.Attempts && !r.mayCrashAgain()
 }
 
 func (r *activeRequest) nextLoadKey() load.Key {
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -28,9 +28,13 @@
 	s := &streamRelay{activeRequest: r}
 	for {
 		s.watchSilence(e, answer)
+		s.answerEvents = 0
 		err := s.relayEvents(answer)
 		if err == nil {
 			s.markHeard(r.Clock.Now())
+			if s.answerEvents < survivedEvents {
+				r.recordSurvived(e)
+			}
 			answer.Finish()
 			r.recordEnd(core.OutcomeDone, ReasonAnswered, answer.Status)
 			return true
@@ -56,6 +60,9 @@
 		if !isTimeout(err) {
 			r.recordNoAnswer(e)
 		}
+		if s.answerEvents < survivedEvents {
+			r.recordLost(e, err)
+		}
 		r.lastAttempt.ResumeAfter = s.lastID
 		r.logAttempt(e, "StreamBroken", answer.Status, err)
 		if s.silence.ask == nil && !s.started && r.mayRunAgain() {
@@ -85,6 +92,8 @@
 	callerDisconnected bool
 	// lastID is the ID of the last relayed event that had one.
 	lastID string
+	// answerEvents counts the events of the present engine.
+	answerEvents int
 	// buffer holds the event that is being read or written.
 	buffer  []byte
 	silence silence
@@ -121,6 +130,9 @@
 			s.lastID = id
 		}
 		s.events, s.lastEventTime = s.events+1, now.Sub(s.arrived)
+		if s.answerEvents++; s.answerEvents == survivedEvents {
+			s.recordSurvived(s.silence.engine)
+		}
 		if hasEvent(reader) {
 			continue
 		}
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -17,6 +17,7 @@
 	"gorseline/core/assign"
 	"gorseline/core/common/random"
 	"gorseline/core/load"
+	"gorseline/core/quarantine"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/core/route"
@@ -44,6 +45,48 @@
 	budgets   *retry.Shares
 	streams   *streamRecord
 	observer  *continuationObserver
+	// quarantine is that of a fleet with one instance.
+	quarantine *localQuarantine
+}
+
+// localQuarantine is the quarantine of a fleet with one instance.
+type localQuarantine struct {
+	suspects *quarantine.Suspects
+	findings *quarantine.Findings
+	clock    core.ClockProvider
+}
+
+func newLocalQuarantine(clock core.ClockProvider) *localQuarantine {
+	return &localQuarantine{quarantine.NewSuspects(), quarantine.NewFindings(), clock}
+}
+
+// QuarantinedPart returns the index of the first quarantined part.
+func (q *localQuarantine) QuarantinedPart(p *core.Prompt) (int, bool) {
+	return q.findings.First(p.SharedParts())
+}
+
+// TakeProbe reports whether a probe is allowed.
+func (q *localQuarantine) TakeProbe(p *core.Prompt) bool {
+	return q.findings.TakeProbe(q.clock.Now(), p.SharedParts())
+}
+
+// IsSuspect reports whether a part is suspect.
+func (q *localQuarantine) IsSuspect(p *core.Prompt) bool {
+	return q.suspects.IsSuspect(q.clock.Now(), p.SharedParts())
+}
+
+// RecordLost decides with the evidence of the one instance.
+func (q *localQuarantine) RecordLost(lost core.LostRequest) {
+	now := q.clock.Now()
+	part, ok := q.suspects.Add(now, q.suspects.NewLoss(now, &lost))
+	if ok && q.suspects.Decide(now, part, 0).IsFound {
+		q.findings.Merge(quarantine.Finding{Part: part, Revision: 1})
+	}
+}
+
+// RecordSurvived adds to the evidence.
+func (q *localQuarantine) RecordSurvived(_ *core.Registration, p *core.Prompt) {
+	q.suspects.RecordSurvived(q.clock.Now(), p.SharedParts())
 }
 
 type noopPublisher struct{}
@@ -112,6 +155,8 @@
 		f.budgets.Deposit("models")
 	}
 	source := random.New(7)
+	clock := core.NewProcessClock()
+	f.quarantine = newLocalQuarantine(clock)
 	tracker := load.NewTracker()
 	health := retry.NewHealth(retry.DefaultHealthOptions(), source)
 	f.forwarder = forward.New(forward.Options{
@@ -121,8 +166,8 @@
 		}),
 		Loads: tracker, Roster: f.roster, Health: health,
 		Budgets: f.budgets,
-		Clock:   core.NewProcessClock(), Publisher: noopPublisher{}, Observer: f.observer,
-		StreamStarts: streams, StreamVersions: streams,
+		Clock:   clock, Publisher: noopPublisher{}, Observer: f.observer,
+		StreamStarts: streams, StreamVersions: streams, Quarantine: f.quarantine,
 		Log: &log.Logger{Handler: f.logs, Level: log.InfoLevel}, Sender: 1, MaxBodyBytes: 1 << 20,
 	})
 	f.forwarder.Configure(route.NewTable(configuration(1)))
