--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -68,7 +68,7 @@
 			newNode,
 		),
 		// No other component depends on it.
-		fx.Invoke(func(*cacheReader, *quarantineKeeper) {}),
+		fx.Invoke(func(*cacheReader) {}),
 	)
 }
 
--- a/cmd/entry/node/quarantine_test.go
+++ b/cmd/entry/node/quarantine_test.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"gorseline/core"
+	"gorseline/core/quarantine"
+	"gorseline/io/digest"
 	standin "gorseline/standin/platform"
 )
 
@@ -189,3 +193,120 @@
 		t.Errorf("%.2f of the sound requests are served once the part is known", share)
 	}
 }
+
+// found is a finding of the part with the ID 7.
+var found = quarantine.Finding{Part: 7, Revision: 1, Probes: 1, ProbeAt: math.MaxInt32}
+
+// Guards against quarantined parts that are forgotten when all instances restart, also when the store
+// was away at the time of the finding.
+func TestQuarantineOutlivesAllInstances(t *testing.T) {
+	s := newSite(t)
+	one, two := s.start("n1"), s.start("n2")
+	s.eventually(5*time.Second, "the instances know each other", func() bool {
+		return len(one.digests.Members()) == 2 && len(two.digests.Members()) == 2
+	})
+	s.store.SetFaults(standin.Faults{Status: 503})
+	one.digests.MergeFinding(found, digest.SourceProbe)
+	s.eventually(contactTime, "the other instance knows the part", func() bool { return two.digests.Findings().Has(7) })
+	if err := one.app.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	s.store.SetFaults(standin.Faults{})
+	key := quarantinePrefix + core.FormatPart(7)
+	s.eventually(maxSyncPause+2*time.Second, "the part is stored", func() bool {
+		_, ok := s.store.Value("gorseline", key)
+		return ok
+	})
+	if err := two.app.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	three := s.start("n3")
+	s.eventually(contactTime, "a later instance knows the part", func() bool { return three.digests.Findings().Has(7) })
+}
+
+// Guards against a quarantined part that an instance that starts later doesn't know, because the store
+// refuses to tell.
+func TestNewInstanceLearnsQuarantineFromPeers(t *testing.T) {
+	s := newSite(t)
+	one := s.start("n1")
+	one.digests.MergeFinding(found, digest.SourceProbe)
+	two := s.start("n2")
+	s.eventually(contactTime, "the new instance knows the part", func() bool { return two.digests.Findings().Has(7) })
+}
+
+// Guards against a part that is no longer stored after the store has come back from an older copy.
+func TestQuarantineIsStoredAgainInNewEra(t *testing.T) {
+	s := newSite(t)
+	one := s.start("n1")
+	copied := s.store.Copy()
+	one.digests.MergeFinding(found, digest.SourceProbe)
+	stored := func() bool {
+		_, ok := s.store.Value("gorseline", quarantinePrefix+core.FormatPart(7))
+		return ok
+	}
+	s.eventually(maxSyncPause+2*time.Second, "the part is stored", stored)
+	s.store.GoBack(copied)
+	if stored() {
+		t.Fatal("the copy has the part")
+	}
+	s.store.RewriteExternal()
+	s.eventually(announceSpread+4*time.Second, "the part is stored again", stored)
+}
+
+// Guards against an operator's release of a part that is undone or not taken over, and against a row
+// that can't be decoded and hides others.
+func TestReleaseInTheStoreIsTakenOver(t *testing.T) {
+	s := newSite(t)
+	one := s.start("n1")
+	one.digests.MergeFinding(found, digest.SourceProbe)
+	key := quarantinePrefix + core.FormatPart(7)
+	s.eventually(maxSyncPause+2*time.Second, "the part is stored", func() bool {
+		_, ok := s.store.Value("gorseline", key)
+		return ok
+	})
+	s.store.Put("gorseline", quarantinePrefix+"0", []byte("no JSON"))
+	s.store.Put("gorseline", key, []byte(`{"Revision":2,"IsReleased":true}`))
+	if err := one.keeper.sync(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if one.digests.Findings().Has(7) {
+		t.Error("the part is still quarantined")
+	}
+	value, _ := s.store.Value("gorseline", key)
+	if finding, err := decodeFinding(core.Row{Key: key, Value: value}); err != nil || !finding.IsReleased {
+		t.Errorf("stored %s, %v", value, err)
+	}
+}
+
+// Guards against probes of the same part by several instances, which cost an engine each.
+func TestProbeIsTakenByOneInstance(t *testing.T) {
+	s := newSite(t)
+	list := []*instance{s.start("n1"), s.start("n2")}
+	due := found
+	due.ProbeAt = 1 // long ago
+	list[0].digests.MergeFinding(due, digest.SourceProbe)
+	s.eventually(maxSyncPause+2*time.Second, "the part is stored and known", func() bool {
+		_, ok := s.store.Value("gorseline", quarantinePrefix+core.FormatPart(7))
+		return ok && list[1].digests.Findings().Has(7)
+	})
+	p := &core.Prompt{Parts: []core.PromptPart{{ID: 7}, {ID: 8}}}
+	for _, i := range list {
+		if i.digests.TakeProbe(p) {
+			t.Error("a probe before it is due")
+		}
+	}
+	for _, i := range list {
+		i.keeper.allowProbes(t.Context())
+	}
+	probes := 0
+	for range 2 {
+		for _, i := range list {
+			if i.digests.TakeProbe(p) {
+				probes++
+			}
+		}
+	}
+	if probes != 1 {
+		t.Errorf("%d probes", probes)
+	}
+}
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -43,6 +43,7 @@
 	instances    *platform.InstanceList
 	store        *platform.Store
 	updater      *stateUpdater
+	keeper       *quarantineKeeper
 	draining     atomic.Bool
 	callerServer *http.Server
 	callers      newConnections
@@ -70,6 +71,7 @@
 	Watcher     *platform.Watcher
 	Roles       *roleController
 	Updater     *stateUpdater
+	Keeper      *quarantineKeeper
 	Registry    metrics.Registry
 	Instruments *instruments
 	Tracker     *catchup.Tracker
@@ -79,7 +81,7 @@
 	n := &node{
 		options: p.Options, settings: p.Settings, log: p.Log, forwarder: p.Forwarder, digests: p.Digests,
 		roster: p.Roster, budgets: p.Budgets, pool: p.Pool, instances: p.Instances, store: p.Store,
-		updater: p.Updater, registry: p.Registry, done: make(chan struct{}),
+		updater: p.Updater, keeper: p.Keeper, registry: p.Registry, done: make(chan struct{}),
 	}
 	n.registerGauges(p.Instruments, p.Roles, p.Tracker)
 	lifecycle.Register(lc, n)
