--- a/cmd/entry/node/quarantine_test.go
+++ b/cmd/entry/node/quarantine_test.go
@@ -194,6 +194,55 @@
 	}
 }
 
+// Guards against evidence that stays at the instances that have it: each of them has lost too few
+// requests with the part to judge it alone.
+func TestLossesAreReportedToOtherInstances(t *testing.T) {
+	s := newCrashSite(t, 14)
+	list := []*instance{s.start("n1"), s.start("n2"), s.start("n3")}
+	s.eventually(5*time.Second, "the instances know each other", func() bool {
+		return !slices.ContainsFunc(list, func(i *instance) bool { return len(i.digests.Members()) != 3 })
+	})
+	s.startSoundLoad(t, func() []*instance { return list })
+	time.Sleep(2 * time.Second)
+	for n := range 9 {
+		s.sendBad(t, fmt.Sprintf("bad-%d", n), time.Now().Add(time.Millisecond), list[n%3])
+		time.Sleep(300 * time.Millisecond)
+	}
+	if crashes := len(s.crashes()); crashes > 6 {
+		t.Errorf("%d engines crashed, at least %d by requests of one instance", crashes, crashes/3)
+	}
+	s.eventually(contactTime, "all instances know the part", func() bool {
+		return !slices.ContainsFunc(list, func(i *instance) bool { return i.digests.Findings().Count() != 1 })
+	})
+}
+
+// Guards against a part that is quarantined although engines survive it at other instances than the
+// one that loses its requests.
+func TestOtherInstancesAreAskedForSurvivals(t *testing.T) {
+	s := newSite(t)
+	one, two := s.start("n1"), s.start("n2")
+	s.eventually(5*time.Second, "the instances know each other", func() bool {
+		return len(one.digests.Members()) == 2 && len(two.digests.Members()) == 2
+	})
+	p := &core.Prompt{Parts: []core.PromptPart{{ID: 7}, {ID: 8}}}
+	engine := &core.Registration{Target: core.Target{ID: "i-3", Address: "127.0.0.1:1"}}
+	for range 5 {
+		two.digests.RecordSurvived(engine, p)
+	}
+	for i := range 8 {
+		lost := *engine
+		lost.ID, lost.Address = core.TargetID(fmt.Sprint("e", i)), fmt.Sprintf("127.0.0.1:%d", i+1)
+		one.digests.RecordLost(core.LostRequest{Request: core.RequestID(fmt.Sprint("r", i)), Target: lost, Prompt: p})
+		time.Sleep(300 * time.Millisecond) // longer than a burst
+	}
+	if !strings.Contains(one.output.String(), "Event=PartJudged") {
+		t.Error("the part was not judged")
+	}
+	if one.digests.Findings().Has(7) || two.digests.Findings().Has(7) {
+		t.Error("the part is quarantined")
+	}
+}
+
 // found is a finding of the part with the ID 7.
 var found = quarantine.Finding{Part: 7, Revision: 1, Probes: 1, ProbeAt: math.MaxInt32}
 
@@ -295,9 +344,11 @@
 			t.Error("a probe before it is due")
 		}
 	}
+	var together sync.WaitGroup
 	for _, i := range list {
-		i.keeper.allowProbes(t.Context())
+		together.Go(func() { i.keeper.allowProbes(t.Context()) })
 	}
+	together.Wait()
 	probes := 0
 	for range 2 {
 		for _, i := range list {
--- /dev/null
+++ b/core/quarantine/suspects_test.go
@@ -0,0 +1,200 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/quarantine"
+)
+
+// evidence collects losses of requests with the shared parts 1 and 2.
+type evidence struct {
+	*quarantine.Suspects
+	now   core.Instant
+	found []uint64
+}
+
+// newEvidence returns an instance that has survived many other requests.
+func newEvidence() *evidence {
+	e := &evidence{Suspects: quarantine.NewSuspects(), now: core.Instant(time.Second)}
+	for range 200 {
+		e.RecordSurvived(e.now, []core.PromptPart{{ID: 9}})
+	}
+	return e
+}
+
+// lose records that an engine process lost a request.
+func (e *evidence) lose(request, process string, parts ...uint64) {
+	p := &core.Prompt{}
+	for _, id := range append(parts, 1000) {
+		p.Parts = append(p.Parts, core.PromptPart{ID: id})
+	}
+	l := e.NewLoss(e.now, &core.LostRequest{
+		Request: core.RequestID(request), Prompt: p,
+		Target: core.Registration{Target: core.Target{ID: core.TargetID(process), Address: process}},
+	})
+	if part, ok := e.Add(e.now, l); ok && e.StartQuestion(e.now, part) {
+		e.found = append(e.found, part)
+	}
+}
+
+func (e *evidence) wait(d time.Duration) { e.now = e.now.Add(d) }
+
+// Guards against evidence that counts several times: the tries of one request, the requests that one
+// crash has cost, and crashes of many engines at once.
+func TestDependentLossesCountOnce(t *testing.T) {
+	tests := map[string]struct {
+		pause            time.Duration
+		request, process string
+		isFound          bool
+	}{
+		"independent":     {time.Second, "r#", "e#", true},
+		"one request":     {time.Second, "r", "e#", false},
+		"one process":     {time.Second, "r#", "e", false},
+		"crash of many":   {time.Millisecond, "r#", "e#", false},
+		"all of the same": {0, "r", "e", false},
+	}
+	for name, test := range tests {
+		e := newEvidence()
+		for i := range 8 {
+			number := fmt.Sprint(i)
+			e.lose(strings.Replace(test.request, "#", number, 1), strings.Replace(test.process, "#", number, 1), 1)
+			e.wait(test.pause)
+		}
+		if isFound := len(e.found) > 0; isFound != test.isFound {
+			t.Errorf("%s: found %v", name, e.found)
+		}
+	}
+}
+
+// Guards against a sound part that is quarantined although engines have survived it, here or, as the
+// answers of other instances tell, elsewhere.
+func TestSurvivalsOutweighLosses(t *testing.T) {
+	for _, here := range []uint64{0, 2} {
+		e := newEvidence()
+		for range here {
+			e.RecordSurvived(e.now, []core.PromptPart{{ID: 1}})
+		}
+		for i := range 4 {
+			e.lose(fmt.Sprint("r", i), fmt.Sprint("e", i), 1)
+			e.wait(time.Second)
+		}
+		if here > 0 && len(e.found) > 0 {
+			t.Errorf("suspect although engines survived it %d times", here)
+		}
+		if here == 0 && (len(e.found) == 0 || e.Decide(e.now, 1, 2).IsFound) {
+			t.Errorf("suspects %v; found although engines survived it elsewhere", e.found)
+		}
+		if e.IsSuspect(e.now, []core.PromptPart{{ID: 1}}) {
+			t.Error("suspect although engines survived it")
+		}
+	}
+}
+
+// Guards against a sound part that is quarantined because it often comes with the part that crashes
+// engines: the lost requests are explained by that.
+func TestFoundPartExplainsLosses(t *testing.T) {
+	e := newEvidence()
+	for i := range 3 {
+		e.lose(fmt.Sprint("r", i), fmt.Sprint("e", i), 1, 2)
+		e.wait(time.Second)
+	}
+	if len(e.found) == 0 || e.found[0] != 2 {
+		t.Fatalf("found %v, want the part that fewer prompts share", e.found)
+	}
+	e.Forget(2)
+	e.found = nil
+	e.lose("later", "e9", 1)
+	if len(e.found) > 0 {
+		t.Errorf("found %v by losses that are explained", e.found)
+	}
+	if top := e.Top(e.now, 1); top[0].Losses != 1 {
+		t.Errorf("%d losses remain", top[0].Losses)
+	}
+}
+
+// Guards against losses that count for ever.
+func TestOldLossesDoNotCount(t *testing.T) {
+	e := newEvidence()
+	for i := range 6 {
+		e.lose(fmt.Sprint("r", i), fmt.Sprint("e", i), 1)
+		e.wait(6 * time.Minute)
+	}
+	if len(e.found) > 0 {
+		t.Errorf("found %v by losses each six minutes", e.found)
+	}
+}
+
+// Guards against memory that grows with what callers send.
+func TestEvidenceIsBounded(t *testing.T) {
+	e := newEvidence()
+	for i := range uint64(20_000) {
+		e.lose(fmt.Sprint("r", i), fmt.Sprint("e", i), 10*i+1, 10*i+2, 10*i+3)
+		e.RecordSurvived(e.now, []core.PromptPart{{ID: 10*i + 4}})
+	}
+	if count := len(e.Top(e.now, 1<<20)); count > 512 {
+		t.Errorf("%d tallies", count)
+	}
+	f := quarantine.NewFindings()
+	for i := range uint64(1000) {
+		f.Merge(quarantine.Finding{Part: i, Revision: 1})
+	}
+	if f.Count() != quarantine.MaxFindings {
+		t.Errorf("%d findings", f.Count())
+	}
+}
+
+// Guards against instances that end up with different records of a part, in whatever order they hear
+// of them.
+func TestFindingsConverge(t *testing.T) {
+	first := quarantine.Finding{Part: 1, Revision: 1, ProbeAt: 5}
+	list := []quarantine.Finding{first, {Part: 1, Revision: 1, ProbeAt: 7}, first.WithRelease(), first.WithNextProbe(time.Unix(9, 0))}
+	var want quarantine.Finding
+	for i := range list {
+		for j := range list {
+			f := quarantine.NewFindings()
+			for k := range list {
+				f.Merge(list[(i+k*(1+2*(j%2)))%len(list)])
+			}
+			got, _ := f.Find(1)
+			if want.Revision == 0 {
+				want = got
+			}
+			if got != want {
+				t.Errorf("%+v, before %+v", got, want)
+			}
+		}
+	}
+	if !want.IsReleased {
+		t.Errorf("%+v, want the release to win", want)
+	}
+}
+
+// BenchmarkFirst measures the check of a prompt while parts are quarantined.
+func BenchmarkFirst(b *testing.B) {
+	f := quarantine.NewFindings()
+	for i := range uint64(quarantine.MaxFindings) {
+		f.Merge(quarantine.Finding{Part: i, Revision: 1})
+	}
+	parts := []core.PromptPart{{ID: 1000}, {ID: 1001}, {ID: 1002}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := f.First(parts); ok {
+			b.Fatal("found")
+		}
+	}
+}
+
+// BenchmarkRecordSurvived measures what each answered prompt costs.
+func BenchmarkRecordSurvived(b *testing.B) {
+	s := quarantine.NewSuspects()
+	parts := []core.PromptPart{{ID: 1}, {ID: 2}}
+	b.ReportAllocs()
+	for i := range b.N {
+		parts[1].ID = uint64(i % 20_000)
+		s.RecordSurvived(core.Instant(i), parts)
+	}
+}
--- a/standin/platform/quarantine_test.go
+++ b/standin/platform/quarantine_test.go
@@ -136,9 +136,12 @@
 	for fault, want := range tests {
 		t.Run(string(fault), func(t *testing.T) {
 			t.Parallel()
-			f := newFixture(t, "decode")
+			f := newFixture(t, "decode", "decode")
 			f.targets[0].InjectFaults(fault)
-			f.do(t.Context(), http.MethodPost, "/single/x", "r1", "the prompt", badPrompt...)
+			f.do(t.Context(), http.MethodPost, "/resumable/x", "r1", "the prompt", badPrompt...)
+			if count := f.arrivals(0); count != 1 {
+				t.Fatalf("%d requests reached the engine with the fault", count)
+			}
 			if lost := len(f.quarantine.suspects.Top(0, 10)); (lost > 0) != (want > 0) {
 				t.Errorf("%d suspect parts, want some: %v", lost, want > 0)
 			}
