--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -126,6 +126,8 @@
 	connectionCount int
 	// cacheList is the body of the answer to a request for the cached parts.
 	cacheList string
+	// limit is the number of requests a second that answers state; 0 states none.
+	limit float64
 	// frozenUntil is the end of the latest freeze.
 	frozenUntil time.Time
 	// crashPart is the part of prompts that crashes the target, downTime how long it is down then.
@@ -216,6 +218,24 @@
 	t.eventCount, t.eventInterval = count, interval
 }
 
+// SetLimit sets the number of requests a second that the target states in its answers; 0 states
+// none.
+func (t *Target) SetLimit(perSecond float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit = perSecond
+}
+
+// limitHeader returns the line of the header that states the limit, or "".
+func (t *Target) limitHeader() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.limit == 0 {
+		return ""
+	}
+	return fmt.Sprintf("Server-Limit: %g\r\n", t.limit)
+}
+
 // SetVersion sets the software version in the registry entry and makes the events of streams name it.
 // It must be called before the first request.
 func (t *Target) SetVersion(version string) { t.version = version }
@@ -370,7 +390,7 @@
 	handleGone := fault == LoseHandle || strings.HasSuffix(r.Header.Get("X-Kv-Source"), "/gone")
 	importFails := r.Header.Get("X-Kv-Source") != "" && handleGone
 	t.recordArrival(r, fault != Early && fault != Shed && !importFails)
-	echo := "X-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n"
+	echo := "X-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n" + t.limitHeader()
 	if fault == Early {
 		ok := writeResponse(conn, 503, echo+"X-Not-Executed: 1\r\n", "")
 		_, err := io.Copy(io.Discard, r.Body)
