--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -154,6 +154,7 @@
 	"Malformed":        "rejected: the request is malformed",
 	"BodyTooLarge":     "rejected: the body is larger than the configuration allows",
 
+	"TargetLimit":          "refused at once: the targets that could serve it state limits, and this instance's share of them is used up",
 	"PartQuarantined":      "refused at once: its prompt has a part that crashes engines; the lines PartJudged and PartQuarantined name the evidence",
 	"PartSuspect":          "the stream can't be continued on another engine: several engines were lost under a part of its prompt",
 	"StreamVersionUnknown": "refused at once: it isn't known at which software version the stream began that the request continues",
--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -20,6 +20,7 @@
 	"gorseline/core/membership"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
+	"gorseline/core/targetlimit"
 	"gorseline/io/digest"
 	"gorseline/io/forward"
 	"gorseline/io/logline"
@@ -51,6 +52,7 @@
 			load.NewTracker,
 			func() *roster.Roster { return roster.New(settings.HeartbeatInterval) },
 			func(r *random.Source) *retry.Health { return retry.NewHealth(retry.DefaultHealthOptions(), r) },
+			func() *targetlimit.Limits { return targetlimit.New(settings.Instance) },
 			newAssigner,
 			newBudgets,
 			func() *target.Pool { return target.NewPool(target.PoolOptions{}) },
@@ -91,9 +93,11 @@
 
 func newAssigner(
 	settings platform.Settings, loads *load.Tracker, h *retry.Health, r *random.Source, digests *digest.Node,
+	limits *targetlimit.Limits,
 ) *assign.Assigner {
 	return assign.New(assign.Options{
-		Loads: loads, Health: h, Random: r, Home: settings.DataCentre, Cells: digests, Tuning: assign.DefaultTuning(),
+		Loads: loads, Health: h, Random: r, Home: settings.DataCentre, Cells: digests, Limits: limits,
+		Tuning: assign.DefaultTuning(),
 	})
 }
 
@@ -117,7 +121,7 @@
 
 func newDigests(
 	lc fx.Lifecycle, settings platform.Settings, id identity, loads *load.Tracker, instances *platform.InstanceList,
-	clock core.ClockProvider, l log.Interface, tracker *catchup.Tracker, updater *stateUpdater,
+	clock core.ClockProvider, l log.Interface, tracker *catchup.Tracker, updater *stateUpdater, limits *targetlimit.Limits,
 ) (*digest.Node, error) {
 	conn, err := net.ListenPacket("udp4", settings.PeerAddress)
 	if err != nil {
@@ -130,6 +134,7 @@
 		},
 		Conn: conn, Sender: id.sender, Loads: loads, Lister: instances, Clock: clock, Seed: id.seed, Log: l,
 		Catchup: tracker, Snapshots: updater, Streams: streamSource{tracker, updater.roster, updater.confirmTargets, updater.Configuration},
+		Limits: limits,
 	})
 	updater.digests = n
 	lifecycle.Register(lc, n)
@@ -142,11 +147,13 @@
 func newForwarder(
 	id identity, pool *target.Pool, a *assign.Assigner, loads *load.Tracker, r *roster.Roster, h *retry.Health,
 	budgets *retry.Shares, clock core.ClockProvider, digests *digest.Node, i *instruments, l log.Interface,
+	limits *targetlimit.Limits,
 ) *forward.Forwarder {
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
 		Clock: clock, Publisher: digests, Observer: i, Log: l, Sender: id.sender, MaxBodyBytes: defaultMaxBodyBytes,
 		StreamStarts: digests, StreamVersions: digests, Quarantine: digests,
+		Limits: limits, LimitPublisher: digests,
 	})
 }
 
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -21,6 +21,7 @@
 	"gorseline/core/common/pause"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
+	"gorseline/core/targetlimit"
 	"gorseline/io/digest"
 	"gorseline/io/exposition"
 	"gorseline/io/forward"
@@ -44,6 +45,7 @@
 	store        *platform.Store
 	updater      *stateUpdater
 	keeper       *quarantineKeeper
+	limits       *targetlimit.Limits
 	draining     atomic.Bool
 	callerServer *http.Server
 	callers      newConnections
@@ -72,6 +74,7 @@
 	Roles       *roleController
 	Updater     *stateUpdater
 	Keeper      *quarantineKeeper
+	Limits      *targetlimit.Limits
 	Registry    metrics.Registry
 	Instruments *instruments
 	Tracker     *catchup.Tracker
@@ -81,7 +84,7 @@
 	n := &node{
 		options: p.Options, settings: p.Settings, log: p.Log, forwarder: p.Forwarder, digests: p.Digests,
 		roster: p.Roster, budgets: p.Budgets, pool: p.Pool, instances: p.Instances, store: p.Store,
-		updater: p.Updater, keeper: p.Keeper, registry: p.Registry, done: make(chan struct{}),
+		updater: p.Updater, keeper: p.Keeper, limits: p.Limits, registry: p.Registry, done: make(chan struct{}),
 	}
 	n.registerGauges(p.Instruments, p.Roles, p.Tracker)
 	lifecycle.Register(lc, n)
@@ -131,6 +134,7 @@
 	i.registerGauge("LoadEventsDropped", func() int64 { return int64(n.digests.DroppedEvents()) })
 	registerStreamGauges(i, n.digests)
 	registerQuarantineGauges(i, n.digests)
+	i.registerGauge("TargetsLimited", func() int64 { return int64(n.limits.Count()) })
 	i.registerGauge("LeasesHeld", func() int64 { return int64(len(r.leases.Leases())) })
 	i.registerGauge("Ready", func() int64 {
 		if n.isReady() {
@@ -250,6 +254,7 @@
 		if size := n.digests.FleetSize(); size > 0 {
 			n.budgets.SetInstances(size)
 			n.store.SetInstances(size)
+			n.limits.SetInstances(size)
 		}
 	})
 }
--- a/cmd/entry/node/state_updater.go
+++ b/cmd/entry/node/state_updater.go
@@ -11,6 +11,7 @@
 	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/core/route"
+	"gorseline/core/targetlimit"
 	"gorseline/io/digest"
 	"gorseline/io/forward"
 	"gorseline/io/target"
@@ -22,6 +23,7 @@
 type stateUpdater struct {
 	loads   *load.Tracker
 	health  *retry.Health
+	limits  *targetlimit.Limits
 	pool    *target.Pool
 	roster  *roster.Roster
 	tracker *catchup.Tracker
@@ -37,10 +39,10 @@
 var _ digest.Snapshots = (*stateUpdater)(nil)
 
 func newStateUpdater(
-	loads *load.Tracker, h *retry.Health, pool *target.Pool, r *roster.Roster, tracker *catchup.Tracker,
+	loads *load.Tracker, h *retry.Health, limits *targetlimit.Limits, pool *target.Pool, r *roster.Roster, tracker *catchup.Tracker,
 	clock core.ClockProvider, l log.Interface,
 ) *stateUpdater {
-	return &stateUpdater{loads: loads, health: h, pool: pool, roster: r, tracker: tracker, clock: clock, log: l}
+	return &stateUpdater{loads: loads, health: h, limits: limits, pool: pool, roster: r, tracker: tracker, clock: clock, log: l}
 }
 
 // Configuration returns the configuration in force, or nil.
@@ -96,6 +98,7 @@
 		case roster.Restarted, roster.Removed, roster.Moved:
 			u.loads.RemoveTarget(c.Registration.ID)
 			u.health.Forget(c.Registration.ID)
+			u.limits.Forget(c.Registration.ID)
 			u.pool.DiscardIdle(c.Registration.Address)
 		}
 		if c.Kind != roster.Removed {
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -17,6 +17,7 @@
 	"gorseline/core/prompt"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
+	"gorseline/core/targetlimit"
 )
 
 // Options are the dependencies and settings of an Assigner.
@@ -28,6 +29,8 @@
 	Home core.DataCentre
 	// Cells determines which targets' loads this instance knows; nil means all.
 	Cells load.CellProvider
+	// Limits holds the limits that targets state; nil means none.
+	Limits *targetlimit.Limits
 	Tuning
 }
 
@@ -298,6 +301,9 @@
 			return false
 		}
 	}
+	if a.opts.Limits != nil && !a.opts.Limits.Ready(now, &e.Registration) {
+		return false
+	}
 	return a.opts.Health.Usable(now, e.ID)
 }
 
--- a/io/dialect.go
+++ b/io/dialect.go
@@ -55,6 +55,9 @@
 type AnswerReader interface {
 	// ClassifyAnswer tells from an answer whether the target ran the request.
 	ClassifyAnswer(status int, header http.Header) AnswerKind
+	// StatedLimit returns the number of requests a second that the target takes from all instances
+	// together. isStated is false if the answer states none; the error reports a malformed one.
+	StatedLimit(header http.Header) (perSecond float64, isStated bool, err error)
 	// Matches reports whether an answer belongs to a request.
 	Matches(id core.RequestID, answer http.Header) bool
 	// RelayedHeader returns the part of the header that is relayed to the caller.
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -11,6 +11,7 @@
 	"gorseline/core/membership"
 	"gorseline/core/prompt"
 	"gorseline/core/quarantine"
+	"gorseline/core/targetlimit"
 )
 
 // packetKind is the kind of a datagram.
@@ -28,6 +29,7 @@
 	packetPartQuestion
 	packetPartAnswer
 	packetFindings
+	packetLimits
 )
 
 // maxPacketSize is the largest size of a datagram in bytes. It fits one Ethernet frame.
@@ -67,6 +69,8 @@
 	Part     uint64               `cbor:"16,keyasint,omitempty"`
 	Survived uint64               `cbor:"17,keyasint,omitempty"`
 	Findings []quarantine.Finding `cbor:"18,keyasint,omitempty"`
+	// Limits holds the limits that targets state.
+	Limits []targetlimit.Fact `cbor:"19,keyasint,omitempty"`
 }
 
 // operation is the kind of change of an item.
@@ -141,7 +145,7 @@
 		return nil, errors.Wrap(err, "decode datagram")
 	}
 	switch p.Kind {
-	case packetLoad, packetVersions, packetLosses, packetPartQuestion, packetPartAnswer, packetFindings:
+	case packetLoad, packetVersions, packetLosses, packetPartQuestion, packetPartAnswer, packetFindings, packetLimits:
 		return p, nil
 	case packetCall, packetReply:
 		if p.Message == nil {
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -26,6 +26,7 @@
 	"gorseline/core/common/pause"
 	"gorseline/core/load"
 	"gorseline/core/membership"
+	"gorseline/core/targetlimit"
 )
 
 // Options configure a Node. All fields but Streams are required.
@@ -48,6 +49,9 @@
 	// Streams provides what the versions of streams depend on. Without it, which is allowed,
 	// streams are not recorded.
 	Streams StreamSource
+	// Limits holds the limits that targets state. Without it, which is allowed, they are not
+	// exchanged.
+	Limits *targetlimit.Limits
 }
 
 const (
@@ -80,6 +84,7 @@
 	done    chan struct{}
 	streams *streams
 	parts   *parts
+	limits  *limits
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -112,6 +117,7 @@
 	n.members = membership.New(o.Self, rand.New(rand.NewPCG(o.Seed, 0)), header, n.logMemberChange)
 	n.streams = newStreams(n)
 	n.parts = newParts(n)
+	n.limits = newLimits(n)
 	n.serial.Store(o.Sender) // late replies to an earlier process match no call
 	n.peers.Store(&peerSet{cells: load.NewCells(o.Self.DataCentre, map[core.DataCentre]int{o.Self.DataCentre: 1})})
 	return n
@@ -162,6 +168,7 @@
 	loops.Go(func() { n.parts.loopLosses(ctx) })
 	loops.Go(func() { n.parts.loopQuestions(ctx) })
 	loops.Go(func() { n.parts.loopFindings(ctx) })
+	loops.Go(func() { n.limits.loop(ctx) })
 	<-ctx.Done()
 	_ = n.opts.Conn.Close() // ends loopRead
 	loops.Wait()
@@ -217,6 +224,7 @@
 	n.sendAll(packets)
 	n.streams.sendRelayed(added...)
 	n.parts.sendTo(added...)
+	n.limits.sendTo(added...)
 	for _, onResult := range expired {
 		onResult(false)
 	}
@@ -316,7 +324,12 @@
 		p.otherCells[dc] = list[:min(len(list), maxPeersPerCell)]
 	}
 	n.peers.Store(p)
-	return n.streams.setPeers(others)
+	before := n.streams.homes.Load()
+	added := n.streams.setPeers(others)
+	if n.streams.homes.Load() != before {
+		n.limits.setPeers(others)
+	}
+	return added
 }
 
 func (n *Node) loopRead(ctx context.Context) {
@@ -353,6 +366,8 @@
 		n.streams.handle(p, from)
 	case packetLosses, packetPartQuestion, packetPartAnswer, packetFindings:
 		n.parts.handle(p, from)
+	case packetLimits:
+		n.limits.handle(p)
 	}
 }
 
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -106,6 +106,7 @@
 		n.sendAllOutstanding(p.Address)
 		n.streams.sendRelayed(p.Address)
 		n.parts.sendTo(p.Address)
+		n.limits.sendTo(p.Address)
 	}
 	n.opts.Catchup.ObservePeerVersion(now, catchup.Configuration, p.Address, p.Configuration)
 	n.opts.Catchup.ObservePeerVersion(now, catchup.Targets, p.Address, p.Targets)
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -37,7 +37,7 @@
 // budget doesn't allow it or the instance leaves too soon, whatever the caller has decided.
 func (r *activeRequest) send(e *roster.Entry, a core.Attempt, limit time.Duration) (answer *target.Answer, result sendResult) {
 	defer func() { r.lastResult = result }()
-	if !r.allowSend(&a) || !r.allowParts() || !r.takeRetries(r.retryCause(), stageOf(&a)) {
+	if !r.allowSend(&a) || !r.allowParts() || !r.takeLimit(e) || !r.takeRetries(r.retryCause(), stageOf(&a)) {
 		return nil, sendNotRun
 	}
 	began := r.Clock.Now()
@@ -57,6 +57,7 @@
 	if err != nil {
 		return nil, r.sendFailed(e, &a, began, err)
 	}
+	r.observeLimit(e, began, answer.Header)
 	if err := answer.SetReadDeadline(time.Now().Add(r.remaining())); err != nil {
 		_ = answer.Close() // without a deadline reads could block
 		return nil, r.sendFailed(e, &a, began, err)
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -40,7 +40,7 @@
 		}
 		r.logCall(d)
 		if d.Target == nil {
-			r.failWithoutTarget(d.Reason, d.RetryAfter)
+			r.failWithoutTarget(r.limitRefusal(d.Reason, d.RetryAfter))
 			return
 		}
 		if r.attemptCall(d) {
@@ -226,6 +226,7 @@
 // background.
 func (r *activeRequest) releaseExport(e *roster.Entry, handle string) {
 	method, uri := r.Dialect.ReleaseRequest(handle)
+	r.Limits.Charge(r.Clock.Now(), &e.Registration)
 	r.releases.Go(func() {
 		// The call must not be cancelled when the request ends.
 		answer, err := r.Pool.Do(r.released, &target.Request{
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -20,6 +20,7 @@
 	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/core/route"
+	"gorseline/core/targetlimit"
 	gio "gorseline/io"
 	"gorseline/io/target"
 )
@@ -34,6 +35,12 @@
 	Finished(ref load.Ref)
 }
 
+// LimitPublisher publishes the limits that targets state to the other instances.
+type LimitPublisher interface {
+	// PublishLimit publishes a fact. It doesn't block.
+	PublishLimit(fact targetlimit.Fact)
+}
+
 // Observer counts requests and sends.
 type Observer interface {
 	// ObserveRequest counts a request by route kind, outcome and reason. took is the time
@@ -67,6 +74,9 @@
 	StreamStarts   core.StreamStartRecorder
 	StreamVersions core.StreamVersionProvider
 	Quarantine     core.PartQuarantine
+	// Limits holds the limits that targets state, LimitPublisher tells them to the other instances.
+	Limits         *targetlimit.Limits
+	LimitPublisher LimitPublisher
 	Log            log.Interface
 	// Sender identifies this process in load keys. It must be unique among live processes.
 	Sender uint32
@@ -170,6 +180,7 @@
 	ReasonLeaving         core.Reason = "Leaving"
 	ReasonStopped         core.Reason = "Stopped"
 	ReasonPartQuarantined core.Reason = "PartQuarantined"
+	ReasonTargetLimit     core.Reason = "TargetLimit"
 )
 
 // notReadyRetryAfter is the retry delay for callers of an instance that has just started
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -30,7 +30,7 @@
 		d := r.Assigner.Assign(r.Clock.Now(), r.Roster.View(), req)
 		r.logPrompt(&d)
 		if d.Target == nil {
-			r.failWithoutTarget(d.Reason, d.RetryAfter)
+			r.failWithoutTarget(r.limitRefusal(d.Reason, d.RetryAfter))
 			return
 		}
 		var done bool
@@ -93,7 +93,7 @@
 		req.Exclude = r.exclude
 		engine, found := r.Assigner.AssignGenerator(r.Clock.Now(), r.Roster.View(), req, d.Target)
 		if !found {
-			r.failWithoutTarget(core.ReasonNoTarget, r.remaining()/4)
+			r.failWithoutTarget(r.limitRefusal(core.ReasonNoTarget, r.remaining()/4))
 			return generation{}, true, false
 		}
 		g = generation{engine: engine, began: r.Clock.Now()}
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -21,6 +21,7 @@
 	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/core/route"
+	"gorseline/core/targetlimit"
 	"gorseline/io/forward"
 	"gorseline/io/target"
 	client "gorseline/platform"
@@ -47,6 +48,7 @@
 	observer  *continuationObserver
 	// quarantine is that of a fleet with one instance.
 	quarantine *localQuarantine
+	limits     *targetlimit.Limits
 }
 
 // localQuarantine is the quarantine of a fleet with one instance.
@@ -95,6 +97,8 @@
 func (noopPublisher) Computed(load.Ref) {}
 func (noopPublisher) Finished(load.Ref) {}
 
+func (noopPublisher) PublishLimit(targetlimit.Fact) {}
+
 type noopObserver struct{}
 
 func (noopObserver) ObserveRequest(core.RouteKind, core.OutcomeKind, core.Reason, time.Duration, time.Duration) {
@@ -156,18 +160,19 @@
 	}
 	source := random.New(7)
 	clock := core.NewProcessClock()
-	f.quarantine = newLocalQuarantine(clock)
+	f.quarantine, f.limits = newLocalQuarantine(clock), targetlimit.New("n")
 	tracker := load.NewTracker()
 	health := retry.NewHealth(retry.DefaultHealthOptions(), source)
 	f.forwarder = forward.New(forward.Options{
 		Dialect: client.Dialect{}, Pool: target.NewPool(target.PoolOptions{}),
 		Assigner: assign.New(assign.Options{
-			Loads: tracker, Health: health, Random: source, Home: "here", Tuning: assign.DefaultTuning(),
+			Loads: tracker, Health: health, Random: source, Home: "here", Limits: f.limits, Tuning: assign.DefaultTuning(),
 		}),
 		Loads: tracker, Roster: f.roster, Health: health,
 		Budgets: f.budgets,
 		Clock:   clock, Publisher: noopPublisher{}, Observer: f.observer,
 		StreamStarts: streams, StreamVersions: streams, Quarantine: f.quarantine,
+		Limits: f.limits, LimitPublisher: noopPublisher{},
 		Log: &log.Logger{Handler: f.logs, Level: log.InfoLevel}, Sender: 1, MaxBodyBytes: 1 << 20,
 	})
 	f.forwarder.Configure(route.NewTable(configuration(1)))
