--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -21,7 +21,7 @@
 	// maxEagerBody is the body size up to which a request is written before its answer
 	// is read. Writing a longer body could block while the target already answers.
 	maxEagerBody = 16 << 10
-	// maxHeader bounds the header of an answer.
+	// maxHeader bounds the header of an answer, with the interim answers before it.
 	maxHeader = 64 << 10
 	// maxSkippedAnswers bounds the answers to earlier requests that are skipped.
 	maxSkippedAnswers = 2
@@ -195,15 +195,11 @@
 	request := &http.Request{Method: r.Method} // http.ReadResponse needs only the method
 	for skipped := 0; ; {
 		a.conn.reader.limit(maxHeader)
-		//nolint:bodyclose // the body ends with its connection, which the answer closes
-		response, err := http.ReadResponse(a.conn.reader.Reader, request)
+		response, err := a.readFinal(request)
 		a.conn.reader.limit(-1)
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
-		if response.StatusCode < http.StatusOK {
-			continue // an interim answer has no body
-		}
 		if r.Matches == nil || r.Matches(response.Header) {
 			a.accept(response)
 			return nil
@@ -217,6 +213,18 @@
 	}
 }
 
+// readFinal reads the header of an answer and of the interim answers before it, within the limit of
+// the reader.
+func (a *Answer) readFinal(request *http.Request) (*http.Response, error) {
+	for {
+		//nolint:bodyclose // the body ends with its connection, which the answer closes
+		response, err := http.ReadResponse(a.conn.reader.Reader, request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
 func (a *Answer) accept(response *http.Response) {
 	a.Status, a.Header, a.Length = response.StatusCode, response.Header, response.ContentLength
 	a.Body = response.Body
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -56,6 +56,15 @@
 	Pause RequestFault = "Pause"
 	// PauseFirst is Pause between the header of a stream and its first event.
 	PauseFirst RequestFault = "PauseFirst"
+	// EndlessHead sends a header without end, EndlessInterim interim responses without end.
+	EndlessHead    RequestFault = "EndlessHead"
+	EndlessInterim RequestFault = "EndlessInterim"
+	// EndlessBody answers with a body without end that is no answer, EndlessRefusal refuses the request
+	// with such a body. DrippingBody and DrippingRefusal send bodies that come slowly.
+	EndlessBody     RequestFault = "EndlessBody"
+	EndlessRefusal  RequestFault = "EndlessRefusal"
+	DrippingBody    RequestFault = "DrippingBody"
+	DrippingRefusal RequestFault = "DrippingRefusal"
 	// CrashedUnder marks the runs that a crash of the target has ended; it can't be injected.
 	CrashedUnder RequestFault = "CrashedUnder"
 	// LoseHandle refuses a request that imports a KV cache, whose handle is gone.
@@ -137,6 +146,8 @@
 	// partCrashes holds those of crashes under a request with crashPart.
 	partCrashes []PartCrash
 	isDown      bool
+	// endlessBytes counts the bytes that were sent without end.
+	endlessBytes int
 	// born counts the starts of the target's process after the first one.
 	born     int64
 	isClosed bool
@@ -389,7 +400,7 @@
 	fault := t.nextFault()
 	handleGone := fault == LoseHandle || strings.HasSuffix(r.Header.Get("X-Kv-Source"), "/gone")
 	importFails := r.Header.Get("X-Kv-Source") != "" && handleGone
-	t.recordArrival(r, fault != Early && fault != Shed && !importFails)
+	t.recordArrival(r, fault != Early && fault != Shed && fault != EndlessRefusal && fault != DrippingRefusal && !importFails)
 	echo := "X-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n" + t.limitHeader()
 	if fault == Early {
 		ok := writeResponse(conn, 503, echo+"X-Not-Executed: 1\r\n", "")
@@ -403,6 +414,9 @@
 	if fault == Shed {
 		return writeResponse(conn, 503, echo+"X-Not-Executed: 1\r\nX-Server-Load: 8,4,8\r\n", "")
 	}
+	if isEndless(fault) {
+		return t.sendEndless(conn, r, fault)
+	}
 	if fault == Slow {
 		time.Sleep(SlowAnswer)
 	}
