--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -220,9 +220,16 @@
 // A connection can be reused only after its answer was read to the end.
 const maxDiscard = 16 << 10
 
+// discardTime bounds the time for which a discarded answer is read: a new connection costs less.
+const discardTime = 20 * time.Millisecond
+
 // discardBody reads the rest of an answer so that its connection can be reused. It closes
-// the connection of a longer one.
+// the connection of a longer or slower one.
 func discardBody(answer *target.Answer) {
+	if err := answer.SetReadDeadline(time.Now().Add(discardTime)); err != nil {
+		_ = answer.Close() // without a deadline the read could block
+		return
+	}
 	n, err := io.CopyN(io.Discard, answer.Body, maxDiscard)
 	if errors.Is(err, io.EOF) && n < maxDiscard {
 		answer.Finish()
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -246,9 +246,17 @@
 
 // readCacheHandle returns the handle of the exported KV cache in the answer to a prefill.
 func (r *activeRequest) readCacheHandle(answer *target.Answer) (string, error) {
-	body, err := readAll(io.LimitReader(answer.Body, maxDiscard), answer.Length)
+	// The handle comes with the header.
+	err := answer.SetReadDeadline(time.Now().Add(min(stallMargin, r.remaining())))
+	var body []byte
+	if err == nil {
+		body, err = readAll(io.LimitReader(answer.Body, maxDiscard), answer.Length)
+	}
+	if err == nil && len(body) == maxDiscard {
+		err = errors.New("answer is too long")
+	}
 	if err != nil {
-		_ = answer.Close() // the read error is returned
+		_ = answer.Close() // the error is returned
 		return "", errors.Wrap(err, "read prefill answer")
 	}
 	answer.Finish()
--- a/standin/platform/endless_test.go
+++ b/standin/platform/endless_test.go
@@ -24,14 +24,19 @@
 		{"/safe/x", []string{"", ""}, platform.EndlessHead, 0},
 		{"/safe/x", []string{"", ""}, platform.EndlessInterim, 0},
 		{"/once/x", []string{"", ""}, platform.EndlessRefusal, 0},
+		{"/once/x", []string{"", ""}, platform.DrippingRefusal, 0},
 		{"/resumable/x", []string{"prefill", "prefill", "decode"}, platform.EndlessHead, 0},
 		{"/resumable/x", []string{"prefill", "prefill", "decode"}, platform.EndlessInterim, 0},
 		{"/resumable/x", []string{"prefill", "prefill", "decode"}, platform.EndlessBody, 0},
 		{"/single/x", []string{"prefill", "prefill", "decode"}, platform.EndlessRefusal, 0},
+		{"/single/x", []string{"prefill", "prefill", "decode"}, platform.DrippingRefusal, 0},
+		{"/single/x", []string{"prefill", "prefill", "decode"}, platform.DrippingBody, 0},
 		{"/resumable/x", []string{"prefill", "decode", "decode"}, platform.EndlessHead, 1},
 		{"/resumable/x", []string{"prefill", "decode", "decode"}, platform.EndlessInterim, 1},
 		{"/resumable/x", []string{"prefill", "decode", "decode"}, platform.EndlessBody, 1},
 		{"/single/x", []string{"prefill", "decode", "decode"}, platform.EndlessRefusal, 1},
+		{"/single/x", []string{"prefill", "decode", "decode"}, platform.DrippingRefusal, 1},
+		{"/resumable/x", []string{"prefill", "decode", "decode"}, platform.DrippingBody, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.path[1:5]+string(test.fault)+test.phases[test.target], func(t *testing.T) {
