--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -165,10 +165,23 @@
 	return true
 }
 
+// maxUnstatedBody bounds an answer that doesn't state its length, in bytes. A target in trouble may
+// send bytes without end.
+const maxUnstatedBody = 64 << 20
+
+var errAnswerTooLong = errors.New("answer is too long")
+
 // copyBody relays a long body, or one of unknown length, as it arrives. If that fails it
 // aborts the connection to the caller.
 func (r *activeRequest) copyBody(answer *target.Answer) {
-	_, err := io.Copy(flushWriter{r.w}, answer.Body)
+	body := answer.Body
+	if answer.Length < 0 {
+		body = io.LimitReader(body, maxUnstatedBody)
+	}
+	n, err := io.Copy(flushWriter{r.w}, body)
+	if err == nil && answer.Length < 0 && n == maxUnstatedBody {
+		err = errAnswerTooLong
+	}
 	if err != nil {
 		_ = answer.Close() // reading or writing has failed already
 		r.recordEnd(core.OutcomeCut, ReasonAnswerBroken, answer.Status)
@@ -253,7 +266,7 @@
 		body, err = readAll(io.LimitReader(answer.Body, maxDiscard), answer.Length)
 	}
 	if err == nil && len(body) == maxDiscard {
-		err = errors.New("answer is too long")
+		err = errAnswerTooLong
 	}
 	if err != nil {
 		_ = answer.Close() // the error is returned
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -16,8 +16,8 @@
 	"gorseline/io/target"
 )
 
-// maxEvent bounds one event of a stream, in bytes.
-const maxEvent = 1 << 20
+// maxEvent bounds one event of a stream, in bytes. Each stream may need a buffer of that size.
+const maxEvent = 256 << 10
 
 var errEventTooLong = errors.New("event of a stream is too long")
 
--- a/standin/platform/endless_test.go
+++ b/standin/platform/endless_test.go
@@ -60,3 +60,34 @@
 		})
 	}
 }
+
+// maxRelayedBytes is what a target may send of an endless body, with the buffers of its connection.
+const maxRelayedBytes = 80 << 20
+
+// Guards against bytes without end that are read beyond the time of the request, relayed as fast as
+// they come, or that make a broken answer look complete.
+func TestEndlessBodyEndsWithItsRequest(t *testing.T) {
+	for _, path := range []string{"/once/x", "/single/x"} {
+		t.Run(path[1:5], func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "", "decode")
+			for _, tg := range f.targets {
+				tg.InjectFaults(platform.EndlessBody)
+			}
+			began := time.Now()
+			got := f.sendPrompt(t.Context(), path)
+			if took := time.Since(began); got.status == http.StatusOK && got.err == nil || took > routeTimeout+time.Second {
+				t.Errorf("status %d, %d bytes, error %v, after %v", got.status, len(got.body), got.err, took)
+			}
+			if len(got.body) > maxRelayedBytes {
+				t.Errorf("%d bytes were relayed", len(got.body))
+			}
+			time.Sleep(100 * time.Millisecond) // the target notices that its connection was closed
+			before := f.targets[0].EndlessBytes() + f.targets[1].EndlessBytes()
+			time.Sleep(100 * time.Millisecond)
+			if after := f.targets[0].EndlessBytes() + f.targets[1].EndlessBytes(); after != before {
+				t.Errorf("%d more bytes were read", after-before)
+			}
+		})
+	}
+}
