--- a/cmd/entry/soak_test.go
+++ b/cmd/entry/soak_test.go
@@ -82,3 +82,24 @@
 		t.Error("too few engines crashed under the part")
 	}
 }
+
+// Guards against targets that get more requests than they state beside killed, frozen and leaving
+// instances.
+func TestSoakWithStatedLimits(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	report, err := soak.Run(t.Context(), soak.Options{
+		Command: []string{os.Args[0]}, Seed: 1, FaultDuration: 12 * time.Second, Instances: 4, Callers: 8, StatedLimits: true,
+		Retries: soak.RandomRetryLimit(1), Dir: filepath.Join(t.TempDir(), "soak"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Violations {
+		t.Errorf("%s (faults %v)", v, report.Faults)
+	}
+	if report.LimitPeak == "" {
+		t.Error("no target stated a limit for long enough")
+	}
+}
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -195,7 +195,7 @@
 	request := &http.Request{Method: r.Method} // http.ReadResponse needs only the method
 	for skipped := 0; ; {
 		a.conn.reader.limit(maxHeader)
-		response, err := a.readFinal(request)
+		response, err := a.readFinal(request) //nolint:bodyclose // see readFinal
 		a.conn.reader.limit(-1)
 		if err != nil {
 			return errors.Wrap(err, "read answer")
--- a/standin/platform/soak/crashes.go
+++ b/standin/platform/soak/crashes.go
@@ -102,6 +102,12 @@
 	}},
 }
 
+// Indexes of faults that other modes use too.
+const (
+	freezeIndex = 3
+	leaveIndex  = 4
+)
+
 // killSome kills instances and starts them again.
 func (s *soak) killSome(ctx context.Context, rng *rand.Rand, count int) {
 	var together sync.WaitGroup
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -41,6 +41,9 @@
 	// CrashingParts is the number of parts of prompts that crash engines. From 1 on the faults are crashes
 	// of engines, killed, frozen and leaving instances and a store that is away or comes back from a copy.
 	CrashingParts int
+	// StatedLimits makes targets state limits that rise, fall and end, beside killed, frozen and leaving
+	// instances.
+	StatedLimits bool
 	// Retries is the limit on retries in the settings of the instances.
 	Retries RetryLimit
 	// Dir is the directory for settings and logs; it is created if absent.
@@ -71,6 +74,9 @@
 	if o.CrashingParts > 0 {
 		return crashFaults
 	}
+	if o.StatedLimits {
+		return limitFaults
+	}
 	if o.Planned {
 		return plannedFaults
 	}
@@ -80,7 +86,7 @@
 // faultPause returns the time until the next faults.
 func (o *Options) faultPause(rng *rand.Rand) time.Duration {
 	d := time.Duration(rng.IntN(600)) * time.Millisecond
-	if o.CrashingParts > 0 {
+	if o.CrashingParts > 0 || o.StatedLimits {
 		return 8 * d // so that instances are in touch with each other in between
 	}
 	return d
@@ -103,6 +109,8 @@
 	Streams string
 	// Crashes describes the parts that crash engines; empty without such parts.
 	Crashes string
+	// LimitPeak describes the window that came closest to the stated limit of a target.
+	LimitPeak string
 	// Violations lists the guarantees that were broken; empty if none was.
 	Violations []string
 }
@@ -130,6 +138,8 @@
 	crashes *crashes
 	// lost describes the engines that each crashing part has cost.
 	lost []string
+	// limitPeak describes the window that came closest to the stated limit of a target.
+	limitPeak string
 	// killing is locked while instances are killed and others must not be.
 	killing sync.Mutex
 	// releasing is locked during a release, which changes slots.
@@ -204,6 +214,7 @@
 	violations = append(violations, s.checkVersions(results)...)
 	violations = append(violations, s.checkRetries()...)
 	violations = append(violations, s.checkCrashes()...)
+	violations = append(violations, s.checkLimits(results)...)
 	for _, inst := range s.instances {
 		if inst.unexpectedExits > 0 {
 			violations = append(violations, fmt.Sprintf("%s exited unexpectedly %d times", inst.name, inst.unexpectedExits))
@@ -213,7 +224,7 @@
 }
 
 func (s *soak) report(results []result, violations []string) Report {
-	r := Report{Seed: s.options.Seed, Requests: len(results), Faults: s.injected, RetryPeaks: s.retryPeaks, Streams: s.streams, Crashes: strings.Join(s.lost, "; "), Violations: violations}
+	r := Report{Seed: s.options.Seed, Requests: len(results), Faults: s.injected, RetryPeaks: s.retryPeaks, Streams: s.streams, Crashes: strings.Join(s.lost, "; "), LimitPeak: s.limitPeak, Violations: violations}
 	for i := range results {
 		switch results[i].status {
 		case 200:
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -101,6 +101,14 @@
 	At                time.Time
 	// Remaining is the time that the request gave the target; 0 if it stated none.
 	Remaining time.Duration
+	// Limit is the limit that the answer states in requests a second; 0 is none.
+	Limit float64
+}
+
+// LimitChange is a change of the limit that a target states.
+type LimitChange struct {
+	At    time.Time
+	Limit float64
 }
 
 // Target is a fake of a model server or a plain server. It is safe for concurrent use.
@@ -136,7 +144,8 @@
 	// cacheList is the body of the answer to a request for the cached parts.
 	cacheList string
 	// limit is the number of requests a second that answers state; 0 states none.
-	limit float64
+	limit        float64
+	limitChanges []LimitChange
 	// frozenUntil is the end of the latest freeze.
 	frozenUntil time.Time
 	// crashPart is the part of prompts that crashes the target, downTime how long it is down then.
@@ -235,6 +244,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.limit = perSecond
+	t.limitChanges = append(t.limitChanges, LimitChange{time.Now(), perSecond})
+}
+
+// LimitChanges returns the changes of the stated limit, in order.
+func (t *Target) LimitChanges() []LimitChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]LimitChange(nil), t.limitChanges...)
 }
 
 // limitHeader returns the line of the header that states the limit, or "".
@@ -456,7 +473,7 @@
 	defer t.mu.Unlock()
 	t.arrivals = append(t.arrivals, Arrival{
 		ID: r.Header.Get("X-Request-Id"), Prefill: r.Header.Get("X-Phase") == "prefill", Accepted: accepted, At: time.Now(),
-		Remaining: time.Duration(ms) * time.Millisecond,
+		Remaining: time.Duration(ms) * time.Millisecond, Limit: t.limit,
 	})
 }
 
