--- a/core/quarantine/scenarios_test.go
+++ b/core/quarantine/scenarios_test.go
@@ -44,6 +44,14 @@
 	crashInterval, massInterval time.Duration
 	// answerLoss is the share of lost answers to questions.
 	answerLoss float64
+	// burstShare is the share of requests that are lost in the first three of each fifteen seconds,
+	// for example by reset connections.
+	burstShare float64
+}
+
+// isBurst reports whether many requests are lost at a time.
+func (s *scenario) isBurst(now core.Instant) bool {
+	return s.burstShare > 0 && time.Duration(now)%(15*time.Second) < 3*time.Second
 }
 
 // pending is a request at an engine.
@@ -173,6 +181,10 @@
 			if p.ends > now {
 				return false
 			}
+			if f.isBurst(now) && f.rng.Float64() < f.burstShare {
+				f.lose(now, e, p)
+				return true
+			}
 			s := f.suspects[p.instance]
 			s.RecordSurvived(now, (&core.Prompt{Parts: p.parts}).SharedParts())
 			s.RecordProcessSurvived(now, f.target(e))
@@ -201,19 +213,24 @@
 		return
 	}
 	for _, p := range f.engines[e] {
-		loss := f.suspects[p.instance].NewLoss(now, &core.LostRequest{
-			Request: core.RequestID(fmt.Sprint(p.id)), Target: *f.target(e), Prompt: &core.Prompt{Parts: p.parts},
-		})
-		for i, s := range f.suspects {
-			if part, ok := s.Add(now, loss); ok && i == p.instance && s.StartQuestion(now, part) {
-				f.judge(now, s, part)
-			}
-		}
+		f.lose(now, e, p)
 	}
 	f.engines[e], f.downUntil[e] = nil, now.Add(downTime)
 	f.process[e]++
 }
 
+// lose reports a lost request to all instances.
+func (f *fleet) lose(now core.Instant, e int, p pending) {
+	loss := f.suspects[p.instance].NewLoss(now, &core.LostRequest{
+		Request: core.RequestID(fmt.Sprint(p.id)), Target: *f.target(e), Prompt: &core.Prompt{Parts: p.parts},
+	})
+	for i, s := range f.suspects {
+		if part, ok := s.Add(now, loss); ok && i == p.instance && s.StartQuestion(now, part) {
+			f.judge(now, s, part)
+		}
+	}
+}
+
 // judge asks the other instances, some of whose answers are lost.
 func (f *fleet) judge(now core.Instant, asker *quarantine.Suspects, part uint64) {
 	survived := uint64(0)
@@ -239,6 +256,8 @@
 	{name: "crashes of all engines", instances: 7, engines: 10, rate: 243, duration: time.Minute, massInterval: 4 * time.Second},
 	{name: "crashes of all engines, little load", instances: 7, engines: 10, rate: 8, duration: 3 * time.Minute, massInterval: 4 * time.Second},
 	{name: "both, many instances", instances: 24, engines: 24, rate: 300, duration: time.Minute, crashInterval: 300 * time.Millisecond, massInterval: 10 * time.Second, answerLoss: 0.2},
+	{name: "bursts of losses", instances: 7, engines: 14, rate: 243, duration: time.Minute, burstShare: 0.3},
+	{name: "bursts of losses and crashes", instances: 24, engines: 24, rate: 600, duration: time.Minute, burstShare: 0.5, crashInterval: 500 * time.Millisecond},
 	{name: "one part", instances: 7, engines: 10, rate: 243, duration: 40 * time.Second, badParts: 1, badIndex: 1, badRate: 1.3},
 	{name: "one first part", instances: 7, engines: 10, rate: 243, duration: 40 * time.Second, badParts: 1, badRate: 1.3},
 	{name: "one part, many requests", instances: 7, engines: 10, rate: 243, duration: 20 * time.Second, badParts: 1, badIndex: 2, badRate: 12},
