--- a/cmd/entry/node/quarantine_test.go
+++ b/cmd/entry/node/quarantine_test.go
@@ -220,10 +220,11 @@
 // one that loses its requests.
 func TestOtherInstancesAreAskedForSurvivals(t *testing.T) {
 	s := newSite(t)
-	one, two := s.start("n1"), s.start("n2")
+	one, two, three := s.start("n1"), s.start("n2"), s.start("n3")
 	s.eventually(5*time.Second, "the instances know each other", func() bool {
-		return len(one.digests.Members()) == 2 && len(two.digests.Members()) == 2
+		return len(one.digests.Members()) == 3 && len(two.digests.Members()) == 3 && len(three.digests.Members()) == 3
 	})
+	time.Sleep(250 * time.Millisecond) // peers follow the members within 100 ms
 	p := &core.Prompt{Parts: []core.PromptPart{{ID: 7}, {ID: 8}}}
 	engine := &core.Registration{Target: core.Target{ID: "i-3", Address: "127.0.0.1:1"}}
 	for range 5 {
@@ -235,8 +236,16 @@
 		one.digests.RecordLost(core.LostRequest{Request: core.RequestID(fmt.Sprint("r", i)), Target: lost, Prompt: p})
 		time.Sleep(300 * time.Millisecond) // longer than a burst
 	}
-	if !strings.Contains(one.output.String(), "Event=PartJudged") {
-		t.Error("the part was not judged")
+	if judged := strings.Count(one.output.String(), "Event=PartJudged"); judged != 1 {
+		t.Errorf("the part was judged %d times", judged)
+	}
+	// A third instance has the same evidence, and knows the answer.
+	lost := *engine
+	lost.ID, lost.Address = "e9", "127.0.0.1:9"
+	three.digests.RecordLost(core.LostRequest{Request: "last", Target: lost, Prompt: p})
+	time.Sleep(300 * time.Millisecond) // longer than a question
+	if strings.Contains(three.output.String(), "Event=PartJudged") {
+		t.Error("an instance asked again")
 	}
 	if one.digests.Findings().Has(7) || two.digests.Findings().Has(7) {
 		t.Error("the part is quarantined")
--- a/core/quarantine/suspects.go
+++ b/core/quarantine/suspects.go
@@ -313,6 +313,15 @@
 	return Verdict{IsFound: score >= Threshold, Score: score, Losses: len(t.losses), Survived: t.survived}
 }
 
+// Acquit records the survivals of a part that another instance has counted.
+func (s *Suspects) Acquit(part, survived uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t, ok := s.tallies.Peek(part); ok {
+		t.survived = max(t.survived, survived)
+	}
+}
+
 // suspectLosses is the number of lost engines from which a part without survivals is suspect.
 const suspectLosses = 2
 
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -30,6 +30,7 @@
 	packetPartAnswer
 	packetFindings
 	packetLimits
+	packetPartSurvived
 )
 
 // maxPacketSize is the largest size of a datagram in bytes. It fits one Ethernet frame.
@@ -145,7 +146,7 @@
 		return nil, errors.Wrap(err, "decode datagram")
 	}
 	switch p.Kind {
-	case packetLoad, packetVersions, packetLosses, packetPartQuestion, packetPartAnswer, packetFindings, packetLimits:
+	case packetLoad, packetVersions, packetLosses, packetPartQuestion, packetPartAnswer, packetFindings, packetLimits, packetPartSurvived:
 		return p, nil
 	case packetCall, packetReply:
 		if p.Message == nil {
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -364,7 +364,7 @@
 		n.handleReply(p)
 	case packetStreamStarts, packetStreamQuery, packetStreamAnswer:
 		n.streams.handle(p, from)
-	case packetLosses, packetPartQuestion, packetPartAnswer, packetFindings:
+	case packetLosses, packetPartQuestion, packetPartAnswer, packetFindings, packetPartSurvived:
 		n.parts.handle(p, from)
 	case packetLimits:
 		n.limits.handle(p)
--- a/io/digest/quarantine.go
+++ b/io/digest/quarantine.go
@@ -336,7 +336,12 @@
 		"ThresholdMilli": int64(1000 * quarantine.Threshold), "Losses": verdict.Losses, "Survived": verdict.Survived,
 		"Answers": answers, "Asked": q.node.streams.homes.Load().Count(),
 	}).Warn("PartJudged")
-	if !verdict.IsFound || q.findings.Has(part) {
+	if !verdict.IsFound {
+		// Otherwise each instance that loses such a request would ask all others.
+		q.sendAll(&packet{Kind: packetPartSurvived, Part: part, Survived: verdict.Survived})
+		return
+	}
+	if q.findings.Has(part) {
 		return
 	}
 	before, _ := q.findings.Find(part)
@@ -425,6 +430,8 @@
 		if q.answers != nil && p.Serial == q.serial {
 			q.answers[from.String()] = p.Survived
 		}
+	case packetPartSurvived:
+		q.suspects.Acquit(p.Part, p.Survived)
 	case packetFindings:
 		for _, f := range p.Findings {
 			q.merge(f, sourcePeer)
