--- a/io/digest/limits.go
+++ b/io/digest/limits.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"gorseline/core"
+	"gorseline/core/common/pause"
 	"gorseline/core/targetlimit"
 )
 
@@ -74,25 +75,22 @@
 func (l *limits) loop(ctx context.Context) {
 	ticker := time.NewTicker(limitInterval)
 	defer ticker.Stop()
-	batches := time.NewTicker(limitBatchInterval)
-	defer batches.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			l.sendSome()
-		case <-batches.C:
-			if batch := l.collect(); len(batch) > 0 {
-				l.node.parts.sendAll(&packet{Kind: packetLimits, Limits: batch})
-			}
+		case f := <-l.queue:
+			l.node.parts.sendAll(&packet{Kind: packetLimits, Limits: l.collect(f)})
+			pause.For(ctx, limitBatchInterval)
 		}
 	}
 }
 
-// collect returns the queued facts, as many as fit in a datagram.
-func (l *limits) collect() []targetlimit.Fact {
-	var batch []targetlimit.Fact
+// collect returns a fact with those that are queued after it, as many as fit in a datagram.
+func (l *limits) collect(first targetlimit.Fact) []targetlimit.Fact {
+	batch := []targetlimit.Fact{first}
 	for len(batch) < limitsPerPacket {
 		select {
 		case f := <-l.queue:
