Time the end of an endless answer at its target and its instance

The test timed its caller, which also reads what is buffered; in a run beside six busy processes the caller took 503 ms where the instance ended the request after 223 ms. The failure was not reproduced. The test now times, within the same bounds, when the target sees the end of its connection and when the instance ends the request.

--- a/standin/platform/endless.go
+++ b/standin/platform/endless.go
@@ -55,6 +55,9 @@
 		n, err := conn.Write(chunk)
 		t.mu.Lock()
 		t.endlessBytes += n
+		if err != nil {
+			t.endlessEnds = append(t.endlessEnds, time.Now())
+		}
 		t.mu.Unlock()
 		if err != nil {
 			return false
@@ -63,6 +66,13 @@
 	}
 }
 
+// EndlessEnds returns the times at which clients closed connections with bytes without end.
+func (t *Target) EndlessEnds() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]time.Time(nil), t.endlessEnds...)
+}
+
 // EndlessBytes returns how many bytes without end the target has sent.
 func (t *Target) EndlessBytes() int {
 	t.mu.Lock()
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -157,6 +157,7 @@
 	isDown      bool
 	// endlessBytes counts the bytes that were sent without end.
 	endlessBytes int
+	endlessEnds  []time.Time
 	// born counts the starts of the target's process after the first one.
 	born     int64
 	isClosed bool
