--- a/standin/platform/endless_test.go
+++ b/standin/platform/endless_test.go
@@ -84,9 +84,12 @@
 			}
 			// The caller may take longer to read what is buffered.
 			f.server.Close() // waits for the request, which writes the last log line
-			ends, arrivals := tg.EndlessEnds(), tg.Arrivals()
-			if len(ends) == 0 || ends[0].Sub(arrivals[0].At) > routeTimeout+time.Second {
-				t.Errorf("connections of %v ended at %v", arrivals, ends)
+			arrived := tg.Arrivals()[0].At
+			for len(tg.EndlessEnds()) == 0 && time.Since(arrived) < routeTimeout+time.Second {
+				time.Sleep(10 * time.Millisecond) // the target notices the end at its next write
+			}
+			if ends := tg.EndlessEnds(); len(ends) == 0 || ends[0].Sub(arrived) > routeTimeout+time.Second {
+				t.Errorf("the connection of the request of %v ended at %v", arrived, ends)
 			}
 			for _, e := range f.logs.Entries {
 				if took, ok := e.Fields["TookMs"].(int64); ok && e.Message == "RequestEnded" && took > (routeTimeout+time.Second).Milliseconds() {
