--- a/standin/platform/soak/crashes.go
+++ b/standin/platform/soak/crashes.go
@@ -207,6 +207,7 @@
 	var violations []string
 	for part, times := range crashed {
 		if len(times) < allowedCrashes {
+			s.lost = append(s.lost, fmt.Sprintf("%s: %d engines", part, len(times)))
 			continue
 		}
 		slices.SortFunc(times, time.Time.Compare)
