--- a/standin/platform/endless.go
+++ b/standin/platform/endless.go
@@ -31,7 +31,7 @@
 		repeated = "HTTP/1.1 100 Continue\r\n\r\n"
 	case EndlessBody:
 		kind := "text/plain"
-		if t.phase != "" {
+		if t.currentPhase() != "" {
 			kind = "text/event-stream"
 		}
 		begin, repeated = "HTTP/1.1 200 OK\r\n"+header+"Content-Type: "+kind+"\r\n\r\n", "no answer "
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -451,15 +451,23 @@
 	run := t.recordRun(r, string(body), fault)
 	defer t.recordEnd(run)
 	time.Sleep(t.currentProcessingTime())
-	if t.phase != "" && t.crashesTarget(r) {
+	phase := t.currentPhase()
+	if phase != "" && t.crashesTarget(r) {
 		return t.crashAnswering(conn, r)
 	}
-	if t.phase != "" {
+	if phase != "" {
 		return t.respondStream(conn, r, fault, run)
 	}
 	return t.respondPlain(conn, r, fault)
 }
 
+// currentPhase returns the phase, which orders change.
+func (t *Target) currentPhase() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.phase
+}
+
 func (t *Target) currentProcessingTime() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
