Share the sending of datagrams and the check of a limit

Cause: lost requests, findings and limits each looked up the addresses of peers with the same loop, limits were sent by a method of the evidence against parts, and Ready and Take of a limit repeated each other's check. Change: streams.sendAll and streams.known serve all three, hasRoom both. Behaviour is the same.

Checked: vet and lint of the three packages, tests of core/targetlimit and io/digest, five tests of cmd/entry/node in the race build.

--- a/core/targetlimit/limits.go
+++ b/core/targetlimit/limits.go
@@ -167,9 +167,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t, ok := l.find(target)
-	if !ok {
-		return true
-	}
+	return !ok || l.hasRoom(now, t)
+}
+
+// hasRoom reports whether a target's limit allows a request now.
+func (l *Limits) hasRoom(now core.Instant, t *limit) bool {
 	l.fill(now, t)
 	return t.tokens >= 1 && l.share(t) > 0
 }
@@ -183,8 +185,7 @@
 	if !ok {
 		return true
 	}
-	l.fill(now, t)
-	if t.tokens < 1 || l.share(t) == 0 {
+	if !l.hasRoom(now, t) {
 		return false
 	}
 	t.tokens--
--- a/io/digest/limits.go
+++ b/io/digest/limits.go
@@ -82,7 +82,7 @@
 		case <-ticker.C:
 			l.sendSome()
 		case f := <-l.queue:
-			l.node.parts.sendAll(&packet{Kind: packetLimits, Limits: l.collect(f)})
+			l.node.streams.sendAll(&packet{Kind: packetLimits, Limits: l.collect(f)})
 			pause.For(ctx, limitBatchInterval)
 		}
 	}
@@ -118,13 +118,7 @@
 
 // sendTo sends all facts to instances that have started or have missed datagrams.
 func (l *limits) sendTo(addresses ...string) {
-	homes := l.node.streams.homes.Load()
-	var to []net.Addr
-	for _, address := range addresses {
-		if a := homes.addresses[address]; a != nil {
-			to = append(to, a)
-		}
-	}
+	to := l.node.streams.known(addresses)
 	if len(to) == 0 {
 		return
 	}
--- a/io/digest/quarantine.go
+++ b/io/digest/quarantine.go
@@ -246,20 +246,10 @@
 // sendLosses sends losses to all peers.
 func (q *parts) sendLosses(losses []quarantine.Loss) {
 	for chunk := range slices.Chunk(losses, lossesPerPacket) {
-		q.sendAll(&packet{Kind: packetLosses, Losses: chunk})
+		q.node.streams.sendAll(&packet{Kind: packetLosses, Losses: chunk})
 	}
 }
 
-// sendAll sends a packet to all other instances.
-func (q *parts) sendAll(p *packet) {
-	homes := q.node.streams.homes.Load()
-	to := make([]net.Addr, 0, len(homes.addresses))
-	for _, address := range homes.addresses {
-		to = append(to, address)
-	}
-	q.node.streams.send(p, to...)
-}
-
 // consider adds a loss to the evidence. If that suffices against a part, it queues a question to all
 // instances. isOwn is set if this instance reports the loss.
 func (q *parts) consider(l quarantine.Loss, isOwn bool) {
@@ -315,7 +305,7 @@
 	question := &packet{Kind: packetPartQuestion, Serial: q.serial, Part: part}
 	q.mu.Unlock()
 	for range 2 {
-		q.sendAll(question)
+		q.node.streams.sendAll(question)
 		pause.For(ctx, questionTime/2)
 	}
 	q.mu.Lock()
@@ -338,7 +328,7 @@
 	}).Warn("PartJudged")
 	if !verdict.IsFound {
 		// Otherwise each instance that loses such a request would ask all others.
-		q.sendAll(&packet{Kind: packetPartSurvived, Part: part, Survived: verdict.Survived})
+		q.node.streams.sendAll(&packet{Kind: packetPartSurvived, Part: part, Survived: verdict.Survived})
 		return
 	}
 	if q.findings.Has(part) {
@@ -364,7 +354,7 @@
 	}
 	q.mu.Unlock()
 	for chunk := range slices.Chunk(list, findingsPerPacket) {
-		q.sendAll(&packet{Kind: packetFindings, Findings: chunk})
+		q.node.streams.sendAll(&packet{Kind: packetFindings, Findings: chunk})
 	}
 }
 
@@ -400,13 +390,7 @@
 
 // sendTo sends all findings to an instance that has started or has missed datagrams.
 func (q *parts) sendTo(addresses ...string) {
-	homes := q.node.streams.homes.Load()
-	var to []net.Addr
-	for _, address := range addresses {
-		if a := homes.addresses[address]; a != nil {
-			to = append(to, a)
-		}
-	}
+	to := q.node.streams.known(addresses)
 	if len(to) == 0 {
 		return
 	}
--- a/io/digest/streams.go
+++ b/io/digest/streams.go
@@ -329,6 +329,23 @@
 	s.node.write(data, to)
 }
 
+// sendAll sends a packet to all other instances.
+func (s *streams) sendAll(p *packet) {
+	s.send(p, slices.Collect(maps.Values(s.homes.Load().addresses))...)
+}
+
+// known returns the network addresses of those instances that are peers.
+func (s *streams) known(addresses []string) []net.Addr {
+	homes := s.homes.Load()
+	var to []net.Addr
+	for _, address := range addresses {
+		if a := homes.addresses[address]; a != nil {
+			to = append(to, a)
+		}
+	}
+	return to
+}
+
 func (s *streams) handle(p *packet, from net.Addr) {
 	switch p.Kind {
 	case packetStreamStarts:
