--- a/cmd/entry/node/quarantine.go
+++ b/cmd/entry/node/quarantine.go
@@ -19,34 +19,36 @@
 	"gorseline/platform"
 )
 
-// quarantinePrefix is the key prefix of the rows of quarantined parts.
+// quarantinePrefix is the key prefix of the rows of quarantined traits.
 const quarantinePrefix = "Quarantine/"
 
 const (
-	// minSyncPause and maxSyncPause bound the time from a change of the quarantined parts to its
+	// minSyncPause and maxSyncPause bound the time from a change of the quarantined traits to its
 	// comparison with the store. All instances compare, so that a record outlives those that have
 	// found it; the first one writes.
 	minSyncPause = 200 * time.Millisecond
 	maxSyncPause = 3 * time.Second
 	// syncRetryPause is the pause after a failed comparison.
 	syncRetryPause = time.Second
-	// syncInterval is the time between two comparisons while parts are quarantined, so that a part
+	// syncInterval is the time between two comparisons while traits are quarantined, so that a trait
 	// that an operator releases in the store is released everywhere.
 	syncInterval = time.Minute
 	// probeInterval is the time between two checks whether a probe is due.
 	probeInterval = 10 * time.Second
 )
 
-// quarantineRow is the value of the row Quarantine/<part>, encoded as JSON.
+// quarantineRow is the value of the row Quarantine/<trait>, encoded as JSON.
 type quarantineRow struct {
 	Revision   uint64
 	IsReleased bool   `json:",omitempty"`
 	Probes     uint32 `json:",omitempty"`
 	// ProbeAt is in Unix seconds.
 	ProbeAt int64 `json:",omitempty"`
+	// IsRequest is set if the trait is a whole request instead of a part of prompts.
+	IsRequest bool `json:",omitempty"`
 }
 
-// quarantineKeeper stores the quarantined parts, so that they are known after a restart of all
+// quarantineKeeper stores the quarantined traits, so that they are known after a restart of all
 // instances, and allows probes of them, one for the whole fleet.
 type quarantineKeeper struct {
 	table   core.Table
@@ -68,7 +70,7 @@
 // Done returns a channel that is closed when Run has ended.
 func (k *quarantineKeeper) Done() <-chan struct{} { return k.done }
 
-// Run compares the quarantined parts with the store at the start, after changes, in each era of the
+// Run compares the quarantined traits with the store at the start, after changes, in each era of the
 // store and at intervals.
 func (k *quarantineKeeper) Run(ctx context.Context) {
 	defer close(k.done)
@@ -112,7 +114,7 @@
 	}
 }
 
-// waitForChange waits until the parts are to be compared again and returns the pause before that, or
+// waitForChange waits until the traits are to be compared again and returns the pause before that, or
 // 0 if ctx ends.
 func (k *quarantineKeeper) waitForChange(ctx context.Context, eraChanged <-chan struct{}, probes <-chan time.Time) time.Duration {
 	interval := time.NewTimer(syncInterval)
@@ -140,7 +142,7 @@
 func (k *quarantineKeeper) sync(ctx context.Context) error {
 	rows, err := k.table.Scan(ctx, quarantinePrefix, "", quarantine.MaxFindings)
 	if err != nil {
-		return errors.Wrap(err, "read quarantined parts")
+		return errors.Wrap(err, "read quarantined traits")
 	}
 	stored := make(map[uint64]core.Row, len(rows))
 	for _, row := range rows {
@@ -149,50 +151,54 @@
 			k.log.WithFields(log.Fields{"Key": row.Key, "Error": err.Error()}).Warn("QuarantineRowIgnored")
 			continue
 		}
-		stored[finding.Part] = row
+		stored[finding.Trait] = row
 		k.digests.MergeFinding(finding, digest.SourceStore)
 	}
 	for _, finding := range k.digests.Findings().All() {
-		row, ok := stored[finding.Part]
+		row, ok := stored[finding.Trait]
 		if before, err := decodeFinding(row); ok && err == nil && before.Revision >= finding.Revision {
 			continue
 		}
 		// A conflict means that another instance has written the row; it is read at the next comparison.
 		if result := k.write(ctx, finding, row.Version); result.Kind == core.TransactUnknown || result.Kind == core.TransactUnavailable {
-			return errors.Errorf("write quarantined part: %v", result.Err)
+			return errors.Errorf("write quarantined trait: %v", result.Err)
 		}
 	}
 	return nil
 }
 
 func (k *quarantineKeeper) write(ctx context.Context, f quarantine.Finding, expected uint64) core.TransactResult {
-	value, err := json.Marshal(quarantineRow{f.Revision, f.IsReleased, f.Probes, f.ProbeAt})
+	value, err := json.Marshal(quarantineRow{f.Revision, f.IsReleased, f.Probes, f.ProbeAt, f.Kind == core.TraitRequest})
 	if err != nil {
 		panic(err) // unreachable: all values can be encoded
 	}
-	write := core.Write{Key: quarantinePrefix + core.FormatPart(f.Part), Value: value, Expected: expected}
+	write := core.Write{Key: quarantinePrefix + core.FormatTrait(f.Trait), Value: value, Expected: expected}
 	return k.table.Transact(ctx, "", []core.Write{write})
 }
 
 func decodeFinding(row core.Row) (quarantine.Finding, error) {
-	part, err := strconv.ParseUint(strings.TrimPrefix(row.Key, quarantinePrefix), 16, 64)
+	trait, err := strconv.ParseUint(strings.TrimPrefix(row.Key, quarantinePrefix), 16, 64)
 	if err != nil {
-		return quarantine.Finding{}, errors.Wrap(err, "part")
+		return quarantine.Finding{}, errors.Wrap(err, "trait")
 	}
 	var value quarantineRow
 	if err := json.Unmarshal(row.Value, &value); err != nil {
 		return quarantine.Finding{}, errors.Wrap(err, "value")
 	}
-	return quarantine.Finding{
-		Part: part, Revision: value.Revision, IsReleased: value.IsReleased, Probes: value.Probes, ProbeAt: value.ProbeAt,
-	}, nil
+	finding := quarantine.Finding{
+		Trait: trait, Revision: value.Revision, IsReleased: value.IsReleased, Probes: value.Probes, ProbeAt: value.ProbeAt,
+	}
+	if value.IsRequest {
+		finding.Kind = core.TraitRequest
+	}
+	return finding, nil
 }
 
-// allowProbes lets one request with a quarantined part through if a probe is due and no other
+// allowProbes lets one request with a quarantined trait through if a probe is due and no other
 // instance has taken it.
 func (k *quarantineKeeper) allowProbes(ctx context.Context) {
 	for _, finding := range k.digests.Findings().DueProbes(k.clock.Now(), time.Now()) {
-		rows, err := k.table.Read(ctx, quarantinePrefix+core.FormatPart(finding.Part))
+		rows, err := k.table.Read(ctx, quarantinePrefix+core.FormatTrait(finding.Trait))
 		if err != nil {
 			k.log.WithError(err).Warn("ProbeNotTaken")
 			return
@@ -206,13 +212,14 @@
 			continue // another instance has taken the probe, or may have
 		}
 		k.digests.MergeFinding(next, digest.SourceProbe)
-		k.digests.Findings().AllowProbe(finding.Part)
+		k.digests.Findings().AllowProbe(finding.Trait)
 	}
 }
 
-// registerQuarantineGauges registers the counts of lost requests and quarantined parts.
+// registerQuarantineGauges registers the counts of lost requests and quarantined traits.
 func registerQuarantineGauges(i *instruments, d *digest.Node) {
-	i.registerGauge("PartsQuarantined", func() int64 { return int64(d.QuarantineStats().Quarantined) })
+	i.registerGauge("PartsQuarantined", func() int64 { return int64(d.QuarantineStats().Parts) })
+	i.registerGauge("RequestsQuarantined", func() int64 { return int64(d.QuarantineStats().Requests) })
 	i.registerGauge("RequestsLost", func() int64 { return int64(d.QuarantineStats().Lost) })
 	i.registerGauge("LossesDropped", func() int64 { return int64(d.QuarantineStats().Dropped) })
 }
--- a/cmd/entry/node/quarantine_test.go
+++ b/cmd/entry/node/quarantine_test.go
@@ -225,15 +225,15 @@
 		return len(one.digests.Members()) == 3 && len(two.digests.Members()) == 3 && len(three.digests.Members()) == 3
 	})
 	time.Sleep(250 * time.Millisecond) // peers follow the members within 100 ms
-	p := &core.Prompt{Parts: []core.PromptPart{{ID: 7}, {ID: 8}}}
+	traits := []core.Trait{{ID: 7}}
 	engine := &core.Registration{Target: core.Target{ID: "i-3", Address: "127.0.0.1:1"}}
 	for range 5 {
-		two.digests.RecordSurvived(engine, p)
+		two.digests.RecordSurvived(engine, 0, traits)
 	}
 	for i := range 8 {
 		lost := *engine
 		lost.ID, lost.Address = core.TargetID(fmt.Sprint("e", i)), fmt.Sprintf("127.0.0.1:%d", i+1)
-		one.digests.RecordLost(core.LostRequest{Request: core.RequestID(fmt.Sprint("r", i)), Target: lost, Prompt: p})
+		one.digests.RecordLost(core.LostRequest{Request: core.RequestID(fmt.Sprint("r", i)), Target: lost, Traits: traits})
 		time.Sleep(300 * time.Millisecond) // longer than a burst
 	}
 	if judged := strings.Count(one.output.String(), "Event=PartJudged"); judged != 1 {
@@ -242,7 +242,7 @@
 	// A third instance has the same evidence, and knows the answer.
 	lost := *engine
 	lost.ID, lost.Address = "e9", "127.0.0.1:9"
-	three.digests.RecordLost(core.LostRequest{Request: "last", Target: lost, Prompt: p})
+	three.digests.RecordLost(core.LostRequest{Request: "last", Target: lost, Traits: traits})
 	time.Sleep(300 * time.Millisecond) // longer than a question
 	if strings.Contains(three.output.String(), "Event=PartJudged") {
 		t.Error("an instance asked again")
@@ -253,7 +253,7 @@
 }
 
 // found is a finding of the part with the ID 7.
-var found = quarantine.Finding{Part: 7, Revision: 1, Probes: 1, ProbeAt: math.MaxInt32}
+var found = quarantine.Finding{Trait: 7, Revision: 1, Probes: 1, ProbeAt: math.MaxInt32}
 
 // Guards against quarantined parts that are forgotten when all instances restart, also when the store
 // was away at the time of the finding.
@@ -270,7 +270,7 @@
 		t.Fatal(err)
 	}
 	s.store.SetFaults(standin.Faults{})
-	key := quarantinePrefix + core.FormatPart(7)
+	key := quarantinePrefix + core.FormatTrait(7)
 	s.eventually(maxSyncPause+2*time.Second, "the part is stored", func() bool {
 		_, ok := s.store.Value("gorseline", key)
 		return ok
@@ -299,7 +299,7 @@
 	copied := s.store.Copy()
 	one.digests.MergeFinding(found, digest.SourceProbe)
 	stored := func() bool {
-		_, ok := s.store.Value("gorseline", quarantinePrefix+core.FormatPart(7))
+		_, ok := s.store.Value("gorseline", quarantinePrefix+core.FormatTrait(7))
 		return ok
 	}
 	s.eventually(maxSyncPause+2*time.Second, "the part is stored", stored)
@@ -317,7 +317,7 @@
 	s := newSite(t)
 	one := s.start("n1")
 	one.digests.MergeFinding(found, digest.SourceProbe)
-	key := quarantinePrefix + core.FormatPart(7)
+	key := quarantinePrefix + core.FormatTrait(7)
 	s.eventually(maxSyncPause+2*time.Second, "the part is stored", func() bool {
 		_, ok := s.store.Value("gorseline", key)
 		return ok
@@ -344,12 +344,12 @@
 	due.ProbeAt = 1 // long ago
 	list[0].digests.MergeFinding(due, digest.SourceProbe)
 	s.eventually(maxSyncPause+2*time.Second, "the part is stored and known", func() bool {
-		_, ok := s.store.Value("gorseline", quarantinePrefix+core.FormatPart(7))
+		_, ok := s.store.Value("gorseline", quarantinePrefix+core.FormatTrait(7))
 		return ok && list[1].digests.Findings().Has(7)
 	})
-	p := &core.Prompt{Parts: []core.PromptPart{{ID: 7}, {ID: 8}}}
+	traits := []core.Trait{{ID: 7}}
 	for _, i := range list {
-		if i.digests.TakeProbe(p) {
+		if i.digests.TakeProbe(traits) {
 			t.Error("a probe before it is due")
 		}
 	}
@@ -361,7 +361,7 @@
 	probes := 0
 	for range 2 {
 		for _, i := range list {
-			if i.digests.TakeProbe(p) {
+			if i.digests.TakeProbe(traits) {
 				probes++
 			}
 		}
--- a/core/quarantine/doc.go
+++ b/core/quarantine/doc.go
@@ -1,8 +1,9 @@
-// Package quarantine finds the parts of prompts that crash engines, and keeps the record of them.
+// Package quarantine finds the traits of requests that crash targets, and keeps the record of them. A
+// trait is a part that prompts share, or the request as a whole.
 //
-// Suspects weighs two hypotheses for each part that requests share. If the part crashes engines, each
-// engine that begins to answer a prompt with it is lost. If it doesn't, its requests are lost as often
-// as others. Each lost request adds the logarithm of the likelihood ratio to the score of its parts,
-// and each survived one subtracts from it (Wald's sequential test). Findings holds the parts that
-// were found, in records that instances exchange and store.
+// Suspects weighs two hypotheses for each trait. If it crashes targets, each target that begins to
+// answer a request with it is lost. If it doesn't, its requests are lost as often as others. Each lost
+// request adds the logarithm of the likelihood ratio to the score of its traits, and each survived one
+// subtracts from it (Wald's sequential test). Findings holds the traits that were found, in records
+// that instances exchange and store.
 package quarantine
--- a/core/quarantine/scenarios_test.go
+++ b/core/quarantine/scenarios_test.go
@@ -186,13 +186,21 @@
 				return true
 			}
 			s := f.suspects[p.instance]
-			s.RecordSurvived(now, (&core.Prompt{Parts: p.parts}).SharedParts())
-			s.RecordProcessSurvived(now, f.target(e))
+			s.RecordSurvived(now, f.target(e), traitsOf(p.parts))
 			return true
 		})
 	}
 }
 
+// traitsOf returns the traits of a prompt's shared parts, which are all but the last one.
+func traitsOf(parts []core.PromptPart) []core.Trait {
+	var traits []core.Trait
+	for _, p := range parts[:len(parts)-1] {
+		traits = append(traits, core.Trait{ID: p.ID})
+	}
+	return traits
+}
+
 func (f *fleet) recordBadCrash(now core.Instant, p pending) {
 	for _, part := range p.parts {
 		if part.ID >= firstBad && part.ID < lastOwn {
@@ -222,7 +230,7 @@
 // lose reports a lost request to all instances.
 func (f *fleet) lose(now core.Instant, e int, p pending) {
 	loss := f.suspects[p.instance].NewLoss(now, &core.LostRequest{
-		Request: core.RequestID(fmt.Sprint(p.id)), Target: *f.target(e), Prompt: &core.Prompt{Parts: p.parts},
+		Request: core.RequestID(fmt.Sprint(p.id)), Target: *f.target(e), Traits: traitsOf(p.parts),
 	})
 	for i, s := range f.suspects {
 		if part, ok := s.Add(now, loss); ok && i == p.instance && s.StartQuestion(now, part) {
--- a/core/quarantine/suspects.go
+++ b/core/quarantine/suspects.go
@@ -14,20 +14,9 @@
 	"gorseline/core/common/random"
 )
 
-const (
-	// falseFindings is the accepted probability that a sound part is ever found.
-	falseFindings = 1e-6
-	// survivalShare is the assumed probability that an engine survives a part that crashes engines.
-	survivalShare = 1e-3
-	// burstTime is the time within which several losses count as one: their engines may have crashed
-	// together for another reason.
-	burstTime = 250 * time.Millisecond
-	// evidenceTime is how long losses and survivals count.
-	evidenceTime = 10 * time.Minute
-	// soundSurvivals is the number of survivals known here from which a part is not reported as
-	// suspect: its losses can't make up for them.
-	soundSurvivals = 4
-)
+// soundSurvivals is the number of survivals known here from which a trait is not reported as suspect:
+// its losses can't make up for them.
+const soundSurvivals = 4
 
 // Bounds of the state.
 const (
@@ -35,70 +24,40 @@
 	maxSurvivals    = 8192
 	maxTallyLosses  = 32
 	maxRecentLosses = 64
+	maxServices     = 64
 	// maxLossParts is the number of suspect parts of one lost request that are considered.
 	maxLossParts = 32
 )
 
-// Threshold is the score, in nats, from which a part is found.
-var Threshold = math.Log(1 / falseFindings)
-
-// survivalWeight is what one survival subtracts from the score, in nats.
-var survivalWeight = math.Log(1 / survivalShare)
-
-// Loss is a lost request as instances report it to each other.
-type Loss struct {
-	// Request is a hash of the request's ID.
-	Request uint64 `cbor:"1,keyasint"`
-	// Process and Address are hashes of the engine's process and of its address, at which another
-	// process may start later.
-	Process uint64 `cbor:"2,keyasint"`
-	Address uint64 `cbor:"3,keyasint"`
-	// Parts holds the IDs of the suspect parts.
-	Parts []uint64 `cbor:"4,keyasint"`
-	// Weight is the score that the loss adds, in thousandths of a nat. RepeatWeight applies if the
-	// part has had a loss at the same address before.
-	Weight       uint32 `cbor:"5,keyasint"`
-	RepeatWeight uint32 `cbor:"6,keyasint"`
-}
-
-// tally is the evidence against one part.
-type tally struct {
-	losses []tallyLoss
-	// survived is the number of survivals at all instances when they were last asked.
-	survived uint64
-	askedAt  core.Instant
-	isAsked  bool
-}
-
-type tallyLoss struct {
-	Loss
-	at core.Instant
-	// weight is in nats.
-	weight float64
-}
-
 // ownLoss is a loss of this instance.
 type ownLoss struct {
-	parts []uint64
-	at    core.Instant
+	service core.Service
+	process uint64
+	traits  []core.Trait
+	at      core.Instant
 }
 
-// survivals counts the survived requests with a part at this instance.
+// survivals counts the survived requests with a trait at this instance.
 type survivals struct {
 	count  uint64
 	latest core.Instant
 }
 
-// Suspects weighs the evidence against parts. It is safe for concurrent use.
+// Suspects weighs the evidence against traits. It is safe for concurrent use.
 type Suspects struct {
-	mu        sync.Mutex
-	tallies   *simplelru.LRU[uint64, *tally]
-	survivals *simplelru.LRU[uint64, survivals]
-	all       lossShare
+	mu      sync.Mutex
+	tallies *simplelru.LRU[uint64, *tally]
+	// survivals has a cache for each kind of trait: nearly all requests differ and would displace the
+	// parts.
+	survivals [2]*simplelru.LRU[uint64, survivals]
+	// services holds the share of lost requests of each service, processes that of each process of a
+	// target.
+	services  *simplelru.LRU[core.Service, *lossShare]
+	processes *simplelru.LRU[uint64, *lossShare]
 	// recent holds the latest losses of this instance, oldest first.
 	recent []ownLoss
-	// processes holds the share of lost requests of each engine process.
-	processes *simplelru.LRU[uint64, *lossShare]
+	// lostAt holds when the latest request of a process was reported lost.
+	lostAt *simplelru.LRU[uint64, core.Instant]
 }
 
 // NewSuspects returns a Suspects without evidence.
@@ -106,38 +65,54 @@
 	s := &Suspects{}
 	// NewLRU fails only if the size isn't positive.
 	s.tallies, _ = simplelru.NewLRU[uint64, *tally](maxTallies, nil)
-	s.survivals, _ = simplelru.NewLRU[uint64, survivals](maxSurvivals, nil)
+	for kind := range s.survivals {
+		s.survivals[kind], _ = simplelru.NewLRU[uint64, survivals](maxSurvivals, nil)
+	}
+	s.services, _ = simplelru.NewLRU[core.Service, *lossShare](maxServices, nil)
 	s.processes, _ = simplelru.NewLRU[uint64, *lossShare](maxTallies, nil)
+	s.lostAt, _ = simplelru.NewLRU[uint64, core.Instant](maxTallies, nil)
 	return s
 }
 
-// RecordSurvived records that an engine survived a request with the parts.
-func (s *Suspects) RecordSurvived(now core.Instant, parts []core.PromptPart) {
+// RecordSurvived records that a target survived a request with the traits.
+func (s *Suspects) RecordSurvived(now core.Instant, target *core.Registration, traits []core.Trait) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.all.add(now, 0, 1)
-	for _, part := range parts {
-		known, _ := s.survivals.Get(part.ID)
+	shareOf(s.services, target.Service).add(now, 0, 1)
+	shareOf(s.processes, hashProcess(target)).add(now, 0, 1)
+	for _, t := range traits {
+		known, _ := s.survivals[t.Kind].Get(t.ID)
 		if known.count > 0 && now.Sub(known.latest) > evidenceTime {
 			known.count = 0
 		}
-		s.survivals.Add(part.ID, survivals{known.count + 1, now})
+		s.survivals[t.Kind].Add(t.ID, survivals{known.count + 1, now})
+	}
+}
+
+// shareOf returns the share of a key, which it adds if it is missing.
+func shareOf[K comparable](shares *simplelru.LRU[K, *lossShare], key K) *lossShare {
+	share, ok := shares.Get(key)
+	if !ok {
+		share = &lossShare{}
+		shares.Add(key, share)
 	}
+	return share
 }
 
-// Survived returns how many requests with a part engines have survived at this instance.
-func (s *Suspects) Survived(now core.Instant, part uint64) uint64 {
+// Survived returns how many requests with a trait targets have survived at this instance.
+func (s *Suspects) Survived(now core.Instant, trait uint64) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.survived(now, part)
+	return s.survived(now, trait)
 }
 
-func (s *Suspects) survived(now core.Instant, part uint64) uint64 {
-	known, ok := s.survivals.Peek(part)
-	if !ok || now.Sub(known.latest) > evidenceTime {
-		return 0
+func (s *Suspects) survived(now core.Instant, trait uint64) uint64 {
+	for _, kind := range s.survivals {
+		if known, ok := kind.Peek(trait); ok && now.Sub(known.latest) <= evidenceTime {
+			return known.count
+		}
 	}
-	return known.count
+	return 0
 }
 
 // NewLoss returns the report of a request that this instance has lost. It weighs the loss by how
@@ -145,63 +120,104 @@
 func (s *Suspects) NewLoss(now core.Instant, lost *core.LostRequest) Loss {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	process := hashProcess(&lost.Target)
-	own, ok := s.processes.Get(process)
-	if !ok {
-		own = &lossShare{}
-		s.processes.Add(process, own)
+	own := ownLoss{lost.Target.Service, hashProcess(&lost.Target), s.suspectTraits(now, lost.Traits), now}
+	l := Loss{
+		Request: xxhash.Sum64String(string(lost.Request)), Process: own.process,
+		Address: xxhash.Sum64String(lost.Target.Address),
 	}
-	parts := s.suspectParts(now, lost.Prompt)
-	share := s.all.value(now, priorRequests, s.related(now, parts))
-	repeatShare := max(share, own.value(now, priorProcessRequests, 0))
-	s.all.add(now, 1, 0)
-	own.add(now, 1, 0)
+	for _, t := range own.traits {
+		if t.Kind == core.TraitRequest {
+			l.Fingerprint = t.ID
+		} else {
+			l.Parts = append(l.Parts, t.ID)
+		}
+	}
+	service, process := shareOf(s.services, own.service), shareOf(s.processes, own.process)
+	processShare := process.value(now, priorProcessRequests, 0)
+	partShare := service.value(now, priorRequests, s.countRecent(&own, own.sharesPart))
+	requestShare := service.value(now, priorRequests, s.countRecent(&own, s.explainedBy(&own, l.Fingerprint)))
+	l.Weight, l.RepeatWeight = weightOf(partShare), weightOf(max(partShare, processShare))
+	if l.Fingerprint != 0 {
+		l.RequestWeight, l.RequestRepeatWeight = weightOf(requestShare), weightOf(max(requestShare, processShare))
+	}
+	service.add(now, 1, 0)
+	process.add(now, 1, 0)
 	if len(s.recent) == maxRecentLosses {
 		s.recent = slices.Delete(s.recent, 0, 1)
 	}
-	s.recent = append(s.recent, ownLoss{parts, now})
-	return Loss{
-		Request: xxhash.Sum64String(string(lost.Request)), Process: process,
-		Address: xxhash.Sum64String(lost.Target.Address), Parts: parts,
-		Weight: weightOf(share), RepeatWeight: weightOf(repeatShare),
-	}
+	s.recent = append(s.recent, own)
+	return l
 }
 
-// suspectParts returns the IDs of the shared parts of a prompt that are not known to be sound.
-func (s *Suspects) suspectParts(now core.Instant, p *core.Prompt) []uint64 {
-	var parts []uint64
-	for _, part := range p.SharedParts() {
-		isListed := slices.Contains(parts, part.ID)
-		if !isListed && len(parts) < maxLossParts && s.survived(now, part.ID) < soundSurvivals {
-			parts = append(parts, part.ID)
+// suspectTraits returns the traits that are not known to be sound, with a bounded number of parts.
+func (s *Suspects) suspectTraits(now core.Instant, traits []core.Trait) []core.Trait {
+	var suspects []core.Trait
+	parts := 0
+	for _, t := range traits {
+		if slices.Contains(suspects, t) || s.survived(now, t.ID) >= soundSurvivals {
+			continue
+		}
+		if t.Kind == core.TraitPart {
+			if parts++; parts > maxLossParts {
+				continue
+			}
 		}
+		suspects = append(suspects, t)
 	}
-	return parts
+	return suspects
 }
 
-// related returns the decayed number of recent losses that have one of the parts. They are left out
-// of the share that a sound part is compared with.
-func (s *Suspects) related(now core.Instant, parts []uint64) float64 {
+// countRecent returns the decayed number of recent losses of the same service that a function selects.
+// They are left out of the share that a sound trait is compared with.
+func (s *Suspects) countRecent(own *ownLoss, isSelected func(*ownLoss) bool) float64 {
 	sum := 0.0
-	for _, l := range s.recent {
-		if slices.ContainsFunc(l.parts, func(part uint64) bool { return slices.Contains(parts, part) }) {
-			sum += decayFactor(now.Sub(l.at))
+	for i := range s.recent {
+		if l := &s.recent[i]; l.service == own.service && isSelected(l) {
+			sum += decayFactor(own.at.Sub(l.at))
 		}
 	}
 	return sum
 }
 
-// RecordProcessSurvived records that the process of a target survived a request.
-func (s *Suspects) RecordProcessSurvived(now core.Instant, target *core.Registration) {
+// sharesPart reports whether two lost requests have a suspect part in common.
+func (l *ownLoss) sharesPart(other *ownLoss) bool {
+	return slices.ContainsFunc(other.traits, func(t core.Trait) bool {
+		return t.Kind == core.TraitPart && slices.Contains(l.traits, t)
+	})
+}
+
+// explainedBy returns a function that selects the losses that a request explains if it crashes
+// targets: its own ones, and those of requests that ended with the same processes.
+func (s *Suspects) explainedBy(own *ownLoss, fingerprint uint64) func(*ownLoss) bool {
+	t, ok := s.tallies.Peek(fingerprint)
+	return func(l *ownLoss) bool {
+		return l.process == own.process || ok && t.hasProcess(l.process) ||
+			slices.Contains(l.traits, core.Trait{Kind: core.TraitRequest, ID: fingerprint})
+	}
+}
+
+// aliveTime is the time after a loss within which an answer shows that its process has not ended.
+// Later the same target may have started again.
+const aliveTime = 300 * time.Millisecond
+
+// IsAlive reports whether a process was reported lost although it has answered a request that was sent
+// later, so that only a connection ended.
+func (s *Suspects) IsAlive(target *core.Registration, sent core.Instant) (process uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	process := hashProcess(target)
-	own, ok := s.processes.Get(process)
-	if !ok {
-		own = &lossShare{}
-		s.processes.Add(process, own)
+	process = hashProcess(target)
+	lostAt, ok := s.lostAt.Peek(process)
+	return process, ok && sent > lostAt && sent.Sub(lostAt) <= aliveTime
+}
+
+// RecordAlive drops the evidence of the losses of a process that has not ended.
+func (s *Suspects) RecordAlive(process uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostAt.Remove(process)
+	for _, t := range s.tallies.Values() {
+		t.dropProcess(process)
 	}
-	own.add(now, 0, 1)
 }
 
 func hashProcess(target *core.Registration) uint64 {
@@ -209,81 +225,59 @@
 }
 
 // weightOf returns the likelihood ratio of a loss in thousandths of a nat. share is the probability
-// that a request with a sound part is lost.
+// that a request with a sound trait is lost.
 func weightOf(share float64) uint32 {
 	return uint32(1000 * math.Log((1-survivalShare)/min(share, 1-survivalShare)))
 }
 
-// Add adds a loss to the tallies of its parts. It returns the part with the highest score if that
+// Add adds a loss to the tallies of its traits. It returns the trait with the highest score if that
 // reaches the threshold and instances should be asked for survivals.
-func (s *Suspects) Add(now core.Instant, l Loss) (part uint64, ok bool) {
+func (s *Suspects) Add(now core.Instant, l Loss) (trait uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, id := range l.Parts[:min(len(l.Parts), maxLossParts)] {
-		t, known := s.tallies.Get(id)
+	s.lostAt.Add(l.Process, now)
+	traits := l.traits()
+	for _, suspect := range traits {
+		t, known := s.tallies.Get(suspect.ID)
 		if !known {
-			t = &tally{}
-			s.tallies.Add(id, t)
+			t = &tally{kind: suspect.Kind}
+			s.tallies.Add(suspect.ID, t)
 		}
 		t.add(now, l)
 	}
-	return s.candidate(now, l.Parts)
+	return s.candidate(now, traits)
 }
 
-// add counts a loss unless its request, its process or a burst is counted already.
-func (t *tally) add(now core.Instant, l Loss) {
-	t.losses = slices.DeleteFunc(t.losses, func(c tallyLoss) bool { return now.Sub(c.at) > evidenceTime })
-	weight := l.Weight
-	for _, c := range t.losses {
-		if c.Request == l.Request || c.Process == l.Process || now.Sub(c.at) < burstTime {
-			return
-		}
-		if c.Address == l.Address {
-			weight = min(l.Weight, l.RepeatWeight)
-		}
-	}
-	if len(t.losses) < maxTallyLosses {
-		t.losses = append(t.losses, tallyLoss{l, now, float64(weight) / 1000})
-	}
-}
-
-// candidate returns the part with the highest score, of equal ones the last, which fewer prompts
+// candidate returns the trait with the highest score, of equal ones the last, which fewer requests
 // share.
-func (s *Suspects) candidate(now core.Instant, parts []uint64) (part uint64, ok bool) {
-	best := Threshold
-	for _, id := range parts[:min(len(parts), maxLossParts)] {
-		if score := s.score(now, id); score >= best {
-			part, ok, best = id, true, score
+func (s *Suspects) candidate(now core.Instant, traits []core.Trait) (trait uint64, ok bool) {
+	best := 0.0
+	for _, t := range traits {
+		if score := s.score(now, t.ID); score >= max(best, threshold(t.Kind)) {
+			trait, ok, best = t.ID, true, score
 		}
 	}
-	return part, ok
+	return trait, ok
 }
 
-// score returns the score of a part in nats.
-func (s *Suspects) score(now core.Instant, part uint64) float64 {
-	t, ok := s.tallies.Peek(part)
+// score returns the score of a trait in nats.
+func (s *Suspects) score(now core.Instant, trait uint64) float64 {
+	t, ok := s.tallies.Peek(trait)
 	if !ok {
 		return 0
 	}
-	sum := 0.0
-	for _, l := range t.losses {
-		if now.Sub(l.at) <= evidenceTime {
-			sum += l.weight
-		}
-	}
-	survived := max(s.survived(now, part), t.survived)
-	return sum - survivalWeight*float64(survived)
+	return t.score(now) - survivalWeight*float64(max(s.survived(now, trait), t.survived))
 }
 
-// askInterval is the time between two questions about the same part.
+// askInterval is the time between two questions about the same trait.
 const askInterval = time.Second
 
-// StartQuestion reports whether instances should be asked now for their survivals of a part.
-func (s *Suspects) StartQuestion(now core.Instant, part uint64) bool {
+// StartQuestion reports whether instances should be asked now for their survivals of a trait.
+func (s *Suspects) StartQuestion(now core.Instant, trait uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, ok := s.tallies.Peek(part)
-	if !ok || s.score(now, part) < Threshold || t.isAsked && now.Sub(t.askedAt) < askInterval {
+	t, ok := s.tallies.Peek(trait)
+	if !ok || s.score(now, trait) < threshold(t.kind) || t.isAsked && now.Sub(t.askedAt) < askInterval {
 		return false
 	}
 	t.askedAt, t.isAsked = now, true
@@ -292,59 +286,67 @@
 
 // Verdict is the result of a question.
 type Verdict struct {
-	// IsFound is set if the part crashes engines.
+	Kind core.TraitKind
+	// IsFound is set if the trait crashes targets.
 	IsFound bool
-	// Score is in nats. Losses is the number of counted losses, Survived that of survivals.
-	Score    float64
-	Losses   int
-	Survived uint64
+	// Score and Threshold are in nats. Losses is the number of counted losses, Survived that of
+	// survivals.
+	Score, Threshold float64
+	Losses           int
+	Survived         uint64
 }
 
-// Decide decides on a part with the survivals that other instances have answered.
-func (s *Suspects) Decide(now core.Instant, part, survivedElsewhere uint64) Verdict {
+// Decide decides on a trait with the survivals that other instances have answered.
+func (s *Suspects) Decide(now core.Instant, trait, survivedElsewhere uint64) Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, ok := s.tallies.Peek(part)
+	t, ok := s.tallies.Peek(trait)
 	if !ok {
 		return Verdict{}
 	}
-	t.survived = s.survived(now, part) + survivedElsewhere
-	score := s.score(now, part)
-	return Verdict{IsFound: score >= Threshold, Score: score, Losses: len(t.losses), Survived: t.survived}
+	t.survived = s.survived(now, trait) + survivedElsewhere
+	v := Verdict{
+		Kind: t.kind, Score: s.score(now, trait), Threshold: threshold(t.kind), Losses: len(t.losses), Survived: t.survived,
+	}
+	v.IsFound = v.Score >= v.Threshold
+	return v
 }
 
-// Acquit records the survivals of a part that another instance has counted.
-func (s *Suspects) Acquit(part, survived uint64) {
+// Acquit records the survivals of a trait that another instance has counted.
+func (s *Suspects) Acquit(trait, survived uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t, ok := s.tallies.Peek(part); ok {
+	if t, ok := s.tallies.Peek(trait); ok {
 		t.survived = max(t.survived, survived)
 	}
 }
 
-// suspectLosses is the number of lost engines from which a part without survivals is suspect.
+// suspectLosses is the number of lost targets from which a trait without survivals is suspect.
 const suspectLosses = 2
 
-// IsSuspect reports whether one of the parts is suspect.
-func (s *Suspects) IsSuspect(now core.Instant, parts []core.PromptPart) bool {
+// IsSuspect reports whether one of the traits is suspect.
+func (s *Suspects) IsSuspect(now core.Instant, traits []core.Trait) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(parts, func(part core.PromptPart) bool {
-		t, ok := s.tallies.Peek(part.ID)
-		return ok && len(t.losses) >= suspectLosses && t.survived == 0 && s.survived(now, part.ID) == 0
+	return slices.ContainsFunc(traits, func(trait core.Trait) bool {
+		t, ok := s.tallies.Peek(trait.ID)
+		return ok && len(t.losses) >= suspectLosses && t.survived == 0 && s.survived(now, trait.ID) == 0
 	})
 }
 
-// Forget drops the evidence against a part that was found or released, and the losses of its
-// requests from the tallies of other parts: the part explains them.
-func (s *Suspects) Forget(part uint64) {
+// Forget drops the evidence against a trait that was found or released. The losses of requests with a
+// part are dropped from other tallies too: the part explains them. A request doesn't clear its parts.
+func (s *Suspects) Forget(trait uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, ok := s.tallies.Peek(part)
+	t, ok := s.tallies.Peek(trait)
 	if !ok {
 		return
 	}
-	s.tallies.Remove(part)
+	s.tallies.Remove(trait)
+	if t.kind == core.TraitRequest {
+		return
+	}
 	for _, other := range s.tallies.Values() {
 		other.losses = slices.DeleteFunc(other.losses, func(l tallyLoss) bool {
 			return slices.ContainsFunc(t.losses, func(c tallyLoss) bool { return c.Request == l.Request })
@@ -352,24 +354,25 @@
 	}
 }
 
-// Suspicion describes the evidence against one part.
+// Suspicion describes the evidence against one trait.
 type Suspicion struct {
-	Part   uint64
+	Trait  uint64
+	Kind   core.TraitKind
 	Score  float64
 	Losses int
 }
 
-// Top returns the parts with the highest scores, up to count.
+// Top returns the traits with the highest scores, up to count.
 func (s *Suspects) Top(now core.Instant, count int) []Suspicion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]Suspicion, 0, s.tallies.Len())
-	for _, part := range s.tallies.Keys() {
-		t, _ := s.tallies.Peek(part)
-		list = append(list, Suspicion{part, s.score(now, part), len(t.losses)})
+	for _, trait := range s.tallies.Keys() {
+		t, _ := s.tallies.Peek(trait)
+		list = append(list, Suspicion{trait, t.kind, s.score(now, trait), len(t.losses)})
 	}
 	slices.SortFunc(list, func(a, b Suspicion) int {
-		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Trait, b.Trait))
 	})
 	return list[:min(len(list), count)]
 }
--- a/core/quarantine/suspects_test.go
+++ b/core/quarantine/suspects_test.go
@@ -10,6 +10,9 @@
 	"gorseline/core/quarantine"
 )
 
+// engine is a target that survives requests.
+var engine = &core.Registration{Target: core.Target{ID: "e", Address: "e"}}
+
 // evidence collects losses of requests with the shared parts 1 and 2.
 type evidence struct {
 	*quarantine.Suspects
@@ -21,19 +24,19 @@
 func newEvidence() *evidence {
 	e := &evidence{Suspects: quarantine.NewSuspects(), now: core.Instant(time.Second)}
 	for range 200 {
-		e.RecordSurvived(e.now, []core.PromptPart{{ID: 9}})
+		e.RecordSurvived(e.now, engine, []core.Trait{{ID: 9}})
 	}
 	return e
 }
 
 // lose records that an engine process lost a request.
 func (e *evidence) lose(request, process string, parts ...uint64) {
-	p := &core.Prompt{}
-	for _, id := range append(parts, 1000) {
-		p.Parts = append(p.Parts, core.PromptPart{ID: id})
+	var traits []core.Trait
+	for _, id := range parts {
+		traits = append(traits, core.Trait{ID: id})
 	}
 	l := e.NewLoss(e.now, &core.LostRequest{
-		Request: core.RequestID(request), Prompt: p,
+		Request: core.RequestID(request), Traits: traits,
 		Target: core.Registration{Target: core.Target{ID: core.TargetID(process), Address: process}},
 	})
 	if part, ok := e.Add(e.now, l); ok && e.StartQuestion(e.now, part) {
@@ -76,7 +79,7 @@
 	for _, here := range []uint64{0, 2} {
 		e := newEvidence()
 		for range here {
-			e.RecordSurvived(e.now, []core.PromptPart{{ID: 1}})
+			e.RecordSurvived(e.now, engine, []core.Trait{{ID: 1}})
 		}
 		for i := range 4 {
 			e.lose(fmt.Sprint("r", i), fmt.Sprint("e", i), 1)
@@ -88,7 +91,7 @@
 		if here == 0 && (len(e.found) == 0 || e.Decide(e.now, 1, 2).IsFound) {
 			t.Errorf("suspects %v; found although engines survived it elsewhere", e.found)
 		}
-		if e.IsSuspect(e.now, []core.PromptPart{{ID: 1}}) {
+		if e.IsSuspect(e.now, []core.Trait{{ID: 1}}) {
 			t.Error("suspect although engines survived it")
 		}
 	}
@@ -133,14 +136,14 @@
 	e := newEvidence()
 	for i := range uint64(20_000) {
 		e.lose(fmt.Sprint("r", i), fmt.Sprint("e", i), 10*i+1, 10*i+2, 10*i+3)
-		e.RecordSurvived(e.now, []core.PromptPart{{ID: 10*i + 4}})
+		e.RecordSurvived(e.now, engine, []core.Trait{{ID: 10*i + 4}})
 	}
 	if count := len(e.Top(e.now, 1<<20)); count > 512 {
 		t.Errorf("%d tallies", count)
 	}
 	f := quarantine.NewFindings()
 	for i := range uint64(1000) {
-		f.Merge(quarantine.Finding{Part: i, Revision: 1})
+		f.Merge(quarantine.Finding{Trait: i, Revision: 1})
 	}
 	if f.Count() != quarantine.MaxFindings {
 		t.Errorf("%d findings", f.Count())
@@ -150,8 +153,8 @@
 // Guards against instances that end up with different records of a part, in whatever order they hear
 // of them.
 func TestFindingsConverge(t *testing.T) {
-	first := quarantine.Finding{Part: 1, Revision: 1, ProbeAt: 5}
-	list := []quarantine.Finding{first, {Part: 1, Revision: 1, ProbeAt: 7}, first.WithRelease(), first.WithNextProbe(time.Unix(9, 0))}
+	first := quarantine.Finding{Trait: 1, Revision: 1, ProbeAt: 5}
+	list := []quarantine.Finding{first, {Trait: 1, Revision: 1, ProbeAt: 7}, first.WithRelease(), first.WithNextProbe(time.Unix(9, 0))}
 	var want quarantine.Finding
 	for i := range list {
 		for j := range list {
@@ -177,12 +180,12 @@
 func BenchmarkFirst(b *testing.B) {
 	f := quarantine.NewFindings()
 	for i := range uint64(quarantine.MaxFindings) {
-		f.Merge(quarantine.Finding{Part: i, Revision: 1})
+		f.Merge(quarantine.Finding{Trait: i, Revision: 1})
 	}
-	parts := []core.PromptPart{{ID: 1000}, {ID: 1001}, {ID: 1002}}
+	traits := []core.Trait{{ID: 1000}, {ID: 1001}, {ID: 1002}}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, ok := f.First(parts); ok {
+		if _, ok := f.First(traits); ok {
 			b.Fatal("found")
 		}
 	}
@@ -191,10 +194,81 @@
 // BenchmarkRecordSurvived measures what each answered prompt costs.
 func BenchmarkRecordSurvived(b *testing.B) {
 	s := quarantine.NewSuspects()
-	parts := []core.PromptPart{{ID: 1}, {ID: 2}}
+	traits := []core.Trait{{ID: 1}, {ID: 2}}
 	b.ReportAllocs()
 	for i := range b.N {
-		parts[1].ID = uint64(i % 20_000)
-		s.RecordSurvived(core.Instant(i), parts)
+		traits[1].ID = uint64(i % 20_000)
+		s.RecordSurvived(core.Instant(i), engine, traits)
+	}
+}
+
+// loseRequest records that a process at an address lost the request with the fingerprint 5, and
+// reports whether the request is found.
+func (e *evidence) loseRequest(id, process, address string) bool {
+	target := core.Registration{Target: core.Target{ID: core.TargetID(process), Address: address}}
+	l := e.NewLoss(e.now, &core.LostRequest{Request: core.RequestID(id), Target: target, Traits: []core.Trait{{Kind: core.TraitRequest, ID: 5}}})
+	trait, ok := e.Add(e.now, l)
+	return ok && e.StartQuestion(e.now, trait) && e.Decide(e.now, trait, 0).IsFound
+}
+
+// Guards against a request that is found too late because its losses within a short time, or those of
+// one of its tries, count once.
+func TestThreeLossesFindRequest(t *testing.T) {
+	for _, id := range []string{"r", "r#"} {
+		e := newEvidence()
+		for i := range 3 {
+			e.wait(20 * time.Millisecond)
+			number := fmt.Sprint(i)
+			if isFound := e.loseRequest(strings.Replace(id, "#", number, 1), "e"+number, "a"+number); isFound != (i == 2) {
+				t.Errorf("found after %d losses: %v", i+1, isFound)
+			}
+		}
+	}
+}
+
+// Guards against a sound request that is found because its connections were reset while their targets
+// went on.
+func TestAnswerAfterLossClearsRequest(t *testing.T) {
+	tests := map[string]struct {
+		sent   time.Duration
+		clears bool
+	}{
+		"sent before the loss": {-time.Millisecond, false},
+		"sent after the loss":  {5 * time.Millisecond, true},
+		"after a restart":      {2 * time.Second, false},
+	}
+	for name, test := range tests {
+		e := newEvidence()
+		isFound := false
+		for i := range 6 {
+			number := fmt.Sprint(i)
+			isFound = isFound || e.loseRequest("r"+number, "e"+number, "a"+number)
+			target := &core.Registration{Target: core.Target{ID: core.TargetID("e" + number)}}
+			if process, ok := e.IsAlive(target, e.now.Add(test.sent)); ok {
+				e.RecordAlive(process)
+			}
+			e.wait(3 * time.Second)
+		}
+		if isFound == test.clears {
+			t.Errorf("%s: found %v", name, isFound)
+		}
+	}
+}
+
+// Guards against a part that is found by the tries of a single request, which itself may be what
+// crashes the engines.
+func TestTriesOfOneRequestCountOnceAgainstItsParts(t *testing.T) {
+	e := newEvidence()
+	for i := range 6 {
+		number := fmt.Sprint(i)
+		target := core.Registration{Target: core.Target{ID: core.TargetID("e" + number), Address: number}}
+		traits := []core.Trait{{ID: 1}, {Kind: core.TraitRequest, ID: 5}}
+		e.Add(e.now, e.NewLoss(e.now, &core.LostRequest{Request: core.RequestID("r" + number), Target: target, Traits: traits}))
+		e.wait(time.Second)
+	}
+	for _, s := range e.Top(e.now, 10) {
+		if want := map[core.TraitKind]int{core.TraitPart: 1, core.TraitRequest: 6}[s.Kind]; s.Losses != want {
+			t.Errorf("kind %d: %d losses, want %d", s.Kind, s.Losses, want)
+		}
 	}
 }
--- a/io/dialect.go
+++ b/io/dialect.go
@@ -41,6 +41,10 @@
 	// The error names the missing or malformed header; such a request must not be
 	// forwarded.
 	ReadInbound(r *http.Request) (core.ForwardRequest, error)
+	// CallerIdentity returns the values of the headers that identify the caller and, beside method,
+	// path and body, what it asks for. Headers that differ between the tries of a request are not
+	// among them.
+	CallerIdentity(h http.Header) []string
 }
 
 // OutboundWriter builds the headers of requests to targets.
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -26,11 +26,12 @@
 	packetStreamQuery
 	packetStreamAnswer
 	packetLosses
-	packetPartQuestion
-	packetPartAnswer
+	packetSurvivalQuestion
+	packetSurvivalAnswer
 	packetFindings
 	packetLimits
-	packetPartSurvived
+	packetAcquittal
+	packetAlive
 )
 
 // maxPacketSize is the largest size of a datagram in bytes. It fits one Ethernet frame.
@@ -64,14 +65,16 @@
 	StreamStarts []byte        `cbor:"12,keyasint,omitempty"`
 	StreamQuery  *streamQuery  `cbor:"13,keyasint,omitempty"`
 	StreamAnswer *streamAnswer `cbor:"14,keyasint,omitempty"`
-	// Losses holds lost requests. Part is the part that a question is about, and Survived the
-	// number of requests with it that engines have survived at the sender.
+	// Losses holds lost requests. Trait is the trait that a question is about, and Survived the
+	// number of requests with it that targets have survived at the sender.
 	Losses   []quarantine.Loss    `cbor:"15,keyasint,omitempty"`
-	Part     uint64               `cbor:"16,keyasint,omitempty"`
+	Trait    uint64               `cbor:"16,keyasint,omitempty"`
 	Survived uint64               `cbor:"17,keyasint,omitempty"`
 	Findings []quarantine.Finding `cbor:"18,keyasint,omitempty"`
 	// Limits holds the limits that targets state.
 	Limits []targetlimit.Fact `cbor:"19,keyasint,omitempty"`
+	// Process is a hash of a target's process that was reported lost and has answered since.
+	Process uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // operation is the kind of change of an item.
@@ -146,7 +149,7 @@
 		return nil, errors.Wrap(err, "decode datagram")
 	}
 	switch p.Kind {
-	case packetLoad, packetVersions, packetLosses, packetPartQuestion, packetPartAnswer, packetFindings, packetLimits, packetPartSurvived:
+	case packetLoad, packetVersions, packetLosses, packetSurvivalQuestion, packetSurvivalAnswer, packetFindings, packetLimits, packetAcquittal, packetAlive:
 		return p, nil
 	case packetCall, packetReply:
 		if p.Message == nil {
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -78,13 +78,13 @@
 	opts   Options
 	events chan event
 	// dropped counts the events that were discarded because the queue was full.
-	dropped atomic.Uint64
-	serial  atomic.Uint32
-	peers   atomic.Pointer[peerSet]
-	done    chan struct{}
-	streams *streams
-	parts   *parts
-	limits  *limits
+	dropped  atomic.Uint64
+	serial   atomic.Uint32
+	peers    atomic.Pointer[peerSet]
+	done     chan struct{}
+	streams  *streams
+	evidence *evidence
+	limits   *limits
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -116,7 +116,7 @@
 	header := func(core.Instant) (applied, head core.Revision, ageMs uint32) { return 0, 0, 0 }
 	n.members = membership.New(o.Self, rand.New(rand.NewPCG(o.Seed, 0)), header, n.logMemberChange)
 	n.streams = newStreams(n)
-	n.parts = newParts(n)
+	n.evidence = newEvidence(n)
 	n.limits = newLimits(n)
 	n.serial.Store(o.Sender) // late replies to an earlier process match no call
 	n.peers.Store(&peerSet{cells: load.NewCells(o.Self.DataCentre, map[core.DataCentre]int{o.Self.DataCentre: 1})})
@@ -165,9 +165,9 @@
 	loops.Go(func() { n.streams.loopRecords(ctx) })
 	loops.Go(func() { n.streams.loopObserve(ctx) })
 	loops.Go(func() { n.streams.loopConfirm(ctx) })
-	loops.Go(func() { n.parts.loopLosses(ctx) })
-	loops.Go(func() { n.parts.loopQuestions(ctx) })
-	loops.Go(func() { n.parts.loopFindings(ctx) })
+	loops.Go(func() { n.evidence.loopLosses(ctx) })
+	loops.Go(func() { n.evidence.loopQuestions(ctx) })
+	loops.Go(func() { n.evidence.loopFindings(ctx) })
 	loops.Go(func() { n.limits.loop(ctx) })
 	<-ctx.Done()
 	_ = n.opts.Conn.Close() // ends loopRead
@@ -223,7 +223,7 @@
 	n.mu.Unlock()
 	n.sendAll(packets)
 	n.streams.sendRelayed(added...)
-	n.parts.sendTo(added...)
+	n.evidence.sendTo(added...)
 	n.limits.sendTo(added...)
 	for _, onResult := range expired {
 		onResult(false)
@@ -364,8 +364,8 @@
 		n.handleReply(p)
 	case packetStreamStarts, packetStreamQuery, packetStreamAnswer:
 		n.streams.handle(p, from)
-	case packetLosses, packetPartQuestion, packetPartAnswer, packetFindings, packetPartSurvived:
-		n.parts.handle(p, from)
+	case packetLosses, packetSurvivalQuestion, packetSurvivalAnswer, packetFindings, packetAcquittal, packetAlive:
+		n.evidence.handle(p, from)
 	case packetLimits:
 		n.limits.handle(p)
 	}
--- a/io/digest/quarantine.go
+++ b/io/digest/quarantine.go
@@ -42,7 +42,7 @@
 	findingInterval   = time.Second
 	findingPeers      = 2
 	findingsPerPacket = 30
-	// askers is the number of instances that ask about a part beside the one that reports a loss.
+	// askers is the number of instances that ask about a trait beside the one that reports a loss.
 	askers = 2
 )
 
@@ -50,17 +50,17 @@
 type QuarantineStats struct {
 	// Lost counts lost requests of this instance, Dropped those that were not reported.
 	Lost, Dropped uint64
-	// Quarantined is the number of parts that are quarantined now.
-	Quarantined int
+	// Parts and Requests are the numbers of parts and of whole requests that are quarantined now.
+	Parts, Requests int
 }
 
-// parts exchanges the evidence against parts of prompts, and the parts that crash engines.
-type parts struct {
+// evidence exchanges the evidence against traits of requests, and the traits that crash targets.
+type evidence struct {
 	node     *Node
 	suspects *quarantine.Suspects
 	findings *quarantine.Findings
 	queue    chan quarantine.Loss
-	// questions holds the parts about which instances are to be asked.
+	// questions holds the traits about which instances are to be asked.
 	questions chan uint64
 	// changed has a value after a change of the findings.
 	changed chan struct{}
@@ -71,64 +71,71 @@
 	// serial identifies the present question, answers holds its answers by address.
 	serial  uint32
 	answers map[string]uint64
-	// repeats holds how often findings are still to be sent to all peers, by part.
+	// repeats holds how often findings are still to be sent to all peers, by trait.
 	repeats map[uint64]int
 	// next is the index of the next finding to send.
 	next int
 }
 
-var _ core.PartQuarantine = (*Node)(nil)
+var _ core.Quarantine = (*Node)(nil)
 
-func newParts(n *Node) *parts {
-	return &parts{
+func newEvidence(n *Node) *evidence {
+	return &evidence{
 		node: n, suspects: quarantine.NewSuspects(), findings: quarantine.NewFindings(),
 		queue: make(chan quarantine.Loss, lossQueueLength), questions: make(chan uint64, questionQueueLength),
 		changed: make(chan struct{}, 1), repeats: map[uint64]int{},
 	}
 }
 
-// QuarantinedPart returns the index of the first quarantined part of a prompt, or false.
-func (n *Node) QuarantinedPart(p *core.Prompt) (index int, ok bool) {
-	return n.parts.findings.First(p.SharedParts())
+// Quarantined returns the index of the first quarantined trait, or false.
+func (n *Node) Quarantined(traits []core.Trait) (index int, ok bool) {
+	return n.evidence.findings.First(traits)
 }
 
-// TakeProbe reports whether a request with a quarantined part may be sent once.
-func (n *Node) TakeProbe(p *core.Prompt) bool {
-	return n.parts.findings.TakeProbe(n.opts.Clock.Now(), p.SharedParts())
+// TakeProbe reports whether a request with a quarantined trait may be sent once.
+func (n *Node) TakeProbe(traits []core.Trait) bool {
+	return n.evidence.findings.TakeProbe(n.opts.Clock.Now(), traits)
 }
 
-// IsSuspect reports whether several engines were lost under a part of the prompt.
-func (n *Node) IsSuspect(p *core.Prompt) bool {
-	return n.parts.suspects.IsSuspect(n.opts.Clock.Now(), p.SharedParts())
+// IsSuspect reports whether several targets were lost under requests with one of the traits.
+func (n *Node) IsSuspect(traits []core.Trait) bool {
+	return n.evidence.suspects.IsSuspect(n.opts.Clock.Now(), traits)
 }
 
-// RecordSurvived records that an engine has survived the beginning of the answer to a prompt. It
-// releases quarantined parts of it.
-func (n *Node) RecordSurvived(target *core.Registration, p *core.Prompt) {
-	now := n.opts.Clock.Now()
-	n.parts.suspects.RecordSurvived(now, p.SharedParts())
-	n.parts.suspects.RecordProcessSurvived(now, target)
-	for _, part := range p.SharedParts() {
-		if finding, ok := n.parts.findings.Find(part.ID); ok && !finding.IsReleased {
-			n.parts.merge(finding.WithRelease(), sourceSurvived)
+// RecordSurvived records that a target has survived the beginning of the answer to a request. It
+// releases quarantined traits of the request, and tells all instances if the target was taken for lost.
+func (n *Node) RecordSurvived(target *core.Registration, sent core.Instant, traits []core.Trait) {
+	q := n.evidence
+	q.suspects.RecordSurvived(n.opts.Clock.Now(), target, traits)
+	if process, ok := q.suspects.IsAlive(target, sent); ok {
+		q.suspects.RecordAlive(process)
+		n.opts.Log.WithFields(log.Fields{"Target": target.ID, "Address": target.Address}).Warn("LostTargetAnswers")
+		n.streams.sendAll(&packet{Kind: packetAlive, Process: process})
+	}
+	for _, t := range traits {
+		if finding, ok := q.findings.Find(t.ID); ok && !finding.IsReleased {
+			q.merge(finding.WithRelease(), sourceSurvived)
 		}
 	}
 }
 
-// RecordLost reports a request that an engine lost. A request with a quarantined part says nothing
-// about its other parts.
+// RecordLost reports a request that a target lost. A request with a quarantined trait says nothing
+// about its other traits.
 func (n *Node) RecordLost(lost core.LostRequest) {
-	q := n.parts
+	q := n.evidence
 	q.lost.Add(1)
-	_, isExplained := q.findings.First(lost.Prompt.SharedParts())
+	_, isExplained := q.findings.First(lost.Traits)
 	loss := q.suspects.NewLoss(n.opts.Clock.Now(), &lost)
 	n.opts.Log.WithFields(log.Fields{
-		"Request": lost.Request, "Target": lost.Target.ID, "Address": lost.Target.Address, "Started": lost.Target.Started,
-		"Parts": formatParts(loss.Parts), "WeightMilli": loss.Weight, "RepeatWeightMilli": loss.RepeatWeight, "Explained": isExplained,
+		"Request": lost.Request, "Target": lost.Target.ID, "Address": lost.Target.Address, "Service": lost.Target.Service,
+		"Started": lost.Target.Started, "Fingerprint": fingerprintOf(lost.Traits), "Parts": formatParts(loss.Parts),
+		"WeightMilli": loss.Weight, "RepeatWeightMilli": loss.RepeatWeight, "RequestWeightMilli": loss.RequestWeight,
+		"RequestRepeatWeightMilli": loss.RequestRepeatWeight, "Explained": isExplained,
 	}).Warn("RequestLost")
-	if isExplained || len(loss.Parts) == 0 {
+	if isExplained || !loss.HasSuspects() {
 		return
 	}
+	q.consider(loss, true)
 	select {
 	case q.queue <- loss:
 	default:
@@ -136,27 +143,41 @@
 	}
 }
 
+// fingerprintOf returns the fingerprint among traits as it appears in logs.
+func fingerprintOf(traits []core.Trait) string {
+	for _, t := range traits {
+		if t.Kind == core.TraitRequest {
+			return core.FormatTrait(t.ID)
+		}
+	}
+	return ""
+}
+
 func formatParts(parts []uint64) string {
 	var b strings.Builder
 	for i, part := range parts {
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		b.WriteString(core.FormatPart(part))
+		b.WriteString(core.FormatTrait(part))
 	}
 	return b.String()
 }
 
-// QuarantineStats returns the counts of lost requests and quarantined parts.
+// QuarantineStats returns the counts of lost requests and quarantined traits.
 func (n *Node) QuarantineStats() QuarantineStats {
-	return QuarantineStats{Lost: n.parts.lost.Load(), Dropped: n.parts.dropped.Load(), Quarantined: n.parts.findings.Count()}
+	q := n.evidence
+	return QuarantineStats{
+		Lost: q.lost.Load(), Dropped: q.dropped.Load(),
+		Parts: q.findings.CountKind(core.TraitPart), Requests: q.findings.CountKind(core.TraitRequest),
+	}
 }
 
-// Findings returns the parts that were found. MergeFinding changes them.
-func (n *Node) Findings() *quarantine.Findings { return n.parts.findings }
+// Findings returns the traits that were found. MergeFinding changes them.
+func (n *Node) Findings() *quarantine.Findings { return n.evidence.findings }
 
 // FindingsChanged returns a channel that has a value after a change of the findings.
-func (n *Node) FindingsChanged() <-chan struct{} { return n.parts.changed }
+func (n *Node) FindingsChanged() <-chan struct{} { return n.evidence.changed }
 
 // FindingSource states where a finding comes from.
 type FindingSource string
@@ -170,31 +191,31 @@
 	SourceProbe    FindingSource = "Probe"
 )
 
-// MergeFinding records a finding. It returns false if a newer record of the part is known.
+// MergeFinding records a finding. It returns false if a newer record of the trait is known.
 func (n *Node) MergeFinding(f quarantine.Finding, source FindingSource) bool {
-	return n.parts.merge(f, source)
+	return n.evidence.merge(f, source)
 }
 
-func (q *parts) merge(f quarantine.Finding, source FindingSource) bool {
-	before, _ := q.findings.Find(f.Part)
+func (q *evidence) merge(f quarantine.Finding, source FindingSource) bool {
+	before, _ := q.findings.Find(f.Trait)
 	if !q.findings.Merge(f) {
 		return false
 	}
-	q.suspects.Forget(f.Part)
-	event := "PartQuarantined"
+	q.suspects.Forget(f.Trait)
+	event := "Quarantined"
 	switch {
 	case f.IsReleased:
-		event = "PartReleased"
+		event = "Released"
 	case before.Revision > 0 && !before.IsReleased:
-		event = "PartProbeScheduled"
+		event = "ProbeScheduled"
 	}
 	q.node.opts.Log.WithFields(log.Fields{
-		"Part": core.FormatPart(f.Part), "Revision": f.Revision, "Before": before.Revision, "Source": string(source), "Probes": f.Probes,
+		traitField(f.Kind): core.FormatTrait(f.Trait), "Revision": f.Revision, "Before": before.Revision, "Source": string(source), "Probes": f.Probes,
 		"ProbeAt": time.Unix(f.ProbeAt, 0).UTC().Format(time.RFC3339), "Quarantined": q.findings.Count(),
-	}).Warn(event)
+	}).Warn(eventPrefix(f.Kind) + event)
 	if source != sourcePeer && source != SourceStore {
 		q.mu.Lock()
-		q.repeats[f.Part] = findingRepeats
+		q.repeats[f.Trait] = findingRepeats
 		q.mu.Unlock()
 	}
 	select {
@@ -204,8 +225,24 @@
 	return true
 }
 
+// traitField and eventPrefix return the name of the log field with the ID of a trait, and the beginning
+// of the names of events about it.
+func traitField(kind core.TraitKind) string {
+	if kind == core.TraitRequest {
+		return "Fingerprint"
+	}
+	return "Part"
+}
+
+func eventPrefix(kind core.TraitKind) string {
+	if kind == core.TraitRequest {
+		return "Request"
+	}
+	return "Part"
+}
+
 // loopLosses reports lost requests to all peers, each twice since datagrams may be lost.
-func (q *parts) loopLosses(ctx context.Context) {
+func (q *evidence) loopLosses(ctx context.Context) {
 	var sent []quarantine.Loss
 	ticker := time.NewTicker(repeatInterval)
 	defer ticker.Stop()
@@ -221,16 +258,13 @@
 			batch := q.collect(l)
 			q.sendLosses(batch)
 			sent = append(sent, batch...)
-			for _, l := range batch {
-				q.consider(l, true)
-			}
 			pause.For(ctx, lossBatchInterval)
 		}
 	}
 }
 
 // collect returns a loss with those that are queued after it, as many as fit in a datagram.
-func (q *parts) collect(first quarantine.Loss) []quarantine.Loss {
+func (q *evidence) collect(first quarantine.Loss) []quarantine.Loss {
 	batch, count := []quarantine.Loss{first}, len(first.Parts)
 	for len(batch) < lossesPerPacket && count < partsPerPacket {
 		select {
@@ -244,65 +278,68 @@
 }
 
 // sendLosses sends losses to all peers.
-func (q *parts) sendLosses(losses []quarantine.Loss) {
+func (q *evidence) sendLosses(losses []quarantine.Loss) {
 	for chunk := range slices.Chunk(losses, lossesPerPacket) {
 		q.node.streams.sendAll(&packet{Kind: packetLosses, Losses: chunk})
 	}
 }
 
-// consider adds a loss to the evidence. If that suffices against a part, it queues a question to all
+// consider adds a loss to the evidence. If that suffices against a trait, it queues a question to all
 // instances. isOwn is set if this instance reports the loss.
-func (q *parts) consider(l quarantine.Loss, isOwn bool) {
+func (q *evidence) consider(l quarantine.Loss, isOwn bool) {
 	l.Parts = slices.DeleteFunc(slices.Clone(l.Parts), q.findings.Has)
+	if q.findings.Has(l.Fingerprint) {
+		l.Fingerprint = 0
+	}
 	now := q.node.opts.Clock.Now()
-	part, ok := q.suspects.Add(now, l)
-	if !ok || !isOwn && !q.isAsker(part) || !q.suspects.StartQuestion(now, part) {
+	trait, ok := q.suspects.Add(now, l)
+	if !ok || !isOwn && !q.isAsker(trait) || !q.suspects.StartQuestion(now, trait) {
 		return
 	}
 	select {
-	case q.questions <- part:
+	case q.questions <- trait:
 	default: // asked again after the next loss
 	}
 }
 
-// isAsker reports whether this instance is among those that ask about a part, by rendezvous hashing.
-func (q *parts) isAsker(part uint64) bool {
-	own := weight(part, q.node.opts.Self.ID)
+// isAsker reports whether this instance is among those that ask about a trait, by rendezvous hashing.
+func (q *evidence) isAsker(trait uint64) bool {
+	own := weight(trait, q.node.opts.Self.ID)
 	before := 0
 	for _, p := range q.node.streams.homes.Load().peers {
-		if weight(part, p.id) > own {
+		if weight(trait, p.id) > own {
 			before++
 		}
 	}
 	return before < askers
 }
 
-// loopQuestions asks all instances whether engines have survived the parts in the queue, and
+// loopQuestions asks all instances whether targets have survived the traits in the queue, and
 // decides on them.
-func (q *parts) loopQuestions(ctx context.Context) {
+func (q *evidence) loopQuestions(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case part := <-q.questions:
-			if q.findings.Has(part) {
+		case trait := <-q.questions:
+			if q.findings.Has(trait) {
 				continue
 			}
-			survived, answers := q.ask(ctx, part)
+			survived, answers := q.ask(ctx, trait)
 			if ctx.Err() == nil {
-				q.decide(part, survived, answers)
+				q.decide(trait, survived, answers)
 			}
 		}
 	}
 }
 
-// ask returns how many requests with a part engines have survived elsewhere, and how many instances
+// ask returns how many requests with a trait targets have survived elsewhere, and how many instances
 // have answered.
-func (q *parts) ask(ctx context.Context, part uint64) (survived uint64, answers int) {
+func (q *evidence) ask(ctx context.Context, trait uint64) (survived uint64, answers int) {
 	q.mu.Lock()
 	q.serial = q.node.serial.Add(1)
 	q.answers = map[string]uint64{}
-	question := &packet{Kind: packetPartQuestion, Serial: q.serial, Part: part}
+	question := &packet{Kind: packetSurvivalQuestion, Serial: q.serial, Trait: trait}
 	q.mu.Unlock()
 	for range 2 {
 		q.node.streams.sendAll(question)
@@ -318,38 +355,38 @@
 	return survived, answers
 }
 
-// decide quarantines a part if the evidence against it still suffices.
-func (q *parts) decide(part, survivedElsewhere uint64, answers int) {
-	verdict := q.suspects.Decide(q.node.opts.Clock.Now(), part, survivedElsewhere)
+// decide quarantines a trait if the evidence against it still suffices.
+func (q *evidence) decide(trait, survivedElsewhere uint64, answers int) {
+	verdict := q.suspects.Decide(q.node.opts.Clock.Now(), trait, survivedElsewhere)
 	q.node.opts.Log.WithFields(log.Fields{
-		"Part": core.FormatPart(part), "Found": verdict.IsFound, "ScoreMilli": int64(1000 * verdict.Score),
-		"ThresholdMilli": int64(1000 * quarantine.Threshold), "Losses": verdict.Losses, "Survived": verdict.Survived,
+		traitField(verdict.Kind): core.FormatTrait(trait), "Found": verdict.IsFound, "ScoreMilli": int64(1000 * verdict.Score),
+		"ThresholdMilli": int64(1000 * verdict.Threshold), "Losses": verdict.Losses, "Survived": verdict.Survived,
 		"Answers": answers, "Asked": q.node.streams.homes.Load().Count(),
-	}).Warn("PartJudged")
+	}).Warn(eventPrefix(verdict.Kind) + "Judged")
 	if !verdict.IsFound {
 		// Otherwise each instance that loses such a request would ask all others.
-		q.node.streams.sendAll(&packet{Kind: packetPartSurvived, Part: part, Survived: verdict.Survived})
+		q.node.streams.sendAll(&packet{Kind: packetAcquittal, Trait: trait, Survived: verdict.Survived})
 		return
 	}
-	if q.findings.Has(part) {
+	if q.findings.Has(trait) {
 		return
 	}
-	before, _ := q.findings.Find(part)
-	finding := quarantine.Finding{Part: part, Revision: before.Revision, Probes: before.Probes}
+	before, _ := q.findings.Find(trait)
+	finding := quarantine.Finding{Trait: trait, Kind: verdict.Kind, Revision: before.Revision, Probes: before.Probes}
 	q.merge(finding.WithNextProbe(time.Now()), sourceJudged)
 	q.announceFindings()
 }
 
 // announceFindings sends new findings to all peers.
-func (q *parts) announceFindings() {
+func (q *evidence) announceFindings() {
 	var list []quarantine.Finding
 	q.mu.Lock()
-	for part, left := range q.repeats {
-		if finding, ok := q.findings.Find(part); ok {
+	for trait, left := range q.repeats {
+		if finding, ok := q.findings.Find(trait); ok {
 			list = append(list, finding)
 		}
-		if q.repeats[part] = left - 1; left <= 1 {
-			delete(q.repeats, part)
+		if q.repeats[trait] = left - 1; left <= 1 {
+			delete(q.repeats, trait)
 		}
 	}
 	q.mu.Unlock()
@@ -360,7 +397,7 @@
 
 // loopFindings sends some of the findings to random peers at intervals, so that they reach all
 // instances despite lost datagrams, partitions and restarts.
-func (q *parts) loopFindings(ctx context.Context) {
+func (q *evidence) loopFindings(ctx context.Context) {
 	pause.Every(ctx, findingInterval, func() {
 		homes := q.node.streams.homes.Load()
 		if len(homes.peers) == 0 {
@@ -375,7 +412,7 @@
 }
 
 // sendSome sends the next findings in turn.
-func (q *parts) sendSome(to ...net.Addr) {
+func (q *evidence) sendSome(to ...net.Addr) {
 	all := q.findings.All()
 	if len(all) == 0 {
 		return
@@ -389,7 +426,7 @@
 }
 
 // sendTo sends all findings to an instance that has started or has missed datagrams.
-func (q *parts) sendTo(addresses ...string) {
+func (q *evidence) sendTo(addresses ...string) {
 	to := q.node.streams.known(addresses)
 	if len(to) == 0 {
 		return
@@ -399,23 +436,25 @@
 	}
 }
 
-func (q *parts) handle(p *packet, from net.Addr) {
+func (q *evidence) handle(p *packet, from net.Addr) {
 	switch p.Kind {
 	case packetLosses:
 		for _, l := range p.Losses {
 			q.consider(l, false)
 		}
-	case packetPartQuestion:
-		survived := q.suspects.Survived(q.node.opts.Clock.Now(), p.Part)
-		q.node.streams.send(&packet{Kind: packetPartAnswer, Serial: p.Serial, Part: p.Part, Survived: survived}, from)
-	case packetPartAnswer:
+	case packetSurvivalQuestion:
+		survived := q.suspects.Survived(q.node.opts.Clock.Now(), p.Trait)
+		q.node.streams.send(&packet{Kind: packetSurvivalAnswer, Serial: p.Serial, Trait: p.Trait, Survived: survived}, from)
+	case packetSurvivalAnswer:
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		if q.answers != nil && p.Serial == q.serial {
 			q.answers[from.String()] = p.Survived
 		}
-	case packetPartSurvived:
-		q.suspects.Acquit(p.Part, p.Survived)
+	case packetAcquittal:
+		q.suspects.Acquit(p.Trait, p.Survived)
+	case packetAlive:
+		q.suspects.RecordAlive(p.Process)
 	case packetFindings:
 		for _, f := range p.Findings {
 			q.merge(f, sourcePeer)
@@ -423,11 +462,11 @@
 	}
 }
 
-// weight ranks instances for a part.
-func weight(part uint64, id core.InstanceID) uint64 {
+// weight ranks instances for a trait.
+func weight(trait uint64, id core.InstanceID) uint64 {
 	hash := uint64(0)
 	for i := range len(id) {
 		hash = random.Mix(hash ^ uint64(id[i]))
 	}
-	return random.Mix(part ^ hash)
+	return random.Mix(trait ^ hash)
 }
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -105,7 +105,7 @@
 		n.opts.Log.WithFields(log.Fields{"Peer": p.Address, "Sender": p.Sender}).Info("PeerToldOutstandingWork")
 		n.sendAllOutstanding(p.Address)
 		n.streams.sendRelayed(p.Address)
-		n.parts.sendTo(p.Address)
+		n.evidence.sendTo(p.Address)
 		n.limits.sendTo(p.Address)
 	}
 	n.opts.Catchup.ObservePeerVersion(now, catchup.Configuration, p.Address, p.Configuration)
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -37,10 +37,11 @@
 // budget doesn't allow it or the instance leaves too soon, whatever the caller has decided.
 func (r *activeRequest) send(e *roster.Entry, a core.Attempt, limit time.Duration) (answer *target.Answer, result sendResult) {
 	defer func() { r.lastResult = result }()
-	if !r.allowSend(&a) || !r.allowParts() || !r.takeLimit(e) || !r.takeRetries(r.retryCause(), stageOf(&a)) {
+	if !r.allowSend(&a) || !r.allowTraitsNow() || !r.takeLimit(e) || !r.takeRetries(r.retryCause(), stageOf(&a)) {
 		return nil, sendNotRun
 	}
 	began := r.Clock.Now()
+	r.sentAt = began
 	r.Health.RecordSend(began, e.ID)
 	a.Target = e.ID
 	a.Remaining = r.remaining()
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -109,8 +109,8 @@
 	switch {
 	case r.notSent:
 		r.failWithoutTarget(ReasonLeaving, drain.RetryAfter)
-	case r.isQuarantined:
-		r.failWithoutTarget(ReasonPartQuarantined, quarantineRetryAfter)
+	case r.quarantined != "":
+		r.failWithoutTarget(r.quarantined, quarantineRetryAfter)
 	case r.ctx.Err() != nil:
 		r.fail(ReasonNoAnswer)
 	case !r.mayRunAgain():
--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -69,7 +69,7 @@
 const (
 	ReasonNotResumable core.Reason = "NotResumable"
 	ReasonAttempts     core.Reason = "Attempts"
-	ReasonPartSuspect  core.Reason = "PartSuspect"
+	ReasonSuspect      core.Reason = "Suspect"
 )
 
 // startAsk asks another engine to continue the stream after the last relayed event, or to begin it
@@ -127,12 +127,13 @@
 	case r.possibleRuns >= r.route.Attempts:
 		return nil, nil, ReasonAttempts
 	case r.mayCrashAgain():
-		return nil, nil, ReasonPartSuspect
-	case r.hasQuarantinedPart():
-		return nil, nil, ReasonPartQuarantined
+		return nil, nil, ReasonSuspect
 	case r.remaining() <= 0 || r.ctx.Err() != nil:
 		return nil, nil, ReasonTimeout
 	}
+	if index, ok := r.quarantinedTrait(); ok {
+		return nil, nil, quarantineReason(r.traits[index].Kind)
+	}
 	e, chain, found := r.chooseContinuation(onlyFree)
 	if !found {
 		return nil, nil, core.ReasonNoTarget
@@ -153,7 +154,7 @@
 	s.adoptCounts(c)
 	r := &c.request
 	s.silentTarget, s.lastTarget, s.lastVersion = r.silentTarget, r.lastTarget, r.lastVersion
-	s.lastAttempt, s.lastResult = r.lastAttempt, r.lastResult
+	s.lastAttempt, s.lastResult, s.sentAt = r.lastAttempt, r.lastResult, r.sentAt
 }
 
 // continueElsewhere returns the answer of another engine that continues the stream. It waits for
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -73,7 +73,7 @@
 	// those of all instances.
 	StreamStarts   core.StreamStartRecorder
 	StreamVersions core.StreamVersionProvider
-	Quarantine     core.PartQuarantine
+	Quarantine     core.Quarantine
 	// Limits holds the limits that targets state, LimitPublisher tells them to the other instances.
 	Limits         *targetlimit.Limits
 	LimitPublisher LimitPublisher
@@ -166,21 +166,22 @@
 
 // Reasons of refusals, failures and answers that originate in the forwarder.
 const (
-	ReasonMalformed       core.Reason = "Malformed"
-	ReasonBodyTooLarge    core.Reason = "BodyTooLarge"
-	ReasonNoConfiguration core.Reason = "NoConfiguration"
-	ReasonNoRoute         core.Reason = "NoRoute"
-	ReasonTargetsRefused  core.Reason = "TargetsRefused"
-	ReasonRetryBudget     core.Reason = "RetryBudget"
-	ReasonNoAnswer        core.Reason = "NoAnswer"
-	ReasonTimeout         core.Reason = "Timeout"
-	ReasonCallerLeft      core.Reason = "CallerLeft"
-	ReasonAnswerBroken    core.Reason = "AnswerBroken"
-	ReasonAnswered        core.Reason = "Answered"
-	ReasonLeaving         core.Reason = "Leaving"
-	ReasonStopped         core.Reason = "Stopped"
-	ReasonPartQuarantined core.Reason = "PartQuarantined"
-	ReasonTargetLimit     core.Reason = "TargetLimit"
+	ReasonMalformed          core.Reason = "Malformed"
+	ReasonBodyTooLarge       core.Reason = "BodyTooLarge"
+	ReasonNoConfiguration    core.Reason = "NoConfiguration"
+	ReasonNoRoute            core.Reason = "NoRoute"
+	ReasonTargetsRefused     core.Reason = "TargetsRefused"
+	ReasonRetryBudget        core.Reason = "RetryBudget"
+	ReasonNoAnswer           core.Reason = "NoAnswer"
+	ReasonTimeout            core.Reason = "Timeout"
+	ReasonCallerLeft         core.Reason = "CallerLeft"
+	ReasonAnswerBroken       core.Reason = "AnswerBroken"
+	ReasonAnswered           core.Reason = "Answered"
+	ReasonLeaving            core.Reason = "Leaving"
+	ReasonStopped            core.Reason = "Stopped"
+	ReasonPartQuarantined    core.Reason = "PartQuarantined"
+	ReasonRequestQuarantined core.Reason = "RequestQuarantined"
+	ReasonTargetLimit        core.Reason = "TargetLimit"
 )
 
 // notReadyRetryAfter is the retry delay for callers of an instance that has just started
@@ -240,10 +241,15 @@
 	notSent bool
 	// silentTarget is the target of the latest send if its silence is recorded.
 	silentTarget core.TargetID
-	// isProbe is set if the request is sent to find out whether a quarantined part still crashes
-	// engines, isQuarantined if a send was left out because of such a part.
-	isProbe, isQuarantined bool
-	// wasLost is set once an engine has lost the request.
+	// traits are the properties by which the request may crash targets.
+	traits []core.Trait
+	// isProbe is set if the request is sent to find out whether a quarantined trait still crashes
+	// targets. quarantined is the reason why a send was left out, or empty.
+	isProbe     bool
+	quarantined core.Reason
+	// sentAt is the time of the latest send.
+	sentAt core.Instant
+	// wasLost is set once a target has lost the request.
 	wasLost bool
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
@@ -272,10 +278,11 @@
 	if !r.requireVersion() {
 		return
 	}
+	r.traits = r.traitsOf()
+	if !r.allowTraits() {
+		return
+	}
 	if r.req.Prompt != nil && r.engineLimits() != nil {
-		if !r.allowPrompt() {
-			return
-		}
 		r.servePrompt()
 		return
 	}
--- a/io/forward/quarantine.go
+++ b/io/forward/quarantine.go
@@ -13,76 +13,99 @@
 )
 
 const (
-	// survivedEvents is the number of events from which an engine has survived the beginning of an
-	// answer.
+	// survivedEvents is the number of events from which a target has survived the beginning of a
+	// stream.
 	survivedEvents = 2
-	// quarantineRetryAfter is the retry delay for callers whose prompts have a quarantined part. A
-	// part is released by a probe at the earliest, which is minutes away.
+	// quarantineRetryAfter is the retry delay for callers whose requests have a quarantined trait. A
+	// trait is released by a probe at the earliest, which is minutes away.
 	quarantineRetryAfter = 30 * time.Second
 )
 
-// allowPrompt refuses a request whose prompt has a quarantined part and returns false then.
-func (r *activeRequest) allowPrompt() bool {
-	index, ok := r.Quarantine.QuarantinedPart(r.req.Prompt)
+// traitsOf returns the traits of a request.
+func (r *activeRequest) traitsOf() []core.Trait {
+	var traits []core.Trait
+	if r.req.Prompt != nil && r.engineLimits() != nil {
+		for _, part := range r.req.Prompt.SharedParts() {
+			traits = append(traits, core.Trait{Kind: core.TraitPart, ID: part.ID})
+		}
+	}
+	return traits
+}
+
+// allowTraits refuses a request that has a quarantined trait and returns false then.
+func (r *activeRequest) allowTraits() bool {
+	index, ok := r.Quarantine.Quarantined(r.traits)
 	if !ok {
 		return true
 	}
-	if r.isProbe = r.Quarantine.TakeProbe(r.req.Prompt); r.isProbe {
-		r.logQuarantine("PartProbed", index)
+	if r.isProbe = r.Quarantine.TakeProbe(r.traits); r.isProbe {
+		r.logQuarantine("QuarantineProbed", index)
 		return true
 	}
 	r.logQuarantine("RequestRefused", index)
-	r.failWithoutTarget(ReasonPartQuarantined, quarantineRetryAfter)
+	r.failWithoutTarget(quarantineReason(r.traits[index].Kind), quarantineRetryAfter)
 	return false
 }
 
-// allowParts reports whether the request may be sent: its prompt has no part that has been
-// quarantined since its arrival.
-func (r *activeRequest) allowParts() bool {
-	if !r.hasQuarantinedPart() {
-		return true
+// allowTraitsNow reports whether the request may be sent: it has no trait that has been quarantined
+// since its arrival.
+func (r *activeRequest) allowTraitsNow() bool {
+	index, ok := r.quarantinedTrait()
+	if ok {
+		r.logQuarantine("NotSentInQuarantine", index)
+		r.quarantined = quarantineReason(r.traits[index].Kind)
 	}
-	index, _ := r.Quarantine.QuarantinedPart(r.req.Prompt)
-	r.logQuarantine("NotSentWithQuarantinedPart", index)
-	r.isQuarantined = true
-	return false
+	return !ok
 }
 
-func (r *activeRequest) hasQuarantinedPart() bool {
-	if r.req.Prompt == nil || r.isProbe || r.engineLimits() == nil {
-		return false
+// quarantinedTrait returns the index of the first quarantined trait, or false. A probe has none.
+func (r *activeRequest) quarantinedTrait() (index int, ok bool) {
+	if r.isProbe {
+		return 0, false
 	}
-	_, ok := r.Quarantine.QuarantinedPart(r.req.Prompt)
-	return ok
+	return r.Quarantine.Quarantined(r.traits)
+}
+
+func quarantineReason(kind core.TraitKind) core.Reason {
+	if kind == core.TraitRequest {
+		return ReasonRequestQuarantined
+	}
+	return ReasonPartQuarantined
 }
 
 func (r *activeRequest) logQuarantine(event string, index int) {
-	r.Log.WithFields(log.Fields{
-		"Request": r.req.ID, "Route": r.route.Name, "Service": r.service, "Reason": ReasonPartQuarantined,
-		"Part": core.FormatPart(r.req.Prompt.Parts[index].ID), "Index": index, "Sends": r.sends, "Runs": r.possibleRuns,
-		"LeftMs": r.remaining().Milliseconds(),
-	}).Warn(event)
+	trait := r.traits[index]
+	fields := log.Fields{
+		"Request": r.req.ID, "Route": r.route.Name, "Service": r.service, "Reason": quarantineReason(trait.Kind),
+		"Sends": r.sends, "Runs": r.possibleRuns, "LeftMs": r.remaining().Milliseconds(),
+	}
+	if trait.Kind == core.TraitRequest {
+		fields["Fingerprint"] = core.FormatTrait(trait.ID)
+	} else {
+		fields["Part"], fields["Index"] = core.FormatTrait(trait.ID), index
+	}
+	r.Log.WithFields(fields).Warn(event)
 }
 
-// mayCrashAgain reports whether the request, which an engine has lost, might crash another one.
+// mayCrashAgain reports whether the request, which a target has lost, might crash another one.
 func (r *activeRequest) mayCrashAgain() bool {
-	return r.wasLost && (r.isProbe || r.Quarantine.IsSuspect(r.req.Prompt))
+	return r.wasLost && (r.isProbe || r.Quarantine.IsSuspect(r.traits))
 }
 
-// recordLost records that an engine ended its connection before it had answered a prompt. Other
-// errors, such as timeouts and malformed answers, say nothing about a crash.
+// recordLost records that a target ended its connection before it had answered. Other errors, such as
+// timeouts and malformed answers, say nothing about a crash.
 func (r *activeRequest) recordLost(e *roster.Entry, err error) {
-	if r.req.Prompt == nil || r.engineLimits() == nil || r.ctx.Err() != nil || !isConnectionEnd(err) {
+	if len(r.traits) == 0 || r.ctx.Err() != nil || !isConnectionEnd(err) {
 		return
 	}
 	r.wasLost = true
-	r.Quarantine.RecordLost(core.LostRequest{Request: r.req.ID, Target: e.Registration, Prompt: r.req.Prompt})
+	r.Quarantine.RecordLost(core.LostRequest{Request: r.req.ID, Target: e.Registration, Traits: r.traits})
 }
 
-// recordSurvived records that an engine has survived the beginning of the answer to a prompt.
+// recordSurvived records that a target has survived the beginning of the answer.
 func (r *activeRequest) recordSurvived(e *roster.Entry) {
-	if r.req.Prompt != nil && r.engineLimits() != nil {
-		r.Quarantine.RecordSurvived(&e.Registration, r.req.Prompt)
+	if len(r.traits) > 0 {
+		r.Quarantine.RecordSurvived(&e.Registration, r.sentAt, r.traits)
 	}
 }
 
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -62,33 +62,36 @@
 	return &localQuarantine{quarantine.NewSuspects(), quarantine.NewFindings(), clock}
 }
 
-// QuarantinedPart returns the index of the first quarantined part.
-func (q *localQuarantine) QuarantinedPart(p *core.Prompt) (int, bool) {
-	return q.findings.First(p.SharedParts())
+// Quarantined returns the index of the first quarantined trait.
+func (q *localQuarantine) Quarantined(traits []core.Trait) (int, bool) {
+	return q.findings.First(traits)
 }
 
 // TakeProbe reports whether a probe is allowed.
-func (q *localQuarantine) TakeProbe(p *core.Prompt) bool {
-	return q.findings.TakeProbe(q.clock.Now(), p.SharedParts())
+func (q *localQuarantine) TakeProbe(traits []core.Trait) bool {
+	return q.findings.TakeProbe(q.clock.Now(), traits)
 }
 
-// IsSuspect reports whether a part is suspect.
-func (q *localQuarantine) IsSuspect(p *core.Prompt) bool {
-	return q.suspects.IsSuspect(q.clock.Now(), p.SharedParts())
+// IsSuspect reports whether a trait is suspect.
+func (q *localQuarantine) IsSuspect(traits []core.Trait) bool {
+	return q.suspects.IsSuspect(q.clock.Now(), traits)
 }
 
 // RecordLost decides with the evidence of the one instance.
 func (q *localQuarantine) RecordLost(lost core.LostRequest) {
 	now := q.clock.Now()
-	part, ok := q.suspects.Add(now, q.suspects.NewLoss(now, &lost))
-	if ok && q.suspects.Decide(now, part, 0).IsFound {
-		q.findings.Merge(quarantine.Finding{Part: part, Revision: 1})
+	trait, ok := q.suspects.Add(now, q.suspects.NewLoss(now, &lost))
+	if !ok {
+		return
+	}
+	if verdict := q.suspects.Decide(now, trait, 0); verdict.IsFound {
+		q.findings.Merge(quarantine.Finding{Trait: trait, Kind: verdict.Kind, Revision: 1})
 	}
 }
 
 // RecordSurvived adds to the evidence.
-func (q *localQuarantine) RecordSurvived(_ *core.Registration, p *core.Prompt) {
-	q.suspects.RecordSurvived(q.clock.Now(), p.SharedParts())
+func (q *localQuarantine) RecordSurvived(target *core.Registration, _ core.Instant, traits []core.Trait) {
+	q.suspects.RecordSurvived(q.clock.Now(), target, traits)
 }
 
 type noopPublisher struct{}
--- a/standin/platform/quarantine_test.go
+++ b/standin/platform/quarantine_test.go
@@ -15,7 +15,7 @@
 
 // quarantineBad quarantines the part "bad".
 func (f *fixture) quarantineBad() {
-	f.quarantine.findings.Merge(quarantine.Finding{Part: badPart(f.t), Revision: 1})
+	f.quarantine.findings.Merge(quarantine.Finding{Trait: badPart(f.t), Revision: 1})
 }
 
 // badPart returns the ID of the part "bad".
