--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -73,6 +73,9 @@
 	}
 	failed := answer.Status >= http.StatusInternalServerError
 	r.recordAnswer(e, failed)
+	if !isEventStream(answer) {
+		r.recordSurvived(e)
+	}
 	if next, ok := r.nextTarget(failed); ok {
 		discardBody(answer)
 		r.logAttempt(e, "Failed", answer.Status, nil)
--- a/io/forward/prompt.go
+++ b/io/forward/prompt.go
@@ -192,6 +192,9 @@
 func (r *activeRequest) relayEngineAnswer(e *roster.Entry, answer *target.Answer) (done bool) {
 	failed := answer.Status >= http.StatusInternalServerError
 	r.recordAnswer(e, failed)
+	if !isEventStream(answer) {
+		r.recordSurvived(e)
+	}
 	if failed && r.mayRunAgain() && r.fits(&core.Attempt{}) {
 		discardBody(answer)
 		r.exclude = append(r.exclude, e.ID)
--- a/io/forward/quarantine.go
+++ b/io/forward/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/core/quarantine"
 	"gorseline/core/roster"
 )
 
@@ -21,7 +22,7 @@
 	quarantineRetryAfter = 30 * time.Second
 )
 
-// traitsOf returns the traits of a request.
+// traitsOf returns the traits of a request, the whole request last.
 func (r *activeRequest) traitsOf() []core.Trait {
 	var traits []core.Trait
 	if r.req.Prompt != nil && r.engineLimits() != nil {
@@ -29,7 +30,8 @@
 			traits = append(traits, core.Trait{Kind: core.TraitPart, ID: part.ID})
 		}
 	}
-	return traits
+	fields := append([]string{r.in.Method, r.in.Host, requestURI(r.in)}, r.Dialect.CallerIdentity(r.in.Header)...)
+	return append(traits, core.Trait{Kind: core.TraitRequest, ID: quarantine.Fingerprint(r.body, fields...)})
 }
 
 // allowTraits refuses a request that has a quarantined trait and returns false then.
@@ -95,7 +97,7 @@
 // recordLost records that a target ended its connection before it had answered. Other errors, such as
 // timeouts and malformed answers, say nothing about a crash.
 func (r *activeRequest) recordLost(e *roster.Entry, err error) {
-	if len(r.traits) == 0 || r.ctx.Err() != nil || !isConnectionEnd(err) {
+	if r.ctx.Err() != nil || !isConnectionEnd(err) {
 		return
 	}
 	r.wasLost = true
@@ -104,9 +106,7 @@
 
 // recordSurvived records that a target has survived the beginning of the answer.
 func (r *activeRequest) recordSurvived(e *roster.Entry) {
-	if len(r.traits) > 0 {
-		r.Quarantine.RecordSurvived(&e.Registration, r.sentAt, r.traits)
-	}
+	r.Quarantine.RecordSurvived(&e.Registration, r.sentAt, r.traits)
 }
 
 // isConnectionEnd reports whether a target closed or reset its connection.
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -56,10 +56,14 @@
 	suspects *quarantine.Suspects
 	findings *quarantine.Findings
 	clock    core.ClockProvider
+
+	mu sync.Mutex
+	// survived holds the traits of the latest request that a target survived.
+	survived []core.Trait
 }
 
 func newLocalQuarantine(clock core.ClockProvider) *localQuarantine {
-	return &localQuarantine{quarantine.NewSuspects(), quarantine.NewFindings(), clock}
+	return &localQuarantine{suspects: quarantine.NewSuspects(), findings: quarantine.NewFindings(), clock: clock}
 }
 
 // Quarantined returns the index of the first quarantined trait.
@@ -92,6 +96,9 @@
 // RecordSurvived adds to the evidence.
 func (q *localQuarantine) RecordSurvived(target *core.Registration, _ core.Instant, traits []core.Trait) {
 	q.suspects.RecordSurvived(q.clock.Now(), target, traits)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.survived = traits
 }
 
 type noopPublisher struct{}
