--- a/cmd/commands/soak.go
+++ b/cmd/commands/soak.go
@@ -26,6 +26,7 @@
 	Planned   bool          `long:"planned" env:"SOAK_PLANNED" description:"Only planned work and what sound targets do: instances stopped in series, changed configurations, silent targets, with long streams"`
 	Versions  int           `long:"versions" env:"SOAK_VERSIONS" description:"Software versions of the engines, 1 to 3; from 2 on there are releases, killed instances and callers that take up broken streams" default:"1"`
 	Parts     int           `long:"crashing-parts" env:"SOAK_CRASHING_PARTS" description:"Parts of prompts that crash engines, 0 to 5; from 1 on engines crash for other reasons too, instances are killed, frozen and stopped, and the store is away or comes back from a copy" default:"0"`
+	Requests  int           `long:"crashing-requests" env:"SOAK_CRASHING_REQUESTS" description:"Requests that crash the targets that run them and come again and again, 0 to 8, beside the faults of --crashing-parts" default:"0"`
 	Limits    bool          `long:"stated-limits" env:"SOAK_STATED_LIMITS" description:"Targets state limits of requests a second that rise, fall and end, beside killed, frozen and stopped instances"`
 	Entry     string        `long:"entry" env:"SOAK_ENTRY" description:"Program to run as instances, such as that of an earlier commit; the default is this one"`
 	Dir       string        `long:"dir" env:"SOAK_DIR" description:"Directory for settings and logs" default:"/tmp/gorseline-soak"`
@@ -53,8 +54,11 @@
 	if c.Parts < 0 || c.Parts > 5 || c.Parts > 0 && (c.Planned || c.Versions > 1) {
 		return invalidSetting("--crashing-parts", strconv.Itoa(c.Parts), "0 to 5, and 0 with --planned or --versions")
 	}
-	if c.Limits && (c.Planned || c.Versions > 1 || c.Parts > 0) {
-		return invalidSetting("--stated-limits", "true", "false with --planned, --versions or --crashing-parts")
+	if c.Requests < 0 || c.Requests > 8 || c.Requests > 0 && (c.Planned || c.Versions > 1) {
+		return invalidSetting("--crashing-requests", strconv.Itoa(c.Requests), "0 to 8, and 0 with --planned or --versions")
+	}
+	if c.Limits && (c.Planned || c.Versions > 1 || c.Parts+c.Requests > 0) {
+		return invalidSetting("--stated-limits", "true", "false with --planned, --versions, --crashing-parts or --crashing-requests")
 	}
 	command := []string{c.Entry}
 	if c.Entry == "" {
@@ -94,7 +98,7 @@
 func (c *soakCommand) runSeed(ctx context.Context, command []string, seed uint64) (soak.Report, error) {
 	return soak.Run(ctx, soak.Options{
 		Command: command, Seed: seed, FaultDuration: c.Length, Instances: c.Instances, Callers: c.Callers,
-		Planned: c.Planned, Versions: c.Versions, CrashingParts: c.Parts, StatedLimits: c.Limits, Retries: soak.RandomRetryLimit(seed),
+		Planned: c.Planned, Versions: c.Versions, CrashingParts: c.Parts, CrashingRequests: c.Requests, StatedLimits: c.Limits, Retries: soak.RandomRetryLimit(seed),
 		Dir: filepath.Join(c.Dir, strconv.FormatUint(seed, 10)),
 	})
 }
--- a/cmd/entry/soak_test.go
+++ b/cmd/entry/soak_test.go
@@ -83,6 +83,26 @@
 	}
 }
 
+// Guards against requests that crash target after target beside the same faults.
+func TestSoakWithCrashingRequests(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	report, err := soak.Run(t.Context(), soak.Options{
+		Command: []string{os.Args[0]}, Seed: 1, FaultDuration: 10 * time.Second, Instances: 4, Callers: 8, CrashingRequests: 4,
+		Retries: soak.RandomRetryLimit(1), Dir: filepath.Join(t.TempDir(), "soak"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Violations {
+		t.Errorf("%s (%s; faults %v)", v, report.Crashes, report.Faults)
+	}
+	if report.Crashes == "" {
+		t.Error("no target crashed under a request")
+	}
+}
+
 // Guards against targets that get more requests than they state beside killed, frozen and leaving
 // instances.
 func TestSoakWithStatedLimits(t *testing.T) {
--- a/standin/platform/soak/callers.go
+++ b/standin/platform/soak/callers.go
@@ -135,7 +135,7 @@
 	c.sent[route] = append(c.sent[route], r.started)
 	c.mu.Unlock()
 	defer func() { r.finished = time.Now() }()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+inst.callerAddress+"/"+route+"/x", strings.NewReader(strings.Repeat("b", a.size)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+inst.callerAddress+a.uri(), strings.NewReader(strings.Repeat("b", a.size)))
 	if err != nil {
 		r.err = err
 		return r
--- a/standin/platform/soak/crashes.go
+++ b/standin/platform/soak/crashes.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -15,12 +16,12 @@
 	"gorseline/standin/platform"
 )
 
-// Limits of the check that a part of prompts that crashes engines is kept from them.
+// Limits of the check that parts and requests that crash targets are kept from them.
 const (
-	// allowedCrashes is the number of crashes after which instances must find the part.
-	allowedCrashes = 5
-	// maxLateSends is the number of requests with the part that may reach targets after that and
-	// contactTime.
+	// allowedPartCrashes and allowedRequestCrashes are the numbers of crashes after which instances must
+	// know a part or a request.
+	allowedPartCrashes, allowedRequestCrashes = 5, 3
+	// maxLateSends is the number of requests that may reach targets after that and contactTime.
 	maxLateSends = 3
 )
 
@@ -33,22 +34,23 @@
 	subjects = 60
 )
 
-// crashPart is the name of the parts that crash engines. Engines don't tell their numbers apart.
+// crashPart is the beginning of the names of parts and of the paths of requests that crash targets.
 const crashPart = "bad"
 
 // crashPhases are the phases of the targets beside parts that crash engines.
 var crashPhases = []string{"", "", "decode", "decode", "decode", "decode", "decode", "decode", "decode", "decode", "decode", "decode", "prefill", "prefill"}
 
-// badSend is a request with a part that crashes engines as its caller sent it.
+// badSend is a request that crashes targets as its caller sent it.
 type badSend struct {
-	part     string
+	// cause names the part, or the route and path of the request.
+	cause    string
 	instance string
 }
 
 // crashes is the state of the crashing parts of a soak.
 type crashes struct {
 	mu sync.Mutex
-	// sent holds the requests with crashing parts by ID.
+	// sent holds the requests that crash targets by ID.
 	sent map[string]badSend
 	// disrupted holds the disruptions of each instance, down the times without a stable store.
 	disrupted map[string][]interval
@@ -148,21 +150,47 @@
 	s.disruptions = append(s.disruptions, interval{began, time.Now()})
 }
 
-// runBadCaller sends requests with parts that crash engines to any instance until ctx ends.
+// prepareCrashes makes targets crash under the parts and requests of the options.
+func (s *soak) prepareCrashes() {
+	for _, t := range s.testbed.targets {
+		if s.options.CrashingParts > 0 {
+			t.CrashPart(crashPart, engineDownTime)
+		}
+		if s.options.CrashingRequests > 0 {
+			t.CrashPath("/"+crashPart, engineDownTime)
+		}
+	}
+}
+
+// nextBad returns a request that crashes targets, and its cause.
+func (s *soak) nextBad(rng *rand.Rand, i int) (a attempt, cause string) {
+	number := rng.IntN(s.options.CrashingParts + s.options.CrashingRequests)
+	if number >= s.options.CrashingParts {
+		// The same request each time but for its ID.
+		number -= s.options.CrashingParts
+		a.route = []string{"safe", "once", "stream", "single"}[number%4]
+		a.path = fmt.Sprintf("%s%d", crashPart, number)
+		a.id = fmt.Sprintf("%s-bad-%d-%d", a.route, s.options.Seed, i)
+		a.stream, a.prompt = a.id, "ab:3000,s1:500,own:500"
+		return a, a.route + "/" + a.path
+	}
+	a.route = []string{"stream", "single"}[rng.IntN(2)]
+	a.id = fmt.Sprintf("%s-bad-%d-%d", a.route, s.options.Seed, i)
+	cause = fmt.Sprintf("%s%d", crashPart, number)
+	a.stream, a.prompt = a.id, fmt.Sprintf("ab:3000,s%d:500,%s:500,%s:100", rng.IntN(subjects), cause, a.id)
+	return a, cause
+}
+
+// runBadCaller sends requests that crash targets to any instance until ctx ends.
 func (s *soak) runBadCaller(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.options.Seed, 1000))
 	for i := 0; ctx.Err() == nil; i++ {
 		inst := s.randomInstance(rng)
-		route := []string{"stream", "single"}[rng.IntN(2)]
-		id := fmt.Sprintf("%s-bad-%d-%d", route, s.options.Seed, i)
-		part := fmt.Sprintf("%s%d", crashPart, rng.IntN(s.options.CrashingParts))
+		a, cause := s.nextBad(rng, i)
 		s.crashes.mu.Lock()
-		s.crashes.sent[id] = badSend{part, inst.name}
+		s.crashes.sent[a.id] = badSend{cause, inst.name}
 		s.crashes.mu.Unlock()
-		s.callers.record(s.callers.sendAttempt(context.WithoutCancel(ctx), inst, attempt{
-			route: route, id: id, stream: id,
-			prompt: fmt.Sprintf("ab:3000,s%d:500,%s:500,%s:100", rng.IntN(subjects), part, id),
-		}))
+		s.callers.record(s.callers.sendAttempt(context.WithoutCancel(ctx), inst, a))
 		pause.For(ctx, minBadPause+rand.N(maxBadPause-minBadPause))
 	}
 }
@@ -187,7 +215,25 @@
 	})
 }
 
-// checkCrashes returns the parts whose requests went on reaching targets.
+// quarantineRetryAfter is what instances tell the callers of requests that crash targets, and nobody
+// else.
+const quarantineRetryAfter = "30.000"
+
+// checkSoundRefused returns the sound requests that were refused as ones that crash targets.
+func (s *soak) checkSoundRefused(results []result) []string {
+	s.crashes.mu.Lock()
+	defer s.crashes.mu.Unlock()
+	var violations []string
+	for i := range results {
+		r := &results[i]
+		if r.retryAfter == quarantineRetryAfter && s.crashes.sent[r.id].cause == "" {
+			violations = append(violations, fmt.Sprintf("sound request %s was refused at %s as one that crashes targets", r.id, r.instance))
+		}
+	}
+	return violations
+}
+
+// checkCrashes returns the parts and requests that went on reaching targets.
 func (s *soak) checkCrashes() []string {
 	c := s.crashes
 	c.mu.Lock()
@@ -195,30 +241,34 @@
 	crashed, arrived := map[string][]time.Time{}, map[string][]platform.Arrival{}
 	for _, t := range s.testbed.targets {
 		for _, crash := range t.CausedCrashes() {
-			part := c.sent[crash.Request].part
-			crashed[part] = append(crashed[part], crash.At)
+			cause := c.sent[crash.Request].cause
+			crashed[cause] = append(crashed[cause], crash.At)
 		}
 		for _, a := range t.Arrivals() {
-			if part := c.sent[a.ID].part; part != "" {
-				arrived[part] = append(arrived[part], a)
+			if cause := c.sent[a.ID].cause; cause != "" {
+				arrived[cause] = append(arrived[cause], a)
 			}
 		}
 	}
 	var violations []string
-	for part, times := range crashed {
-		if len(times) < allowedCrashes {
-			s.lost = append(s.lost, fmt.Sprintf("%s: %d engines", part, len(times)))
+	for cause, times := range crashed {
+		allowed := allowedPartCrashes
+		if strings.Contains(cause, "/") {
+			allowed = allowedRequestCrashes
+		}
+		if len(times) < allowed {
+			s.lost = append(s.lost, fmt.Sprintf("%s: %d targets", cause, len(times)))
 			continue
 		}
 		slices.SortFunc(times, time.Time.Compare)
-		known := times[allowedCrashes-1].Add(contactTime)
-		late := slices.DeleteFunc(arrived[part], func(a platform.Arrival) bool {
+		known := times[allowed-1].Add(contactTime)
+		late := slices.DeleteFunc(arrived[cause], func(a platform.Arrival) bool {
 			return a.At.Before(known) || !c.isInTouch(c.sent[a.ID].instance, a.At)
 		})
-		s.lost = append(s.lost, fmt.Sprintf("%s: %d engines, %d late sends", part, len(times), len(late)))
+		s.lost = append(s.lost, fmt.Sprintf("%s: %d targets, %d late sends", cause, len(times), len(late)))
 		if len(late) > maxLateSends {
-			violations = append(violations, fmt.Sprintf("%d requests with the part %s reached targets later than %v after the fifth crash, "+
-				"%d engines crashed; the last one is %s at %s", len(late), part, contactTime, len(times),
+			violations = append(violations, fmt.Sprintf("%d requests with %s reached targets later than %v after crash %d, "+
+				"%d targets crashed; the last one is %s at %s", len(late), cause, contactTime, allowed, len(times),
 				late[len(late)-1].ID, c.sent[late[len(late)-1].ID].instance))
 		}
 	}
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -41,6 +41,9 @@
 	// CrashingParts is the number of parts of prompts that crash engines. From 1 on the faults are crashes
 	// of engines, killed, frozen and leaving instances and a store that is away or comes back from a copy.
 	CrashingParts int
+	// CrashingRequests is the number of requests that crash the targets that run them and come again and
+	// again, beside the faults of CrashingParts.
+	CrashingRequests int
 	// StatedLimits makes targets state limits that rise, fall and end, beside killed, frozen and leaving
 	// instances.
 	StatedLimits bool
@@ -66,12 +69,15 @@
 	return 300 * time.Millisecond
 }
 
+// hasCrashes reports whether requests crash targets.
+func (o *Options) hasCrashes() bool { return o.CrashingParts+o.CrashingRequests > 0 }
+
 // faults returns the kinds of faults.
 func (o *Options) faults() []fault {
 	if o.Versions > 1 {
 		return versionFaults
 	}
-	if o.CrashingParts > 0 {
+	if o.hasCrashes() {
 		return crashFaults
 	}
 	if o.StatedLimits {
@@ -86,7 +92,7 @@
 // faultPause returns the time until the next faults.
 func (o *Options) faultPause(rng *rand.Rand) time.Duration {
 	d := time.Duration(rng.IntN(600)) * time.Millisecond
-	if o.CrashingParts > 0 || o.StatedLimits {
+	if o.hasCrashes() || o.StatedLimits {
 		return 8 * d // so that instances are in touch with each other in between
 	}
 	return d
@@ -107,7 +113,7 @@
 	RetryPeaks []string
 	// Streams describes the streams that callers took up; empty without several versions.
 	Streams string
-	// Crashes describes the parts that crash engines; empty without such parts.
+	// Crashes describes the parts and requests that crash targets; empty without such ones.
 	Crashes string
 	// LimitPeak describes the window that came closest to the stated limit of a target.
 	LimitPeak string
@@ -136,7 +142,7 @@
 	// streams describes the streams that callers took up.
 	streams string
 	crashes *crashes
-	// lost describes the engines that each crashing part has cost.
+	// lost describes the targets that each crashing part or request has cost.
 	lost []string
 	// limitPeak describes the window that came closest to the stated limit of a target.
 	limitPeak string
@@ -184,7 +190,7 @@
 	for i := range o.Callers {
 		callerLoops.Go(func() { s.callers.run(loadCtx, i, o.Seed) })
 	}
-	if o.CrashingParts > 0 {
+	if o.hasCrashes() {
 		callerLoops.Go(func() { s.runBadCaller(loadCtx) })
 		watcherLoops.Go(func() { s.runRestarts(loadCtx) })
 	}
@@ -198,7 +204,7 @@
 	defer stopFaults()
 	s.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, 9)))
 	violations = append(violations, s.checkRecovery(ctx)...)
-	if o.CrashingParts > 0 {
+	if o.hasCrashes() {
 		pause.For(ctx, contactTime) // undisturbed
 	}
 	stopLoad()
@@ -214,6 +220,7 @@
 	violations = append(violations, s.checkVersions(results)...)
 	violations = append(violations, s.checkRetries()...)
 	violations = append(violations, s.checkCrashes()...)
+	violations = append(violations, s.checkSoundRefused(results)...)
 	violations = append(violations, s.checkLimits(results)...)
 	for _, inst := range s.instances {
 		if inst.unexpectedExits > 0 {
@@ -272,13 +279,9 @@
 			t.SetEvents(maxLongEvents, eventInterval)
 		}
 	}
-	for _, t := range s.testbed.targetsOf("models") {
-		if s.options.CrashingParts > 0 {
-			t.CrashPart(crashPart, engineDownTime)
-		}
-	}
+	s.prepareCrashes()
 	s.callers = newCallers(s.instances, routes)
-	s.callers.hasSubjects = s.options.CrashingParts > 0
+	s.callers.hasSubjects = s.options.hasCrashes()
 	s.callers.takesUp = s.options.Versions > 1
 	return nil
 }
--- a/standin/platform/soak/takeup.go
+++ b/standin/platform/soak/takeup.go
@@ -22,10 +22,21 @@
 	first           int
 	// size is the size of the body in bytes.
 	size int
+	// path is the path below the route; empty for the one of the other callers.
+	path string
 	// prompt holds the parts of the prompt; empty for those of the other callers.
 	prompt string
 }
 
+// uri returns the path of the request.
+func (a *attempt) uri() string {
+	path := a.path
+	if path == "" {
+		path = "x"
+	}
+	return "/" + a.route + "/" + path
+}
+
 // isResumable reports whether callers may take up a route's streams.
 func isResumable(route string) bool { return route == "stream" || route == "long" }
 
--- a/standin/platform/soak/versions.go
+++ b/standin/platform/soak/versions.go
@@ -22,6 +22,9 @@
 	if o.Versions > 1 {
 		return versionPhases
 	}
+	if o.CrashingRequests > 0 {
+		return targetPhases
+	}
 	if o.CrashingParts > 0 {
 		return crashPhases
 	}
