--- /dev/null
+++ b/cmd/entry/node/detour_test.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/fx"
+
+	"gorseline/io/target"
+	standin "gorseline/standin/platform"
+)
+
+// cutKind is how the connections of an instance to targets fail.
+type cutKind string
+
+const (
+	// cutHang makes open connections and new ones hang.
+	cutHang cutKind = "Hang"
+	// cutReset resets open connections and refuses new ones.
+	cutReset cutKind = "Reset"
+	// cutNew leaves open connections alone and refuses new ones.
+	cutNew cutKind = "New"
+)
+
+// links are the connections of one instance to the targets.
+type links struct {
+	// isTarget reports whether an address is that of a target.
+	isTarget func(address string) bool
+
+	mu    sync.Mutex
+	kind  cutKind // empty: not cut
+	conns map[*link]bool
+}
+
+func newLinks(s *site) *links {
+	return &links{conns: map[*link]bool{}, isTarget: func(address string) bool {
+		return slices.ContainsFunc(s.targets, func(tg *standin.Target) bool { return tg.Address() == address })
+	}}
+}
+
+// option makes an instance use the links.
+func (l *links) option() fx.Option {
+	return fx.Decorate(func(dial target.DialFunc) target.DialFunc {
+		return func(ctx context.Context, network, address string) (net.Conn, error) {
+			if !l.isTarget(address) {
+				return dial(ctx, network, address)
+			}
+			switch l.current() {
+			case cutHang:
+				<-ctx.Done()
+				return nil, ctx.Err()
+			case cutReset, cutNew:
+				return nil, errors.New("connection refused")
+			}
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			c := &link{Conn: conn, links: l}
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.conns[c] = true
+			return c, nil
+		}
+	})
+}
+
+func (l *links) current() cutKind {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.kind
+}
+
+// cut begins a cut, or ends it if the kind is empty.
+func (l *links) cut(kind cutKind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kind = kind
+	if kind == cutReset {
+		for c := range l.conns {
+			_ = c.Conn.Close()
+		}
+	}
+}
+
+// link is a connection to a target, which a cut makes hang.
+type link struct {
+	net.Conn
+	links *links
+
+	mu       sync.Mutex
+	deadline time.Time
+}
+
+// SetDeadline also bounds a read that hangs.
+func (c *link) SetDeadline(at time.Time) error {
+	c.mu.Lock()
+	c.deadline = at
+	c.mu.Unlock()
+	return c.Conn.SetDeadline(at)
+}
+
+// SetReadDeadline also bounds a read that hangs.
+func (c *link) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	c.deadline = at
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(at)
+}
+
+// Read drops what arrives during a cut that makes connections hang.
+func (c *link) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if c.links.current() != cutHang {
+			return n, err
+		}
+		c.mu.Lock()
+		deadline := c.deadline
+		c.mu.Unlock()
+		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
+			return 0, err
+		}
+		if err != nil {
+			time.Sleep(min(time.Until(deadline), 10*time.Millisecond))
+		}
+	}
+}
+
+// Write drops what is sent during a cut that makes connections hang.
+func (c *link) Write(b []byte) (int, error) {
+	if c.links.current() == cutHang {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close ends the connection.
+func (c *link) Close() error {
+	c.links.mu.Lock()
+	delete(c.links.conns, c)
+	c.links.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// tries counts the first tries at one instance.
+type tries struct {
+	mu           sync.Mutex
+	sent, served int
+	wrong        []string
+}
+
+func (c *tries) record(id string, got reply, isStream bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent++
+	switch {
+	case got.status != 200:
+	case isStream && strings.Count(got.body, "id: ") != 4, !isStream && got.body != "answer to "+id:
+		c.wrong = append(c.wrong, fmt.Sprintf("%s: %.60q", id, got.body))
+	default:
+		c.served++
+	}
+}
+
+// share returns the share of served requests.
+func (c *tries) share() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.served) / float64(max(1, c.sent))
+}
+
+// load sends requests on all routes to the instances for a time, and returns the counts by instance.
+func (s *site) load(prefix string, length time.Duration, list ...*instance) []*tries {
+	counts := make([]*tries, len(list))
+	var senders sync.WaitGroup
+	until := time.Now().Add(length)
+	for n, inst := range list {
+		counts[n] = &tries{}
+		for m, route := range []string{"once", "repeatable", "stream"} {
+			senders.Go(func() {
+				for i := 0; time.Now().Before(until); i++ {
+					id := fmt.Sprintf("%s-%d-%d-%d", prefix, n, m, i)
+					got := inst.call(s.t, "/"+route+"/x", id, promptOf(route, id)...)
+					counts[n].record(id, got, route == "stream")
+					time.Sleep(25 * time.Millisecond)
+				}
+			})
+		}
+	}
+	senders.Wait()
+	return counts
+}
+
+// Guards against callers who are served worse because the instance that they have chosen reaches no
+// target while others do.
+func TestInstanceWithoutTargetsServesThroughOthers(t *testing.T) {
+	for _, kind := range []cutKind{cutHang, cutReset, cutNew} {
+		t.Run(string(kind), func(t *testing.T) {
+			s := newSite(t)
+			l := newLinks(s)
+			list := []*instance{s.start("n1", l.option()), s.start("n2"), s.start("n3")}
+			s.eventually(5*time.Second, "the instances know each other", func() bool {
+				return !slices.ContainsFunc(list, func(i *instance) bool { return len(i.digests.Members()) != 3 })
+			})
+			s.load("before", time.Second, list...)
+			l.cut(kind)
+			s.load("early", contactTime, list...)
+			counts := s.load("cut", 2*time.Second, list...)
+			for n, c := range counts {
+				if c.sent < 30 || c.share() < 0.95 {
+					t.Errorf("%s served %.2f of %d requests", list[n].settings.Instance, c.share(), c.sent)
+				}
+				if len(c.wrong) > 0 {
+					t.Errorf("wrong answers: %v", c.wrong)
+				}
+			}
+			runs := map[string]int{}
+			for _, tg := range s.targets {
+				for _, r := range tg.Runs() {
+					if runs[r.ID]++; runs[r.ID] > 1 && strings.Contains(r.Path, "/once/") {
+						t.Errorf("%s ran twice", r.ID)
+					}
+				}
+			}
+			l.cut("")
+			s.load("after", time.Second, list[0])
+			before := strings.Count(list[0].output.String(), "Event=RequestDetoured")
+			if c := s.load("healed", time.Second, list[0])[0]; c.share() < 0.95 {
+				t.Errorf("%.2f of %d requests are served after the cut", c.share(), c.sent)
+			}
+			if after := strings.Count(list[0].output.String(), "Event=RequestDetoured"); after != before {
+				t.Errorf("%d requests went through others after the cut", after-before)
+			}
+		})
+	}
+}
--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -55,7 +55,8 @@
 			func() *targetlimit.Limits { return targetlimit.New(settings.Instance) },
 			newAssigner,
 			newBudgets,
-			func() *target.Pool { return target.NewPool(target.PoolOptions{}) },
+			newDial,
+			func(dial target.DialFunc) *target.Pool { return target.NewPool(target.PoolOptions{Dial: dial}) },
 			catchup.New,
 			newStateUpdater,
 			newDigests,
@@ -74,6 +75,9 @@
 	)
 }
 
+// newDial returns the function that opens connections to targets.
+func newDial() target.DialFunc { return target.NewDialer().DialContext }
+
 func newIdentity() identity {
 	var b [12]byte
 	// crypto/rand.Read never fails.
--- a/cmd/entry/node/node.go
+++ b/cmd/entry/node/node.go
@@ -73,10 +73,10 @@
 }
 
 // assemble wires the components of an instance. It listens on the instance's addresses but
-// starts nothing.
-func assemble(options Options, settings platform.Settings, output io.Writer) (*fx.App, *node, error) {
+// starts nothing. replaced holds options that replace components.
+func assemble(options Options, settings platform.Settings, output io.Writer, replaced ...fx.Option) (*fx.App, *node, error) {
 	var n *node
-	app := fx.New(fx.NopLogger, module(options, settings, output), fx.Populate(&n))
+	app := fx.New(fx.NopLogger, module(options, settings, output), fx.Populate(&n), fx.Options(replaced...))
 	// The root cause names the address or setting. The chain of constructors is omitted.
 	return app, n, errors.Wrap(dig.RootCause(app.Err()), "assemble")
 }
--- a/cmd/entry/node/node_test.go
+++ b/cmd/entry/node/node_test.go
@@ -98,7 +98,7 @@
 	output *output
 }
 
-func (s *site) start(name string) *instance {
+func (s *site) start(name string, replaced ...fx.Option) *instance {
 	s.t.Helper()
 	settings := platform.Settings{
 		Instance: core.InstanceID(name), DataCentre: "a", CallerAddress: freeAddress(s.t), ReadyAddress: freeAddress(s.t),
@@ -120,7 +120,7 @@
 	}
 	options := Options{MetricsPort: metricsPort, AnswerTTL: 100 * time.Millisecond, RosterInterval: 10 * time.Millisecond, InitialPrefillShare: 0.5}
 	i := &instance{output: &output{}}
-	if i.app, i.node, err = assemble(options, settings, i.output); err != nil {
+	if i.app, i.node, err = assemble(options, settings, i.output, replaced...); err != nil {
 		s.t.Fatal(err)
 	}
 	if err := i.app.Start(s.t.Context()); err != nil {
@@ -178,7 +178,7 @@
 }
 
 // call sends a request to an instance.
-func (i *instance) call(t *testing.T, path, id string, header ...string) reply {
+func (i *instance) call(t testing.TB, path, id string, header ...string) reply {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+i.settings.CallerAddress+path, strings.NewReader("body"))
 	if err != nil {
