--- a/cmd/entry/node/detour_test.go
+++ b/cmd/entry/node/detour_test.go
@@ -243,3 +243,62 @@
 		})
 	}
 }
+
+// Guards against requests that go on taking detours while one target of several can be reached, and
+// after targets have started again.
+func TestDetourEndsWhenATargetIsReached(t *testing.T) {
+	s := newRequestCrashSite(t, "calls", "", 4)
+	list := []*instance{s.start("n1"), s.start("n2")}
+	s.eventually(5*time.Second, "the instances know each other", func() bool {
+		return len(list[0].digests.Members()) == 2 && len(list[1].digests.Members()) == 2
+	})
+	s.load("before", 300*time.Millisecond, list...)
+	for _, tg := range s.engines[1:] {
+		tg.CrashPath("/bad", 3*time.Second)
+		tg.Crash()
+	}
+	s.load("early", 300*time.Millisecond, list...)
+	detours := func() (count int) {
+		for _, i := range list {
+			count += strings.Count(i.output.String(), "Event=RequestDetoured")
+		}
+		return count
+	}
+	before := detours()
+	for n, c := range s.load("late", 500*time.Millisecond, list...) {
+		if c.share() < 0.9 {
+			t.Errorf("%s served %d of %d requests", list[n].settings.Instance, c.served, c.sent)
+		}
+	}
+	if after := detours(); after > before+2 {
+		t.Errorf("%d requests took a detour", after-before)
+	}
+}
+
+// Guards against requests of other instances that are cut when the instance that forwards them leaves.
+func TestLeavingInstanceFinishesDetours(t *testing.T) {
+	s := newSite(t)
+	l := newLinks(s)
+	list := []*instance{s.start("n1", l.option()), s.start("n2")}
+	s.eventually(5*time.Second, "the instances know each other", func() bool {
+		return len(list[0].digests.Members()) == 2 && len(list[1].digests.Members()) == 2
+	})
+	l.cut(cutReset)
+	// Without these the instance can't tell whether the last request will end in time.
+	s.load("learn", time.Second, list...)
+	for _, tg := range s.targets[:2] {
+		tg.SetProcessingTime(600 * time.Millisecond)
+	}
+	var calls sync.WaitGroup
+	for n := range 4 {
+		calls.Go(func() {
+			id := fmt.Sprintf("r%d", n)
+			if got := list[0].call(t, "/once/x", id); got.status != 200 || got.body != "answer to "+id {
+				t.Errorf("%s: %+v", id, got)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	list[1].drain()
+	calls.Wait()
+}
--- a/cmd/entry/node/instruments.go
+++ b/cmd/entry/node/instruments.go
@@ -82,6 +82,13 @@
 	i.counter("Continuations." + string(service) + "." + string(result)).Inc(1)
 }
 
+// ObserveDetour counts a request that was sent through another instance.
+func (i *instruments) ObserveDetour(service core.Service, result forward.DetourResult) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counter("Detours." + string(service) + "." + string(result)).Inc(1)
+}
+
 // ObserveCall counts a call to the platform's store, and records the time of an answered
 // one. The time of Follow is left out: it is mostly the wait for a change.
 func (i *instruments) ObserveCall(call, result string, took time.Duration) {
--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -18,6 +18,7 @@
 	"gorseline/core/common/random"
 	"gorseline/core/load"
 	"gorseline/core/membership"
+	"gorseline/core/reach"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/core/targetlimit"
@@ -53,6 +54,8 @@
 			func() *roster.Roster { return roster.New(settings.HeartbeatInterval) },
 			func(r *random.Source) *retry.Health { return retry.NewHealth(retry.DefaultHealthOptions(), r) },
 			func() *targetlimit.Limits { return targetlimit.New(settings.Instance) },
+			reach.NewPaths,
+			func(r *random.Source) *reach.Detours { return reach.NewDetours(settings.DataCentre, r) },
 			newAssigner,
 			newBudgets,
 			newDial,
@@ -65,13 +68,15 @@
 			func() *leaseGuard { return &leaseGuard{} },
 			newEngineClient,
 			func(n *digest.Node) load.CellProvider { return n },
+			func(n *digest.Node) core.DetourPeerProvider { return n },
 			newRoleController,
 			newCacheReader,
 			newQuarantineKeeper,
+			newPathProber,
 			newNode,
 		),
-		// No other component depends on it.
-		fx.Invoke(func(*cacheReader) {}),
+		// No other component depends on them.
+		fx.Invoke(func(*cacheReader, *pathProber) {}),
 	)
 }
 
@@ -126,6 +131,7 @@
 func newDigests(
 	lc fx.Lifecycle, settings platform.Settings, id identity, loads *load.Tracker, instances *platform.InstanceList,
 	clock core.ClockProvider, l log.Interface, tracker *catchup.Tracker, updater *stateUpdater, limits *targetlimit.Limits,
+	paths *reach.Paths,
 ) (*digest.Node, error) {
 	conn, err := net.ListenPacket("udp4", settings.PeerAddress)
 	if err != nil {
@@ -138,7 +144,7 @@
 		},
 		Conn: conn, Sender: id.sender, Loads: loads, Lister: instances, Clock: clock, Seed: id.seed, Log: l,
 		Catchup: tracker, Snapshots: updater, Streams: streamSource{tracker, updater.roster, updater.confirmTargets, updater.Configuration},
-		Limits: limits,
+		Limits: limits, Paths: paths,
 	})
 	updater.digests = n
 	lifecycle.Register(lc, n)
@@ -151,13 +157,13 @@
 func newForwarder(
 	id identity, pool *target.Pool, a *assign.Assigner, loads *load.Tracker, r *roster.Roster, h *retry.Health,
 	budgets *retry.Shares, clock core.ClockProvider, digests *digest.Node, i *instruments, l log.Interface,
-	limits *targetlimit.Limits,
+	limits *targetlimit.Limits, paths *reach.Paths, detours *reach.Detours, settings platform.Settings,
 ) *forward.Forwarder {
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
 		Clock: clock, Publisher: digests, Observer: i, Log: l, Sender: id.sender, MaxBodyBytes: defaultMaxBodyBytes,
 		StreamStarts: digests, StreamVersions: digests, Quarantine: digests,
-		Limits: limits, LimitPublisher: digests,
+		Limits: limits, LimitPublisher: digests, Paths: paths, Peers: digests, Detours: detours, Instance: settings.Instance,
 	})
 }
 
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -19,6 +19,7 @@
 	"gorseline/core"
 	"gorseline/core/catchup"
 	"gorseline/core/common/pause"
+	"gorseline/core/reach"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/core/targetlimit"
@@ -48,9 +49,11 @@
 	limits       *targetlimit.Limits
 	draining     atomic.Bool
 	callerServer *http.Server
-	callers      newConnections
-	servers      []*http.Server
-	registry     metrics.Registry
+	// peerServer serves snapshots, and the requests of instances that reach no target.
+	peerServer *http.Server
+	callers    newConnections
+	servers    []*http.Server
+	registry   metrics.Registry
 	// metricsAddress is empty if no metrics are served.
 	metricsAddress string
 	done           chan struct{}
@@ -75,6 +78,7 @@
 	Updater     *stateUpdater
 	Keeper      *quarantineKeeper
 	Limits      *targetlimit.Limits
+	Paths       *reach.Paths
 	Registry    metrics.Registry
 	Instruments *instruments
 	Tracker     *catchup.Tracker
@@ -86,7 +90,7 @@
 		roster: p.Roster, budgets: p.Budgets, pool: p.Pool, instances: p.Instances, store: p.Store,
 		updater: p.Updater, keeper: p.Keeper, limits: p.Limits, registry: p.Registry, done: make(chan struct{}),
 	}
-	n.registerGauges(p.Instruments, p.Roles, p.Tracker)
+	n.registerGauges(&p)
 	lifecycle.Register(lc, n)
 	n.callerServer = newServer(p.Forwarder)
 	n.callers.watch(n.callerServer)
@@ -101,7 +105,8 @@
 			return nil, err
 		}
 	}
-	if err := n.serve(lc, p.Settings.PeerAddress, newServer(digest.NewSnapshotHandler(p.Updater))); err != nil {
+	n.peerServer = newServer(p.Forwarder.DetourHandler(digest.NewSnapshotHandler(p.Updater)))
+	if err := n.serve(lc, p.Settings.PeerAddress, n.peerServer); err != nil {
 		return nil, err
 	}
 	if p.Options.MetricsPort == 0 {
@@ -117,7 +122,8 @@
 }
 
 // registerGauges registers the gauges of the instance's current state.
-func (n *node) registerGauges(i *instruments, r *roleController, tracker *catchup.Tracker) {
+func (n *node) registerGauges(p *nodeParams) {
+	i, r, tracker := p.Instruments, p.Roles, p.Tracker
 	i.registerGauge("RequestsActive", n.forwarder.Active)
 	i.registerGauge("Members", func() int64 { return int64(len(n.digests.Members())) })
 	i.registerGauge("RetryInstances", func() int64 { return int64(n.budgets.Instances()) })
@@ -132,6 +138,7 @@
 		return int64(configuration)
 	})
 	i.registerGauge("LoadEventsDropped", func() int64 { return int64(n.digests.DroppedEvents()) })
+	i.registerGauge("ServicesUnreached", func() int64 { return int64(len(p.Paths.Lost())) })
 	registerStreamGauges(i, n.digests)
 	registerQuarantineGauges(i, n.digests)
 	i.registerGauge("TargetsLimited", func() int64 { return int64(n.limits.Count()) })
@@ -288,7 +295,7 @@
 	stopClose := time.AfterFunc(unusedTime, n.callers.close)
 	defer stopClose.Stop()
 	cut := int64(0)
-	if err := n.callerServer.Shutdown(ctx); err != nil {
+	if err := n.shutdownServers(ctx); err != nil {
 		cut = n.endRequests(grace)
 	}
 	n.waitForReleases(start, grace)
@@ -307,10 +314,19 @@
 	defer cancel()
 	cut := n.forwarder.EndRequests()
 	// Active in the log line of the exit shows the requests that are still in progress.
-	_ = n.callerServer.Shutdown(ctx)
+	_ = n.shutdownServers(ctx)
 	return cut
 }
 
+// shutdownServers waits for the requests in progress of callers and of other instances. It returns an
+// error if ctx ends before.
+func (n *node) shutdownServers(ctx context.Context) error {
+	if err := n.callerServer.Shutdown(ctx); err != nil {
+		return err
+	}
+	return n.peerServer.Shutdown(ctx)
+}
+
 // waitForReleases waits for calls that free exports, at most until half of the reserve is used. An
 // export that isn't freed expires.
 func (n *node) waitForReleases(start time.Time, grace time.Duration) {
--- a/core/retry/ledger.go
+++ b/core/retry/ledger.go
@@ -64,5 +64,8 @@
 	}
 }
 
+// Arrivals returns the number of sends that may have arrived, without the computation that is free.
+func (l *Ledger) Arrivals() int { return l.arrivals }
+
 // Extra returns the number of arrivals beyond the first.
 func (l *Ledger) Extra() int { return max(0, l.arrivals-1) }
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -73,6 +73,8 @@
 	Findings []quarantine.Finding `cbor:"18,keyasint,omitempty"`
 	// Limits holds the limits that targets state.
 	Limits []targetlimit.Fact `cbor:"19,keyasint,omitempty"`
+	// Unreached holds hashes of the services that the sender doesn't reach.
+	Unreached []uint64 `cbor:"21,keyasint,omitempty"`
 	// Process is a hash of a target's process that was reported lost and has answered since.
 	Process uint64 `cbor:"20,keyasint,omitempty"`
 }
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -26,6 +26,7 @@
 	"gorseline/core/common/pause"
 	"gorseline/core/load"
 	"gorseline/core/membership"
+	"gorseline/core/reach"
 	"gorseline/core/targetlimit"
 )
 
@@ -52,6 +53,9 @@
 	// Limits holds the limits that targets state. Without it, which is allowed, they are not
 	// exchanged.
 	Limits *targetlimit.Limits
+	// Paths knows which services this instance reaches. Without it, which is allowed, all count as
+	// reached.
+	Paths *reach.Paths
 }
 
 const (
--- /dev/null
+++ b/io/digest/paths.go
@@ -0,0 +1,61 @@
+package digest
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gorseline/core"
+	"gorseline/core/membership"
+)
+
+// maxUnreached bounds the services that a datagram names. Peers find out about the others from refusals.
+const maxUnreached = 16
+
+var _ core.DetourPeerProvider = (*Node)(nil)
+
+// unreached returns hashes of the services that this instance doesn't reach.
+func (n *Node) unreached() []uint64 {
+	if n.opts.Paths == nil {
+		return nil
+	}
+	var hashes []uint64
+	for _, lost := range n.opts.Paths.Lost() {
+		if len(hashes) < maxUnreached {
+			hashes = append(hashes, hashService(lost.Service))
+		}
+	}
+	return hashes
+}
+
+func hashService(s core.Service) uint64 { return xxhash.Sum64String(string(s)) }
+
+// AnnouncePaths tells the peers of this instance's cell which services it reaches.
+func (n *Node) AnnouncePaths() { n.Announce() }
+
+// DetourPeers returns the other instances that are alive, with those that don't reach a service marked.
+func (n *Node) DetourPeers(service core.Service) []core.DetourPeer {
+	hash := hashService(service)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []core.DetourPeer
+	for _, r := range n.members.Members() {
+		if r.ID == n.opts.Self.ID || r.Status != membership.StatusAlive {
+			continue
+		}
+		isCut := slices.Contains(n.peerStates[r.Address].unreached, hash)
+		list = append(list, core.DetourPeer{Address: r.Address, DataCentre: r.DataCentre, IsCut: isCut})
+	}
+	return list
+}
+
+// IsPeer reports whether a member has an IP address.
+func (n *Node) IsPeer(address netip.Addr) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.ContainsFunc(n.members.Members(), func(r membership.Record) bool {
+		at, err := netip.ParseAddrPort(r.Address)
+		return err == nil && at.Addr() == address.Unmap()
+	})
+}
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -38,6 +38,7 @@
 	p.Configuration, p.Targets = n.opts.Catchup.Versions()
 	p.Address, p.Sender = n.opts.Self.Address, n.opts.Sender
 	p.HasRecentReads = n.opts.Catchup.HasRecentReads(n.opts.Clock.Now())
+	p.Unreached = n.unreached()
 }
 
 // peerState holds the latest contact with a peer.
@@ -48,6 +49,8 @@
 	// isSynced is set once the peer has announced itself and the outstanding work of this
 	// instance was sent to it.
 	isSynced bool
+	// unreached holds hashes of the services that the peer doesn't reach.
+	unreached []uint64
 }
 
 // detectOwnPause marks all peers as not synced after a pause of this process that was long
@@ -96,7 +99,7 @@
 	isNew := before.sender != p.Sender
 	// Announcements come only from this instance's cell, within which loads are shared.
 	needsSync := p.Kind == packetVersions && (isNew || !before.isSynced)
-	n.peerStates[p.Address] = peerState{now, p.Sender, needsSync || before.isSynced && !isNew}
+	n.peerStates[p.Address] = peerState{now, p.Sender, needsSync || before.isSynced && !isNew, p.Unreached}
 	n.mu.Unlock()
 	if isNew {
 		n.opts.Loads.RemoveSender(before.sender)
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -58,6 +58,9 @@
 	if err != nil {
 		return nil, r.sendFailed(e, &a, began, err)
 	}
+	if answer.IsNewConnection {
+		r.recordConnection(e, nil)
+	}
 	r.observeLimit(e, began, answer.Header)
 	if err := answer.SetReadDeadline(time.Now().Add(r.remaining())); err != nil {
 		_ = answer.Close() // without a deadline reads could block
@@ -151,6 +154,9 @@
 	}
 	if r.in.Context().Err() == nil && !errors.Is(context.Cause(r.ctx), errSuperseded) {
 		r.handleNoAnswer(e, err, r.Clock.Now().Sub(began))
+		if result == sendNotRun {
+			r.recordConnection(e, err)
+		}
 		if result == sendUnknown {
 			r.recordLost(e, err)
 		}
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -114,6 +114,7 @@
 		r.failWithoutTarget(ReasonLeaving, drain.RetryAfter)
 	case r.quarantined != "":
 		r.failWithoutTarget(r.quarantined, quarantineRetryAfter)
+	case r.connectFailures > 0 && r.Paths.IsCut(r.service) && r.takeDetour():
 	case r.ctx.Err() != nil:
 		r.fail(ReasonNoAnswer)
 	case !r.mayRunAgain():
@@ -131,6 +132,9 @@
 // failWithoutTarget answers a request for which there is no target. It is a refusal that
 // suggests a retry after the given time, unless the request may have run.
 func (r *activeRequest) failWithoutTarget(reason core.Reason, after time.Duration) {
+	if reason == core.ReasonNoTarget && r.noTargetReached() && r.takeDetour() {
+		return
+	}
 	if r.possibleRuns > 0 || r.in.Context().Err() != nil {
 		r.fail(reason)
 		return
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -17,6 +17,7 @@
 	"gorseline/core/assign"
 	"gorseline/core/drain"
 	"gorseline/core/load"
+	"gorseline/core/reach"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/core/route"
@@ -53,6 +54,8 @@
 	ObserveSilence(service core.Service, step SilenceStep)
 	// ObserveRetry counts retries that the budget of a service allowed or denied.
 	ObserveRetry(service core.Service, cause RetryCause, retries int, allowed bool, state retry.ShareState)
+	// ObserveDetour counts a request that was sent through another instance by what became of it.
+	ObserveDetour(service core.Service, result DetourResult)
 	// ObserveContinuation counts a request that continues a stream by what became of it.
 	ObserveContinuation(service core.Service, result ContinuationResult)
 }
@@ -74,6 +77,12 @@
 	StreamStarts   core.StreamStartRecorder
 	StreamVersions core.StreamVersionProvider
 	Quarantine     core.Quarantine
+	// Paths knows which services can't be reached from here, Peers the other instances, and Detours
+	// chooses between them. Instance is the name of this one.
+	Paths    *reach.Paths
+	Peers    core.DetourPeerProvider
+	Detours  *reach.Detours
+	Instance core.InstanceID
 	// Limits holds the limits that targets state, LimitPublisher tells them to the other instances.
 	Limits         *targetlimit.Limits
 	LimitPublisher LimitPublisher
@@ -188,8 +197,11 @@
 // and has no configuration or no targets yet.
 const notReadyRetryAfter = 300 * time.Millisecond
 
-// ServeHTTP forwards one request.
-func (f *Forwarder) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+// ServeHTTP forwards one request of a caller.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, in *http.Request) { f.handle(w, in, nil) }
+
+// handle forwards one request. detour is nil unless another instance sends it.
+func (f *Forwarder) handle(w http.ResponseWriter, in *http.Request, detour *detourHeader) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	// nil keeps the server from adding a Date header to the header of the target.
@@ -197,7 +209,7 @@
 	if f.leaving.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	r := &activeRequest{Forwarder: f, w: w, in: in, arrived: f.Clock.Now()}
+	r := &activeRequest{Forwarder: f, w: w, in: in, detour: detour, arrived: f.Clock.Now()}
 	r.serve()
 }
 
@@ -251,6 +263,14 @@
 	sentAt core.Instant
 	// wasLost is set once a target has lost the request.
 	wasLost bool
+	// detour is what the instance states that sends the request; nil if the caller sends it.
+	detour *detourHeader
+	// hasDetoured is set once the request is sent through another instance, detourPeer is the address of
+	// the one that has answered it.
+	hasDetoured bool
+	detourPeer  string
+	// connectFailures counts the targets to which no connection could be opened.
+	connectFailures int
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
 	events        int
@@ -274,14 +294,19 @@
 	stopWatch := context.AfterFunc(r.stopped, cancel)
 	defer stopWatch()
 	r.ctx = ctx
-	r.Budgets.Deposit(r.service)
-	if !r.requireVersion() {
+	if r.detour == nil {
+		r.Budgets.Deposit(r.service) // once for both instances
+	}
+	if !r.acceptDetour() || !r.requireVersion() {
 		return
 	}
 	r.traits = r.traitsOf()
 	if !r.allowTraits() {
 		return
 	}
+	if r.Paths.IsCut(r.service) && r.takeDetour() {
+		return
+	}
 	if r.req.Prompt != nil && r.engineLimits() != nil {
 		r.servePrompt()
 		return
@@ -303,6 +328,10 @@
 		r.refuse(ReasonNoConfiguration, notReadyRetryAfter)
 		return false
 	}
+	if r.hasStaleConfiguration() {
+		r.refuse(ReasonStaleConfiguration, notReadyRetryAfter)
+		return false
+	}
 	matched, ok := r.table.Match(req.Host, req.Path)
 	if !ok {
 		r.reject(http.StatusNotFound, ReasonNoRoute, "no route for this host and path")
@@ -411,6 +440,7 @@
 	seconds := max(after, time.Millisecond).Seconds()
 	header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	header.Set("Content-Length", "0")
+	r.stateNotRun(reason)
 	r.w.WriteHeader(http.StatusServiceUnavailable)
 	r.recordEnd(core.OutcomeNotRun, reason, http.StatusServiceUnavailable)
 }
@@ -431,6 +461,9 @@
 		status, reason = http.StatusGatewayTimeout, ReasonTimeout
 	}
 	r.w.Header().Set("Content-Length", "0")
+	if r.detour != nil {
+		r.w.Header().Set(headerFailed, string(reason))
+	}
 	r.w.WriteHeader(status)
 	r.recordEnd(core.OutcomeUnknown, reason, status)
 }
@@ -452,6 +485,12 @@
 	}
 	r.addContinuation(fields)
 	r.observeContinuation(reason)
+	if r.detour != nil {
+		fields["From"] = r.detour.from
+	}
+	if r.detourPeer != "" {
+		fields["Peer"] = r.detourPeer
+	}
 	if r.prefillTime > 0 {
 		fields["PrefillMs"], fields["ImportMs"] = r.prefillTime.Milliseconds(), r.importTime.Milliseconds()
 	}
--- a/io/forward/retry.go
+++ b/io/forward/retry.go
@@ -24,6 +24,8 @@
 	RetryComputation RetryCause = "Computation"
 	// RetryImport follows a refusal to import a KV cache, which another engine imports.
 	RetryImport RetryCause = "Import"
+	// RetryDetour sends the request through another instance.
+	RetryDetour RetryCause = "Detour"
 	// RetryStream continues a broken stream on another engine.
 	RetryStream RetryCause = "Stream"
 )
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -83,6 +83,8 @@
 	// EndsWithConnection is set if the body has neither a length nor chunks, so that its end can't be
 	// told from that of its target.
 	EndsWithConnection bool
+	// IsNewConnection is set if the connection was opened for the request.
+	IsNewConnection bool
 
 	pool *Pool
 	conn *pooledConn
@@ -102,7 +104,7 @@
 // the connection is closed, which cancels the request at the target. The error of a failed
 // exchange is an *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
-	conn, err := p.get(ctx, r.Address)
+	conn, isNew, err := p.get(ctx, r.Address)
 	if err != nil {
 		return nil, &Error{err: err}
 	}
@@ -111,7 +113,7 @@
 		return nil, &Error{err: err}
 	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	a := &Answer{pool: p, conn: conn, stopWatch: stopWatch, maxIdle: r.MaxIdle}
+	a := &Answer{pool: p, conn: conn, stopWatch: stopWatch, maxIdle: r.MaxIdle, IsNewConnection: isNew}
 	err = a.send(r)
 	if err == nil {
 		err = a.await(r)
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -91,14 +91,14 @@
 }
 
 // get returns a connection to an address: an idle one that is still open, or a new one.
-func (p *Pool) get(ctx context.Context, address string) (*pooledConn, error) {
+func (p *Pool) get(ctx context.Context, address string) (c *pooledConn, isNew bool, err error) {
 	for {
 		c := p.take(address)
 		if c == nil {
 			break
 		}
 		if time.Now().Before(c.expires) && c.isOpen() {
-			return c, nil
+			return c, false, nil
 		}
 		_ = c.Close() // the connection is not used again
 	}
@@ -106,9 +106,9 @@
 	defer cancel()
 	raw, err := p.opts.Dial(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(err, "connect to target")
+		return nil, false, errors.Wrap(err, "connect to target")
 	}
-	return &pooledConn{Conn: raw, reader: newReader(raw), address: address}, nil
+	return &pooledConn{Conn: raw, reader: newReader(raw), address: address}, true, nil
 }
 
 // take removes and returns the most recently used idle connection, which is the least
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"gorseline/core/common/random"
 	"gorseline/core/load"
 	"gorseline/core/quarantine"
+	"gorseline/core/reach"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/core/route"
@@ -49,6 +51,44 @@
 	// quarantine is that of a fleet with one instance.
 	quarantine *localQuarantine
 	limits     *targetlimit.Limits
+	paths      *reach.Paths
+	peers      *peerList
+	// detours takes the requests of other instances.
+	detours *httptest.Server
+}
+
+// peerList holds the other instances of a fixture.
+type peerList struct {
+	mu       sync.Mutex
+	list     []core.DetourPeer
+	isClosed bool
+}
+
+// DetourPeers returns the instances.
+func (p *peerList) DetourPeers(core.Service) []core.DetourPeer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list
+}
+
+// IsPeer accepts all addresses unless the list is closed.
+func (p *peerList) IsPeer(netip.Addr) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.isClosed
+}
+
+// AnnouncePaths does nothing.
+func (p *peerList) AnnouncePaths() {}
+
+// set sets the instances to which requests may be sent.
+func (p *peerList) set(fixtures ...*fixture) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = nil
+	for _, f := range fixtures {
+		p.list = append(p.list, core.DetourPeer{Address: strings.TrimPrefix(f.detours.URL, "http://"), DataCentre: "here"})
+	}
 }
 
 // localQuarantine is the quarantine of a fleet with one instance.
@@ -116,6 +156,8 @@
 
 func (noopObserver) ObserveSend(core.Service, string) {}
 
+func (noopObserver) ObserveDetour(core.Service, forward.DetourResult) {}
+
 func (noopObserver) ObserveSilence(core.Service, forward.SilenceStep) {}
 
 func (noopObserver) ObserveRetry(core.Service, forward.RetryCause, int, bool, retry.ShareState) {}
@@ -160,7 +202,7 @@
 	t.Helper()
 	f := &fixture{
 		t: t, roster: roster.New(time.Second), logs: memory.New(),
-		budgets: retry.NewShares(1, 1000), targets: targets, streams: streams,
+		budgets: retry.NewShares(1, 1000), targets: targets, streams: streams, paths: reach.NewPaths(), peers: &peerList{},
 		observer: &continuationObserver{counts: map[forward.ContinuationResult]int{}},
 	}
 	f.budgets.SetInstances(1)
@@ -183,6 +225,7 @@
 		Clock:   clock, Publisher: noopPublisher{}, Observer: f.observer,
 		StreamStarts: streams, StreamVersions: streams, Quarantine: f.quarantine,
 		Limits: f.limits, LimitPublisher: noopPublisher{},
+		Paths: f.paths, Peers: f.peers, Detours: reach.NewDetours("here", source), Instance: "n",
 		Log: &log.Logger{Handler: f.logs, Level: log.InfoLevel}, Sender: 1, MaxBodyBytes: 1 << 20,
 	})
 	f.forwarder.Configure(route.NewTable(configuration(1)))
@@ -190,6 +233,8 @@
 	f.server.Config.MaxHeaderBytes = 16 << 10
 	f.server.Start()
 	t.Cleanup(f.server.Close)
+	f.detours = httptest.NewServer(f.forwarder.DetourHandler(http.NotFoundHandler()))
+	t.Cleanup(f.detours.Close)
 	return f
 }
 
