--- a/cmd/entry/soak_test.go
+++ b/cmd/entry/soak_test.go
@@ -103,6 +103,27 @@
 	}
 }
 
+// Guards against callers who are served worse at instances that are cut off from all targets, beside
+// killed, frozen and leaving instances.
+func TestSoakWithCuts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	report, err := soak.Run(t.Context(), soak.Options{
+		Command: []string{os.Args[0]}, Seed: 2, FaultDuration: 16 * time.Second, Instances: 4, Callers: 8, Cuts: true,
+		Retries: soak.RandomRetryLimit(2), Dir: filepath.Join(t.TempDir(), "soak"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Violations {
+		t.Errorf("%s (faults %v)", v, report.Faults)
+	}
+	if len(report.Cuts) == 0 {
+		t.Error("no instance was cut off")
+	}
+}
+
 // Guards against targets that get more requests than they state beside killed, frozen and leaving
 // instances.
 func TestSoakWithStatedLimits(t *testing.T) {
--- a/standin/platform/crash.go
+++ b/standin/platform/crash.go
@@ -84,6 +84,14 @@
 		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n20\r\nid: 0\n", id, t.id, id)
 }
 
+// OnDown sets a function that is called when the target crashes, and before it accepts connections
+// again. It must be set before the first crash.
+func (t *Target) OnDown(changed func(isDown bool)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onDown = changed
+}
+
 // Crash closes the listener and all connections. The target listens again at the same address
 // after the time that was given to CrashPart or CrashPath. Further calls until then do nothing and return false.
 func (t *Target) Crash() bool {
@@ -100,6 +108,9 @@
 			t.runs[i].Fault = CrashedUnder
 		}
 	}
+	if t.onDown != nil {
+		t.onDown(true)
+	}
 	for c := range t.conns {
 		_ = c.Close()
 	}
@@ -128,6 +139,9 @@
 			_ = listener.Close()
 			return
 		}
+		if t.onDown != nil {
+			t.onDown(false)
+		}
 		t.listener, t.isDown = listener, false
 		clear(t.handles)
 		t.orderCount = 0
--- a/standin/platform/soak/crashes.go
+++ b/standin/platform/soak/crashes.go
@@ -145,9 +145,7 @@
 func (s *soak) disruptUnplanned(instance string, run func()) {
 	began := time.Now()
 	s.disrupt(instance, run)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.disruptions = append(s.disruptions, interval{began, time.Now()})
+	s.recordDisruption(interval{began, time.Now()})
 }
 
 // prepareCrashes makes targets crash under the parts and requests of the options.
--- a/standin/platform/soak/proxy.go
+++ b/standin/platform/soak/proxy.go
@@ -34,8 +34,11 @@
 // proxy is a TCP proxy on loopback in front of one address.
 type proxy struct {
 	listener        net.Listener
+	ownAddress      string
 	upstreamAddress string
-	goroutines      sync.WaitGroup
+	// hole replaces the listener during a cut with hanging connections.
+	hole       *blackHole
+	goroutines sync.WaitGroup
 
 	mu    sync.Mutex
 	mode  mode
@@ -47,12 +50,12 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, upstreamAddress: upstreamAddress, conns: map[net.Conn]bool{}}
-	p.goroutines.Go(p.runAccept)
+	p := &proxy{listener: listener, ownAddress: listener.Addr().String(), upstreamAddress: upstreamAddress, conns: map[net.Conn]bool{}}
+	p.goroutines.Go(func() { p.runAccept(listener) })
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.ownAddress }
 
 // setMode changes the mode, also of open connections.
 func (p *proxy) setMode(m mode) {
@@ -92,9 +95,9 @@
 	p.goroutines.Wait()
 }
 
-func (p *proxy) runAccept() {
+func (p *proxy) runAccept(listener net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -47,6 +48,8 @@
 	// StatedLimits makes targets state limits that rise, fall and end, beside killed, frozen and leaving
 	// instances.
 	StatedLimits bool
+	// Cuts makes instances lose their links to all targets, beside killed, frozen and leaving instances.
+	Cuts bool
 	// Retries is the limit on retries in the settings of the instances.
 	Retries RetryLimit
 	// Dir is the directory for settings and logs; it is created if absent.
@@ -77,9 +80,15 @@
 	if o.Versions > 1 {
 		return versionFaults
 	}
+	if o.hasCrashes() && o.Cuts {
+		return slices.Concat(crashFaults, cutFaults)
+	}
 	if o.hasCrashes() {
 		return crashFaults
 	}
+	if o.Cuts {
+		return cutFaults
+	}
 	if o.StatedLimits {
 		return limitFaults
 	}
@@ -92,7 +101,7 @@
 // faultPause returns the time until the next faults.
 func (o *Options) faultPause(rng *rand.Rand) time.Duration {
 	d := time.Duration(rng.IntN(600)) * time.Millisecond
-	if o.hasCrashes() || o.StatedLimits {
+	if o.hasCrashes() || o.StatedLimits || o.Cuts {
 		return 8 * d // so that instances are in touch with each other in between
 	}
 	return d
@@ -117,6 +126,8 @@
 	Crashes string
 	// LimitPeak describes the window that came closest to the stated limit of a target.
 	LimitPeak string
+	// Cuts describes the times for which instances were cut off from all targets.
+	Cuts []string
 	// Violations lists the guarantees that were broken; empty if none was.
 	Violations []string
 }
@@ -142,6 +153,9 @@
 	// streams describes the streams that callers took up.
 	streams string
 	crashes *crashes
+	// links is nil unless instances are cut off from targets. cuts describes these times.
+	links *links
+	cuts  []string
 	// lost describes the targets that each crashing part or request has cost.
 	lost []string
 	// limitPeak describes the window that came closest to the stated limit of a target.
@@ -221,6 +235,7 @@
 	violations = append(violations, s.checkRetries()...)
 	violations = append(violations, s.checkCrashes()...)
 	violations = append(violations, s.checkSoundRefused(results)...)
+	violations = append(violations, s.checkCuts(results)...)
 	violations = append(violations, s.checkLimits(results)...)
 	for _, inst := range s.instances {
 		if inst.unexpectedExits > 0 {
@@ -231,7 +246,7 @@
 }
 
 func (s *soak) report(results []result, violations []string) Report {
-	r := Report{Seed: s.options.Seed, Requests: len(results), Faults: s.injected, RetryPeaks: s.retryPeaks, Streams: s.streams, Crashes: strings.Join(s.lost, "; "), LimitPeak: s.limitPeak, Violations: violations}
+	r := Report{Seed: s.options.Seed, Requests: len(results), Faults: s.injected, RetryPeaks: s.retryPeaks, Streams: s.streams, Crashes: strings.Join(s.lost, "; "), LimitPeak: s.limitPeak, Cuts: s.cuts, Violations: violations}
 	for i := range results {
 		switch results[i].status {
 		case 200:
@@ -252,12 +267,20 @@
 	if s.testbed, err = newTestbed(&s.options); err != nil {
 		return err
 	}
-	for i := range s.options.Instances {
-		storeProxy, err := newProxy(s.testbed.storeAddress)
+	stores, err := s.storeAddresses()
+	if err != nil {
+		return err
+	}
+	for i, store := range stores {
+		storeProxy, err := newProxy(store)
 		if err != nil {
 			return errors.Wrap(err, "start proxy")
 		}
 		dc := string(rune('a' + i%2))
+		if s.options.Cuts {
+			// The only one of its data centre reads the store itself, with the addresses of its links.
+			dc = fmt.Sprintf("dc%d", i)
+		}
 		inst, err := newInstance(fmt.Sprintf("n%d", i), dc, &s.options, storeProxy)
 		if err != nil {
 			return err
@@ -286,6 +309,18 @@
 	return nil
 }
 
+// storeAddresses returns the address of the store for each instance.
+func (s *soak) storeAddresses() (addresses []string, err error) {
+	if s.options.Cuts {
+		s.links, addresses, err = newLinks(s.testbed, s.options.Instances)
+		return addresses, err
+	}
+	for range s.options.Instances {
+		addresses = append(addresses, s.testbed.storeAddress)
+	}
+	return addresses, nil
+}
+
 func (s *soak) close() {
 	for _, inst := range s.instances {
 		inst.signal(syscall.SIGCONT)
@@ -293,6 +328,9 @@
 		inst.storeProxy.close()
 		_ = inst.logFile.Close() // the process has exited
 	}
+	if s.links != nil {
+		s.links.close()
+	}
 	if s.testbed != nil {
 		s.testbed.close()
 	}
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -156,6 +156,7 @@
 	// causedCrashes holds those of crashes that requests have caused.
 	causedCrashes []CausedCrash
 	isDown        bool
+	onDown        func(isDown bool)
 	// endlessBytes counts the bytes that were sent without end.
 	endlessBytes int
 	endlessEnds  []time.Time
