--- a/cmd/entry/node/detour_test.go
+++ b/cmd/entry/node/detour_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
 	"gorseline/io/target"
@@ -302,3 +303,42 @@
 	list[1].drain()
 	calls.Wait()
 }
+
+// Guards against a holder of the leases that keeps them although it reaches no engine, so that nobody
+// can order roles.
+func TestHolderWithoutTargetsHandsLeasesOver(t *testing.T) {
+	s := newSite(t)
+	l := []*links{newLinks(s), newLinks(s), newLinks(s)}
+	var list []*instance
+	for i := range l {
+		list = append(list, s.start(fmt.Sprintf("n%d", i+1), l[i].option()))
+	}
+	holder := func() int { return slices.IndexFunc(list, func(i *instance) bool { return i.holdsLease() }) }
+	s.eventually(10*time.Second, "an instance holds the leases", func() bool { return holder() >= 0 })
+	first := holder()
+	l[first].cut(cutReset)
+	stop := make(chan struct{})
+	var senders sync.WaitGroup
+	senders.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				s.load("cut", 100*time.Millisecond, list[first])
+			}
+		}
+	})
+	s.eventually(40*time.Second, "another instance holds the leases", func() bool {
+		next := holder()
+		return next >= 0 && next != first
+	})
+	close(stop)
+	senders.Wait()
+}
+
+// holdsLease reports whether the instance may order roles.
+func (i *instance) holdsLease() bool {
+	gauge, ok := i.registry.Get("LeasesHeld").(metrics.Gauge)
+	return ok && gauge.Value() > 0
+}
--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -107,7 +107,8 @@
 	options := authority.Options{
 		Self: p.Settings.Instance, Shards: roleShards, Groups: 1, Table: p.Table, Clock: clock,
 		Recorder: eventLog{p.Log}, NewAttemptID: table.NewAttemptIDSource(),
-		Members: func() []core.InstanceID { return memberIDs(p.Digests) },
+		// An instance that reaches no engine can't give orders.
+		Members: p.Digests.ReachingMembers,
 		Orderer: p.Engines,
 		// The platform starts one process of an instance at a time; a second one couldn't
 		// listen on the same ports.
@@ -133,16 +134,6 @@
 	return r, nil
 }
 
-// memberIDs returns the IDs of the members, this instance included.
-func memberIDs(d *digest.Node) []core.InstanceID {
-	members := d.Members()
-	ids := make([]core.InstanceID, len(members))
-	for i, m := range members {
-		ids[i] = m.ID
-	}
-	return ids
-}
-
 // Run plans periodically while this instance holds the lease, until ctx ends.
 func (r *roleController) Run(ctx context.Context) {
 	defer close(r.done)
--- a/io/digest/paths.go
+++ b/io/digest/paths.go
@@ -50,6 +50,29 @@
 	return list
 }
 
+// ReachingMembers returns the members that reach the targets of all services, as far as is known here. If
+// there is none, it returns all members.
+func (n *Node) ReachingMembers() []core.InstanceID {
+	isSelfCut := len(n.unreached()) > 0
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var all, reaching []core.InstanceID
+	for _, r := range n.members.Members() {
+		all = append(all, r.ID)
+		isCut := len(n.peerStates[r.Address].unreached) > 0
+		if r.ID == n.opts.Self.ID {
+			isCut = isSelfCut
+		}
+		if !isCut {
+			reaching = append(reaching, r.ID)
+		}
+	}
+	if len(reaching) == 0 {
+		return all
+	}
+	return reaching
+}
+
 // IsPeer reports whether a member has an IP address.
 func (n *Node) IsPeer(address netip.Addr) bool {
 	n.mu.Lock()
