--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -157,13 +157,14 @@
 func newForwarder(
 	id identity, pool *target.Pool, a *assign.Assigner, loads *load.Tracker, r *roster.Roster, h *retry.Health,
 	budgets *retry.Shares, clock core.ClockProvider, digests *digest.Node, i *instruments, l log.Interface,
-	limits *targetlimit.Limits, paths *reach.Paths, detours *reach.Detours, settings platform.Settings,
+	limits *targetlimit.Limits, paths *reach.Paths, detours *reach.Detours, settings platform.Settings, updater *stateUpdater,
 ) *forward.Forwarder {
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
 		Clock: clock, Publisher: digests, Observer: i, Log: l, Sender: id.sender, MaxBodyBytes: defaultMaxBodyBytes,
 		StreamStarts: digests, StreamVersions: digests, Quarantine: digests,
 		Limits: limits, LimitPublisher: digests, Paths: paths, Peers: digests, Detours: detours, Instance: settings.Instance,
+		Leavings: updater,
 	})
 }
 
--- a/cmd/entry/node/state_updater.go
+++ b/cmd/entry/node/state_updater.go
@@ -74,6 +74,26 @@
 	u.watcher.PublishChanges(u.roster.ReplaceFromPeer(u.clock.Now(), list.Version, list.Targets, list.Lapsed))
 }
 
+var _ core.LeavingRecorder = (*stateUpdater)(nil)
+
+// RecordLeaving marks a process of a target as leaving that has stated so, and tells the peers.
+func (u *stateUpdater) RecordLeaving(id core.TargetID, started int64) {
+	if u.ApplyLeaving(id, started) {
+		u.log.WithFields(log.Fields{"Target": id, "Started": started, "Source": "Answer"}).Info("TargetStatesLeaving")
+		u.digests.PublishLeaving(id, started)
+	}
+}
+
+// ApplyLeaving marks a process of a target as leaving.
+func (u *stateUpdater) ApplyLeaving(id core.TargetID, started int64) bool {
+	changes := u.roster.MarkLeaving(id, started)
+	if len(changes) == 0 {
+		return false
+	}
+	u.watcher.PublishChanges(changes)
+	return true
+}
+
 // confirmTargets reads the changes of the targets once.
 func (u *stateUpdater) confirmTargets(ctx context.Context) error { return u.watcher.Confirm(ctx) }
 
@@ -100,6 +120,8 @@
 			u.health.Forget(c.Registration.ID)
 			u.limits.Forget(c.Registration.ID)
 			u.pool.DiscardIdle(c.Registration.Address)
+		case roster.Leaving:
+			u.pool.DiscardIdle(c.Registration.Address)
 		}
 		if c.Kind != roster.Removed {
 			u.setCapacity(&c.Registration)
--- a/core/detour.go
+++ b/core/detour.go
@@ -2,6 +2,12 @@
 
 import "net/netip"
 
+// LeavingRecorder records that the process of a target has stated in an answer that it leaves.
+type LeavingRecorder interface {
+	// RecordLeaving tells the other instances as well. It doesn't block.
+	RecordLeaving(target TargetID, started int64)
+}
+
 // DetourPeer is another instance that may reach targets that this one doesn't.
 type DetourPeer struct {
 	// Address is where it takes requests of other instances.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -109,6 +110,8 @@
 	hasRestored bool
 	// removed holds the entries that were removed within removedMemory.
 	removed map[core.TargetID]removedEntry
+	// leaving holds the start of the processes that have stated that they leave, by target.
+	leaving map[core.TargetID]int64
 }
 
 // removedEntry is an entry that was removed at a time.
@@ -126,7 +129,7 @@
 func New(minOutage time.Duration) *Roster {
 	r := &Roster{
 		lapsedAt: map[core.TargetID]core.Instant{}, recoveredAt: -core.Instant(time.Hour), minOutage: minOutage,
-		removed: map[core.TargetID]removedEntry{},
+		removed: map[core.TargetID]removedEntry{}, leaving: map[core.TargetID]int64{},
 	}
 	r.view.Store(&View{entries: map[core.TargetID]*Entry{}, services: map[core.Service][]*Entry{}})
 	return r
@@ -243,6 +246,40 @@
 	})
 }
 
+// maxLeaving bounds the targets that are remembered to leave.
+const maxLeaving = 4096
+
+// MarkLeaving records that a process of a target has stated that it leaves, and returns the changes. It
+// holds whatever the registry lists, until the target registers as another process.
+func (r *Roster) MarkLeaving(id core.TargetID, started int64) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.view.Load()
+	if len(r.leaving) >= maxLeaving {
+		maps.DeleteFunc(r.leaving, func(id core.TargetID, _ int64) bool { return old.entries[id] == nil })
+	}
+	r.leaving[id] = started
+	e, known := old.entries[id]
+	if !known || e.Started != started || e.Leaving {
+		return nil
+	}
+	entry := *e
+	entry.Leaving = true
+	entries := maps.Clone(old.entries)
+	entries[id] = &entry
+	r.view.Store(newView(old.Version, entries))
+	return []Change{{entry.Registration, Leaving}}
+}
+
+// hasStatedLeaving reports whether the process of an entry has stated that it leaves.
+func (r *Roster) hasStatedLeaving(e *core.Registration) bool {
+	started, ok := r.leaving[e.ID]
+	if ok && started != e.Started {
+		delete(r.leaving, e.ID)
+	}
+	return ok && started == e.Started
+}
+
 // isBefore reports whether a was written before b, by the same process of the target or by an
 // earlier one. Targets that don't state their start are taken not to have restarted.
 func isBefore(a, b *core.Registration) bool {
@@ -253,6 +290,9 @@
 func (r *Roster) remove(now core.Instant, entries map[core.TargetID]*Entry, old *Entry, changes []Change) []Change {
 	delete(entries, old.ID)
 	delete(r.lapsedAt, old.ID)
+	if old.Started == 0 {
+		delete(r.leaving, old.ID) // its next process can't be told from this one
+	}
 	for id, gone := range r.removed {
 		if now.Sub(gone.at) >= removedMemory {
 			delete(r.removed, id)
@@ -358,6 +398,7 @@
 	}
 	delete(r.lapsedAt, u.ID)
 	entry := &Entry{Registration: *u.Registration}
+	entry.Leaving = entry.Leaving || r.hasStatedLeaving(&entry.Registration)
 	if known && entry.Version == "" && isSameProcess(&entry.Registration, &old.Registration) {
 		entry.Version = old.Version
 	}
--- a/io/dialect.go
+++ b/io/dialect.go
@@ -62,6 +62,8 @@
 	// StatedLimit returns the number of requests a second that the target takes from all instances
 	// together. isStated is false if the answer states none; the error reports a malformed one.
 	StatedLimit(header http.Header) (perSecond float64, isStated bool, err error)
+	// StatesLeaving reports whether the target states that it leaves.
+	StatesLeaving(header http.Header) bool
 	// Matches reports whether an answer belongs to a request.
 	Matches(id core.RequestID, answer http.Header) bool
 	// RelayedHeader returns the part of the header that is relayed to the caller.
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -32,6 +32,7 @@
 	packetLimits
 	packetAcquittal
 	packetAlive
+	packetLeaving
 )
 
 // maxPacketSize is the largest size of a datagram in bytes. It fits one Ethernet frame.
@@ -75,6 +76,8 @@
 	Limits []targetlimit.Fact `cbor:"19,keyasint,omitempty"`
 	// Unreached holds hashes of the services that the sender doesn't reach.
 	Unreached []uint64 `cbor:"21,keyasint,omitempty"`
+	// Leaving holds targets that have stated that they leave.
+	Leaving []leavingTarget `cbor:"22,keyasint,omitempty"`
 	// Process is a hash of a target's process that was reported lost and has answered since.
 	Process uint64 `cbor:"20,keyasint,omitempty"`
 }
@@ -151,7 +154,7 @@
 		return nil, errors.Wrap(err, "decode datagram")
 	}
 	switch p.Kind {
-	case packetLoad, packetVersions, packetLosses, packetSurvivalQuestion, packetSurvivalAnswer, packetFindings, packetLimits, packetAcquittal, packetAlive:
+	case packetLoad, packetVersions, packetLosses, packetSurvivalQuestion, packetSurvivalAnswer, packetFindings, packetLimits, packetAcquittal, packetAlive, packetLeaving:
 		return p, nil
 	case packetCall, packetReply:
 		if p.Message == nil {
--- a/io/digest/digest_test.go
+++ b/io/digest/digest_test.go
@@ -34,6 +34,9 @@
 func (noSnapshots) Targets() *roster.View               { return roster.New(time.Second).View() }
 func (noSnapshots) ApplyTargets(TargetList)             {}
 
+// ApplyLeaving does nothing.
+func (noSnapshots) ApplyLeaving(core.TargetID, int64) bool { return false }
+
 // newNodes starts nodes of one data centre, each of which is in the instance list.
 func newNodes(t *testing.T, count int) ([]*Node, []*load.Tracker) {
 	t.Helper()
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -89,6 +89,7 @@
 	streams  *streams
 	evidence *evidence
 	limits   *limits
+	leavings *leavings
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -122,6 +123,7 @@
 	n.streams = newStreams(n)
 	n.evidence = newEvidence(n)
 	n.limits = newLimits(n)
+	n.leavings = newLeavings(n)
 	n.serial.Store(o.Sender) // late replies to an earlier process match no call
 	n.peers.Store(&peerSet{cells: load.NewCells(o.Self.DataCentre, map[core.DataCentre]int{o.Self.DataCentre: 1})})
 	return n
@@ -173,6 +175,7 @@
 	loops.Go(func() { n.evidence.loopQuestions(ctx) })
 	loops.Go(func() { n.evidence.loopFindings(ctx) })
 	loops.Go(func() { n.limits.loop(ctx) })
+	loops.Go(func() { n.leavings.loop(ctx) })
 	<-ctx.Done()
 	_ = n.opts.Conn.Close() // ends loopRead
 	loops.Wait()
@@ -372,6 +375,8 @@
 		n.evidence.handle(p, from)
 	case packetLimits:
 		n.limits.handle(p)
+	case packetLeaving:
+		n.leavings.handle(p)
 	}
 }
 
--- a/io/digest/snapshot.go
+++ b/io/digest/snapshot.go
@@ -30,6 +30,8 @@
 	Targets() *roster.View
 	// ApplyTargets replaces the list of targets unless the current one is newer.
 	ApplyTargets(TargetList)
+	// ApplyLeaving marks a process of a target as leaving. It returns false if that changes nothing.
+	ApplyLeaving(id core.TargetID, started int64) bool
 }
 
 // TargetList holds the targets of one version of the registry.
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -62,6 +62,7 @@
 		r.recordConnection(e, nil)
 	}
 	r.observeLimit(e, began, answer.Header)
+	r.observeLeaving(e, answer.Header)
 	if err := answer.SetReadDeadline(time.Now().Add(r.remaining())); err != nil {
 		_ = answer.Close() // without a deadline reads could block
 		return nil, r.sendFailed(e, &a, began, err)
--- a/io/forward/detour.go
+++ b/io/forward/detour.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -33,10 +34,13 @@
 	headerArrivals = "Gorseline-Arrivals"
 	// headerFailed marks a failure of the other instance with its reason. The request may have run.
 	headerFailed = "Gorseline-Failed"
+	// headerLeaving names a target that states in its answer that it leaves, after the start of its
+	// process.
+	headerLeaving = "Gorseline-Leaving"
 )
 
 var detourHeaders = [...]string{
-	headerDetour, headerConfiguration, headerRuns, headerNotRun, headerUnable, headerArrivals, headerFailed,
+	headerDetour, headerConfiguration, headerRuns, headerNotRun, headerUnable, headerArrivals, headerFailed, headerLeaving,
 }
 
 const (
@@ -242,6 +246,7 @@
 		r.detourFailed(address, err)
 		return false
 	}
+	r.learnLeaving(answer.Header.Get(headerLeaving))
 	if reason := answer.Header.Get(headerNotRun); reason != "" {
 		return r.relayRefusal(address, core.Reason(reason), answer)
 	}
@@ -255,9 +260,20 @@
 		return true
 	}
 	r.endDetour(address, DetourServed, "")
+	for _, name := range detourHeaders {
+		answer.Header.Del(name)
+	}
 	return r.relayAnswer(answer)
 }
 
+// learnLeaving records the leaving target that another instance names.
+func (r *activeRequest) learnLeaving(value string) {
+	startedText, id, ok := strings.Cut(value, " ")
+	if started, err := strconv.ParseInt(startedText, 10, 64); ok && err == nil {
+		r.Leavings.RecordLeaving(core.TargetID(id), started)
+	}
+}
+
 // detourHeader returns the header of the request for another instance.
 func (r *activeRequest) detourHeader() http.Header {
 	header := r.Dialect.OutboundHeader(r.in.Header, &core.Attempt{Remaining: r.remaining()})
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -83,6 +83,8 @@
 	Peers    core.DetourPeerProvider
 	Detours  *reach.Detours
 	Instance core.InstanceID
+	// Leavings records the targets that state that they leave.
+	Leavings core.LeavingRecorder
 	// Limits holds the limits that targets state, LimitPublisher tells them to the other instances.
 	Limits         *targetlimit.Limits
 	LimitPublisher LimitPublisher
--- a/io/forward/targetlimit.go
+++ b/io/forward/targetlimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -34,6 +35,17 @@
 	}
 }
 
+// observeLeaving records that the target of an answer states that it leaves.
+func (r *activeRequest) observeLeaving(e *roster.Entry, header http.Header) {
+	if !r.Dialect.StatesLeaving(header) {
+		return
+	}
+	if r.detour != nil {
+		r.w.Header().Set(headerLeaving, strconv.FormatInt(e.Started, 10)+" "+string(e.ID))
+	}
+	r.Leavings.RecordLeaving(e.ID, e.Started)
+}
+
 // limitRefusal replaces the reason and the retry delay of a refusal if limits keep targets of the
 // service from being used: the delay is then the time until one may be.
 func (r *activeRequest) limitRefusal(reason core.Reason, after time.Duration) (core.Reason, time.Duration) {
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -57,6 +57,12 @@
 	detours *httptest.Server
 }
 
+// leavingRecorder records leaving targets of a fleet with one instance.
+type leavingRecorder struct{ *roster.Roster }
+
+// RecordLeaving marks a target as leaving.
+func (l leavingRecorder) RecordLeaving(id core.TargetID, started int64) { l.MarkLeaving(id, started) }
+
 // peerList holds the other instances of a fixture.
 type peerList struct {
 	mu       sync.Mutex
@@ -225,7 +231,8 @@
 		Clock:   clock, Publisher: noopPublisher{}, Observer: f.observer,
 		StreamStarts: streams, StreamVersions: streams, Quarantine: f.quarantine,
 		Limits: f.limits, LimitPublisher: noopPublisher{},
-		Paths: f.paths, Peers: f.peers, Detours: reach.NewDetours("here", source), Instance: "n",
+		Leavings: leavingRecorder{f.roster},
+		Paths:    f.paths, Peers: f.peers, Detours: reach.NewDetours("here", source), Instance: "n",
 		Log: &log.Logger{Handler: f.logs, Level: log.InfoLevel}, Sender: 1, MaxBodyBytes: 1 << 20,
 	})
 	f.forwarder.Configure(route.NewTable(configuration(1)))
