--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -158,6 +158,7 @@
 	"PartQuarantined":      "refused at once: its prompt has a part that crashes engines; the lines PartJudged and PartQuarantined name the evidence",
 	"RequestQuarantined":   "refused at once: such a request crashes targets; the lines RequestJudged and RequestQuarantined with its Fingerprint name the evidence",
 	"TargetsUnreached":     "refused at once: the instance reaches no target of the service; the lines TargetsUnreached and TargetsReached say since when",
+	"TargetsPaused":        "refused at once: all targets that could serve it have asked for a pause; the lines TargetPaused name them",
 	"StaleConfiguration":   "refused to another instance, which has a newer configuration and asks a third one",
 	"Suspect":              "the stream can't be continued on another engine: several were lost under such a request or a part of its prompt",
 	"StreamVersionUnknown": "refused at once: it isn't known at which software version the stream began that the request continues",
--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -55,6 +55,7 @@
 			func(r *random.Source) *retry.Health { return retry.NewHealth(retry.DefaultHealthOptions(), r) },
 			func() *targetlimit.Limits { return targetlimit.New(settings.Instance) },
 			reach.NewPaths,
+			retry.NewPauses,
 			func(r *random.Source) *reach.Detours { return reach.NewDetours(settings.DataCentre, r) },
 			newAssigner,
 			newBudgets,
@@ -102,10 +103,10 @@
 
 func newAssigner(
 	settings platform.Settings, loads *load.Tracker, h *retry.Health, r *random.Source, digests *digest.Node,
-	limits *targetlimit.Limits,
+	limits *targetlimit.Limits, pauses *retry.Pauses,
 ) *assign.Assigner {
 	return assign.New(assign.Options{
-		Loads: loads, Health: h, Random: r, Home: settings.DataCentre, Cells: digests, Limits: limits,
+		Loads: loads, Health: h, Random: r, Home: settings.DataCentre, Cells: digests, Limits: limits, Pauses: pauses,
 		Tuning: assign.DefaultTuning(),
 	})
 }
@@ -158,13 +159,14 @@
 	id identity, pool *target.Pool, a *assign.Assigner, loads *load.Tracker, r *roster.Roster, h *retry.Health,
 	budgets *retry.Shares, clock core.ClockProvider, digests *digest.Node, i *instruments, l log.Interface,
 	limits *targetlimit.Limits, paths *reach.Paths, detours *reach.Detours, settings platform.Settings, updater *stateUpdater,
+	pauses *retry.Pauses,
 ) *forward.Forwarder {
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
 		Clock: clock, Publisher: digests, Observer: i, Log: l, Sender: id.sender, MaxBodyBytes: defaultMaxBodyBytes,
 		StreamStarts: digests, StreamVersions: digests, Quarantine: digests,
 		Limits: limits, LimitPublisher: digests, Paths: paths, Peers: digests, Detours: detours, Instance: settings.Instance,
-		Leavings: updater,
+		Leavings: updater, Pauses: pauses,
 	})
 }
 
--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -16,6 +16,7 @@
 	"gorseline/core/common/pause"
 	"gorseline/core/load"
 	"gorseline/core/placement"
+	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/io/boottime"
 	"gorseline/io/digest"
@@ -64,7 +65,9 @@
 	nextReports core.Instant
 	// orderedAt maps targets to the time of this instance's last order that wasn't refused.
 	orderedAt map[core.TargetID]core.Instant
-	done      chan struct{}
+	// pauses holds the engines that must be sent nothing, also no orders.
+	pauses *retry.Pauses
+	done   chan struct{}
 }
 
 // roleParams are the dependencies of a roleController.
@@ -81,6 +84,7 @@
 	Assigner  *assign.Assigner
 	Engines   *platform.EngineClient
 	Guard     *leaseGuard
+	Pauses    *retry.Pauses
 	Log       log.Interface
 }
 
@@ -123,7 +127,7 @@
 		// The roster may lag by two renewals and one read.
 		registryLag: 2*p.Settings.HeartbeatInterval + p.Options.RosterInterval,
 		planners:    map[planKey]*placement.DemandPlanner{}, orderedAt: map[core.TargetID]core.Instant{},
-		cells: p.Digests, reports: map[core.TargetID]core.LoadReport{},
+		cells: p.Digests, reports: map[core.TargetID]core.LoadReport{}, pauses: p.Pauses,
 		done: make(chan struct{}),
 	}
 	r.reporter = p.Engines
@@ -232,7 +236,7 @@
 	var calls sync.WaitGroup
 	semaphore := make(chan struct{}, maxConcurrentReports)
 	for _, e := range engines {
-		if cells.Includes(e.ID, e.DataCentre) {
+		if cells.Includes(e.ID, e.DataCentre) || r.isPaused(e) {
 			continue
 		}
 		semaphore <- struct{}{}
@@ -257,13 +261,18 @@
 func (r *roleController) observe(ctx context.Context, e *roster.Entry) {
 	at, ok := r.orderedAt[e.ID]
 	now := r.bootClock.Now()
-	if !ok || now.Sub(at) < r.registryLag+r.roleChangeTime(e.Service) {
+	if !ok || now.Sub(at) < r.registryLag+r.roleChangeTime(e.Service) || r.isPaused(e) {
 		return
 	}
 	delete(r.orderedAt, e.ID)
 	r.reconciler.Observe(ctx, e.Target, core.LoadReport{Role: e.Role}, now.Add(-r.registryLag))
 }
 
+// isPaused reports whether an engine has asked to be sent nothing.
+func (r *roleController) isPaused(e *roster.Entry) bool {
+	return r.pauses.Left(r.processClock.Now(), &e.Registration) > 0
+}
+
 // roleChangeTime returns how long an engine is unavailable while it changes its role.
 func (r *roleController) roleChangeTime(service core.Service) time.Duration {
 	if t := r.forwarder.Table(); t != nil {
@@ -302,6 +311,10 @@
 	if !ok {
 		return
 	}
+	if r.isPaused(e) {
+		planner.CancelChange(change.Target)
+		return
+	}
 	demand := planner.State()
 	result := r.reconciler.Submit(ctx, e.Target, authority.Desired{Role: change.To})
 	r.log.WithFields(log.Fields{
--- a/cmd/entry/node/roles_test.go
+++ b/cmd/entry/node/roles_test.go
@@ -18,6 +18,7 @@
 	"gorseline/core/common/pause"
 	"gorseline/core/load"
 	"gorseline/core/placement"
+	"gorseline/core/retry"
 	"gorseline/core/roster"
 	"gorseline/core/route"
 	"gorseline/io/boottime"
@@ -66,6 +67,7 @@
 		bootClock: clock, processClock: core.NewProcessClock(), forwarder: f, roster: targets, loads: load.NewTracker(),
 		log: &log.Logger{Handler: discard.Default}, planners: map[planKey]*placement.DemandPlanner{},
 		orderedAt: map[core.TargetID]core.Instant{}, reports: map[core.TargetID]core.LoadReport{}, reporter: reporter,
+		pauses: retry.NewPauses(),
 		cells: fixedCells{load.NewCells("near", map[core.DataCentre]int{"near": load.FleetWideLimit, "far": load.FleetWideLimit})},
 	}
 	r.plan(t.Context())
@@ -73,6 +75,14 @@
 	if want := []string{"10.0.0.1:80", "10.0.0.2:80"}; !slices.Equal(reporter.addresses, want) {
 		t.Errorf("reports of %v were read, want %v", reporter.addresses, want)
 	}
+	// An engine that asks for a pause is not asked for its report.
+	paused, _ := targets.View().Find("i-1")
+	r.pauses.Record(r.processClock.Now(), &paused.Registration, time.Minute)
+	r.nextReports, reporter.addresses = 0, nil
+	r.plan(t.Context())
+	if want := []string{"10.0.0.2:80"}; !slices.Equal(reporter.addresses, want) {
+		t.Errorf("during a pause reports of %v were read, want %v", reporter.addresses, want)
+	}
 }
 
 // holderGap is the minimum time between orders of two holders in the known deployments.
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -31,6 +31,8 @@
 	Cells load.CellProvider
 	// Limits holds the limits that targets state; nil means none.
 	Limits *targetlimit.Limits
+	// Pauses holds the pauses that targets ask for; nil means none.
+	Pauses *retry.Pauses
 	Tuning
 }
 
@@ -304,6 +306,9 @@
 	if a.opts.Limits != nil && !a.opts.Limits.Ready(now, &e.Registration) {
 		return false
 	}
+	if a.opts.Pauses != nil && a.opts.Pauses.Left(now, &e.Registration) > 0 {
+		return false
+	}
 	return a.opts.Health.Usable(now, e.ID)
 }
 
--- a/io/dialect.go
+++ b/io/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"gorseline/core"
 )
@@ -62,6 +63,9 @@
 	// StatedLimit returns the number of requests a second that the target takes from all instances
 	// together. isStated is false if the answer states none; the error reports a malformed one.
 	StatedLimit(header http.Header) (perSecond float64, isStated bool, err error)
+	// AskedPause returns for how long a target that refuses a request asks to be sent nothing. isAsked is
+	// false if it doesn't ask; the error reports a malformed time.
+	AskedPause(status int, header http.Header) (length time.Duration, isAsked bool, err error)
 	// StatesLeaving reports whether the target states that it leaves.
 	StatesLeaving(header http.Header) bool
 	// Matches reports whether an answer belongs to a request.
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -37,7 +37,7 @@
 // budget doesn't allow it or the instance leaves too soon, whatever the caller has decided.
 func (r *activeRequest) send(e *roster.Entry, a core.Attempt, limit time.Duration) (answer *target.Answer, result sendResult) {
 	defer func() { r.lastResult = result }()
-	if !r.allowSend(&a) || !r.allowTraitsNow() || !r.takeLimit(e) || !r.takeRetries(r.retryCause(), stageOf(&a)) {
+	if !r.allowSend(&a) || !r.allowTraitsNow() || !r.allowTarget(e) || !r.takeLimit(e) || !r.takeRetries(r.retryCause(), stageOf(&a)) {
 		return nil, sendNotRun
 	}
 	began := r.Clock.Now()
@@ -63,6 +63,7 @@
 	}
 	r.observeLimit(e, began, answer.Header)
 	r.observeLeaving(e, answer.Header)
+	r.observePause(e, answer.Status, answer.Header)
 	if err := answer.SetReadDeadline(time.Now().Add(r.remaining())); err != nil {
 		_ = answer.Close() // without a deadline reads could block
 		return nil, r.sendFailed(e, &a, began, err)
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -243,8 +243,11 @@
 }
 
 // releaseExport frees an exported KV cache that no engine will import. It does so in the
-// background.
+// background, unless the engine has asked for a pause.
 func (r *activeRequest) releaseExport(e *roster.Entry, handle string) {
+	if r.Pauses.Left(r.Clock.Now(), &e.Registration) > 0 {
+		return // the export expires
+	}
 	method, uri := r.Dialect.ReleaseRequest(handle)
 	r.Limits.Charge(r.Clock.Now(), &e.Registration)
 	r.releases.Go(func() {
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -83,6 +83,8 @@
 	Peers    core.DetourPeerProvider
 	Detours  *reach.Detours
 	Instance core.InstanceID
+	// Pauses holds the pauses that targets ask for.
+	Pauses *retry.Pauses
 	// Leavings records the targets that state that they leave.
 	Leavings core.LeavingRecorder
 	// Limits holds the limits that targets state, LimitPublisher tells them to the other instances.
--- a/io/forward/targetlimit.go
+++ b/io/forward/targetlimit.go
@@ -46,9 +46,10 @@
 	r.Leavings.RecordLeaving(e.ID, e.Started)
 }
 
-// limitRefusal replaces the reason and the retry delay of a refusal if limits keep targets of the
-// service from being used: the delay is then the time until one may be.
+// limitRefusal replaces the reason and the retry delay of a refusal if pauses or limits keep targets of
+// the service from being used: the delay is then the time until one may be.
 func (r *activeRequest) limitRefusal(reason core.Reason, after time.Duration) (core.Reason, time.Duration) {
+	reason, after = r.pauseRefusal(reason, after)
 	if reason != core.ReasonNoTarget && reason != core.ReasonConcurrency {
 		return reason, after
 	}
--- a/standin/platform/announced_test.go
+++ b/standin/platform/announced_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -92,3 +93,50 @@
 		})
 	}
 }
+
+// Guards against callers who are told to come back before any target may be used, and all at once.
+func TestPauseOfAllTargetsIsToldToCallers(t *testing.T) {
+	for path, phase := range map[string]string{"/safe/x": "", "/once/x": "", "/resumable/x": "decode"} {
+		f := newFixture(t, phase, phase)
+		f.targets[0].Ask("1.5")
+		f.targets[1].Ask("9")
+		var first response
+		delays := map[string]bool{}
+		for i := range 12 {
+			id := fmt.Sprint("r", i)
+			got := f.do(t.Context(), http.MethodPost, path, id, "b", "X-Model", "m", "X-Token-Count", "300,100", "X-Prompt-Prefix", "ab:250,"+id+":50")
+			if got.status != http.StatusServiceUnavailable {
+				t.Errorf("%s: %+v", path, got)
+			}
+			if i < 2 {
+				first = got
+				continue // both targets have to be asked
+			}
+			after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			if err != nil || after < 1.2 || after > 2 {
+				t.Errorf("%s: Retry-After %q, first %q", path, got.header.Get("Retry-After"), first.header.Get("Retry-After"))
+			}
+			delays[got.header.Get("Retry-After")] = true
+		}
+		if len(delays) < 5 {
+			t.Errorf("%s: callers are told to come back at the same time: %v", path, delays)
+		}
+		if count := f.arrivals(0, 1); count > 4 {
+			t.Errorf("%s: %d requests reached the targets", path, count)
+		}
+	}
+}
+
+// Guards against pauses that are no number, are negative or are stated by an answer that is no refusal.
+func TestMalformedPauseIsIgnored(t *testing.T) {
+	for _, text := range []string{"soon", "-3", "0", "1e300", "NaN", "Wed, 21 Oct 2026 07:28:00 GMT"} {
+		f := newFixture(t, "")
+		f.targets[0].Ask(text)
+		f.do(t.Context(), http.MethodPost, "/safe/x", "r1", "b")
+		f.targets[0].Ask("")
+		time.Sleep(150 * time.Millisecond) // longer than a target is avoided after a refusal
+		if got := f.do(t.Context(), http.MethodPost, "/safe/x", "r2", "b"); got.status != http.StatusOK {
+			t.Errorf("%q: %+v", text, got)
+		}
+	}
+}
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -219,20 +219,20 @@
 	source := random.New(7)
 	clock := core.NewProcessClock()
 	f.quarantine, f.limits = newLocalQuarantine(clock), targetlimit.New("n")
-	tracker := load.NewTracker()
+	tracker, pauses := load.NewTracker(), retry.NewPauses()
 	health := retry.NewHealth(retry.DefaultHealthOptions(), source)
 	f.forwarder = forward.New(forward.Options{
 		Dialect: client.Dialect{}, Pool: target.NewPool(target.PoolOptions{}),
 		Assigner: assign.New(assign.Options{
-			Loads: tracker, Health: health, Random: source, Home: "here", Limits: f.limits, Tuning: assign.DefaultTuning(),
+			Loads: tracker, Health: health, Random: source, Home: "here", Limits: f.limits, Pauses: pauses, Tuning: assign.DefaultTuning(),
 		}),
 		Loads: tracker, Roster: f.roster, Health: health,
 		Budgets: f.budgets,
 		Clock:   clock, Publisher: noopPublisher{}, Observer: f.observer,
 		StreamStarts: streams, StreamVersions: streams, Quarantine: f.quarantine,
 		Limits: f.limits, LimitPublisher: noopPublisher{},
-		Leavings: leavingRecorder{f.roster},
-		Paths:    f.paths, Peers: f.peers, Detours: reach.NewDetours("here", source), Instance: "n",
+		Leavings: leavingRecorder{f.roster}, Pauses: pauses,
+		Paths: f.paths, Peers: f.peers, Detours: reach.NewDetours("here", source), Instance: "n",
 		Log: &log.Logger{Handler: f.logs, Level: log.InfoLevel}, Sender: 1, MaxBodyBytes: 1 << 20,
 	})
 	f.forwarder.Configure(route.NewTable(configuration(1)))
