Detours: pass over silent instances and those of earlier versions

A frozen instance of the cell kept being chosen until the probes noticed; the answer of an instance that knows no detours would have been relayed, such as its 404; the name of a leaving target was added to a header that another goroutine may write.

--- a/cmd/entry/node/roles_test.go
+++ b/cmd/entry/node/roles_test.go
@@ -68,7 +68,7 @@
 		log: &log.Logger{Handler: discard.Default}, planners: map[planKey]*placement.DemandPlanner{},
 		orderedAt: map[core.TargetID]core.Instant{}, reports: map[core.TargetID]core.LoadReport{}, reporter: reporter,
 		pauses: retry.NewPauses(),
-		cells: fixedCells{load.NewCells("near", map[core.DataCentre]int{"near": load.FleetWideLimit, "far": load.FleetWideLimit})},
+		cells:  fixedCells{load.NewCells("near", map[core.DataCentre]int{"near": load.FleetWideLimit, "far": load.FleetWideLimit})},
 	}
 	r.plan(t.Context())
 	slices.Sort(reporter.addresses)
--- a/io/digest/paths.go
+++ b/io/digest/paths.go
@@ -35,16 +35,20 @@
 func (n *Node) AnnouncePaths() { n.Announce() }
 
 // DetourPeers returns the other instances that are alive, with those that don't reach a service marked.
+// Silent peers of this instance's cell are left out, as for callers.
 func (n *Node) DetourPeers(service core.Service) []core.DetourPeer {
-	hash := hashService(service)
+	hash, cells := hashService(service), n.Cells()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := n.opts.Clock.Now()
 	var list []core.DetourPeer
 	for _, r := range n.members.Members() {
-		if r.ID == n.opts.Self.ID || r.Status != membership.StatusAlive {
+		state := n.peerStates[r.Address]
+		isSilent := now.Sub(state.lastHeard) >= peerTimeout && (cells.IsFleetWide || r.DataCentre == cells.Home)
+		if r.ID == n.opts.Self.ID || r.Status != membership.StatusAlive || isSilent {
 			continue
 		}
-		isCut := slices.Contains(n.peerStates[r.Address].unreached, hash)
+		isCut := slices.Contains(state.unreached, hash)
 		list = append(list, core.DetourPeer{Address: r.Address, DataCentre: r.DataCentre, IsCut: isCut})
 	}
 	return list
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -213,6 +213,7 @@
 // writeHeader relays the status and the header.
 func (r *activeRequest) writeHeader(answer *target.Answer) {
 	header := r.w.Header()
+	r.stateLeaving()
 	for name, values := range r.Dialect.RelayedHeader(answer.Header) {
 		header[name] = values
 	}
--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -154,7 +154,7 @@
 	s.adoptCounts(c)
 	r := &c.request
 	s.silentTarget, s.lastTarget, s.lastVersion = r.silentTarget, r.lastTarget, r.lastVersion
-	s.lastAttempt, s.lastResult, s.sentAt = r.lastAttempt, r.lastResult, r.sentAt
+	s.lastAttempt, s.lastResult, s.sentAt, s.statedLeaving = r.lastAttempt, r.lastResult, r.sentAt, r.statedLeaving
 }
 
 // continueElsewhere returns the answer of another engine that continues the stream. It waits for
--- a/io/forward/detour.go
+++ b/io/forward/detour.go
@@ -20,7 +20,8 @@
 // Headers between two instances, in the canonical form of net/http. Callers' values are replaced, and
 // targets get none of them.
 const (
-	// headerDetour marks a request that another instance sends; its value is that instance's name.
+	// headerDetour marks a request that another instance sends, and the answer to it; its value is the
+	// sender's name.
 	headerDetour = "Gorseline-Detour"
 	// headerConfiguration is the version of the configuration that the request was accepted under, and
 	// headerRuns the number of targets that may have run it.
@@ -104,6 +105,7 @@
 		for _, name := range detourHeaders {
 			in.Header.Del(name)
 		}
+		w.Header().Set(headerDetour, string(f.Instance))
 		f.handle(w, in, &detourHeader{from: from, configuration: core.Revision(configuration), runs: runs})
 	})
 }
@@ -127,11 +129,27 @@
 	return false
 }
 
+// stateLeaving adds the name of a leaving target for the instance that sent the request.
+func (r *activeRequest) stateLeaving() {
+	if r.detour != nil && r.statedLeaving != "" {
+		r.w.Header().Set(headerLeaving, r.statedLeaving)
+	}
+}
+
+// stateFailed adds to a failure what the instance that sent the request needs.
+func (r *activeRequest) stateFailed(reason core.Reason) {
+	if r.detour != nil {
+		r.w.Header().Set(headerFailed, string(reason))
+		r.stateLeaving()
+	}
+}
+
 // stateNotRun adds to a refusal what the instance that sent the request needs.
 func (r *activeRequest) stateNotRun(reason core.Reason) {
 	if r.detour == nil {
 		return
 	}
+	r.stateLeaving()
 	header := r.w.Header()
 	header.Set(headerNotRun, string(reason))
 	header.Set(headerArrivals, strconv.Itoa(r.ledger.Arrivals()))
@@ -246,6 +264,13 @@
 		r.detourFailed(address, err)
 		return false
 	}
+	if answer.Header.Get(headerDetour) == "" {
+		// It runs a version that knows no detours, or doesn't know this instance.
+		discardBody(answer)
+		r.Detours.Avoid(r.Clock.Now(), address, r.service)
+		r.endDetour(address, DetourUnable, "status "+strconv.Itoa(answer.Status))
+		return false
+	}
 	r.learnLeaving(answer.Header.Get(headerLeaving))
 	if reason := answer.Header.Get(headerNotRun); reason != "" {
 		return r.relayRefusal(address, core.Reason(reason), answer)
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -273,6 +273,9 @@
 	// the one that has answered it.
 	hasDetoured bool
 	detourPeer  string
+	// statedLeaving names a target that states that it leaves, in the form of headerLeaving; empty for
+	// none.
+	statedLeaving string
 	// connectFailures counts the targets to which no connection could be opened.
 	connectFailures int
 	// events counts the relayed events of a stream. lastEventTime is the time from the
@@ -465,9 +468,7 @@
 		status, reason = http.StatusGatewayTimeout, ReasonTimeout
 	}
 	r.w.Header().Set("Content-Length", "0")
-	if r.detour != nil {
-		r.w.Header().Set(headerFailed, string(reason))
-	}
+	r.stateFailed(reason)
 	r.w.WriteHeader(status)
 	r.recordEnd(core.OutcomeUnknown, reason, status)
 }
--- a/io/forward/targetlimit.go
+++ b/io/forward/targetlimit.go
@@ -40,9 +40,7 @@
 	if !r.Dialect.StatesLeaving(header) {
 		return
 	}
-	if r.detour != nil {
-		r.w.Header().Set(headerLeaving, strconv.FormatInt(e.Started, 10)+" "+string(e.ID))
-	}
+	r.statedLeaving = strconv.FormatInt(e.Started, 10) + " " + string(e.ID)
 	r.Leavings.RecordLeaving(e.ID, e.Started)
 }
 
--- a/standin/platform/detour_test.go
+++ b/standin/platform/detour_test.go
@@ -88,6 +88,21 @@
 	}
 }
 
+// Guards against an answer of an instance that knows no detours, such as one of an earlier version, that
+// is taken for that of a target.
+func TestInstanceWithoutDetoursIsPassedOver(t *testing.T) {
+	earlier := newFixture(t, "")
+	earlier.detours.Config.Handler = http.NotFoundHandler()
+	other := newFixture(t, "")
+	f := newCutFixture(t, earlier, other)
+	for i := range 8 {
+		id := "r" + string(rune('0'+i))
+		if got := f.do(t.Context(), http.MethodPost, "/once/x", id, "b"); got.status != http.StatusOK {
+			t.Errorf("%s: %+v", id, got)
+		}
+	}
+}
+
 // Guards against a request that is passed on without end between instances that reach no target.
 func TestDetourHasOneHop(t *testing.T) {
 	f, other := newCutFixture(t), newCutFixture(t)
