--- a/cmd/commands/soak.go
+++ b/cmd/commands/soak.go
@@ -28,6 +28,7 @@
 	Parts     int           `long:"crashing-parts" env:"SOAK_CRASHING_PARTS" description:"Parts of prompts that crash engines, 0 to 5; from 1 on engines crash for other reasons too, instances are killed, frozen and stopped, and the store is away or comes back from a copy" default:"0"`
 	Requests  int           `long:"crashing-requests" env:"SOAK_CRASHING_REQUESTS" description:"Requests that crash the targets that run them and come again and again, 0 to 8, beside the faults of --crashing-parts" default:"0"`
 	Cuts      bool          `long:"cuts" env:"SOAK_CUTS" description:"Instances lose their links to all targets, beside killed, frozen and stopped instances; allowed with --crashing-parts and --crashing-requests"`
+	Announce  bool          `long:"announcements" env:"SOAK_ANNOUNCEMENTS" description:"Targets state that they leave, without a change in the registry, and ask for pauses, beside killed, frozen and stopped instances"`
 	Limits    bool          `long:"stated-limits" env:"SOAK_STATED_LIMITS" description:"Targets state limits of requests a second that rise, fall and end, beside killed, frozen and stopped instances"`
 	Entry     string        `long:"entry" env:"SOAK_ENTRY" description:"Program to run as instances, such as that of an earlier commit; the default is this one"`
 	Dir       string        `long:"dir" env:"SOAK_DIR" description:"Directory for settings and logs" default:"/tmp/gorseline-soak"`
@@ -64,6 +65,9 @@
 	if c.Limits && (c.Planned || c.Versions > 1 || c.Parts+c.Requests > 0 || c.Cuts) {
 		return invalidSetting("--stated-limits", "true", "false with --planned, --versions, --crashing-parts, --crashing-requests or --cuts")
 	}
+	if c.Announce && (c.Planned || c.Versions > 1 || c.Parts+c.Requests > 0 || c.Cuts || c.Limits) {
+		return invalidSetting("--announcements", "true", "false with all other kinds of faults")
+	}
 	command := []string{c.Entry}
 	if c.Entry == "" {
 		binary, err := os.Executable()
@@ -102,7 +106,7 @@
 func (c *soakCommand) runSeed(ctx context.Context, command []string, seed uint64) (soak.Report, error) {
 	return soak.Run(ctx, soak.Options{
 		Command: command, Seed: seed, FaultDuration: c.Length, Instances: c.Instances, Callers: c.Callers,
-		Planned: c.Planned, Versions: c.Versions, CrashingParts: c.Parts, CrashingRequests: c.Requests, Cuts: c.Cuts, StatedLimits: c.Limits, Retries: soak.RandomRetryLimit(seed),
+		Planned: c.Planned, Versions: c.Versions, CrashingParts: c.Parts, CrashingRequests: c.Requests, Cuts: c.Cuts, StatedLimits: c.Limits, Announcements: c.Announce, Retries: soak.RandomRetryLimit(seed),
 		Dir: filepath.Join(c.Dir, strconv.FormatUint(seed, 10)),
 	})
 }
--- a/cmd/entry/soak_test.go
+++ b/cmd/entry/soak_test.go
@@ -124,6 +124,24 @@
 	}
 }
 
+// Guards against targets that get requests after they have stated that they leave, or while they ask for
+// a pause, beside killed, frozen and leaving instances.
+func TestSoakWithAnnouncements(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	report, err := soak.Run(t.Context(), soak.Options{
+		Command: []string{os.Args[0]}, Seed: 1, FaultDuration: 14 * time.Second, Instances: 4, Callers: 8, Announcements: true,
+		Retries: soak.RandomRetryLimit(1), Dir: filepath.Join(t.TempDir(), "soak"),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Violations {
+		t.Errorf("%s (faults %v)", v, report.Faults)
+	}
+}
+
 // Guards against targets that get more requests than they state beside killed, frozen and leaving
 // instances.
 func TestSoakWithStatedLimits(t *testing.T) {
--- a/standin/platform/crash.go
+++ b/standin/platform/crash.go
@@ -16,6 +16,13 @@
 	t.crashPart, t.downTime = name, downTime
 }
 
+// SetDownTime sets how long the target is down after a crash.
+func (t *Target) SetDownTime(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.downTime = d
+}
+
 // CrashPath makes the target crash when it has begun to run a request whose path contains text. The
 // target starts again after the given time.
 func (t *Target) CrashPath(text string, downTime time.Duration) {
@@ -142,7 +149,7 @@
 		if t.onDown != nil {
 			t.onDown(false)
 		}
-		t.listener, t.isDown = listener, false
+		t.listener, t.isDown, t.statesLeaving = listener, false, false
 		clear(t.handles)
 		t.orderCount = 0
 		t.born++
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -50,6 +50,9 @@
 	StatedLimits bool
 	// Cuts makes instances lose their links to all targets, beside killed, frozen and leaving instances.
 	Cuts bool
+	// Announcements makes targets state that they leave, without a change in the registry, and ask for
+	// pauses, beside killed, frozen and leaving instances.
+	Announcements bool
 	// Retries is the limit on retries in the settings of the instances.
 	Retries RetryLimit
 	// Dir is the directory for settings and logs; it is created if absent.
@@ -92,6 +95,9 @@
 	if o.StatedLimits {
 		return limitFaults
 	}
+	if o.Announcements {
+		return announcementFaults
+	}
 	if o.Planned {
 		return plannedFaults
 	}
@@ -101,7 +107,7 @@
 // faultPause returns the time until the next faults.
 func (o *Options) faultPause(rng *rand.Rand) time.Duration {
 	d := time.Duration(rng.IntN(600)) * time.Millisecond
-	if o.hasCrashes() || o.StatedLimits || o.Cuts {
+	if o.hasCrashes() || o.StatedLimits || o.Cuts || o.Announcements {
 		return 8 * d // so that instances are in touch with each other in between
 	}
 	return d
@@ -206,6 +212,8 @@
 	}
 	if o.hasCrashes() {
 		callerLoops.Go(func() { s.runBadCaller(loadCtx) })
+	}
+	if o.hasCrashes() || o.Announcements {
 		watcherLoops.Go(func() { s.runRestarts(loadCtx) })
 	}
 	var watchers []*versionWatcher
@@ -236,6 +244,7 @@
 	violations = append(violations, s.checkCrashes()...)
 	violations = append(violations, s.checkSoundRefused(results)...)
 	violations = append(violations, s.checkCuts(results)...)
+	violations = append(violations, s.checkAnnouncements(results)...)
 	violations = append(violations, s.checkLimits(results)...)
 	for _, inst := range s.instances {
 		if inst.unexpectedExits > 0 {
--- a/standin/platform/soak/testbed.go
+++ b/standin/platform/soak/testbed.go
@@ -40,7 +40,7 @@
 var targetPhases = []string{"", "", "", "", "decode", "decode", "decode", "decode", "decode", "prefill"}
 
 func newTestbed(o *Options) (*testbed, error) {
-	tb := &testbed{store: platform.NewStore(), phases: o.phases(), isDirect: o.hasCrashes() || o.Cuts}
+	tb := &testbed{store: platform.NewStore(), phases: o.phases(), isDirect: o.hasCrashes() || o.Cuts || o.Announcements}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the store")
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -103,6 +103,11 @@
 	Remaining time.Duration
 	// Limit is the limit that the answer states in requests a second; 0 is none.
 	Limit float64
+	// Leaving is set if the answer states that the target leaves. Pause is the pause that it asks for; 0
+	// is none. Born is the number of earlier processes of the target.
+	Leaving bool
+	Pause   time.Duration
+	Born    int64
 }
 
 // LimitChange is a change of the limit that a target states.
@@ -290,6 +295,15 @@
 	t.retryAfter = retryAfter
 }
 
+// pauseTime returns the pause that refusals ask for, or 0. The lock must be held.
+func (t *Target) pauseTime() time.Duration {
+	seconds, err := strconv.ParseFloat(t.retryAfter, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // askedPause returns the lines of the header of a refusal that asks for a pause, or "".
 func (t *Target) askedPause() string {
 	t.mu.Lock()
@@ -521,7 +535,7 @@
 	defer t.mu.Unlock()
 	t.arrivals = append(t.arrivals, Arrival{
 		ID: r.Header.Get("X-Request-Id"), Prefill: r.Header.Get("X-Phase") == "prefill", Accepted: accepted, At: time.Now(),
-		Remaining: time.Duration(ms) * time.Millisecond, Limit: t.limit,
+		Remaining: time.Duration(ms) * time.Millisecond, Limit: t.limit, Leaving: t.statesLeaving, Pause: t.pauseTime(), Born: t.born,
 	})
 }
 
