--- a/cmd/entry/soak_test.go
+++ b/cmd/entry/soak_test.go
@@ -62,22 +62,28 @@
 	}
 }
 
-// Guards against a part of prompts that crashes engine after engine beside killed, frozen and leaving
-// instances, crashes for other reasons and a store that is away or comes back from a copy.
-func TestSoakWithCrashingParts(t *testing.T) {
+// runSoak runs four instances with the options, and reports what is violated.
+func runSoak(t *testing.T, o soak.Options) soak.Report {
+	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	report, err := soak.Run(t.Context(), soak.Options{
-		Command: []string{os.Args[0]}, Seed: 1, FaultDuration: 10 * time.Second, Instances: 4, Callers: 8, CrashingParts: 1,
-		Retries: soak.RandomRetryLimit(1), Dir: filepath.Join(t.TempDir(), "soak"),
-	})
+	o.Command, o.Instances, o.Callers = []string{os.Args[0]}, 4, 8
+	o.Retries, o.Dir = soak.RandomRetryLimit(o.Seed), filepath.Join(t.TempDir(), "soak")
+	report, err := soak.Run(t.Context(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, v := range report.Violations {
 		t.Errorf("%s (%s; faults %v)", v, report.Crashes, report.Faults)
 	}
+	return report
+}
+
+// Guards against a part of prompts that crashes engine after engine beside killed, frozen and leaving
+// instances, crashes for other reasons and a store that is away or comes back from a copy.
+func TestSoakWithCrashingParts(t *testing.T) {
+	report := runSoak(t, soak.Options{Seed: 1, FaultDuration: 10 * time.Second, CrashingParts: 1})
 	if report.Crashes == "" {
 		t.Error("no engine crashed under the part")
 	}
@@ -85,19 +91,7 @@
 
 // Guards against requests that crash target after target beside the same faults.
 func TestSoakWithCrashingRequests(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
-	report, err := soak.Run(t.Context(), soak.Options{
-		Command: []string{os.Args[0]}, Seed: 1, FaultDuration: 10 * time.Second, Instances: 4, Callers: 8, CrashingRequests: 4,
-		Retries: soak.RandomRetryLimit(1), Dir: filepath.Join(t.TempDir(), "soak"),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, v := range report.Violations {
-		t.Errorf("%s (%s; faults %v)", v, report.Crashes, report.Faults)
-	}
+	report := runSoak(t, soak.Options{Seed: 1, FaultDuration: 10 * time.Second, CrashingRequests: 4})
 	if report.Crashes == "" {
 		t.Error("no target crashed under a request")
 	}
@@ -106,19 +100,7 @@
 // Guards against callers who are served worse at instances that are cut off from all targets, beside
 // killed, frozen and leaving instances.
 func TestSoakWithCuts(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
-	report, err := soak.Run(t.Context(), soak.Options{
-		Command: []string{os.Args[0]}, Seed: 2, FaultDuration: 16 * time.Second, Instances: 4, Callers: 8, Cuts: true,
-		Retries: soak.RandomRetryLimit(2), Dir: filepath.Join(t.TempDir(), "soak"),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, v := range report.Violations {
-		t.Errorf("%s (faults %v)", v, report.Faults)
-	}
+	report := runSoak(t, soak.Options{Seed: 2, FaultDuration: 16 * time.Second, Cuts: true})
 	if len(report.Cuts) == 0 {
 		t.Error("no instance was cut off")
 	}
@@ -127,37 +109,13 @@
 // Guards against targets that get requests after they have stated that they leave, or while they ask for
 // a pause, beside killed, frozen and leaving instances.
 func TestSoakWithAnnouncements(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
-	report, err := soak.Run(t.Context(), soak.Options{
-		Command: []string{os.Args[0]}, Seed: 1, FaultDuration: 14 * time.Second, Instances: 4, Callers: 8, Announcements: true,
-		Retries: soak.RandomRetryLimit(1), Dir: filepath.Join(t.TempDir(), "soak"),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, v := range report.Violations {
-		t.Errorf("%s (faults %v)", v, report.Faults)
-	}
+	runSoak(t, soak.Options{Seed: 1, FaultDuration: 14 * time.Second, Announcements: true})
 }
 
 // Guards against targets that get more requests than they state beside killed, frozen and leaving
 // instances.
 func TestSoakWithStatedLimits(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
-	report, err := soak.Run(t.Context(), soak.Options{
-		Command: []string{os.Args[0]}, Seed: 1, FaultDuration: 12 * time.Second, Instances: 4, Callers: 8, StatedLimits: true,
-		Retries: soak.RandomRetryLimit(1), Dir: filepath.Join(t.TempDir(), "soak"),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, v := range report.Violations {
-		t.Errorf("%s (faults %v)", v, report.Faults)
-	}
+	report := runSoak(t, soak.Options{Seed: 1, FaultDuration: 12 * time.Second, StatedLimits: true})
 	if report.LimitPeak == "" {
 		t.Error("no target stated a limit for long enough")
 	}
--- a/core/quarantine/suspects_test.go
+++ b/core/quarantine/suspects_test.go
@@ -272,3 +272,13 @@
 		}
 	}
 }
+
+// BenchmarkFingerprint measures what each request costs.
+func BenchmarkFingerprint(b *testing.B) {
+	body := make([]byte, 10<<10)
+	b.SetBytes(int64(len(body)))
+	b.ReportAllocs()
+	for b.Loop() {
+		quarantine.Fingerprint(body, "POST", "h.example", "/stream/x", "", "", "m", "ab:4000,cd:1000")
+	}
+}
