--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -455,11 +455,7 @@
 func (t *Target) serve(conn net.Conn, r *http.Request) bool {
 	isControl := strings.HasPrefix(r.URL.Path, "/-/")
 	if pause := t.askedPause(); pause != "" {
-		if !isControl {
-			t.recordArrival(r, false)
-		}
-		_, err := io.Copy(io.Discard, r.Body)
-		return writeResponse(conn, 503, "X-Request-Id: "+r.Header.Get("X-Request-Id")+"\r\n"+pause, "") && err == nil
+		return t.refuseForPause(conn, r, isControl, pause)
 	}
 	if r.Header.Get("X-Target-Instance") != "" && r.Header.Get("X-Target-Instance") != t.id {
 		if !isControl {
@@ -516,6 +512,16 @@
 	return t.respondPlain(conn, r, fault)
 }
 
+// refuseForPause refuses a request and asks for a pause. Calls of the engines' interface have no ID and
+// are no arrivals.
+func (t *Target) refuseForPause(conn net.Conn, r *http.Request, isControl bool, pause string) bool {
+	if !isControl {
+		t.recordArrival(r, false)
+	}
+	_, err := io.Copy(io.Discard, r.Body)
+	return writeResponse(conn, 503, "X-Request-Id: "+r.Header.Get("X-Request-Id")+"\r\n"+pause, "") && err == nil
+}
+
 // currentPhase returns the phase, which orders change.
 func (t *Target) currentPhase() string {
 	t.mu.Lock()
