--- a/standin/platform/soak/cuts.go
+++ b/standin/platform/soak/cuts.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -82,11 +83,16 @@
 
 // newLink starts a link to a target. Its port is reserved: it must be free again after a cut.
 func newLink(target string) (*proxy, error) {
-	ports, err := platform.FreePorts(1)
-	if err != nil {
-		return nil, err
+	for {
+		ports, err := platform.FreePorts(1)
+		if err != nil {
+			return nil, err
+		}
+		p, err := newProxyAt(net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[0])), target)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return p, err
+		}
 	}
-	return newProxyAt(net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[0])), target)
 }
 
 // run serves a view of the store until the links are closed.
