One check each for failed connections, silent peers and instances' faults

Each answer built the fields of a log line that is rarely written.

isConnectFailure, isSilent and instanceFaults serve both sides, the fields are built with their line.

--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -74,12 +74,12 @@
 	Findings []quarantine.Finding `cbor:"18,keyasint,omitempty"`
 	// Limits holds the limits that targets state.
 	Limits []targetlimit.Fact `cbor:"19,keyasint,omitempty"`
+	// Process is a hash of a target's process that was reported lost and has answered since.
+	Process uint64 `cbor:"20,keyasint,omitempty"`
 	// Unreached holds hashes of the services that the sender doesn't reach.
 	Unreached []uint64 `cbor:"21,keyasint,omitempty"`
 	// Leaving holds targets that have stated that they leave.
 	Leaving []leavingTarget `cbor:"22,keyasint,omitempty"`
-	// Process is a hash of a target's process that was reported lost and has answered since.
-	Process uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // operation is the kind of change of an item.
--- a/io/digest/paths.go
+++ b/io/digest/paths.go
@@ -43,12 +43,10 @@
 	now := n.opts.Clock.Now()
 	var list []core.DetourPeer
 	for _, r := range n.members.Members() {
-		state := n.peerStates[r.Address]
-		isSilent := now.Sub(state.lastHeard) >= peerTimeout && (cells.IsFleetWide || r.DataCentre == cells.Home)
-		if r.ID == n.opts.Self.ID || r.Status != membership.StatusAlive || isSilent {
+		if r.ID == n.opts.Self.ID || r.Status != membership.StatusAlive || n.isSilent(now, cells, &r) {
 			continue
 		}
-		isCut := slices.Contains(state.unreached, hash)
+		isCut := slices.Contains(n.peerStates[r.Address].unreached, hash)
 		list = append(list, core.DetourPeer{Address: r.Address, DataCentre: r.DataCentre, IsCut: isCut})
 	}
 	return list
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -11,6 +11,7 @@
 	"gorseline/core"
 	"gorseline/core/catchup"
 	"gorseline/core/common/pause"
+	"gorseline/core/load"
 	"gorseline/core/membership"
 )
 
@@ -131,11 +132,15 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.opts.Clock.Now()
-	return n.members.CallerAddresses(n.rng, dc, func(r membership.Record) bool {
-		if r.ID == n.opts.Self.ID || !cells.IsFleetWide && r.DataCentre != cells.Home {
-			return true // peers of other cells send no announcements to this instance
-		}
-		state, ok := n.peerStates[r.Address]
-		return ok && now.Sub(state.lastHeard) < peerTimeout
-	})
+	return n.members.CallerAddresses(n.rng, dc, func(r membership.Record) bool { return !n.isSilent(now, cells, &r) })
+}
+
+// isSilent reports whether a peer of this instance's cell has sent no datagram for peerTimeout. Peers
+// of other cells send no announcements to this instance. The lock must be held.
+func (n *Node) isSilent(now core.Instant, cells *load.Cells, r *membership.Record) bool {
+	if r.ID == n.opts.Self.ID || !cells.IsFleetWide && r.DataCentre != cells.Home {
+		return false
+	}
+	state, ok := n.peerStates[r.Address]
+	return !ok || now.Sub(state.lastHeard) >= peerTimeout
 }
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -146,8 +146,7 @@
 // only updates possibleRuns.
 func (r *activeRequest) sendFailed(e *roster.Entry, a *core.Attempt, began core.Instant, err error) sendResult {
 	result, recorded := sendUnknown, retry.SendUnknown
-	var failure *target.Error
-	if errors.As(err, &failure) && !failure.Sent {
+	if isConnectFailure(err) {
 		result, recorded = sendNotRun, retry.SendNotSent
 	}
 	r.recordSend(a, recorded)
--- a/io/forward/pause.go
+++ b/io/forward/pause.go
@@ -21,14 +21,14 @@
 // observePause records that a target that refuses the request asks to be sent nothing for a while.
 func (r *activeRequest) observePause(e *roster.Entry, status int, header http.Header) {
 	length, isAsked, err := r.Dialect.AskedPause(status, header)
-	fields := log.Fields{"Target": e.ID, "Service": r.service, "Request": r.req.ID}
-	switch {
-	case err != nil:
-		fields["Error"] = err.Error()
-		r.Log.WithFields(fields).Warn("PauseMalformed")
-	case isAsked && r.Pauses.Record(r.Clock.Now(), &e.Registration, length):
-		fields["PauseMs"] = length.Milliseconds()
-		r.Log.WithFields(fields).Warn("TargetPaused")
+	if err != nil {
+		r.Log.WithFields(log.Fields{"Target": e.ID, "Service": r.service, "Request": r.req.ID, "Error": err.Error()}).Warn("PauseMalformed")
+		return
+	}
+	if isAsked && r.Pauses.Record(r.Clock.Now(), &e.Registration, length) {
+		r.Log.WithFields(log.Fields{
+			"Target": e.ID, "Service": r.service, "Request": r.req.ID, "PauseMs": length.Milliseconds(),
+		}).Warn("TargetPaused")
 	}
 }
 
--- a/standin/platform/soak/announcements.go
+++ b/standin/platform/soak/announcements.go
@@ -29,7 +29,7 @@
 )
 
 // announcementFaults are the faults beside targets that leave or ask for pauses.
-var announcementFaults = []fault{
+var announcementFaults = slices.Concat([]fault{
 	{"Leaves", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		t := s.testbed.targets[rng.IntN(len(s.testbed.targets))]
 		t.SetDownTime(engineDownTime)
@@ -44,10 +44,7 @@
 	{"ServicePauses", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		s.askPauses(ctx, rng, s.testbed.targetsOf([]string{"calls", "models"}[rng.IntN(2)])...)
 	}},
-	{"KillOne", func(ctx context.Context, s *soak, rng *rand.Rand) { s.killSome(ctx, rng, 1) }},
-	{"KillAllInstances", func(ctx context.Context, s *soak, rng *rand.Rand) { s.killSome(ctx, rng, len(s.instances)) }},
-	crashFaults[freezeIndex], crashFaults[leaveIndex],
-}
+}, instanceFaults)
 
 // askPauses makes targets refuse all requests and ask for pauses of changing lengths.
 func (s *soak) askPauses(ctx context.Context, rng *rand.Rand, targets ...*platform.Target) {
--- a/standin/platform/soak/crashes.go
+++ b/standin/platform/soak/crashes.go
@@ -106,10 +106,17 @@
 
 // Indexes of faults that other modes use too.
 const (
-	freezeIndex = 3
-	leaveIndex  = 4
+	killOneIndex = 0
+	killAllIndex = 2
+	freezeIndex  = 3
+	leaveIndex   = 4
 )
 
+// instanceFaults are the faults of instances that other modes use too.
+var instanceFaults = []fault{
+	crashFaults[killOneIndex], crashFaults[killAllIndex], crashFaults[freezeIndex], crashFaults[leaveIndex],
+}
+
 // killSome kills instances and starts them again.
 func (s *soak) killSome(ctx context.Context, rng *rand.Rand, count int) {
 	var together sync.WaitGroup
--- a/standin/platform/soak/cuts.go
+++ b/standin/platform/soak/cuts.go
@@ -186,20 +186,18 @@
 }
 
 // cutFaults are the faults beside instances that are cut off from all targets.
-var cutFaults = []fault{
+var cutFaults = slices.Concat([]fault{
 	{"CutOne", func(ctx context.Context, s *soak, rng *rand.Rand) { s.cutSome(ctx, rng, 1) }},
 	{"CutThird", func(ctx context.Context, s *soak, rng *rand.Rand) { s.cutSome(ctx, rng, (len(s.instances)+2)/3) }},
 	{"CutMost", func(ctx context.Context, s *soak, rng *rand.Rand) { s.cutSome(ctx, rng, len(s.instances)-1) }},
-	{"KillOne", func(ctx context.Context, s *soak, rng *rand.Rand) { s.killSome(ctx, rng, 1) }},
-	{"KillAllInstances", func(ctx context.Context, s *soak, rng *rand.Rand) { s.killSome(ctx, rng, len(s.instances)) }},
-	crashFaults[freezeIndex], crashFaults[leaveIndex],
+}, instanceFaults, []fault{
 	{"Configure", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		for range 1 + rng.IntN(4) {
 			s.recordError(s.testbed.configure())
 			pause.For(ctx, time.Duration(rng.IntN(400))*time.Millisecond)
 		}
 	}},
-}
+})
 
 // cutCheck counts the first tries during one cut, while other instances reach targets.
 type cutCheck struct {
--- a/standin/platform/soak/limits.go
+++ b/standin/platform/soak/limits.go
@@ -28,17 +28,14 @@
 )
 
 // limitFaults are the faults beside targets that state limits.
-var limitFaults = []fault{
+var limitFaults = slices.Concat([]fault{
 	{"Limit", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		s.stateLimits(ctx, rng, s.testbed.targets[rng.IntN(len(s.testbed.targets))])
 	}},
 	{"LimitOfService", func(ctx context.Context, s *soak, rng *rand.Rand) {
 		s.stateLimits(ctx, rng, s.testbed.targetsOf([]string{"calls", "models"}[rng.IntN(2)])...)
 	}},
-	{"KillOne", func(ctx context.Context, s *soak, rng *rand.Rand) { s.killSome(ctx, rng, 1) }},
-	{"KillAllInstances", func(ctx context.Context, s *soak, rng *rand.Rand) { s.killSome(ctx, rng, len(s.instances)) }},
-	crashFaults[freezeIndex], crashFaults[leaveIndex],
-}
+}, instanceFaults)
 
 // stateLimits makes targets state limits that change, and end.
 func (s *soak) stateLimits(ctx context.Context, rng *rand.Rand, targets ...*platform.Target) {
