Tests of nodes: one wait until instances know each other

Cause: ten tests spelled out the same condition. waitForMembers checks it for all the instances that it is given; limits and messages are as before.

--- a/cmd/entry/node/crashingrequest_test.go
+++ b/cmd/entry/node/crashingrequest_test.go
@@ -86,9 +86,7 @@
 		t.Run(test.route, func(t *testing.T) {
 			s := newRequestCrashSite(t, test.service, test.phase, 4)
 			list := []*instance{s.start("n1"), s.start("n2"), s.start("n3")}
-			s.eventually(5*time.Second, "the instances know each other", func() bool {
-				return !slices.ContainsFunc(list, func(i *instance) bool { return len(i.digests.Members()) != 3 })
-			})
+			s.waitForMembers(list...)
 			load := s.startSoundCalls(t, test.route, list)
 			time.Sleep(time.Second)
 			var statuses []int
--- a/cmd/entry/node/detour_test.go
+++ b/cmd/entry/node/detour_test.go
@@ -209,9 +209,7 @@
 			s := newSite(t)
 			l := newLinks(s)
 			list := []*instance{s.start("n1", l.option()), s.start("n2"), s.start("n3")}
-			s.eventually(5*time.Second, "the instances know each other", func() bool {
-				return !slices.ContainsFunc(list, func(i *instance) bool { return len(i.digests.Members()) != 3 })
-			})
+			s.waitForMembers(list...)
 			s.load("before", time.Second, list...)
 			l.cut(kind)
 			s.load("early", contactTime, list...)
@@ -250,9 +248,7 @@
 func TestDetourEndsWhenATargetIsReached(t *testing.T) {
 	s := newRequestCrashSite(t, "calls", "", 4)
 	list := []*instance{s.start("n1"), s.start("n2")}
-	s.eventually(5*time.Second, "the instances know each other", func() bool {
-		return len(list[0].digests.Members()) == 2 && len(list[1].digests.Members()) == 2
-	})
+	s.waitForMembers(list...)
 	s.load("before", 300*time.Millisecond, list...)
 	for _, tg := range s.engines[1:] {
 		tg.CrashPath("/bad", 3*time.Second)
@@ -281,9 +277,7 @@
 	s := newSite(t)
 	l := newLinks(s)
 	list := []*instance{s.start("n1", l.option()), s.start("n2")}
-	s.eventually(5*time.Second, "the instances know each other", func() bool {
-		return len(list[0].digests.Members()) == 2 && len(list[1].digests.Members()) == 2
-	})
+	s.waitForMembers(list...)
 	l.cut(cutReset)
 	// Without these the instance can't tell whether the last request will end in time.
 	s.load("learn", time.Second, list...)
--- a/cmd/entry/node/leaving_test.go
+++ b/cmd/entry/node/leaving_test.go
@@ -12,9 +12,7 @@
 func TestStatedLeavingIsToldToOtherInstances(t *testing.T) {
 	s := newSite(t)
 	list := []*instance{s.start("n1"), s.start("n2")}
-	s.eventually(5*time.Second, "the instances know each other", func() bool {
-		return len(list[0].digests.Members()) == 2 && len(list[1].digests.Members()) == 2
-	})
+	s.waitForMembers(list...)
 	time.Sleep(250 * time.Millisecond) // peers follow the members within 100 ms
 	s.targets[0].SetLeaving(true)
 	for i := 0; len(s.targets[0].Arrivals()) == 0; i++ {
@@ -41,9 +39,7 @@
 	s := newSite(t)
 	l := newLinks(s)
 	list := []*instance{s.start("n1", l.option()), s.start("n2")}
-	s.eventually(5*time.Second, "the instances know each other", func() bool {
-		return len(list[0].digests.Members()) == 2 && len(list[1].digests.Members()) == 2
-	})
+	s.waitForMembers(list...)
 	l.cut(cutReset)
 	s.targets[0].SetLeaving(true)
 	for i := 0; len(s.targets[0].Arrivals()) == 0; i++ {
--- a/cmd/entry/node/node_test.go
+++ b/cmd/entry/node/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -149,6 +150,14 @@
 	}
 }
 
+// waitForMembers fails the test unless the instances soon know each other.
+func (s *site) waitForMembers(list ...*instance) {
+	s.t.Helper()
+	s.eventually(5*time.Second, "the instances know each other", func() bool {
+		return !slices.ContainsFunc(list, func(i *instance) bool { return len(i.digests.Members()) != len(list) })
+	})
+}
+
 type reply struct {
 	status int
 	body   string
--- a/cmd/entry/node/quarantine_test.go
+++ b/cmd/entry/node/quarantine_test.go
@@ -171,9 +171,7 @@
 func TestPartThatCrashesEnginesIsKeptFromThem(t *testing.T) {
 	s := newCrashSite(t, 6)
 	list := []*instance{s.start("n1"), s.start("n2"), s.start("n3")}
-	s.eventually(5*time.Second, "the instances know each other", func() bool {
-		return !slices.ContainsFunc(list, func(i *instance) bool { return len(i.digests.Members()) != 3 })
-	})
+	s.waitForMembers(list...)
 	load := s.startSoundLoad(t, func() []*instance { return list })
 	time.Sleep(time.Second)
 	statuses := s.sendBad(t, "bad", time.Now().Add(contactTime+3*time.Second), list...)
@@ -199,9 +197,7 @@
 func TestLossesAreReportedToOtherInstances(t *testing.T) {
 	s := newCrashSite(t, 14)
 	list := []*instance{s.start("n1"), s.start("n2"), s.start("n3")}
-	s.eventually(5*time.Second, "the instances know each other", func() bool {
-		return !slices.ContainsFunc(list, func(i *instance) bool { return len(i.digests.Members()) != 3 })
-	})
+	s.waitForMembers(list...)
 	s.startSoundLoad(t, func() []*instance { return list })
 	time.Sleep(2 * time.Second)
 	for n := range 9 {
@@ -221,9 +217,7 @@
 func TestOtherInstancesAreAskedForSurvivals(t *testing.T) {
 	s := newSite(t)
 	one, two, three := s.start("n1"), s.start("n2"), s.start("n3")
-	s.eventually(5*time.Second, "the instances know each other", func() bool {
-		return len(one.digests.Members()) == 3 && len(two.digests.Members()) == 3 && len(three.digests.Members()) == 3
-	})
+	s.waitForMembers(one, two, three)
 	time.Sleep(250 * time.Millisecond) // peers follow the members within 100 ms
 	traits := []core.Trait{{ID: 7}}
 	engine := &core.Registration{Target: core.Target{ID: "i-3", Address: "127.0.0.1:1"}}
@@ -260,9 +254,7 @@
 func TestQuarantineOutlivesAllInstances(t *testing.T) {
 	s := newSite(t)
 	one, two := s.start("n1"), s.start("n2")
-	s.eventually(5*time.Second, "the instances know each other", func() bool {
-		return len(one.digests.Members()) == 2 && len(two.digests.Members()) == 2
-	})
+	s.waitForMembers(one, two)
 	s.store.SetFaults(standin.Faults{Status: 503})
 	one.digests.MergeFinding(found, digest.SourceProbe)
 	s.eventually(contactTime, "the other instance knows the part", func() bool { return two.digests.Findings().Has(7) })
