Detours: a request without time says nothing about an instance or a target

Change: an instance counts as hanging after it had a request for 250 ms; requests without time take no detour, and their failed connections are no evidence.

--- a/io/forward/detour.go
+++ b/io/forward/detour.go
@@ -49,6 +49,9 @@
 	maxDetours = 3
 	// maxDetourConnections bounds the idle connections to another instance.
 	maxDetourConnections = 8
+	// minSilence is how long another instance must have had a request without an answer before it counts
+	// as hanging. Requests with less time left may run out of it at a target.
+	minSilence = 250 * time.Millisecond
 )
 
 // Reasons of requests that take a detour.
@@ -165,7 +168,7 @@
 
 // recordConnection records whether a connection to a target could be opened.
 func (r *activeRequest) recordConnection(e *roster.Entry, err error) {
-	if r.ctx.Err() != nil {
+	if err != nil && r.isOutOfTime() {
 		return // the time of the request was too short
 	}
 	now := r.Clock.Now()
@@ -206,7 +209,7 @@
 // mayDetour reports whether the request may be sent through another instance. A request takes one
 // detour, and so there is no loop between instances that are both cut off.
 func (r *activeRequest) mayDetour() bool {
-	return r.detour == nil && !r.hasDetoured && r.ctx.Err() == nil && r.remaining() > 0 && r.mayRunAgain()
+	return r.detour == nil && !r.hasDetoured && !r.isOutOfTime() && r.mayRunAgain()
 }
 
 // takeDetour sends the request through another instance because no target can be reached. It returns
@@ -219,7 +222,7 @@
 	tried := map[string]bool{}
 	for range maxDetours {
 		address, ok := r.Detours.Choose(r.Clock.Now(), r.service, r.Peers.DetourPeers(r.service), tried)
-		if !ok || r.ctx.Err() != nil || !r.takeRetries(RetryDetour, r.detourStage()) {
+		if !ok || r.isOutOfTime() || !r.takeRetries(RetryDetour, r.detourStage()) {
 			return false
 		}
 		tried[address] = true
@@ -250,6 +253,7 @@
 		"Request": r.req.ID, "Route": r.route.Name, "Service": r.service, "Peer": address, "Runs": r.possibleRuns,
 		"Failures": r.connectFailures, "LeftMs": r.remaining().Milliseconds(),
 	}).Warn("RequestDetoured")
+	sentAt := r.Clock.Now()
 	answer, err := r.Pool.Do(r.ctx, &target.Request{
 		Address: address, Method: r.in.Method, URI: requestURI(r.in), Host: r.in.Host, Header: r.detourHeader(), Body: r.body,
 		Deadline: time.Now().Add(r.remaining()), MaxIdle: maxDetourConnections,
@@ -261,7 +265,7 @@
 		}
 	}
 	if err != nil {
-		r.detourFailed(address, err)
+		r.detourFailed(address, sentAt, err)
 		return false
 	}
 	if answer.Header.Get(headerDetour) == "" {
@@ -312,9 +316,11 @@
 }
 
 // detourFailed records a detour without an answer.
-func (r *activeRequest) detourFailed(address string, err error) {
-	r.Pool.DiscardIdle(address)
-	r.Detours.Avoid(r.Clock.Now(), address, r.service)
+func (r *activeRequest) detourFailed(address string, sentAt core.Instant, err error) {
+	if !r.isOutOfTime() || r.Clock.Now().Sub(sentAt) >= minSilence {
+		r.Pool.DiscardIdle(address)
+		r.Detours.Avoid(r.Clock.Now(), address, r.service)
+	}
 	if isConnectFailure(err) {
 		r.endDetour(address, DetourUnable, err.Error())
 		return
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -409,6 +409,10 @@
 // remaining returns the time until the deadline.
 func (r *activeRequest) remaining() time.Duration { return r.deadline.Sub(r.Clock.Now()) }
 
+// isOutOfTime reports whether the deadline has passed or the request was given up. Connections and
+// sends that fail then say nothing about their peers.
+func (r *activeRequest) isOutOfTime() bool { return r.ctx.Err() != nil || r.remaining() <= 0 }
+
 // remainingObjective returns the time until the objective of the route is missed.
 func (r *activeRequest) remainingObjective() time.Duration {
 	return r.route.Objective - r.Clock.Now().Sub(r.arrived)
--- a/standin/platform/detour_test.go
+++ b/standin/platform/detour_test.go
@@ -259,3 +259,17 @@
 		t.Errorf("%d of 10 requests served", served)
 	}
 }
+
+// Guards against a sound instance that is avoided because the time of a request ran out there.
+func TestShortRequestsLeaveInstanceInUse(t *testing.T) {
+	other := newFixture(t, "")
+	other.targets[0].SetProcessingTime(60 * time.Millisecond)
+	f := newCutFixture(t, other)
+	for i := range 5 {
+		id := string(rune('a' + i))
+		f.do(t.Context(), http.MethodGet, "/safe/x", "short"+id, "", "X-Deadline-Ms", "30")
+		if got := f.do(t.Context(), http.MethodGet, "/safe/x", "long"+id, "", "X-Deadline-Ms", "2000"); got.status != http.StatusOK {
+			t.Errorf("%s: %+v", id, got)
+		}
+	}
+}
