--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -57,6 +57,9 @@
 	// changed is closed and replaced at each commit.
 	changed chan struct{}
 	faults  Faults
+	// refused is closed, and replaced, when the store begins to refuse calls. Calls that wait for a
+	// change are refused then.
+	refused chan struct{}
 	// external holds the latest write of each row that operators and targets wrote.
 	external map[rowKey]Row
 	// calls counts the calls by path.
@@ -68,7 +71,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{era: 1, rows: map[rowKey]Row{}, external: map[rowKey]Row{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{era: 1, rows: map[rowKey]Row{}, external: map[rowKey]Row{}, changed: make(chan struct{}), refused: make(chan struct{}), calls: map[string]int{}}
 }
 
 // SetFaults replaces the injected faults.
@@ -76,6 +79,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	if f.Status != 0 {
+		close(s.refused)
+		s.refused = make(chan struct{})
+	}
 }
 
 // Calls returns the number of calls of a path.
@@ -275,7 +282,16 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	refused := s.refused
+	s.mu.Unlock()
 	for {
+		select {
+		case <-refused:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		default:
+		}
 		s.mu.Lock()
 		s.setEra(w)
 		if after < s.compactedVersion || after > s.version {
@@ -291,6 +307,7 @@
 			return
 		}
 		select {
+		case <-refused:
 		case <-changed:
 		case <-timer.C:
 			writeRows(w, http.StatusOK, []Row{}, false, version)
