Streams: after a start, versions count as single after two minutes at least (ORDER)

One case failed: the window after a start is twice the longest timeout of the routes plus 10 s, and the routes known then are those of the newest configuration. If it has shortened a timeout (20 s to 400 ms), streams that began under the longer one were continued at the new version from 9 s after the restart on. Change: before the first confirmation the timeouts are unknown, so evidence of a single version needs 130 s of coverage after a start. After later gaps the window is as before. Failing test first (TestNoVersionIsGuessedAfterRestartOfAll, the timeout is shorter). Mutations that the test catches, each in a trial: no coverage, coverage not begun at the first confirmation, a window of one timeout, Unconfirmed taken for Single in the belief and in the evidence, evidence without Single, views of any age.

--- a/core/streamstart/history.go
+++ b/core/streamstart/history.go
@@ -16,7 +16,8 @@
 	// another instance began on the targets of a view that was maxAge old, and the time until
 	// this instance has seen that a target left.
 	windowSlack = 10 * time.Second
-	// defaultWindow replaces that time while no resumable route to the service is known.
+	// defaultWindow replaces that time while no resumable route to the service is known, and if it
+	// is shorter, for streams from before the start of the process.
 	defaultWindow = 2 * time.Minute
 	// routesInterval is the time between two looks at an unchanged configuration.
 	routesInterval = time.Second
@@ -81,8 +82,10 @@
 	nextRoutes    core.Instant
 	asOf          core.Instant
 	isConfirmed   bool
-	// coveredSince is the time since which no gap between confirmations exceeded maxAge.
+	// coveredSince is the time since which no gap between confirmations exceeded maxAge, and
+	// startedAt the first confirmation.
 	coveredSince core.Instant
+	startedAt    core.Instant
 }
 
 func newHistory() history {
@@ -105,6 +108,9 @@
 	if !o.IsConfirmed || h.isConfirmed && o.AsOf <= h.asOf {
 		return
 	}
+	if !h.isConfirmed {
+		h.startedAt = o.AsOf
+	}
 	if !h.isConfirmed || o.AsOf.Sub(h.asOf) > maxAge {
 		h.coveredSince = o.AsOf
 	}
@@ -174,6 +180,15 @@
 	return defaultWindow + windowSlack
 }
 
+// coverage returns how long a service must have had one version until its streams can have begun at
+// no other. Before the first confirmation the routes may have had longer timeouts.
+func (h *history) coverage(service core.Service) time.Duration {
+	if h.coveredSince == h.startedAt {
+		return max(h.window(service), defaultWindow+windowSlack)
+	}
+	return h.window(service)
+}
+
 // belief returns what the history says about the versions of a service, and of those that share
 // routes with it.
 func (h *history) belief(now core.Instant, service core.Service) Belief {
@@ -190,7 +205,7 @@
 				b.Versions = append(b.Versions, version)
 			}
 		}
-		covered = covered && now.Sub(h.coveredSince) >= window
+		covered = covered && now.Sub(h.coveredSince) >= h.coverage(s)
 	}
 	slices.Sort(b.Versions)
 	switch {
--- a/core/streamstart/register.go
+++ b/core/streamstart/register.go
@@ -135,12 +135,12 @@
 	return records
 }
 
-// Window returns the time within which streams of a service, and of those that share routes with
-// it, began that may still be continued.
+// Window returns the time after its start within which an instance can't know that a service, and
+// those that share routes with it, have a single version.
 func (r *Register) Window(service core.Service) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	window := r.history.window(service)
+	window := max(r.history.window(service), defaultWindow+windowSlack)
 	for _, other := range r.history.related[service] {
 		window = max(window, r.history.window(other))
 	}
