--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -59,8 +59,8 @@
 	assigner    *assign.Assigner
 	// lastCounts are the assigner's counts at the last plan of each service.
 	lastCounts map[core.Service]assign.Counts
-	// reports are the latest load reports of engines in other cells. They are next read at
-	// nextReports.
+	// reports are the latest load reports of engines whose load isn't known otherwise. They are next
+	// read at nextReports.
 	reports     map[core.TargetID]core.LoadReport
 	nextReports core.Instant
 	// orderedAt maps targets to the time of this instance's last order that wasn't refused.
@@ -182,8 +182,7 @@
 		r.observe(ctx, e)
 		cell := cells.Of(e.ID, e.DataCentre)
 		engine := placement.EngineLoad{ID: e.ID, DataCentre: e.DataCentre, Role: e.Role, Slots: e.Slots}
-		if cell == cells.Home {
-			state := r.loads.State(now, e.ID, nil)
+		if state := r.loads.State(now, e.ID, nil); cell == cells.Home || state.IsObserved {
 			engine.Prompts, engine.Generating = state.Prompts, state.Generating
 		} else {
 			engine = withReport(engine, r.reports[e.ID])
@@ -228,15 +227,16 @@
 // maxConcurrentReports bounds the concurrent reads of reports.
 const maxConcurrentReports = 8
 
-// readReports reads the load reports of the engines in other cells, whose load this
-// instance doesn't track. The report of an engine that doesn't answer is dropped.
+// readReports reads the load reports of the engines in other cells without a recent summary of their
+// load. The report of an engine that doesn't answer is dropped.
 func (r *roleController) readReports(ctx context.Context, engines []*roster.Entry) {
 	cells := r.cells.Cells()
 	var mu sync.Mutex
 	var calls sync.WaitGroup
 	semaphore := make(chan struct{}, maxConcurrentReports)
 	for _, e := range engines {
-		if cells.Includes(e.ID, e.DataCentre) || r.isPaused(e) {
+		isKnown := cells.Includes(e.ID, e.DataCentre) || r.loads.State(r.processClock.Now(), e.ID, nil).IsObserved
+		if isKnown || r.isPaused(e) {
 			continue
 		}
 		semaphore <- struct{}{}
--- a/core/assign/call.go
+++ b/core/assign/call.go
@@ -51,8 +51,8 @@
 			// Half of the slots in the local data centre are filled first.
 			score += 0.5
 		}
-		if !a.isLoadKnown(e) {
-			// Loads in other cells are unknown, so requests are spread over their targets.
+		if !a.isLoadKnown(e) && !state.IsObserved {
+			// The load is unknown, so requests are spread over the targets.
 			score += 0.3 * a.opts.Random.Float64()
 		}
 		if e.WarmUpRemaining > 0 {
--- a/core/assign/generator.go
+++ b/core/assign/generator.go
@@ -42,8 +42,8 @@
 		if e.DataCentre != a.opts.Home {
 			score += a.opts.RemotePenalty
 		}
-		if !a.isLoadKnown(e) {
-			// Loads in other cells are unknown, so the choice among them is random.
+		if !a.isLoadKnown(e) && !state.IsObserved {
+			// The choice among engines of unknown load is random.
 			score = time.Second + time.Duration(a.opts.Random.Float64()*float64(time.Second))
 		}
 		if req.Version == nil && e.Version != source.Version {
--- a/core/assign/home.go
+++ b/core/assign/home.go
@@ -57,17 +57,19 @@
 	return time.Duration(a.opts.CopyWeight * float64(m.prefill.Time(prompt.NewWork(p.tokens, held))))
 }
 
-// remoteHome returns the home as a candidate if it is in another cell. This instance knows only
-// what its own cell has sent there. Prefixes are spread evenly, so the other cells are assumed to
-// have sent as much each, and the home to have the prefix cached.
+// remoteHome returns the home as a candidate if it is in another cell. The home is assumed to have
+// the prefix cached. Without a recent summary of its load this instance knows only what its own cell
+// has sent there. Prefixes are spread evenly, so the other cells are assumed to have sent as much each.
 func (a *Assigner) remoteHome(now core.Instant, p sharedPrefix, req *Request, m *serviceModel) (candidate, bool) {
 	if p.home == nil || a.isLoadKnown(p.home) {
 		return candidate{}, false
 	}
 	state := a.opts.Loads.State(now, p.home.ID, nil)
-	state.Backlog *= time.Duration(a.opts.Cells.Cells().Count())
-	if w, known := a.remoteWaits[a.cell(p.home)]; known {
-		state.Backlog = max(state.Backlog, w.current(now))
+	if !state.IsObserved {
+		state.Backlog *= time.Duration(a.opts.Cells.Cells().Count())
+		if w, known := a.remoteWaits[a.cell(p.home)]; known {
+			state.Backlog = max(state.Backlog, w.current(now))
+		}
 	}
 	state.CachedTokens = p.tokens
 	return a.evaluate(p.home, &state, req, m, rules{})
--- a/core/assign/remote.go
+++ b/core/assign/remote.go
@@ -40,8 +40,8 @@
 
 // bestRemote chooses a prefill engine of another cell, or any engine if the rules permit long
 // prompts on all, for a prompt that the local cell can't compute in time, for example after callers
-// moved to this data centre. Of the loads of other cells, only this instance's own sends and the waiting times of earlier prompts are
-// known.
+// moved to this data centre. Without a recent summary of an engine's load, only this instance's own
+// sends and the waiting times of earlier prompts are known.
 func (a *Assigner) bestRemote(now core.Instant, view *roster.View, req *Request, m *serviceModel, r rules) (best candidate, ok bool) {
 	least, seen := 0.0, 0
 	for _, e := range view.Ready(req.Service) {
@@ -53,7 +53,7 @@
 		if !fits {
 			continue
 		}
-		if w, known := a.remoteWaits[a.cell(e)]; known {
+		if w, known := a.remoteWaits[a.cell(e)]; known && !state.IsObserved {
 			c.Backlog = max(c.Backlog, w.current(now))
 			c.Expected = c.ComputeTime + c.Backlog + m.handoverTime
 		}
--- a/core/load/tracker.go
+++ b/core/load/tracker.go
@@ -92,6 +92,9 @@
 	lastComputed core.Instant
 	// cache is nil until SetCapacity is called.
 	cache *prompt.CacheModel
+	// observed is the latest summary of a collector, as of observedAt; nil for none.
+	observed   *Summary
+	observedAt core.Instant
 }
 
 type pendingItem struct {
@@ -172,10 +175,14 @@
 func (tr *Tracker) LastComputed(id core.TargetID) core.Instant {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if t, ok := tr.targets[id]; ok {
-		return t.lastComputed
+	t, ok := tr.targets[id]
+	if !ok {
+		return 0
+	}
+	if t.observed != nil && t.observed.HasComputed {
+		return max(t.lastComputed, t.observedAt.Add(-t.observed.SinceComputed))
 	}
-	return 0
+	return t.lastComputed
 }
 
 // Finished records the end of an item. It returns the same values as Computed.
@@ -293,6 +300,9 @@
 	Generating int
 	// CachedTokens is the expected number of leading tokens of the chain that are cached.
 	CachedTokens int
+	// IsObserved is set if a recent summary of a collector is included, which covers the work of
+	// all instances.
+	IsObserved bool
 }
 
 // State returns the state of a target with regard to a prompt chain, which may be nil.
@@ -304,9 +314,27 @@
 		return State{}
 	}
 	var s State
-	s.Running = len(t.items)
+	if t.observed != nil && now.Sub(t.observedAt) < SummaryValidity {
+		s = t.observed.state(now.Sub(t.observedAt))
+		t.addItems(&s, now, t.observedAt.Add(-collectDelay))
+	} else {
+		t.addItems(&s, now, 0)
+	}
+	if t.cache != nil && len(chain) > 0 {
+		s.CachedTokens = t.cache.CachedTokens(chain)
+	}
+	return s
+}
+
+// addItems adds the items that were sent after a time.
+func (t *target) addItems(s *State, now, after core.Instant) {
+	isFirst := after == 0
 	for i := range t.items {
 		item := &t.items[i]
+		if item.sentAt <= after && after > 0 {
+			continue
+		}
+		s.Running++
 		if item.Kind.generates() {
 			s.Generating++
 		}
@@ -314,14 +342,11 @@
 			continue
 		}
 		remaining := item.ComputeTime
-		if s.Prompts == 0 {
+		if isFirst {
 			remaining = max(0, remaining-now.Sub(max(t.computeStart, item.sentAt)))
+			isFirst = false
 		}
 		s.Backlog += remaining
 		s.Prompts++
 	}
-	if t.cache != nil && len(chain) > 0 {
-		s.CachedTokens = t.cache.CachedTokens(chain)
-	}
-	return s
 }
--- a/io/digest/codec.go
+++ b/io/digest/codec.go
@@ -80,6 +80,10 @@
 	Unreached []uint64 `cbor:"21,keyasint,omitempty"`
 	// Leaving holds targets that have stated that they leave.
 	Leaving []leavingTarget `cbor:"22,keyasint,omitempty"`
+	// Summaries holds the loads of targets, see encodeSummaries. SharesSummaries is set on the
+	// announcements of instances that take them.
+	Summaries       []byte `cbor:"23,keyasint,omitempty"`
+	SharesSummaries bool   `cbor:"24,keyasint,omitempty"`
 }
 
 // operation is the kind of change of an item.
--- a/io/digest/digest_test.go
+++ b/io/digest/digest_test.go
@@ -181,7 +181,7 @@
 		return nodes[0].peerStates[nodes[1].opts.Self.Address].isSynced
 	})
 	_ = nodes[1].opts.Conn.Close()
-	eventually(t, 2*peerTimeout, "the work is removed", func() bool { return trackers[0].State(0, "t", nil).Generating == 0 })
+	eventually(t, 2*minPeerTimeout, "the work is removed", func() bool { return trackers[0].State(0, "t", nil).Generating == 0 })
 }
 
 // skewedClock is a clock that can be set forward.
@@ -214,7 +214,7 @@
 	if got := trackers[1].State(nodes[1].opts.Clock.Now(), "t", nil).Generating; got != 0 {
 		t.Fatalf("%d items are recorded before the pause, want 0", got)
 	}
-	clock.ahead.Store(int64(2 * peerTimeout))
+	clock.ahead.Store(int64(2 * minPeerTimeout))
 	// After a pause, a datagram in the socket buffer can be read before the first tick.
 	n.observeSender(&packet{Kind: packetVersions, Address: nodes[1].opts.Self.Address, Sender: nodes[1].opts.Sender})
 	eventually(t, 4*announceInterval, "the work is sent again", func() bool {
@@ -229,7 +229,7 @@
 	n, now := nodes[0], nodes[0].opts.Clock.Now
 	n.observeSender(&packet{Kind: packetCall, Address: "127.0.0.1:9", Sender: 77})
 	trackers[0].Sent(now(), load.Item{Ref: load.Ref{Key: load.Key{Sender: 77, Serial: 1}, Target: "t"}, Kind: load.Generate})
-	eventually(t, 2*peerTimeout, "the peer is removed", func() bool {
+	eventually(t, 2*minPeerTimeout, "the peer is removed", func() bool {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		return len(n.peerStates) == 0
@@ -269,7 +269,7 @@
 
 // Guards against lost datagrams that leave finished work recorded on peers. As each end is
 // sent twice, the share of stale items is about the square of the loss rate. None may remain
-// after the sender has been silent for peerTimeout.
+// after the sender has been silent for minPeerTimeout.
 func TestLostDatagramsLeaveFewStaleItems(t *testing.T) {
 	const (
 		share      = 0.1
@@ -305,7 +305,7 @@
 		t.Errorf("%d of %d items remain, want %d at most", stale, items, most)
 	}
 	_ = links[0].Close()
-	eventually(t, 3*peerTimeout, "all work of a silent sender is removed", func() bool {
+	eventually(t, 3*minPeerTimeout, "all work of a silent sender is removed", func() bool {
 		return trackers[1].State(now(), "t", nil).Generating == 0
 	})
 }
--- a/io/digest/leavings.go
+++ b/io/digest/leavings.go
@@ -40,20 +40,22 @@
 // loop sends each target twice since datagrams may be lost.
 func (l *leavings) loop(ctx context.Context) {
 	var sent []leavingTarget
-	ticker := time.NewTicker(repeatInterval)
-	defer ticker.Stop()
+	var repeat <-chan time.Time // nil while nothing is to be repeated
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-repeat:
 			l.send(sent)
-			sent = nil
+			sent, repeat = nil, nil
 		case target := <-l.queue:
 			l.send([]leavingTarget{target})
 			if len(sent) < limitsPerPacket {
 				sent = append(sent, target)
 			}
+			if repeat == nil {
+				repeat = time.After(repeatInterval)
+			}
 		}
 	}
 }
--- a/io/digest/limits.go
+++ b/io/digest/limits.go
@@ -62,7 +62,7 @@
 }
 
 // setPeers passes on the other live instances.
-func (l *limits) setPeers(peers []streamPeer) {
+func (l *limits) setPeers(peers []peer) {
 	ids := make([]core.InstanceID, len(peers))
 	for i, p := range peers {
 		ids[i] = p.id
--- a/io/digest/load.go
+++ b/io/digest/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"slices"
 
@@ -59,19 +60,22 @@
 	}
 }
 
-// sendEvents sends events to the peers of this instance's cell. Events about targets of
-// another cell also go to the instances of that cell.
+// sendEvents sends events to all instances that share loads. In larger fleets these are the
+// collectors of the targets' cells.
 func (n *Node) sendEvents(batch, repeats []event) {
 	p := n.peers.Load()
-	n.sendEventsTo(p.inCell, batch, repeats)
+	if p.cells.IsFleetWide {
+		n.sendEventsTo(p.inCell, batch, repeats)
+		return
+	}
 	var sent []core.DataCentre
 	for i := range batch {
 		cell := batch[i].cell
-		if p.cells.IsFleetWide || cell == "" || cell == p.cells.Home || slices.Contains(sent, cell) {
+		if slices.Contains(sent, cell) {
 			continue
 		}
 		sent = append(sent, cell)
-		n.sendEventsTo(p.otherCells[cell], eventsOfCell(batch, cell), eventsOfCell(repeats, cell))
+		n.sendEventsTo(p.collectorsOf(cell), eventsOfCell(batch, cell), eventsOfCell(repeats, cell))
 	}
 }
 
@@ -131,11 +135,15 @@
 	return batch
 }
 
-// sendAllOutstanding sends all outstanding work of this instance to a peer that has just
-// started, or that missed digests while it was suspended or partitioned.
-func (n *Node) sendAllOutstanding(to string) {
+// sendOutstanding sends the outstanding work of this instance that a peer needs, which has just
+// started, or has missed digests while it was suspended or partitioned. In larger fleets only
+// collectors need some.
+func (n *Node) sendOutstanding(to string, p *peerSet) {
 	var events []event
 	for _, o := range n.opts.Loads.Outstanding(n.opts.Sender) {
+		if !p.needsEventsOf(to, o.Cell) {
+			continue
+		}
 		events = append(events, newSentEvent(o.Item))
 		if o.IsComputed {
 			events = append(events, event{Operation: opComputed, Target: o.Target, Serial: o.Key.Serial})
@@ -148,8 +156,13 @@
 	n.sendAll(packets)
 }
 
-// handleLoad records the load events of a peer.
-func (n *Node) handleLoad(p *packet) {
+// handleLoad records the load events or summaries of a peer.
+func (n *Node) handleLoad(p *packet, from net.Addr) {
+	if len(p.Summaries) > 0 {
+		n.loads.handle(p, from)
+		return
+	}
+	n.observeWork(from, p.Sender)
 	now := n.opts.Clock.Now()
 	if p.IsFullState {
 		n.opts.Loads.RemoveSender(p.Sender)
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -67,9 +67,6 @@
 	// batchInterval is the pause after a digest that is not full. It limits an instance to 500
 	// such digests per second and delays events by at most this time.
 	batchInterval = 2 * time.Millisecond
-	// maxPeersPerCell is the number of peers of a cell that receive digests. The other
-	// instances of a larger cell learn the load from the refusals of targets.
-	maxPeersPerCell = 32
 	// eventQueueLength is the capacity of the event queue. Events beyond it are dropped and
 	// counted.
 	eventQueueLength = 4096
@@ -90,6 +87,7 @@
 	evidence *evidence
 	limits   *limits
 	leavings *leavings
+	loads    *collector
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -100,6 +98,10 @@
 	// peerTimeout.
 	peerStates map[string]peerState
 	lastTick   core.Instant
+	// peersVersion is the version of the members that the peer set rests on. seedsChanged is set if
+	// the list of instances was read since then.
+	peersVersion uint64
+	seedsChanged bool
 }
 
 // pendingCall is a call that waits for its reply until the deadline.
@@ -124,25 +126,12 @@
 	n.evidence = newEvidence(n)
 	n.limits = newLimits(n)
 	n.leavings = newLeavings(n)
+	n.loads = newCollector(n)
 	n.serial.Store(o.Sender) // late replies to an earlier process match no call
-	n.peers.Store(&peerSet{cells: load.NewCells(o.Self.DataCentre, map[core.DataCentre]int{o.Self.DataCentre: 1})})
+	n.peers.Store(&peerSet{rank: -1, cells: load.NewCells(o.Self.DataCentre, map[core.DataCentre]int{o.Self.DataCentre: 1})})
 	return n
 }
 
-// peerSet holds the addresses of the other instances. It is immutable.
-type peerSet struct {
-	cells *load.Cells
-	// inCell holds the peers of this instance's cell, which receive all digests. otherCells
-	// holds the peers of each other cell, which receive digests about the targets of that
-	// cell.
-	inCell     []netip.AddrPort
-	otherCells map[core.DataCentre][]netip.AddrPort
-	// unjoined holds listed instances of the local data centre that are not members yet.
-	unjoined []netip.AddrPort
-	// isReader is set on instances that read the platform for their data centre.
-	isReader bool
-}
-
 var _ load.CellProvider = (*Node)(nil)
 
 // Cells returns the cells of the current membership.
@@ -176,6 +165,7 @@
 	loops.Go(func() { n.evidence.loopFindings(ctx) })
 	loops.Go(func() { n.limits.loop(ctx) })
 	loops.Go(func() { n.leavings.loop(ctx) })
+	loops.Go(func() { n.loads.loop(ctx) })
 	<-ctx.Done()
 	_ = n.opts.Conn.Close() // ends loopRead
 	loops.Wait()
@@ -194,6 +184,7 @@
 		isAlone := len(n.members.Members()) < 2
 		if err == nil {
 			n.members.SetSeeds(list)
+			n.seedsChanged = true
 			n.size.ObserveList(n.opts.Clock.Now(), list, isAlone)
 		}
 		n.mu.Unlock()
@@ -287,58 +278,6 @@
 	}
 }
 
-func udpAddresses(list []netip.AddrPort) []net.Addr {
-	addresses := make([]net.Addr, len(list))
-	for i, to := range list {
-		addresses[i] = net.UDPAddrFromAddrPort(to)
-	}
-	return addresses
-}
-
-// updatePeers rebuilds the peer set from the current members, and returns the addresses of those
-// added. The lock must be held.
-func (n *Node) updatePeers() []string {
-	home := n.opts.Self.DataCentre
-	p := &peerSet{otherCells: map[core.DataCentre][]netip.AddrPort{}, isReader: n.members.IsExpectedDelegate()}
-	counts := map[core.DataCentre]int{home: 1}
-	var others []streamPeer
-	for _, r := range n.members.Members() {
-		to, err := netip.ParseAddrPort(r.Address)
-		if err != nil || r.ID == n.opts.Self.ID {
-			continue
-		}
-		counts[r.DataCentre]++
-		others = append(others, streamPeer{r.ID, r.DataCentre, to})
-		if r.DataCentre == home {
-			p.inCell = append(p.inCell, to)
-		} else {
-			p.otherCells[r.DataCentre] = append(p.otherCells[r.DataCentre], to)
-		}
-	}
-	for _, r := range n.members.UnjoinedSeeds() {
-		if to, err := netip.ParseAddrPort(r.Address); err == nil {
-			p.unjoined = append(p.unjoined, to)
-		}
-	}
-	if p.cells = load.NewCells(home, counts); p.cells.IsFleetWide {
-		for _, list := range p.otherCells {
-			p.inCell = append(p.inCell, list...)
-		}
-		p.otherCells = nil
-	}
-	p.inCell = p.inCell[:min(len(p.inCell), maxPeersPerCell)]
-	for dc, list := range p.otherCells {
-		p.otherCells[dc] = list[:min(len(list), maxPeersPerCell)]
-	}
-	n.peers.Store(p)
-	before := n.streams.homes.Load()
-	added := n.streams.setPeers(others)
-	if n.streams.homes.Load() != before {
-		n.limits.setPeers(others)
-	}
-	return added
-}
-
 func (n *Node) loopRead(ctx context.Context) {
 	buffer := make([]byte, 64<<10)
 	for {
@@ -364,7 +303,7 @@
 	n.observeSender(p)
 	switch p.Kind {
 	case packetLoad:
-		n.handleLoad(p)
+		n.handleLoad(p, from)
 	case packetCall:
 		n.handleCall(p, from)
 	case packetReply:
--- a/io/digest/streams.go
+++ b/io/digest/streams.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"net"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -55,17 +54,10 @@
 	Lookups map[streamstart.Result]uint64
 }
 
-// streamPeer is another instance.
-type streamPeer struct {
-	id      core.InstanceID
-	dc      core.DataCentre
-	address netip.AddrPort
-}
-
 // streamHomes holds the peers and the homes among them. It is immutable.
 type streamHomes struct {
 	*streamstart.Homes
-	peers     []streamPeer
+	peers     []peer
 	addresses map[string]net.Addr
 }
 
@@ -146,7 +138,7 @@
 }
 
 // setPeers selects the homes among the current peers, and returns the addresses of those added.
-func (s *streams) setPeers(peers []streamPeer) (added []string) {
+func (s *streams) setPeers(peers []peer) (added []string) {
 	old := s.homes.Load()
 	if old != nil && slices.Equal(old.peers, peers) {
 		return nil
--- a/io/digest/streams_bench_test.go
+++ b/io/digest/streams_bench_test.go
@@ -66,10 +66,10 @@
 		Clock: core.NewProcessClock(), Log: &log.Logger{Handler: discard.Default}, Catchup: catchup.New(random.New(1)),
 		Snapshots: noSnapshots{}, Streams: view,
 	})
-	var list []streamPeer
+	var list []peer
 	for i := range peers {
 		address := netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:70", 1+i/250, 1+i%250))
-		list = append(list, streamPeer{core.InstanceID(fmt.Sprintf("n%d", i)), core.DataCentre(fmt.Sprintf("dc%d", i%6)), address})
+		list = append(list, peer{core.InstanceID(fmt.Sprintf("n%d", i)), core.DataCentre(fmt.Sprintf("dc%d", i%6)), address, 0})
 		conn.isLocal[address.String()] = i%6 == 0
 	}
 	n.streams.setPeers(list)
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"maps"
+	"net"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -15,11 +17,15 @@
 	"gorseline/core/membership"
 )
 
-// Announce sends the versions of this instance to the peers of its cell and to listed
+// Announce sends the versions of this instance to all peers of its cell and to listed
 // instances of its data centre that are not members yet.
 func (n *Node) Announce() {
 	p := n.peers.Load()
-	n.send(&packet{Kind: packetVersions}, udpAddresses(slices.Concat(p.inCell, p.unjoined))...)
+	n.announceTo(p.inCell, p.unjoined)
+}
+
+func (n *Node) announceTo(lists ...[]netip.AddrPort) {
+	n.send(&packet{Kind: packetVersions, SharesSummaries: true}, udpAddresses(slices.Concat(lists...))...)
 }
 
 // announceInterval is the time between two announcements, which serve as heartbeats and
@@ -28,9 +34,12 @@
 const announceInterval = 400 * time.Millisecond
 
 func (n *Node) loopAnnounce(ctx context.Context) {
+	round := 0
 	pause.Every(ctx, announceInterval, func() {
-		n.opts.Catchup.SetFollower(!n.peers.Load().isReader)
-		n.Announce()
+		p := n.peers.Load()
+		n.opts.Catchup.SetFollower(!p.isReader)
+		n.announceTo(p.announcedIn(round), p.unjoined)
+		round++
 	})
 }
 
@@ -50,6 +59,10 @@
 	// isSynced is set once the peer has announced itself and the outstanding work of this
 	// instance was sent to it.
 	isSynced bool
+	// sharesWork is set once the peer has reported work.
+	sharesWork bool
+	// sharesSummaries is set if the peer takes summaries of loads.
+	sharesSummaries bool
 	// unreached holds hashes of the services that the peer doesn't reach.
 	unreached []uint64
 }
@@ -60,7 +73,7 @@
 	paused := now.Sub(n.lastTick)
 	isFirst := n.lastTick == 0
 	n.lastTick = now
-	if isFirst || paused < peerTimeout {
+	if isFirst || paused < n.peers.Load().peerTimeout() {
 		return
 	}
 	n.opts.Log.WithField("PauseMs", paused.Milliseconds()).Warn("OwnPauseNoticed")
@@ -70,16 +83,17 @@
 	}
 }
 
-// removeSilentPeers removes peers that sent no datagram for peerTimeout. It also removes
-// the work of those that were synced, because reports of its end may have been missed. The
-// work of peers in other cells stays: they send no announcements to this instance. The lock
+// removeSilentPeers removes peers that sent no datagram for the peer timeout. It also removes
+// the work of those of this instance's cell, because reports of its end may have been missed.
+// The work of peers in other cells stays: they send no announcements to this instance. The lock
 // must be held.
 func (n *Node) removeSilentPeers(now core.Instant) {
+	timeout := n.peers.Load().peerTimeout()
 	maps.DeleteFunc(n.peerStates, func(address string, state peerState) bool {
-		if now.Sub(state.lastHeard) < peerTimeout {
+		if now.Sub(state.lastHeard) < timeout {
 			return false
 		}
-		if state.isSynced {
+		if state.isSynced || state.sharesWork {
 			n.opts.Log.WithFields(log.Fields{"Peer": address, "Sender": state.sender}).Info("PeerSilent")
 			n.opts.Loads.RemoveSender(state.sender)
 		}
@@ -100,14 +114,17 @@
 	isNew := before.sender != p.Sender
 	// Announcements come only from this instance's cell, within which loads are shared.
 	needsSync := p.Kind == packetVersions && (isNew || !before.isSynced)
-	n.peerStates[p.Address] = peerState{now, p.Sender, needsSync || before.isSynced && !isNew, p.Unreached}
+	n.peerStates[p.Address] = peerState{
+		lastHeard: now, sender: p.Sender, isSynced: needsSync || before.isSynced && !isNew, sharesWork: before.sharesWork && !isNew,
+		sharesSummaries: p.SharesSummaries || before.sharesSummaries && !isNew, unreached: p.Unreached,
+	}
 	n.mu.Unlock()
 	if isNew {
 		n.opts.Loads.RemoveSender(before.sender)
 	}
 	if needsSync {
 		n.opts.Log.WithFields(log.Fields{"Peer": p.Address, "Sender": p.Sender}).Info("PeerToldOutstandingWork")
-		n.sendAllOutstanding(p.Address)
+		n.sendOutstanding(p.Address, n.peers.Load())
 		n.streams.sendRelayed(p.Address)
 		n.evidence.sendTo(p.Address)
 		n.limits.sendTo(p.Address)
@@ -120,13 +137,28 @@
 	}
 }
 
-// peerTimeout is how long after its last datagram a peer of this instance's cell counts as
-// alive: up to three announcements may be lost. Probes detect a dead peer seconds later than
-// that, and later still in other data centres.
-const peerTimeout = 4 * announceInterval
+// minPeerTimeout is the peer timeout in a cell in which each announcement goes to all peers.
+const minPeerTimeout = 4 * announceInterval
+
+// observeWork records that a peer of this instance's cell has reported work. Its announcements may
+// have been lost, and its work must be removed when it falls silent.
+func (n *Node) observeWork(from net.Addr, sender uint32) {
+	if !n.peers.Load().inCellAddress(from) {
+		return
+	}
+	address, now := from.String(), n.opts.Clock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state, ok := n.peerStates[address]
+	if ok && state.sender != sender {
+		return // the end of an earlier process, or the announcement of a new one, is not known yet
+	}
+	state.lastHeard, state.sender, state.sharesWork = now, sender, true
+	n.peerStates[address] = state
+}
 
 // CallerAddresses returns the addresses of instances for a caller in the data centre dc. It
-// leaves out peers of this instance's cell that sent no datagram for peerTimeout.
+// leaves out peers of this instance's cell that sent no datagram for the peer timeout.
 func (n *Node) CallerAddresses(dc core.DataCentre) []string {
 	cells := n.Cells()
 	n.mu.Lock()
@@ -135,12 +167,12 @@
 	return n.members.CallerAddresses(n.rng, dc, func(r membership.Record) bool { return !n.isSilent(now, cells, &r) })
 }
 
-// isSilent reports whether a peer of this instance's cell has sent no datagram for peerTimeout. Peers
+// isSilent reports whether a peer of this instance's cell has sent no datagram for the peer timeout. Peers
 // of other cells send no announcements to this instance. The lock must be held.
 func (n *Node) isSilent(now core.Instant, cells *load.Cells, r *membership.Record) bool {
 	if r.ID == n.opts.Self.ID || !cells.IsFleetWide && r.DataCentre != cells.Home {
 		return false
 	}
 	state, ok := n.peerStates[r.Address]
-	return !ok || now.Sub(state.lastHeard) >= peerTimeout
+	return !ok || now.Sub(state.lastHeard) >= n.peers.Load().peerTimeout()
 }
