--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -72,6 +72,10 @@
 	MinBriefShare float64
 	// MaxRetryShare bounds the retry time of a refusal, as a share of the remaining time.
 	MaxRetryShare float64
+	// SampleSize is the number of engines that are compared at a time, beside the home of the prefix,
+	// while loads are known with a delay. Of instances that know the same loads all would otherwise
+	// choose the same engine until the next summary. 0 compares all engines.
+	SampleSize int
 	// ContinuationWait is the time within which the first token of a continuation must be
 	// expected if only some engines have its version, or the usual limit if that is longer.
 	ContinuationWait time.Duration
@@ -86,7 +90,7 @@
 	return Tuning{
 		OnTimeShare: 0.80, LateShare: 0.6, WorkWeight: 4, CopyWeight: 1, RemotePenalty: 10 * time.Millisecond,
 		VersionPenalty: 10 * time.Millisecond, ShortPromptTime: 4 * time.Millisecond, MaxMixedStreams: 4, MaxRetryShare: 0.33,
-		ReservedShare: 0.12, BriefSlotTime: 250 * time.Millisecond, MinBriefShare: 0.1,
+		SampleSize: 2, ReservedShare: 0.12, BriefSlotTime: 250 * time.Millisecond, MinBriefShare: 0.1,
 		ContinuationWait: time.Second, ContinuationRetry: 300 * time.Millisecond,
 	}
 }
@@ -170,6 +174,8 @@
 	// briefShare is the share of requests whose answers are expected to be brief.
 	briefShare float64
 	counts     Counts
+	// offered is the computing time of the prompts that come to this instance, per time.
+	offered offeredWork
 }
 
 // Parameters of the learned costs. The initial values apply until answers are observed.
@@ -201,6 +207,10 @@
 type candidate struct {
 	Decision
 	score time.Duration
+	// loadAge is the age of the summary of the target's load.
+	loadAge time.Duration
+	// isHome is set if the target is the home of the prompt's shared prefix.
+	isHome bool
 }
 
 // Assign chooses the target that computes the prompt of a request.
@@ -211,6 +221,7 @@
 	m.counts.Requests++
 	m.countBrief(a.isLong(m, req))
 	best, ok, isFull := a.find(now, view, req, m, a.usualRules(now, view, req, m))
+	m.offered.add(now, best.ComputeTime)
 	restricted := isRestricted(view, req)
 	if !ok && restricted {
 		best, ok, isFull = a.find(now, view, req, m, a.continuationRules())
@@ -233,21 +244,6 @@
 	return best.Decision
 }
 
-// choose returns the candidate with the least score among those within the limit. If there
-// is none, ok is false and the candidate with the earliest first token is returned.
-func choose(candidates []candidate, limit time.Duration) (best candidate, ok bool) {
-	for i := range candidates {
-		c := &candidates[i]
-		switch isWithin := c.Expected <= limit; {
-		case isWithin && (!ok || c.score < best.score):
-			best, ok = *c, true
-		case !ok && (best.Target == nil || c.Expected < best.Expected):
-			best = *c
-		}
-	}
-	return best, ok
-}
-
 // candidates returns the engines that can compute the prompt, which are those of the local cell
 // and the home of the shared prefix, and the shortest expected time on any of them without
 // backlog. isFull reports that there are generating engines but none has a free slot. The slice
@@ -287,6 +283,7 @@
 	for i := range list {
 		c := &list[i]
 		held := c.CachedTokens
+		c.isHome = prefix.home != nil && prefix.home.ID == c.Target.ID
 		a.considerFetch(c, req, m)
 		c.score += a.copyPenalty(c.Target, c.Kind, held, prefix, m)
 	}
@@ -320,7 +317,9 @@
 	if !r.permitsSlot(e, state) {
 		return candidate{}, false
 	}
-	c = candidate{Decision: Decision{Target: e, CachedTokens: state.CachedTokens, Backlog: state.Backlog}}
+	c = candidate{
+		Decision: Decision{Target: e, CachedTokens: state.CachedTokens, Backlog: state.Backlog}, loadAge: state.Age,
+	}
 	c.Work = prompt.NewWork(req.Prompt.Tokens, state.CachedTokens)
 	c.ComputeTime = m.prefill.Time(c.Work)
 	c.Kind = load.Prefill
--- a/core/assign/remote.go
+++ b/core/assign/remote.go
@@ -30,6 +30,10 @@
 	observedAt core.Instant
 }
 
+// maxRemoteSample is the mean number of engines of other cells that are compared while loads are known
+// with a delay. Some of them aren't prefill engines.
+const maxRemoteSample = 6
+
 // remoteWaitDecay is the time constant of the decay. Loads change within seconds.
 const remoteWaitDecay = time.Second
 
@@ -42,12 +46,17 @@
 // prompts on all, for a prompt that the local cell can't compute in time, for example after callers
 // moved to this data centre. Without a recent summary of an engine's load, only this instance's own
 // sends and the waiting times of earlier prompts are known.
-func (a *Assigner) bestRemote(now core.Instant, view *roster.View, req *Request, m *serviceModel, r rules) (best candidate, ok bool) {
+func (a *Assigner) bestRemote(now core.Instant, view *roster.View, req *Request, m *serviceModel, r rules, hiddenRate float64) (best candidate, ok bool) {
 	least, seen := 0.0, 0
+	engines := max(1, len(view.Ready(req.Service))/a.cellCount())
+	share := a.remoteShare(len(view.Ready(req.Service)))
 	for _, e := range view.Ready(req.Service) {
 		if a.isLoadKnown(e) || e.Role != core.RolePrefill && !r.mustMix || !a.isUsable(now, e, req.Exclude, req.Version) {
 			continue
 		}
+		if share < 1 && a.opts.Random.Float64() >= share {
+			continue
+		}
 		state := a.opts.Loads.State(now, e.ID, req.Chain.SharedPrefix())
 		c, fits := a.evaluate(e, &state, req, m, r)
 		if !fits {
@@ -57,6 +66,8 @@
 			c.Backlog = max(c.Backlog, w.current(now))
 			c.Expected = c.ComputeTime + c.Backlog + m.handoverTime
 		}
+		// Each cell is offered the same, and most of it stays there.
+		c.delay(time.Duration(hiddenRate * float64(c.loadAge) / float64(engines)))
 		seen++
 		// Jitter spreads prompts over cells with similar waiting times.
 		score := c.Expected.Seconds() * (0.5 + a.opts.Random.Float64())
@@ -67,6 +78,23 @@
 	return best, seen > 0
 }
 
+// cellCount returns the number of cells.
+func (a *Assigner) cellCount() int {
+	if a.opts.Cells == nil {
+		return 1
+	}
+	return a.opts.Cells.Cells().Count()
+}
+
+// remoteShare returns the share of a number of engines that bestRemote compares. While loads are known
+// with a delay these are a few, as in choose.
+func (a *Assigner) remoteShare(engines int) float64 {
+	if !a.samplesEngines() {
+		return 1
+	}
+	return float64(maxRemoteSample) / float64(max(1, engines))
+}
+
 // ObserveRemoteWait records how much longer than its computing time a prompt took in another
 // cell. Prompts of the local cell are ignored.
 func (a *Assigner) ObserveRemoteWait(now core.Instant, e *roster.Entry, waited time.Duration) {
--- a/core/assign/rules.go
+++ b/core/assign/rules.go
@@ -56,13 +56,15 @@
 	candidates, shortest, isFull := a.candidates(now, view, req, m, r)
 	r.anySlot = r.anySlot && isFull
 	limit := a.limit(req, shortest, r)
-	best, ok = choose(candidates, limit)
+	hidden := a.hiddenRate(now, m)
+	addHidden(candidates, hidden)
+	best, ok = a.choose(candidates, limit)
 	if isFull && !r.anySlot && isRestricted(view, req) {
 		// The generating engines of other cells count too, so none could import the prompt.
 		return candidate{}, false, true
 	}
 	if !ok {
-		if remote, found := a.bestRemote(now, view, req, m, r); found && (len(candidates) == 0 || remote.Expected < best.Expected) {
+		if remote, found := a.bestRemote(now, view, req, m, r, hidden); found && (len(candidates) == 0 || remote.Expected < best.Expected) {
 			best, limit = remote, a.limit(req, remote.Expected-remote.Backlog, r)
 			ok = best.Expected <= limit
 		}
--- /dev/null
+++ b/core/assign/sample_test.go
@@ -0,0 +1,129 @@
+package assign_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gorseline/core"
+	"gorseline/core/assign"
+	"gorseline/core/common/random"
+	"gorseline/core/load"
+	"gorseline/core/prompt"
+	"gorseline/core/retry"
+)
+
+// delayedFleet is a data centre whose instances know the loads of its engines from the summaries of a
+// collector.
+type delayedFleet struct {
+	fleet
+	collector *load.Tracker
+	trackers  []*load.Tracker
+	assigners []*assign.Assigner
+}
+
+const (
+	delayedInstances = 59
+	summaryInterval  = 25 * time.Millisecond
+	summaryDelay     = 2 * time.Millisecond
+)
+
+func newDelayedFleet(tuning assign.Tuning) *delayedFleet {
+	f := &delayedFleet{fleet: *newFleet(), collector: load.NewTracker()}
+	for i := range delayedInstances {
+		tracker, source := load.NewTracker(), random.New(uint64(i))
+		f.trackers = append(f.trackers, tracker)
+		f.assigners = append(f.assigners, assign.New(assign.Options{
+			Loads: tracker, Health: retry.NewHealth(retry.DefaultHealthOptions(), source), Random: source, Home: "here",
+			Cells: fixedCells{load.NewCells("here", map[core.DataCentre]int{"here": delayedInstances}).WithCallerShare(1.0 / delayedInstances)}, Tuning: tuning,
+		}))
+	}
+	return f
+}
+
+// publish gives the summaries of the engines to all instances.
+func (f *delayedFleet) publish(now core.Instant) {
+	for e := range f.view.All {
+		s := f.collector.Summarise(now, e.ID)
+		for _, tracker := range f.trackers {
+			tracker.Observe(now, s)
+		}
+	}
+}
+
+// send has an instance serve a request.
+func (f *delayedFleet) send(now core.Instant, i int, req *assign.Request, o *outcome) {
+	d := f.assigners[i].Assign(now, f.view, req)
+	if d.Target == nil {
+		o.refused++
+		return
+	}
+	f.serial++
+	item := load.Item{
+		Ref:  load.Ref{Key: load.Key{Sender: uint32(i), Serial: f.serial}, Target: d.Target.ID},
+		Kind: d.Kind, ComputeTime: d.ComputeTime, Chain: req.Chain,
+	}
+	f.trackers[i].Sent(now, item)
+	f.collector.Sent(now, item)
+	work := prompt.NewWork(req.Prompt.Tokens, 0)
+	id := d.Target.ID
+	f.freeAt[id] = max(f.freeAt[id], now).Add(computeTime(work, d.Target.Role))
+	heap.Push(&f.pending, completion{f.freeAt[id], func(at core.Instant) {
+		f.collector.Finished(at, item.Ref)
+		if took, ok := f.trackers[i].Finished(at, item.Ref); ok {
+			f.assigners[i].ObservePrompt("models", d.Kind, work, min(took, computeTime(work, d.Target.Role)))
+		}
+		if at.Sub(now) <= objective {
+			o.onTime++
+			return
+		}
+		o.late++
+	}})
+}
+
+// playDelayed plays 10 s of prompts that share nothing at a multiple of what the engines compute.
+func playDelayed(tuning assign.Tuning, overload float64) outcome {
+	const tokens = 3000
+	perSecond := 9/computeTime(prompt.NewWork(tokens, 0), core.RolePrefill).Seconds() +
+		5/computeTime(prompt.NewWork(tokens, 0), core.RoleDecode).Seconds()
+	f, rng, o := newDelayedFleet(tuning), rand.New(rand.NewPCG(7, 7)), outcome{}
+	now, next := core.Instant(time.Second), core.Instant(time.Second)
+	for serial := uint64(1); now < core.Instant(11*time.Second); serial++ {
+		now = now.Add(time.Duration(rng.ExpFloat64() / (overload * perSecond) * float64(time.Second)))
+		for ; next <= now; next = next.Add(summaryInterval) {
+			f.advance(next.Add(-summaryDelay))
+			f.publish(next.Add(-summaryDelay))
+		}
+		f.advance(now)
+		p := &core.Prompt{Model: "m", Tokens: tokens, Parts: []core.PromptPart{{ID: serial, Tokens: tokens}}}
+		f.send(now, rng.IntN(delayedInstances), &assign.Request{
+			Service: "models", Engine: engineLimits, Prompt: p, Chain: prompt.NewChain(p), Objective: objective, Remaining: maxWait,
+		}, &o)
+	}
+	f.advance(core.Instant(time.Hour))
+	return o
+}
+
+// Guards against prompts that are accepted and late in a burst, because all instances that know the
+// same summary send to the engine that was the least loaded.
+func TestAcceptedPromptsAreOnTimeWithDelayedLoads(t *testing.T) {
+	all := assign.DefaultTuning()
+	all.SampleSize = 0
+	for _, overload := range []float64{0.7, 1.5, 3} {
+		sampled, compared := playDelayed(assign.DefaultTuning(), overload), playDelayed(all, overload)
+		name := fmt.Sprintf("%.1f times the capacity: on time %d, late %d, refused %d; with all engines compared %d, %d, %d",
+			overload, sampled.onTime, sampled.late, sampled.refused, compared.onTime, compared.late, compared.refused)
+		t.Log(name)
+		if sampled.late*20 > sampled.onTime {
+			t.Errorf("more than a twentieth is late at %s", name)
+		}
+		if overload > 1 && sampled.onTime <= compared.onTime {
+			t.Errorf("no more are on time at %s", name)
+		}
+		if overload < 1 && sampled.refused*50 > sampled.total() {
+			t.Errorf("too many are refused at %s", name)
+		}
+	}
+}
--- a/core/load/cells.go
+++ b/core/load/cells.go
@@ -20,6 +20,9 @@
 	Home core.DataCentre
 	// IsFleetWide is set if all instances share the loads of all targets.
 	IsFleetWide bool
+	// CallerShare is the share of the callers of this instance's data centre that come to this
+	// instance, by the capacities of its instances. 0 means unknown.
+	CallerShare float64
 	// populated lists the data centres with instances in ascending order.
 	populated []core.DataCentre
 }
@@ -40,6 +43,13 @@
 	return c
 }
 
+// WithCallerShare returns a copy with the share of the callers that come to this instance.
+func (c *Cells) WithCallerShare(share float64) *Cells {
+	changed := *c
+	changed.CallerShare = share
+	return &changed
+}
+
 // Of returns the cell of a target in the data centre dc: dc itself, or a data centre chosen
 // by rendezvous hashing if dc has no instances. If loads are shared fleet-wide it returns
 // Home.
--- a/core/load/summary.go
+++ b/core/load/summary.go
@@ -32,6 +32,7 @@
 func (s *Summary) state(elapsed time.Duration) State {
 	return State{
 		Backlog: max(0, s.Backlog-elapsed), Prompts: s.Prompts, Running: s.Running, Generating: s.Generating, IsObserved: true,
+		Age: elapsed,
 	}
 }
 
--- a/core/load/tracker.go
+++ b/core/load/tracker.go
@@ -301,8 +301,9 @@
 	// CachedTokens is the expected number of leading tokens of the chain that are cached.
 	CachedTokens int
 	// IsObserved is set if a recent summary of a collector is included, which covers the work of
-	// all instances.
+	// all instances. Age is the age of the summary: what other instances have sent since isn't included.
 	IsObserved bool
+	Age        time.Duration
 }
 
 // State returns the state of a target with regard to a prompt chain, which may be nil.
--- a/core/membership/addresses.go
+++ b/core/membership/addresses.go
@@ -127,11 +127,11 @@
 func pickByCapacity(rng *rand.Rand, list []Record) int {
 	total := uint64(0)
 	for _, r := range list {
-		total += capacity(r)
+		total += r.CallerWeight()
 	}
 	point := rng.Uint64N(total)
 	for i, r := range list {
-		c := capacity(r)
+		c := r.CallerWeight()
 		if point < c {
 			return i
 		}
@@ -144,7 +144,8 @@
 // with a whole core.
 const defaultCapacity = 100
 
-func capacity(r Record) uint64 {
+// CallerWeight returns the weight of the member in the distribution of callers.
+func (r Record) CallerWeight() uint64 {
 	if r.Capacity == 0 {
 		return defaultCapacity
 	}
--- a/io/digest/peers.go
+++ b/io/digest/peers.go
@@ -8,6 +8,7 @@
 
 	"gorseline/core"
 	"gorseline/core/load"
+	"gorseline/core/membership"
 )
 
 // announcedPerRound is the number of peers that receive one announcement of this instance. In
@@ -50,6 +51,19 @@
 	return p.collectors[cell]
 }
 
+// needsEvents reports whether a peer needs events about targets.
+func (p *peerSet) needsEvents(address string) bool {
+	if p.cells.IsFleetWide {
+		return true
+	}
+	for dc := range p.collectors {
+		if p.needsEventsOf(address, dc) {
+			return true
+		}
+	}
+	return false
+}
+
 // needsEventsOf reports whether the events about the targets of a cell go to a peer.
 func (p *peerSet) needsEventsOf(address string, cell core.DataCentre) bool {
 	return p.cells.IsFleetWide || slices.ContainsFunc(p.collectorsOf(cell), func(a netip.AddrPort) bool { return a.String() == address })
@@ -126,7 +140,7 @@
 			p.unjoined = append(p.unjoined, to)
 		}
 	}
-	p.cells = load.NewCells(home, counts)
+	p.cells = load.NewCells(home, counts).WithCallerShare(n.callerShare(peers))
 	for _, each := range peers {
 		if p.cells.IsFleetWide || each.dc == home {
 			p.inCell = append(p.inCell, each.address)
@@ -143,6 +157,18 @@
 	return p
 }
 
+// callerShare returns the share of the callers of this data centre that come to this instance.
+func (n *Node) callerShare(peers []peer) float64 {
+	own := float64(membership.Record{Capacity: n.opts.Self.Capacity}.CallerWeight())
+	total := own
+	for _, each := range peers {
+		if each.dc == n.opts.Self.DataCentre {
+			total += float64(membership.Record{Capacity: each.capacity}.CallerWeight())
+		}
+	}
+	return own / total
+}
+
 // setCollectors selects the collectors of a cell among its instances.
 func (p *peerSet) setCollectors(dc core.DataCentre, instances []peer, self core.InstanceID) {
 	candidates := make([]load.Candidate, len(instances))
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -123,8 +123,10 @@
 		n.opts.Loads.RemoveSender(before.sender)
 	}
 	if needsSync {
-		n.opts.Log.WithFields(log.Fields{"Peer": p.Address, "Sender": p.Sender}).Info("PeerToldOutstandingWork")
-		n.sendOutstanding(p.Address, n.peers.Load())
+		if peers := n.peers.Load(); peers.needsEvents(p.Address) {
+			n.opts.Log.WithFields(log.Fields{"Peer": p.Address, "Sender": p.Sender}).Info("PeerToldOutstandingWork")
+			n.sendOutstanding(p.Address, peers)
+		}
 		n.streams.sendRelayed(p.Address)
 		n.evidence.sendTo(p.Address)
 		n.limits.sendTo(p.Address)
