--- a/io/digest/cells_test.go
+++ b/io/digest/cells_test.go
@@ -107,7 +107,7 @@
 }
 
 // send makes an instance send work to a target.
-func (f *cellFleet) send(i int, centre, target int) load.Ref {
+func (f *cellFleet) send(i, centre, target int) load.Ref {
 	f.serial++
 	ref := load.Ref{
 		Key: load.Key{Sender: f.nodes[i].opts.Sender, Serial: f.serial}, Target: targetOf(centre, target),
@@ -124,10 +124,11 @@
 	f.nodes[i].Finished(ref)
 }
 
-// countWithState returns how many of the instances know a number of running requests of a target.
-func (f *cellFleet) countWithState(centre, target, running int) (known int) {
+// countWithState returns how many of the instances know a number of running requests of a target of the
+// first data centre.
+func (f *cellFleet) countWithState(target, running int) (known int) {
 	for i := range f.nodes {
-		if s := f.trackers[i].State(f.clock.Now(), targetOf(centre, target), nil); s.Running == running {
+		if s := f.trackers[i].State(f.clock.Now(), targetOf(0, target), nil); s.Running == running {
 			known++
 		}
 	}
@@ -210,14 +211,14 @@
 			refs = append(refs, f.send(7*i, 0, 1))
 		}
 		time.Sleep(120 * time.Millisecond)
-		if known := f.countWithState(0, 1, 10); known != len(f.list) {
+		if known := f.countWithState(1, 10); known != len(f.list) {
 			t.Errorf("%d of %d instances know the work", known, len(f.list))
 		}
 		for i, ref := range refs {
 			f.finish(7*i, ref)
 		}
 		time.Sleep(120 * time.Millisecond)
-		if known := f.countWithState(0, 1, 0); known != len(f.list) {
+		if known := f.countWithState(1, 0); known != len(f.list) {
 			t.Errorf("%d of %d instances know the end of the work", known, len(f.list))
 		}
 	})
@@ -250,7 +251,7 @@
 			time.Sleep(load.SummaryValidity + 50*time.Millisecond)
 			f.send(sender, 0, 2)
 			time.Sleep(150 * time.Millisecond)
-			if known := f.countWithState(0, 2, 2); known < len(f.list)-1 {
+			if known := f.countWithState(2, 2); known < len(f.list)-1 {
 				t.Errorf("cut %v: %d of %d instances know the work", isCut, known, len(f.list))
 			}
 		})
@@ -290,7 +291,7 @@
 		time.Sleep(5 * time.Second)
 		f.send(0, 0, 1)
 		time.Sleep(100 * time.Millisecond)
-		if known := f.countWithState(0, 1, 1); known != 3 {
+		if known := f.countWithState(1, 1); known != 3 {
 			t.Fatalf("%d of 3 instances know the work", known)
 		}
 		f.kill(0)
