--- a/cmd/commands/soak.go
+++ b/cmd/commands/soak.go
@@ -31,6 +31,7 @@
 	Announce  bool          `long:"announcements" env:"SOAK_ANNOUNCEMENTS" description:"Targets state that they leave, without a change in the registry, and ask for pauses, beside killed, frozen and stopped instances"`
 	Limits    bool          `long:"stated-limits" env:"SOAK_STATED_LIMITS" description:"Targets state limits of requests a second that rise, fall and end, beside killed, frozen and stopped instances"`
 	Entry     string        `long:"entry" env:"SOAK_ENTRY" description:"Program to run as instances, such as that of an earlier commit; the default is this one"`
+	Previous  string        `long:"previous" env:"SOAK_PREVIOUS" description:"Program of an earlier build with which all instances start; they are replaced one after the other, beside the usual faults or those of --planned"`
 	Dir       string        `long:"dir" env:"SOAK_DIR" description:"Directory for settings and logs" default:"/tmp/gorseline-soak"`
 }
 
@@ -68,6 +69,9 @@
 	if c.Announce && (c.Planned || c.Versions > 1 || c.Parts+c.Requests > 0 || c.Cuts || c.Limits) {
 		return invalidSetting("--announcements", "true", "false with all other kinds of faults")
 	}
+	if c.Previous != "" && (c.Versions > 1 || c.Parts+c.Requests > 0 || c.Cuts || c.Limits || c.Announce) {
+		return invalidSetting("--previous", c.Previous, "none with other kinds of faults than --planned")
+	}
 	command := []string{c.Entry}
 	if c.Entry == "" {
 		binary, err := os.Executable()
@@ -104,8 +108,12 @@
 
 // runSeed runs the faults of one seed.
 func (c *soakCommand) runSeed(ctx context.Context, command []string, seed uint64) (soak.Report, error) {
+	var previous []string
+	if c.Previous != "" {
+		previous = []string{c.Previous}
+	}
 	return soak.Run(ctx, soak.Options{
-		Command: command, Seed: seed, FaultDuration: c.Length, Instances: c.Instances, Callers: c.Callers,
+		Command: command, Previous: previous, Seed: seed, FaultDuration: c.Length, Instances: c.Instances, Callers: c.Callers,
 		Planned: c.Planned, Versions: c.Versions, CrashingParts: c.Parts, CrashingRequests: c.Requests, Cuts: c.Cuts, StatedLimits: c.Limits, Announcements: c.Announce, Retries: soak.RandomRetryLimit(seed),
 		Dir: filepath.Join(c.Dir, strconv.FormatUint(seed, 10)),
 	})
@@ -128,6 +136,9 @@
 	if len(r.Cuts) > 0 {
 		fmt.Fprintf(c.terminal.out, "  cuts: %s\n", strings.Join(r.Cuts, "; "))
 	}
+	if len(r.Replaced) > 0 {
+		fmt.Fprintf(c.terminal.out, "  replaced: %s\n", strings.Join(r.Replaced, "; "))
+	}
 	if err != nil {
 		fmt.Fprintf(c.terminal.out, "  failed: %v\n", err)
 	}
--- a/standin/platform/soak/instance.go
+++ b/standin/platform/soak/instance.go
@@ -30,7 +30,10 @@
 	settingsPath  string
 	logFile       *os.File
 	command       []string
-	storeProxy    *proxy
+	// previous starts the previous build, which is used while isPrevious is set.
+	previous   []string
+	isPrevious bool
+	storeProxy *proxy
 	// grace is the time between the signal that stops a process and SIGKILL.
 	grace time.Duration
 	// answerTTL is how long callers may keep the addresses of instances.
@@ -90,7 +93,7 @@
 		return nil, err
 	}
 	inst := &instance{
-		name: name, command: o.Command, storeProxy: storeProxy, grace: o.grace(), answerTTL: o.answerTTL(),
+		name: name, command: o.Command, previous: o.Previous, isPrevious: len(o.Previous) > 0, storeProxy: storeProxy, grace: o.grace(), answerTTL: o.answerTTL(),
 		settingsPath:  filepath.Join(dir, name+".toml"),
 		callerAddress: "127.0.0.1:" + strconv.Itoa(ports[1]), readyAddress: "127.0.0.1:" + strconv.Itoa(ports[2]),
 	}
@@ -112,8 +115,9 @@
 	if inst.process != nil {
 		return nil
 	}
-	args := append(append([]string{}, inst.command[1:]...), "--settings", inst.settingsPath, "--metrics-port", "0", "--answer-keep", inst.answerTTL.String())
-	cmd := exec.Command(inst.command[0], args...)
+	program := inst.program()
+	args := append(append([]string{}, program[1:]...), "--settings", inst.settingsPath, "--metrics-port", "0", "--answer-keep", inst.answerTTL.String())
+	cmd := exec.Command(program[0], args...)
 	cmd.Stdout, cmd.Stderr = inst.logFile, inst.logFile
 	cmd.Env = append(os.Environ(), childEnvVar+"=1")
 	if err := cmd.Start(); err != nil {
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -24,6 +24,9 @@
 type Options struct {
 	// Command starts an instance; flags for its settings are appended.
 	Command []string
+	// Previous starts an instance of an earlier build. If it is set, all instances start with it and are
+	// replaced one after the other, beside the faults.
+	Previous []string
 	// Seed seeds the load and the faults.
 	Seed uint64
 	// FaultDuration is how long faults are injected.
@@ -134,6 +137,8 @@
 	LimitPeak string
 	// Cuts describes the times for which instances were cut off from all targets.
 	Cuts []string
+	// Replaced lists the replacements of the earlier build with their times.
+	Replaced []string
 	// Violations lists the guarantees that were broken; empty if none was.
 	Violations []string
 }
@@ -152,8 +157,9 @@
 	instances []*instance
 	callers   *callers
 	started   time.Time
-	// injected lists the faults with their times.
+	// injected lists the faults with their times, replaced the replacements of the earlier build.
 	injected []string
+	replaced []string
 	// retryPeaks describes the window of each service that came closest to the limit on retries.
 	retryPeaks []string
 	// streams describes the streams that callers took up.
@@ -224,7 +230,12 @@
 	}
 	faultCtx, stopFaults := context.WithTimeout(ctx, o.FaultDuration)
 	defer stopFaults()
+	var replacements sync.WaitGroup
+	if len(o.Previous) > 0 {
+		replacements.Go(func() { s.runReplacements(ctx, rand.New(rand.NewPCG(o.Seed, 10))) })
+	}
 	s.injectFaults(faultCtx, rand.New(rand.NewPCG(o.Seed, 9)))
+	replacements.Wait()
 	violations = append(violations, s.checkRecovery(ctx)...)
 	if o.hasCrashes() {
 		pause.For(ctx, contactTime) // undisturbed
@@ -237,25 +248,26 @@
 	}
 	s.testbed.store.WaitForDelayedWrites()
 	results := s.callers.allResults()
-	violations = append(violations, checkResults(results, s.testbed.targets)...)
-	violations = append(violations, s.checkLosses(results)...)
-	violations = append(violations, s.checkVersions(results)...)
-	violations = append(violations, s.checkRetries()...)
-	violations = append(violations, s.checkCrashes()...)
-	violations = append(violations, s.checkSoundRefused(results)...)
-	violations = append(violations, s.checkCuts(results)...)
-	violations = append(violations, s.checkAnnouncements(results)...)
-	violations = append(violations, s.checkLimits(results)...)
+	violations = append(violations, s.checkAll(results)...)
+	return s.report(results, violations), errors.Wrap(s.firstError(), "soak")
+}
+
+// checkAll checks what callers and targets have seen after the end of the run.
+func (s *soak) checkAll(results []result) []string {
+	violations := slices.Concat(
+		checkResults(results, s.testbed.targets), s.checkLosses(results), s.checkVersions(results), s.checkRetries(),
+		s.checkCrashes(), s.checkSoundRefused(results), s.checkCuts(results), s.checkAnnouncements(results), s.checkLimits(results),
+	)
 	for _, inst := range s.instances {
 		if inst.unexpectedExits > 0 {
 			violations = append(violations, fmt.Sprintf("%s exited unexpectedly %d times", inst.name, inst.unexpectedExits))
 		}
 	}
-	return s.report(results, violations), errors.Wrap(s.firstError(), "soak")
+	return violations
 }
 
 func (s *soak) report(results []result, violations []string) Report {
-	r := Report{Seed: s.options.Seed, Requests: len(results), Faults: s.injected, RetryPeaks: s.retryPeaks, Streams: s.streams, Crashes: strings.Join(s.lost, "; "), LimitPeak: s.limitPeak, Cuts: s.cuts, Violations: violations}
+	r := Report{Seed: s.options.Seed, Requests: len(results), Faults: s.injected, RetryPeaks: s.retryPeaks, Streams: s.streams, Crashes: strings.Join(s.lost, "; "), LimitPeak: s.limitPeak, Cuts: s.cuts, Replaced: s.replaced, Violations: violations}
 	for i := range results {
 		switch results[i].status {
 		case 200:
