Continuations compare all engines of their version in large fleets

Found by reading: a continuation requires the version at which its stream began. If only a few engines of other data centres have it, samples left them out, and the request was refused. The test failed first (NoTarget in the first of 20 decisions).

--- a/core/assign/remote.go
+++ b/core/assign/remote.go
@@ -49,7 +49,7 @@
 func (a *Assigner) bestRemote(now core.Instant, view *roster.View, req *Request, m *serviceModel, r rules, hiddenRate float64) (best candidate, ok bool) {
 	least, seen := 0.0, 0
 	engines := max(1, len(view.Ready(req.Service))/a.cellCount())
-	share := a.remoteShare(len(view.Ready(req.Service)))
+	share := a.remoteShare(len(view.Ready(req.Service)), req)
 	for _, e := range view.Ready(req.Service) {
 		if a.isLoadKnown(e) || e.Role != core.RolePrefill && !r.mustMix || !a.isUsable(now, e, req.Exclude, req.Version) {
 			continue
@@ -88,8 +88,8 @@
 
 // remoteShare returns the share of a number of engines that bestRemote compares. While loads are known
 // with a delay these are a few, as in choose.
-func (a *Assigner) remoteShare(engines int) float64 {
-	if !a.samplesEngines() {
+func (a *Assigner) remoteShare(engines int, req *Request) float64 {
+	if !a.samplesEngines() || req.Version != nil {
 		return 1
 	}
 	return float64(maxRemoteSample) / float64(max(1, engines))
--- a/core/assign/rules.go
+++ b/core/assign/rules.go
@@ -58,7 +58,7 @@
 	limit := a.limit(req, shortest, r)
 	hidden := a.hiddenRate(now, m)
 	addHidden(candidates, hidden)
-	best, ok = a.choose(candidates, limit)
+	best, ok = a.choose(candidates, limit, req)
 	if isFull && !r.anySlot && isRestricted(view, req) {
 		// The generating engines of other cells count too, so none could import the prompt.
 		return candidate{}, false, true
--- a/core/assign/sample.go
+++ b/core/assign/sample.go
@@ -14,9 +14,10 @@
 
 // choose returns the candidate with the least score among those within the limit. If there is none,
 // ok is false and the candidate with the earliest first token is returned. While loads are known with
-// a delay it compares the home and random samples of the others.
-func (a *Assigner) choose(candidates []candidate, limit time.Duration) (best candidate, ok bool) {
-	if !a.samplesEngines() {
+// a delay it compares the home and random samples of the others, but all engines for a request that
+// requires a version, which few may have.
+func (a *Assigner) choose(candidates []candidate, limit time.Duration, req *Request) (best candidate, ok bool) {
+	if !a.samplesEngines() || req.Version != nil {
 		return leastScore(candidates, limit)
 	}
 	homes := 0
--- a/core/assign/sample_test.go
+++ b/core/assign/sample_test.go
@@ -13,6 +13,7 @@
 	"gorseline/core/load"
 	"gorseline/core/prompt"
 	"gorseline/core/retry"
+	"gorseline/core/roster"
 )
 
 // delayedFleet is a data centre whose instances know the loads of its engines from the summaries of a
@@ -127,3 +128,37 @@
 		}
 	}
 }
+
+// Guards against the continuation of a stream that is refused because the few engines of its version, in
+// another data centre, are not in a sample.
+func TestContinuationFindsItsVersionInLargeFleet(t *testing.T) {
+	var list []core.Registration
+	for i := range 66 {
+		version := core.SoftwareVersion("new")
+		if i == 64 {
+			version = "old"
+		}
+		list = append(list, core.Registration{
+			Target: core.Target{
+				ID: core.TargetID(fmt.Sprint("t", i)), Service: "models", DataCentre: core.DataCentre(rune('a' + i%5)), Role: core.RoleDecode,
+			},
+			Slots: slots, Version: version,
+		})
+	}
+	r := roster.New(time.Second)
+	r.Replace(0, 1, list)
+	source := random.New(1)
+	a := assign.New(assign.Options{
+		Loads: load.NewTracker(), Health: retry.NewHealth(retry.DefaultHealthOptions(), source), Random: source, Home: "a",
+		Cells:  fixedCells{load.NewCells("a", map[core.DataCentre]int{"a": 59, "b": 59, "c": 59, "d": 59, "e": 59}).WithCallerShare(1.0 / 59)},
+		Tuning: assign.DefaultTuning(),
+	})
+	old := core.SoftwareVersion("old")
+	for i := range 20 {
+		req := testRequest(2000)
+		req.Version = &old
+		if d := a.Assign(core.Instant(time.Second), r.View(), req); d.Target == nil || d.Target.Version != old {
+			t.Fatalf("decision %d: %+v", i, d)
+		}
+	}
+}
