Take homes to have their prefixes in large fleets, and fetch from them

Since loads go through collectors, instances don't hear which prompts others sent to the engines of their data centre. Homes of prefixes there seemed to lack them, and engines that a prompt went to instead of a busy home computed all of it. Change: in fleets with summaries the home counts as having the prefix, as one of another data centre did before, and other engines fetch it from there. TestHomeInAnotherCell also allows a generating engine that fetches from the home whose queue is long: the guard is that no prompt waits there.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -255,11 +255,15 @@
 	hasGenerators, hasFree := a.generators(now, view, req, r.reserved)
 	r.anySlot = r.anySlot && !hasFree
 	a.holderBuffer = a.holderBuffer[:0]
+	prefix := a.sharedPrefix(now, view, req)
 	for _, e := range view.Ready(req.Service) {
 		if !a.isLoadKnown(e) || !a.isUsable(now, e, req.Exclude, req.Version) {
 			continue
 		}
 		state := a.opts.Loads.State(now, e.ID, req.Chain.SharedPrefix())
+		if a.samplesEngines() && prefix.isHome(e) {
+			state.CachedTokens = prefix.tokens // other instances don't tell what they send
+		}
 		a.considerHolder(e, state.CachedTokens)
 		if e.Role == core.RolePrefill && !hasFree {
 			continue
@@ -273,7 +277,9 @@
 		}
 		list = append(list, c)
 	}
-	prefix := a.sharedPrefix(now, view, req)
+	if a.samplesEngines() && prefix.home != nil && !a.isLoadKnown(prefix.home) {
+		a.considerHolder(prefix.home, prefix.tokens)
+	}
 	if c, ok := a.remoteHome(now, prefix, req, m); ok && hasFree {
 		if idle := c.Expected - c.Backlog; len(list) == 0 || idle < shortest {
 			shortest = idle
@@ -283,7 +289,7 @@
 	for i := range list {
 		c := &list[i]
 		held := c.CachedTokens
-		c.isHome = prefix.home != nil && prefix.home.ID == c.Target.ID
+		c.isHome = prefix.isHome(c.Target)
 		a.considerFetch(c, req, m)
 		c.score += a.copyPenalty(c.Target, c.Kind, held, prefix, m)
 	}
--- a/core/assign/home.go
+++ b/core/assign/home.go
@@ -26,6 +26,9 @@
 	home *roster.Entry
 }
 
+// isHome reports whether an engine is the home.
+func (p sharedPrefix) isHome(e *roster.Entry) bool { return p.home != nil && p.home.ID == e.ID }
+
 func (a *Assigner) sharedPrefix(now core.Instant, view *roster.View, req *Request) sharedPrefix {
 	var p sharedPrefix
 	chain := req.Chain.SharedPrefix()
