--- a/standin/platform/leaving_test.go
+++ b/standin/platform/leaving_test.go
@@ -115,9 +115,17 @@
 // was computed, and can't finish it.
 func TestLeavingInstanceStartsNoLongStreamAfterPrompt(t *testing.T) {
 	f := newLearnedFixture(t, "prefill", "decode")
-	f.targets[0].SetProcessingTime(150 * time.Millisecond)
-	time.AfterFunc(50*time.Millisecond, func() { f.forwarder.StartDraining(time.Second + pauseAllowance) })
+	f.targets[0].SetProcessingTime(250 * time.Millisecond)
+	before := f.arrivals(0)
+	var drained sync.WaitGroup
+	drained.Go(func() {
+		for end := time.Now().Add(routeTimeout); f.arrivals(0) == before && time.Now().Before(end); {
+			time.Sleep(2 * time.Millisecond) // the prompt is on its way
+		}
+		f.forwarder.StartDraining(time.Second + pauseAllowance)
+	})
 	got := f.sendStream("r1", "/single/x", 250)
+	drained.Wait()
 	f.forwarder.WaitForReleases(t.Context())
 	if released := f.targets[0].ReleasedHandles(); released != 1 {
 		t.Errorf("%d handles released", released)
