--- a/core/load/cells.go
+++ b/core/load/cells.go
@@ -8,17 +8,17 @@
 	"gorseline/core"
 )
 
-// FleetWideLimit is the largest number of instances that share the loads of all targets
-// with one another. Digests cost each instance one datagram per peer every few
-// milliseconds, so larger fleets share loads only within cells: the instances of one data
-// centre and the targets near them.
+// FleetWideLimit is the largest number of instances that tell one another of each send.
+// Digests cost each instance one datagram per peer every few milliseconds. In larger fleets
+// the instances and targets of one data centre are a cell, whose collectors publish the loads
+// of its targets.
 const FleetWideLimit = 24
 
 // Cells determines which instances share the load of which targets. It is immutable.
 type Cells struct {
 	// Home is the data centre of this instance.
 	Home core.DataCentre
-	// IsFleetWide is set if all instances share the loads of all targets.
+	// IsFleetWide is set if all instances tell one another of each send.
 	IsFleetWide bool
 	// CallerShare is the share of the callers of this instance's data centre that come to this
 	// instance, by the capacities of its instances. 0 means unknown.
--- a/core/load/tracker.go
+++ b/core/load/tracker.go
@@ -2,7 +2,8 @@
 //
 // An instance knows its own sends exactly. It learns those of its peers from their
 // digests about a millisecond later, which is much sooner than the targets' load reports
-// would show them. This keeps instances from all sending to the same idle target.
+// would show them. This keeps instances from all sending to the same idle target. In large
+// fleets it learns them from the summaries of collectors, some tens of milliseconds later.
 package load
 
 import (
