--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -128,7 +128,7 @@
 		return nil, nil, ReasonAttempts
 	case r.mayCrashAgain():
 		return nil, nil, ReasonSuspect
-	case r.remaining() <= 0 || r.ctx.Err() != nil:
+	case r.isOutOfTime():
 		return nil, nil, ReasonTimeout
 	}
 	if index, ok := r.quarantinedTrait(); ok {
--- a/io/forward/silence.go
+++ b/io/forward/silence.go
@@ -63,7 +63,7 @@
 // onSilence is called when nothing has arrived for the time that the previous decision set. It
 // returns until when to wait, or false if the answer is given up.
 func (s *streamRelay) onSilence() (until time.Time, ok bool) {
-	if s.ctx.Err() != nil || s.remaining() <= 0 {
+	if s.isOutOfTime() {
 		return time.Time{}, false
 	}
 	q := &s.silence
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -45,7 +45,7 @@
 			r.recordEnd(core.OutcomeUnknown, ReasonCallerLeft, 0)
 			panic(http.ErrAbortHandler)
 		}
-		if r.remaining() <= 0 || r.ctx.Err() != nil {
+		if r.isOutOfTime() {
 			// The deadline of the request has passed, so the failed read isn't recorded as a
 			// missing answer of the engine.
 			s.endAsk()
