Lost paths: targets that fail while others are reached are no evidence

Three of four targets are down and fail again whenever their breakers let a request try; the fourth answers on open connections, which don't count. The same three failures add up to a lost path again and again.

Change: failures seen while another target can be reached are kept apart until the target is reached again or hasn't failed for 3 s; the threshold is that of the remaining targets.

--- a/cmd/entry/node/paths.go
+++ b/cmd/entry/node/paths.go
@@ -98,7 +98,11 @@
 	if len(connected) == 0 && len(ready) > 0 {
 		return // the log line TargetsUnreached tells
 	}
-	since, wasCut := p.paths.RecordConnected(p.clock.Now(), lost.Service)
+	reached := make([]core.TargetID, len(connected))
+	for i, e := range connected {
+		reached[i] = e.ID
+	}
+	since, wasCut := p.paths.RecordConnected(p.clock.Now(), lost.Service, reached...)
 	if !wasCut {
 		return // a request has found out before
 	}
--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -30,10 +30,13 @@
 
 // path is the path to the targets of one service.
 type path struct {
-	// failed holds when a connection to a target failed last, by target, since one succeeded.
+	// failed holds when a connection to a target failed last, by target, since one to any succeeded.
 	failed map[core.TargetID]core.Instant
-	isCut  bool
-	since  core.Instant
+	// alone holds the same for targets that failed while others could be reached. It is about them and
+	// says nothing about the path.
+	alone map[core.TargetID]core.Instant
+	isCut bool
+	since core.Instant
 }
 
 // NewPaths returns a Paths without failures.
@@ -51,14 +54,19 @@
 	defer p.mu.Unlock()
 	s, ok := p.services[service]
 	if !ok {
-		s = &path{failed: map[core.TargetID]core.Instant{}}
+		s = &path{failed: map[core.TargetID]core.Instant{}, alone: map[core.TargetID]core.Instant{}}
 		p.services[service] = s
 	}
 	if !s.isCut {
-		maps.DeleteFunc(s.failed, func(_ core.TargetID, at core.Instant) bool { return now.Sub(at) > failureTime })
+		removeOld(now, s.failed)
+		removeOld(now, s.alone)
+	}
+	if _, isAlone := s.alone[target]; isAlone {
+		s.alone[target] = now
+		return false
 	}
 	s.failed[target] = now
-	if len(s.failed) < min(cutTargets, max(1, ready)) {
+	if len(s.failed) < min(cutTargets, max(1, ready-len(s.alone))) {
 		return false
 	}
 	return p.cut(now, s)
@@ -86,26 +94,42 @@
 	return true
 }
 
+func removeOld(now core.Instant, failures map[core.TargetID]core.Instant) {
+	maps.DeleteFunc(failures, func(_ core.TargetID, at core.Instant) bool { return now.Sub(at) > failureTime })
+}
+
 func (s *path) hasFailed(now core.Instant) bool {
-	for _, at := range s.failed {
-		if now.Sub(at) <= failureTime {
-			return true
+	for _, failures := range []map[core.TargetID]core.Instant{s.failed, s.alone} {
+		for _, at := range failures {
+			if now.Sub(at) <= failureTime {
+				return true
+			}
 		}
 	}
 	return false
 }
 
-// RecordConnected records a new connection to a target of a service. It returns for how long the path
-// had counted as lost, or false if it hadn't.
-func (p *Paths) RecordConnected(now core.Instant, service core.Service) (lost time.Duration, wasCut bool) {
+// RecordConnected records new connections to targets of a service; none are needed if the service has
+// no targets. It returns for how long the path had counted as lost, or false if it hadn't.
+func (p *Paths) RecordConnected(now core.Instant, service core.Service, targets ...core.TargetID) (lost time.Duration, wasCut bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.services[service]
 	if !ok {
 		return 0, false
 	}
-	delete(p.services, service)
-	return now.Sub(s.since), s.isCut
+	lost, wasCut = now.Sub(s.since), s.isCut
+	maps.Copy(s.alone, s.failed)
+	clear(s.failed)
+	for _, id := range targets {
+		delete(s.alone, id)
+	}
+	removeOld(now, s.alone)
+	s.isCut = false
+	if len(s.alone) == 0 {
+		delete(p.services, service)
+	}
+	return lost, wasCut
 }
 
 // IsCut reports whether the path to a service is lost.
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -58,7 +58,7 @@
 	default:
 		t.Error("the loss isn't told")
 	}
-	if after, ok := p.RecordConnected(3*second, "s"); !ok || after != 2*time.Second {
+	if after, ok := p.RecordConnected(3*second, "s", "9"); !ok || after != 2*time.Second {
 		t.Errorf("restored after %v, %v", after, ok)
 	}
 	p.RecordFailed(3*second, "s", "0", 9)
@@ -67,6 +67,44 @@
 	}
 }
 
+// Guards against a path that is taken for lost because the same targets fail again and again while
+// another one can be reached.
+func TestTargetsThatFailAloneAreNoEvidence(t *testing.T) {
+	p := reach.NewPaths()
+	now := second
+	fail := func(ids ...core.TargetID) {
+		for _, id := range ids {
+			p.RecordFailed(now, "s", id, 4)
+		}
+	}
+	fail("a", "b", "c")
+	p.RecordConnected(now, "s", "d")
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		fail("a", "b", "c")
+		if p.IsCut("s") {
+			t.Fatalf("lost after %v by targets that fail alone", now.Sub(second))
+		}
+	}
+	p.RecordConnected(now, "s", "a")
+	fail("a")
+	if p.IsCut("s") {
+		t.Error("lost by one of two targets")
+	}
+	if fail("d"); !p.IsCut("s") {
+		t.Error("not lost although no target can be reached")
+	}
+	p.RecordConnected(now, "s", "d")
+	now = now.Add(4 * time.Second)
+	fail("a", "b")
+	if p.IsCut("s") {
+		t.Error("lost by two of four")
+	}
+	if fail("c"); !p.IsCut("s") {
+		t.Error("failures of long ago still keep targets from counting")
+	}
+}
+
 // Guards against a service without targets that counts as unreached though no connection has failed.
 func TestMissingTargetsAreNotLost(t *testing.T) {
 	p := reach.NewPaths()
--- a/io/forward/detour.go
+++ b/io/forward/detour.go
@@ -173,7 +173,7 @@
 	}
 	now := r.Clock.Now()
 	if err == nil {
-		if lost, wasCut := r.Paths.RecordConnected(now, r.service); wasCut {
+		if lost, wasCut := r.Paths.RecordConnected(now, r.service, e.ID); wasCut {
 			r.logPath("TargetsReached", lost)
 		}
 		return
