--- a/cmd/entry/node/caches.go
+++ b/cmd/entry/node/caches.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	// cachePollInterval is the time between two checks whether the engines are known.
-	cachePollInterval = 20 * time.Millisecond
+	// minCachePoll and maxCachePoll bound the time between two checks whether the engines are known.
+	// It grows, because some fleets have no engines.
+	minCachePoll = 20 * time.Millisecond
+	maxCachePoll = time.Second
 	// membershipDelay is the time in which a starting instance learns how large the fleet is.
 	membershipDelay = 200 * time.Millisecond
 	// maxConcurrentCacheReads bounds the concurrent reads of caches.
@@ -53,8 +55,8 @@
 // Run waits until the engines are known and reads their caches.
 func (c *cacheReader) Run(ctx context.Context) {
 	defer close(c.done)
-	for len(c.listEngines()) == 0 {
-		if !pause.For(ctx, cachePollInterval) {
+	for wait := minCachePoll; len(c.listEngines()) == 0; wait = min(2*wait, maxCachePoll) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 	}
--- a/cmd/entry/node/roles.go
+++ b/cmd/entry/node/roles.go
@@ -112,7 +112,7 @@
 		Self: p.Settings.Instance, Shards: roleShards, Groups: 1, Table: p.Table, Clock: clock,
 		Recorder: eventLog{p.Log}, NewAttemptID: table.NewAttemptIDSource(),
 		// An instance that reaches no engine can't give orders.
-		Members: p.Digests.ReachingMembers,
+		Members: p.Digests.LeaseMembers,
 		Orderer: p.Engines,
 		// The platform starts one process of an instance at a time; a second one couldn't
 		// listen on the same ports.
--- a/core/authority/leasemanager.go
+++ b/core/authority/leasemanager.go
@@ -113,7 +113,7 @@
 			m.nextRenewal = now.Add(m.opts.RenewInterval / 5)
 		}
 	}
-	if now := m.opts.Clock.Now(); now >= m.nextWatch {
+	if now := m.opts.Clock.Now(); now >= m.nextWatch && len(members) > 0 {
 		m.nextWatch = now.Add(m.opts.RenewInterval)
 		m.watch(ctx, members)
 	}
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -167,7 +167,8 @@
 const allDataCentres = core.DataCentre("")
 
 // compareViews schedules a comparison of records with a peer of the local data centre if the
-// views have differed for longer than a change takes to disseminate.
+// views have differed for longer than a change takes to disseminate, or if this process has just
+// started.
 func (p *Protocol) compareViews(now core.Instant, m Message) {
 	if m.From.DataCentre != p.self.DataCentre {
 		return
@@ -179,7 +180,7 @@
 	if _, ok := p.mismatchSince[allDataCentres]; !ok {
 		p.mismatchSince[allDataCentres] = now
 	}
-	if p.hasPersistentMismatch(now, allDataCentres) {
+	if p.isStarting(now) || p.hasPersistentMismatch(now, allDataCentres) {
 		p.mismatchSince[allDataCentres] = now
 		p.comparePeer = m.From
 	}
--- a/core/membership/protocol.go
+++ b/core/membership/protocol.go
@@ -39,6 +39,10 @@
 	// rejoinInterval is the interval at which a listed or dead instance that is not a live
 	// member is contacted, which heals partitions.
 	rejoinInterval = 5 * time.Second
+	// startTime is how long a new process compares its records, once per startInterval, with any peer
+	// whose view differs: instances that start together are missing from the list that it has read.
+	startTime     = 10 * time.Second
+	startInterval = 500 * time.Millisecond
 	// settleTime is how long a new process is not settled: it does not gossip the records
 	// that it receives in digests, which are new only to itself, and does not report its
 	// list of members as complete.
@@ -157,7 +161,10 @@
 			calls = append(calls, call)
 		}
 		p.nextRejoin = now.Add(rejoinInterval)
-		if p.isJoining() {
+		switch {
+		case p.isStarting(now):
+			p.nextRejoin = now.Add(startInterval)
+		case p.IsJoining():
 			p.nextRejoin = now.Add(ProbeInterval)
 		}
 	}
@@ -194,9 +201,13 @@
 	p.nextRejoin = now
 }
 
-// isJoining reports whether more than a tenth of the listed instances have never been
+// isStarting reports whether this process has started so recently that other instances may be
+// missing from the list that it has read.
+func (p *Protocol) isStarting(now core.Instant) bool { return now.Sub(p.startedAt) < startTime }
+
+// IsJoining reports whether more than a tenth of the listed instances have never been
 // members of this view, as after a start of the whole fleet.
-func (p *Protocol) isJoining() bool {
+func (p *Protocol) IsJoining() bool {
 	unknown := 0
 	for id := range p.seeds {
 		if _, ok := p.view.records[id]; !ok {
--- a/io/digest/node.go
+++ b/io/digest/node.go
@@ -102,6 +102,9 @@
 	// the list of instances was read since then.
 	peersVersion uint64
 	seedsChanged bool
+	// startedAt is when Run began. hasSeeds is set once the list of instances has been read.
+	startedAt core.Instant
+	hasSeeds  bool
 }
 
 // pendingCall is a call that waits for its reply until the deadline.
@@ -150,6 +153,9 @@
 // Run exchanges datagrams until ctx is done, and then closes the connection.
 func (n *Node) Run(ctx context.Context) {
 	defer close(n.done)
+	n.mu.Lock()
+	n.startedAt = n.opts.Clock.Now()
+	n.mu.Unlock()
 	var loops sync.WaitGroup
 	loops.Go(func() { n.loopRead(ctx) })
 	loops.Go(func() { n.loopTicks(ctx) })
@@ -181,21 +187,27 @@
 			n.opts.Log.WithError(err).Warn("InstancesNotRead")
 		}
 		n.mu.Lock()
-		isAlone := len(n.members.Members()) < 2
+		isAlone := n.isAlone()
 		if err == nil {
+			n.hasSeeds = true
 			n.members.SetSeeds(list)
 			n.seedsChanged = true
 			n.size.ObserveList(n.opts.Clock.Now(), list, isAlone)
 		}
 		n.mu.Unlock()
-		next := seedInterval
-		if err != nil || isAlone {
-			next = discoveryInterval
+		pause.For(ctx, discoveryInterval)
+		n.mu.Lock()
+		isAlone = n.isAlone() // the list may have led to others meanwhile
+		n.mu.Unlock()
+		if err == nil && !isAlone {
+			pause.For(ctx, seedInterval-discoveryInterval)
 		}
-		pause.For(ctx, next)
 	}
 }
 
+// isAlone reports whether no other member is known. The lock must be held.
+func (n *Node) isAlone() bool { return len(n.members.Members()) < 2 }
+
 func (n *Node) loopTicks(ctx context.Context) { pause.Every(ctx, tickInterval, n.tick) }
 
 func (n *Node) tick() {
--- a/io/digest/paths.go
+++ b/io/digest/paths.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -52,12 +53,20 @@
 	return list
 }
 
-// ReachingMembers returns the members that reach the targets of all services, as far as is known here. If
-// there is none, it returns all members.
-func (n *Node) ReachingMembers() []core.InstanceID {
+// leaseJoinTime is how long after the start of an instance it may lack most of the other members.
+const leaseJoinTime = 3 * time.Second
+
+// LeaseMembers returns the members among which the holders of leases are chosen: those that reach the
+// targets of all services, as far as is known here, or all if there is none. It returns no members in
+// the first leaseJoinTime of this instance while it may not know most of them: each of the instances that start
+// together would take itself for the preferred one.
+func (n *Node) LeaseMembers() []core.InstanceID {
 	isSelfCut := len(n.unreached()) > 0
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.opts.Clock.Now().Sub(n.startedAt) < leaseJoinTime && (!n.hasSeeds || n.members.IsJoining()) {
+		return nil
+	}
 	var all, reaching []core.InstanceID
 	for _, r := range n.members.Members() {
 		all = append(all, r.ID)
