--- a/cmd/entry/node/targetlimit_test.go
+++ b/cmd/entry/node/targetlimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,3 +78,36 @@
 		t.Errorf("%d requests in a second reached a target whose limit is over", got)
 	}
 }
+
+// Guards against limits that other instances learn only from the facts that are sent to random peers at
+// intervals: until then they go on using the target.
+func TestStatedLimitIsToldToAllAtOnce(t *testing.T) {
+	s := newCrashSite(t, 2)
+	list := []*instance{s.start("n1"), s.start("n2"), s.start("n3"), s.start("n4")}
+	s.waitForMembers(list...)
+	tg := s.targets[0]
+	// Periodic facts reach two random peers a second, so that they are in time for some rates only.
+	for round := range 6 {
+		rate := float64(400 * (round + 1))
+		line := fmt.Sprintf("Rate=%.0f", rate)
+		knows := func(i *instance) bool {
+			for text := range strings.Lines(i.output.String()) {
+				fields := strings.Fields(text)
+				if slices.Contains(fields, "Event=TargetLimitChanged") && slices.Contains(fields, line) && slices.Contains(fields, "Target="+tg.ID()) {
+					return true
+				}
+			}
+			return false
+		}
+		tg.SetLimit(rate)
+		for n := 0; !knows(list[0]); n++ {
+			if n == 200 {
+				t.Fatalf("%s: no answer states the limit", line)
+			}
+			list[0].call(t, "/once/x", fmt.Sprintf("limit-%d-%d", round, n))
+		}
+		s.eventually(300*time.Millisecond, "all instances know "+line, func() bool {
+			return !slices.ContainsFunc(list, func(i *instance) bool { return !knows(i) })
+		})
+	}
+}
