Membership: listed instances are contacted as soon as the list has been read

Cause: an instance looked for listed ones at its first tick, before the list had been read, and then not for 5 s.

Figures: TestListedInstanceIsContactedAtOnce fails before.

--- a/core/membership/protocol.go
+++ b/core/membership/protocol.go
@@ -121,6 +121,9 @@
 			p.seeds[i.ID] = Record{ID: i.ID, Address: i.Address, DataCentre: i.DataCentre}
 		}
 	}
+	if p.IsJoining() {
+		p.nextRejoin = 0
+	}
 }
 
 // Tick returns the calls that are due. It is called about ten times a second.
--- a/core/membership/protocol_test.go
+++ b/core/membership/protocol_test.go
@@ -169,6 +169,24 @@
 	}
 }
 
+// Guards against an instance that doesn't contact the listed ones for seconds because it has looked for
+// some before the list could be read, as while the platform is away.
+func TestListedInstanceIsContactedAtOnce(t *testing.T) {
+	for _, after := range []time.Duration{300 * time.Millisecond, 3 * time.Second, 23 * time.Second} {
+		p := newProtocol()
+		now := core.Instant(time.Second)
+		read := now.Add(after)
+		for ; now < read; now = now.Add(100 * time.Millisecond) {
+			p.Tick(now)
+		}
+		p.SetSeeds([]core.ListedInstance{{ID: "p", Address: "p", DataCentre: "d"}, {ID: "m", Address: "m", DataCentre: "d"}})
+		calls := p.Tick(now)
+		if len(calls) != 1 || calls[0].Kind != CallDigest || calls[0].To.ID != "m" {
+			t.Errorf("list read after %v: calls %+v", after, calls)
+		}
+	}
+}
+
 // Guards against a fleet that starts together and in which every instance reads the
 // platform until all instances have discovered each other.
 func TestExpectedDelegatesAgreeBeforeJoining(t *testing.T) {
