Lost paths: targets that were down before are listed among the failed ones

Found by reading: probes of a lost path try targets that are not listed as failed first. Those that had failed alone stayed unlisted, so that four of them would have taken all probes. TestTargetsOfLostPathAreListed fails without the change.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -32,8 +32,8 @@
 type path struct {
 	// failed holds when a connection to a target failed last, by target, since one to any succeeded.
 	failed map[core.TargetID]core.Instant
-	// alone holds the same for targets that failed while others could be reached. It is about them and
-	// says nothing about the path.
+	// alone holds the same for targets that failed while others could be reached. That says nothing
+	// about the path.
 	alone map[core.TargetID]core.Instant
 	isCut bool
 	since core.Instant
@@ -61,10 +61,11 @@
 		removeOld(now, s.failed)
 		removeOld(now, s.alone)
 	}
-	if _, isAlone := s.alone[target]; isAlone {
+	if _, isAlone := s.alone[target]; isAlone && !s.isCut {
 		s.alone[target] = now
 		return false
 	}
+	delete(s.alone, target)
 	s.failed[target] = now
 	if len(s.failed) < min(cutTargets, max(1, ready-len(s.alone))) {
 		return false
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -105,6 +106,25 @@
 	}
 }
 
+// Guards against a lost path whose probes always try the same targets, because those that were down
+// before it was lost are never listed as failed.
+func TestTargetsOfLostPathAreListed(t *testing.T) {
+	p := reach.NewPaths()
+	for _, id := range []core.TargetID{"a", "b", "c"} {
+		p.RecordFailed(second, "s", id, 5)
+	}
+	p.RecordConnected(second, "s", "d")
+	p.RecordFailed(second, "s", "d", 5)
+	p.RecordFailed(second, "s", "e", 5)
+	if !p.IsCut("s") {
+		t.Fatal("not lost although no target can be reached")
+	}
+	p.RecordFailed(second, "s", "a", 5)
+	if lost := p.Lost(); len(lost) != 1 || !slices.Equal(lost[0].Targets, []core.TargetID{"a", "d", "e"}) {
+		t.Errorf("lost %+v", lost)
+	}
+}
+
 // Guards against a service without targets that counts as unreached though no connection has failed.
 func TestMissingTargetsAreNotLost(t *testing.T) {
 	p := reach.NewPaths()
