Soak: no process is started after its end

Cause: an instance whose process had exited was started again 200 ms later, also when the soak had ended meanwhile.

TestClosedInstanceIsNotStartedAgain fails without the change.

--- a/standin/platform/soak/instance.go
+++ b/standin/platform/soak/instance.go
@@ -44,6 +44,8 @@
 	exited  chan struct{}
 	// isStopping is set from the time at which the soak itself stops the process.
 	isStopping bool
+	// isClosed is set at the end of the soak; no process is started after that.
+	isClosed bool
 	// generation is the number of processes that have been started.
 	generation int
 	startedAt  time.Time
@@ -108,11 +110,11 @@
 	return inst, nil
 }
 
-// start starts a process unless one is running.
+// start starts a process unless one is running or the instance is closed.
 func (inst *instance) start() error {
 	inst.mu.Lock()
 	defer inst.mu.Unlock()
-	if inst.process != nil {
+	if inst.process != nil || inst.isClosed {
 		return nil
 	}
 	program := inst.program()
@@ -147,6 +149,17 @@
 	}
 }
 
+// close kills the process and starts no more.
+func (inst *instance) close() {
+	inst.mu.Lock()
+	inst.isClosed = true
+	inst.mu.Unlock()
+	inst.signal(syscall.SIGCONT)
+	inst.stop(syscall.SIGKILL)
+	inst.storeProxy.close()
+	_ = inst.logFile.Close() // the process has exited
+}
+
 // signal sends a signal to the process if one is running.
 func (inst *instance) signal(s syscall.Signal) {
 	inst.mu.Lock()
--- /dev/null
+++ b/standin/platform/soak/instance_test.go
@@ -0,0 +1,34 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// Guards against a process that is left running after a soak, because it was due to be started again
+// when the soak ended.
+func TestClosedInstanceIsNotStartedAgain(t *testing.T) {
+	logFile, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	storeProxy, err := newProxy("127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	inst := &instance{name: "n", command: []string{"false"}, storeProxy: storeProxy, logFile: logFile}
+	if err := inst.start(); err != nil {
+		t.Fatal(err)
+	}
+	exited := inst.exited
+	<-exited
+	inst.close()
+	time.Sleep(2 * restartDelay)
+	inst.mu.Lock()
+	defer inst.mu.Unlock()
+	if inst.process != nil || inst.generation != 1 {
+		t.Errorf("%d processes started, one runs: %v", inst.generation, inst.process != nil)
+	}
+}
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -12,7 +12,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -344,10 +343,7 @@
 
 func (s *soak) close() {
 	for _, inst := range s.instances {
-		inst.signal(syscall.SIGCONT)
-		inst.stop(syscall.SIGKILL)
-		inst.storeProxy.close()
-		_ = inst.logFile.Close() // the process has exited
+		inst.close()
 	}
 	if s.links != nil {
 		s.links.close()
