--- a/core/catchup/catchup.go
+++ b/core/catchup/catchup.go
@@ -99,9 +99,6 @@
 	nextPullAt core.Instant
 }
 
-// isMissing reports whether nothing is known of the resource, not even that there is none yet.
-func (s *resourceState) isMissing() bool { return s.version == 0 && !s.hasRead }
-
 // Pull is a request to fetch a resource from a peer.
 type Pull struct {
 	Resource Resource
@@ -112,8 +109,8 @@
 	OwnVersion  uint64
 }
 
-// New returns a tracker without versions and peers. It is a follower until SetFollower is called.
-func New(source *random.Source) *Tracker { return &Tracker{random: source, isFollower: true} }
+// New returns a tracker without versions and peers.
+func New(source *random.Source) *Tracker { return &Tracker{random: source} }
 
 // SetVersion records the version that this instance has. Lower versions are ignored.
 func (t *Tracker) SetVersion(r Resource, version uint64) {
@@ -160,15 +157,8 @@
 		state.failingSince = now
 	}
 	state.isFailing = !ok
-	if !ok {
-		return
-	}
-	isFirst := !state.hasRead
-	state.hasRead, state.readAt = true, now
-	if isFirst && t.resources[Configuration].hasRead && t.resources[Targets].hasRead {
-		// The first reads are as recent as those of a reader, and the instances that start
-		// together need not all read on until they have heard one.
-		t.hasReader, t.readerSeenAt = true, now
+	if ok {
+		state.hasRead, state.readAt = true, now
 	}
 }
 
@@ -258,15 +248,15 @@
 	return max(state.readAt, t.confirmedAt), true
 }
 
-// MustRead reports whether this instance has to read the platform itself: it is not a follower, has
-// neither read nor received a resource, or has received no announcement of a reader for ReaderTimeout.
+// MustRead reports whether this instance has to read the platform itself: it is not a follower,
+// lacks a resource, or has received no announcement of a reader for ReaderTimeout.
 func (t *Tracker) MustRead(now core.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.reliesOnReaders(now) {
 		return true
 	}
-	return t.resources[Configuration].isMissing() || t.resources[Targets].isMissing()
+	return t.resources[Configuration].version == 0 || t.resources[Targets].version == 0
 }
 
 // reliesOnReaders reports whether readers keep this instance up to date. The lock must be
--- a/io/digest/versions.go
+++ b/io/digest/versions.go
@@ -35,13 +35,9 @@
 
 func (n *Node) loopAnnounce(ctx context.Context) {
 	round := 0
-	started := n.opts.Clock.Now()
 	pause.Every(ctx, announceInterval, func() {
 		p := n.peers.Load()
-		if n.opts.Clock.Now().Sub(started) >= catchup.ReaderTimeout {
-			// Before that too few peers are known to tell who reads.
-			n.opts.Catchup.SetFollower(!p.isReader)
-		}
+		n.opts.Catchup.SetFollower(!p.isReader)
 		n.announceTo(p.announcedIn(round), p.unjoined)
 		round++
 	})
