--- a/review/standin/lib/bench.go
+++ b/review/standin/lib/bench.go
@@ -175,6 +175,11 @@
 // StartInstance starts the program with the command of the deploy file.
 func (d *Deployment) StartInstance(number int) (*Instance, error) {
 	ip := fmt.Sprintf("127.%d.1.%d", d.net, number)
+	if number == 1 && isFree("127.0.0.1") {
+		// Connections between loopback addresses come from this one. An instance takes requests from
+		// another one only if they come from the address of an instance.
+		ip = "127.0.0.1"
+	}
 	i := &Instance{Name: fmt.Sprintf("front-zone-a-%d", number), IP: ip, Front: ip + ":8144", Ready: ip + ":8140", done: make(chan struct{})}
 	path := filepath.Join(d.Temp, i.Name+".toml")
 	if err := os.WriteFile(path, fmt.Appendf(nil, settingsFormat, i.Name, ip, MemoryMB, d.Store.Address), 0o600); err != nil {
@@ -204,6 +209,18 @@
 	return i, nil
 }
 
+// isFree reports whether the ports of an instance are free at an address.
+func isFree(ip string) bool {
+	for _, port := range []int{8144, 8140, 8143, 7660, 9464} {
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 // PID returns the process ID.
 func (i *Instance) PID() int { return i.cmd.Process.Pid }
 
