--- a/review/standin/cmd/deadly/main.go
+++ b/review/standin/cmd/deadly/main.go
@@ -33,6 +33,9 @@
 	downMs    = number("DOWN", 3000)
 )
 
+// mode is how a server crashes: "dark" leaves its connections silent until it is back.
+var mode = os.Getenv("MODE")
+
 func number(name string, value int) int {
 	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
 		return n
@@ -145,18 +148,27 @@
 	p.crashes = append(p.crashes, time.Now())
 	p.mu.Unlock()
 	s.RecordRun(r)
+	if mode == "dark" {
+		s.GoDark()
+		time.AfterFunc(time.Duration(downMs)*time.Millisecond, func() { p.restart(s) })
+		return true, true
+	}
 	// The server sends the head of its answer and a part of the body before the run crashes it.
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/plain\r\nContent-Length: 800\r\n\r\n%s", s.Echo(r), strings.Repeat("x", 400))
 	time.Sleep(5 * time.Millisecond)
 	s.Crash()
-	time.AfterFunc(time.Duration(downMs)*time.Millisecond, func() {
-		if err := s.Start("v1"); err != nil {
-			p.d.Record.Print("server %s doesn't start: %v", s.ID, err)
-		}
-	})
+	time.AfterFunc(time.Duration(downMs)*time.Millisecond, func() { p.restart(s) })
 	return true, false
 }
 
+// restart starts a server again under its ID and at its address.
+func (p *play) restart(s *lib.Server) {
+	s.Crash()
+	if err := s.Start("v1"); err != nil {
+		p.d.Record.Print("server %s doesn't start: %v", s.ID, err)
+	}
+}
+
 func (p *play) send(route string, body []byte, answers map[int]int) {
 	var c lib.Client
 	defer c.Close()
--- a/review/standin/cmd/uploads/main.go
+++ b/review/standin/cmd/uploads/main.go
@@ -9,9 +9,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -168,9 +166,7 @@
 		if isEnd {
 			return
 		}
-		out, err := exec.Command("ps", "-o", "rss=", "-p", strconv.Itoa(i.PID())).Output()
-		kb, errNumber := strconv.Atoi(strings.TrimSpace(string(out)))
-		if err == nil && errNumber == nil {
+		if kb, ok := residentKB(i.PID()); ok {
 			p.mu.Lock()
 			p.peak[i.Name] = max(p.peak[i.Name], kb/1024)
 			p.mu.Unlock()
@@ -187,6 +183,19 @@
 	}
 }
 
+// residentKB returns the resident memory of a process, as the kernel states it.
+func residentKB(pid int) (int, bool) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, false
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0, false
+	}
+	return resident * os.Getpagesize() / 1024, true
+}
+
 // client sends one request after the other on a kept connection.
 func (p *play) client(n int) {
 	var c lib.Client
--- a/review/standin/lib/server.go
+++ b/review/standin/lib/server.go
@@ -53,6 +53,7 @@
 	runs      []Run
 	handles   int
 	isUp      bool
+	isDark    bool
 	stopBeats chan struct{}
 }
 
@@ -91,7 +92,7 @@
 // beat writes the server's entry. It is not written while the store is down.
 func (s *Server) beat(state string) {
 	s.mu.Lock()
-	if !s.isUp {
+	if !s.isUp || s.isDark {
 		s.mu.Unlock()
 		return
 	}
@@ -121,7 +122,7 @@
 	if !s.isUp {
 		return
 	}
-	s.isUp = false
+	s.isUp, s.isDark = false, false
 	close(s.stopBeats)
 	_ = s.listener.Close()
 	for c := range s.conns {
@@ -131,6 +132,15 @@
 	s.d.Record.Line("server %s crashes", s.ID)
 }
 
+// GoDark makes the server silent, as one that has lost its power: it answers nothing, writes no entry, and its
+// connections stay open. New connections hang. Crash ends that.
+func (s *Server) GoDark() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDark = true
+	s.d.Record.Line("server %s goes dark", s.ID)
+}
+
 // IsUp reports whether the server runs.
 func (s *Server) IsUp() bool {
 	s.mu.Lock()
@@ -207,6 +217,19 @@
 	}
 }
 
+// waitWhileDark waits while the server is dark, and reports whether it was.
+func (s *Server) waitWhileDark() bool {
+	for wasDark := false; ; wasDark = true {
+		s.mu.Lock()
+		isDark := s.isDark
+		s.mu.Unlock()
+		if !isDark {
+			return wasDark
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Answer writes an answer with a length. lines are header lines, each with its end.
 func Answer(c net.Conn, status int, lines, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), lines, len(body), body)
@@ -219,6 +242,9 @@
 }
 
 func (s *Server) answer(c net.Conn, r *http.Request, body []byte) (keep bool) {
+	if s.waitWhileDark() {
+		return false
+	}
 	json := "Content-Type: application/json\r\n"
 	if strings.HasPrefix(r.URL.Path, "/-/") || r.URL.Path == "/healthz" {
 		return s.control(c, r, body)
@@ -252,6 +278,9 @@
 	}
 	s.RecordRun(r)
 	time.Sleep(s.Work)
+	if s.waitWhileDark() {
+		return false
+	}
 	return Answer(c, 200, s.Echo(r)+"Content-Type: text/plain\r\n", "done by "+s.ID)
 }
 
