--- a/review/standin/cmd/versions/main.go
+++ b/review/standin/cmd/versions/main.go
@@ -1,5 +1,6 @@
-// Command versions plays the silence of the store while the model servers of a service are brought to
-// another software version, one after the other, each under the ID that it had.
+// Command versions plays an update in place: the model servers of a service end one after the other, and each
+// starts again under the ID that it had, at the next software version. STORE=silent makes the store silent
+// meanwhile.
 package main
 
 import (
@@ -17,18 +18,19 @@
 )
 
 const (
-	service      = "models"
-	prefills     = 5
-	decodes      = 3
-	instances    = 3
-	streams      = 18
-	tokens       = 100
-	eventGap     = 30 * time.Millisecond
-	silence      = 8 * time.Second
-	downTime     = time.Second
-	firstRestart = 500 * time.Millisecond
-	restartGap   = 2500 * time.Millisecond
-	path         = "/hints/2f"
+	service   = "models"
+	prefills  = 16
+	decodes   = 9
+	instances = 9
+	streams   = 60
+	tokens    = 100
+	eventGap  = 30 * time.Millisecond
+	// downTime is how long a server is down, updateGap the time from the store's answer to the entry of a server
+	// that has started again to the end of the next one.
+	downTime  = time.Second
+	updateGap = 100 * time.Millisecond
+	silence   = 8 * time.Second
+	path      = "/hints/2f"
 )
 
 // result is what one client got of one stream, over its attempts.
@@ -109,29 +111,16 @@
 	var clients sync.WaitGroup
 	for range streams {
 		clients.Go(p.client)
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
 	time.Sleep(6 * time.Second)
-	began := time.Now()
 	if lib.Trouble() {
-		d.Record.Print("the store is silent for %v", silence)
-		d.Store.SetDown(true)
-	}
-	time.Sleep(firstRestart)
-	for _, s := range decoders {
-		next := time.Now().Add(restartGap)
-		s.Crash()
-		time.Sleep(downTime)
-		if err := s.Start("v2"); err != nil {
+		if err := p.update(decoders); err != nil {
 			fmt.Println(err)
 			return 2
 		}
-		time.Sleep(time.Until(next))
-	}
-	time.Sleep(time.Until(began.Add(silence)))
-	if lib.Trouble() {
-		d.Store.SetDown(false)
-		d.Record.Print("the store answers again")
+	} else {
+		time.Sleep(decodes * (downTime + updateGap))
 	}
 	time.Sleep(4 * time.Second)
 	p.mu.Lock()
@@ -149,6 +138,27 @@
 	return 0
 }
 
+// update brings the servers to another version.
+func (p *play) update(servers []*lib.Server) error {
+	if os.Getenv("STORE") == "silent" {
+		p.d.Record.Print("the store is silent for %v", silence)
+		p.d.Store.SetDown(true)
+		time.AfterFunc(silence, func() {
+			p.d.Store.SetDown(false)
+			p.d.Record.Print("the store answers again")
+		})
+	}
+	for _, s := range servers {
+		s.Crash()
+		time.Sleep(downTime)
+		if err := s.Start("v2"); err != nil {
+			return err
+		}
+		time.Sleep(updateGap)
+	}
+	return nil
+}
+
 // client asks for one stream after the other until the end.
 func (p *play) client() {
 	for {
