--- a/review/standin/lib/server.go
+++ b/review/standin/lib/server.go
@@ -155,6 +155,13 @@
 	return s.version
 }
 
+// CurrentPhase returns the phase of a model server.
+func (s *Server) CurrentPhase() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.phase
+}
+
 // Runs returns what the server has run.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
