Forward: RequestEnded names the framing of the relayed answer

Cause: the logs of early ends of streams can't tell an end that the target states from the end of its connection, which is what the hypotheses of the incident differ in. Change: target.Answer has a Framing instead of a flag; RequestEnded logs it as Framing.

--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -237,6 +237,7 @@
 func (r *activeRequest) writeHeader(answer *target.Answer) {
 	header := r.w.Header()
 	r.stateLeaving()
+	r.framing = answer.Framing
 	for name, values := range r.Dialect.RelayedHeader(answer.Header) {
 		header[name] = values
 	}
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -289,6 +289,8 @@
 	statedLeaving string
 	// connectFailures counts the targets to which no connection could be opened.
 	connectFailures int
+	// framing is that of the relayed answer of the first target, or empty without one.
+	framing target.Framing
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
 	events        int
@@ -519,6 +521,9 @@
 	if r.detourPeer != "" {
 		fields["Peer"] = r.detourPeer
 	}
+	if r.framing != "" {
+		fields["Framing"] = r.framing
+	}
 	if r.prefillTime > 0 {
 		fields["PrefillMs"], fields["ImportMs"] = r.prefillTime.Milliseconds(), r.importTime.Milliseconds()
 	}
--- a/io/forward/quarantine.go
+++ b/io/forward/quarantine.go
@@ -122,7 +122,7 @@
 		r.Quarantine.RecordStopped(run)
 		return
 	}
-	run.EndsWithConnection = answer.EndsWithConnection
+	run.EndsWithConnection = answer.Framing == target.FramingConnection
 	r.Quarantine.RecordSurvived(run)
 }
 
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -111,7 +111,7 @@
 			switch {
 			case !errors.Is(err, io.EOF):
 				return err
-			case len(s.buffer) > 0, answer.EndsWithConnection && s.answerEvents == 0:
+			case len(s.buffer) > 0, answer.Framing == target.FramingConnection && s.answerEvents == 0:
 				return io.ErrUnexpectedEOF
 			}
 			return s.flush(answer)
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -75,6 +75,16 @@
 	return errors.As(e.err, &t) && t.Timeout() || errors.Is(e.err, context.DeadlineExceeded)
 }
 
+// Framing is the way in which the end of a body is marked.
+type Framing string
+
+// Framings of a body. The end of one with FramingConnection can't be told from that of its target.
+const (
+	FramingLength     Framing = "Length"
+	FramingChunks     Framing = "Chunks"
+	FramingConnection Framing = "Connection"
+)
+
 // Answer is a target's answer. It must be ended by Finish or Close.
 type Answer struct {
 	Status int
@@ -82,9 +92,8 @@
 	// Length is the body's length, or -1 if the header doesn't state it.
 	Length int64
 	Body   io.Reader
-	// EndsWithConnection is set if the body has neither a length nor chunks, so that its end can't be
-	// told from that of its target.
-	EndsWithConnection bool
+	// Framing tells how the end of the body is marked.
+	Framing Framing
 	// IsNewConnection is set if the connection was opened for the request.
 	IsNewConnection bool
 	// IsProven is set if the answer certainly belongs to the request, and is not a repetition of the
@@ -243,10 +252,21 @@
 	if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
 		a.Body = &chunkedBody{reader: a.conn.reader.Reader}
 	}
-	a.EndsWithConnection = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	a.Framing = framingOf(response)
 	a.keepAlive, a.idleTimeout = !response.Close, keepAliveTimeout(response.Header)
 }
 
+func framingOf(response *http.Response) Framing {
+	switch {
+	case response.ContentLength >= 0:
+		return FramingLength
+	case len(response.TransferEncoding) > 0:
+		return FramingChunks
+	default:
+		return FramingConnection
+	}
+}
+
 // keepAliveTimeout returns for how long a target keeps an idle connection open, less a
 // margin for the network latency, or 0 if the header doesn't state it.
 func keepAliveTimeout(header http.Header) time.Duration {
