Target: a connection that the kernel gives up is no silent target

Callers got streams that ended as complete before their last event, also two of one instance at the same moment. Cause: ETIMEDOUT, with which the kernel gives up a connection after unacknowledged data or probes, answers true to Timeout(). limitedReader took it for its own read deadline, had it extended and read again; a socket reports its failure once, so that the second read returned the end of the connection, which is the proper end of an answer with neither a length nor chunks. The same question decided in await whether to wait longer and in forward whether a target was silent or had failed. Change: IsDeadline tells deadlines of this process (os.ErrDeadlineExceeded) from failures, in one place; the failure of a connection is kept for later reads.

--- a/io/forward/silence.go
+++ b/io/forward/silence.go
@@ -1,11 +1,9 @@
 package forward
 
 import (
-	"net"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/pkg/errors"
 
 	"gorseline/core"
 	"gorseline/core/retry"
@@ -174,8 +172,3 @@
 	}
 	s.Log.WithFields(fields).Warn("EngineSilent")
 }
-
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -57,7 +57,7 @@
 			return true
 		}
 		r.exclude = append(r.exclude, e.ID)
-		if !isTimeout(err) {
+		if !target.IsDeadline(err) {
 			r.recordNoAnswer(e)
 		}
 		r.recordBroken(e, err)
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -71,8 +70,7 @@
 
 // Timeout reports whether the exchange failed because its deadline passed.
 func (e *Error) Timeout() bool {
-	var t interface{ Timeout() bool }
-	return errors.As(e.err, &t) && t.Timeout() || errors.Is(e.err, context.DeadlineExceeded)
+	return IsDeadline(e.err)
 }
 
 // Framing is the way in which the end of a body is marked.
@@ -192,7 +190,7 @@
 func (a *Answer) await(r *Request) error {
 	for {
 		_, err := a.conn.reader.Peek(1)
-		if r.Extend == nil || !isTimeout(err) {
+		if r.Extend == nil || !IsDeadline(err) {
 			return errors.Wrap(err, "read answer")
 		}
 		deadline, ok := r.Extend()
@@ -336,55 +334,3 @@
 	a.stopWatch()
 	_ = a.conn.Close() // the exchange has failed or its answer is no longer needed
 }
-
-// reader is a buffered reader with a limit on the bytes that it reads from the connection.
-type reader struct {
-	*bufio.Reader
-	source *limitedReader
-}
-
-type limitedReader struct {
-	net.Conn
-	remaining int64 // negative: unlimited
-	// extend is called after a timeout, see Answer.OnTimeout; nil fails the read.
-	extend func() (time.Time, bool)
-}
-
-func newReader(conn net.Conn) *reader {
-	source := &limitedReader{Conn: conn, remaining: -1}
-	return &reader{bufio.NewReaderSize(source, readBufferSize), source}
-}
-
-// limit sets the number of bytes that may still be read; a negative number removes the
-// limit.
-func (r *reader) limit(n int64) { r.source.remaining = n }
-
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
-// Read reads from the connection within the limit. It fails once the limit is reached.
-func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.remaining == 0 {
-		return 0, errors.New("answer header is too long")
-	}
-	if l.remaining > 0 && int64(len(b)) > l.remaining {
-		b = b[:l.remaining]
-	}
-	n, err := l.Conn.Read(b)
-	for n == 0 && l.extend != nil && isTimeout(err) {
-		deadline, ok := l.extend()
-		if !ok {
-			break
-		}
-		if err := l.SetReadDeadline(deadline); err != nil {
-			return 0, errors.Wrap(err, "extend the deadline")
-		}
-		n, err = l.Conn.Read(b)
-	}
-	if l.remaining > 0 {
-		l.remaining -= int64(n)
-	}
-	return n, err
-}
