Target: a failed upload is no end of an answer without length and chunks

Cause: a request of more than 16 KiB is written beside the reading. A socket reports a reset once, to the write or to the read; if the write gets it, the read returns the end of the connection, which is the proper end of such an answer. The result of the write was looked at only by Finish, after the answer had been relayed. Change: the body of such an answer ends with io.EOF only after the whole request has been written; otherwise with the error of the write, or io.ErrUnexpectedEOF if the target has ended its side before.

--- a/io/target/earlyend_test.go
+++ b/io/target/earlyend_test.go
@@ -80,10 +80,44 @@
 	return body, extensions, err
 }
 
+// Guards against a part of an answer that is taken for the whole because the write of a long request
+// has consumed the reset of the connection.
+func TestResetDuringUploadIsNoEndOfAnswer(t *testing.T) {
+	for range 10 {
+		address := listen(t, 0, func(conn *net.TCPConn) {
+			_, _ = io.ReadFull(conn, make([]byte, 64<<10))
+			_, _ = io.WriteString(conn, unframedHead+"id: 0\ndata: a\n\nid: 1\ndata: b\n\n")
+			time.Sleep(20 * time.Millisecond) // the part must arrive before the reset
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		})
+		if body, _, err := readAnswer(t.Context(), address, 6<<20, nil); err == nil {
+			t.Errorf("%q was taken for a whole answer", body)
+		}
+	}
+}
+
+// Guards against an answer that is taken for whole although its target has ended the connection
+// before it had received the request.
+func TestEndDuringUploadIsNoEndOfAnswer(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	address := listen(t, 0, func(conn *net.TCPConn) {
+		_, _ = io.ReadFull(conn, make([]byte, 64<<10))
+		_, _ = io.WriteString(conn, unframedHead+"id: 0\ndata: a\n\n")
+		_ = conn.CloseWrite()
+		<-release
+		_ = conn.Close()
+	})
+	if body, _, err := readAnswer(t.Context(), address, 6<<20, nil); err == nil {
+		t.Errorf("%q was taken for a whole answer", body)
+	}
+}
+
 // Guards against a connection that the kernel gives up and that is taken for one whose target is
 // silent: its next read would return the end of the connection.
 func TestConnectionGivenUpByKernelIsNoEndOfAnswer(t *testing.T) {
-	for name, size := range map[string]int{"short request": 16 << 10} {
+	for name, size := range map[string]int{"short request": 16 << 10, "long request": 6 << 20} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			release := make(chan struct{})
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -107,9 +106,8 @@
 	keepAlive   bool          // the target keeps the connection open
 	idleTimeout time.Duration // 0: the target states none
 	maxIdle     int           // as in the request
-	// written receives the result of writing a long request; nil if the request was
-	// written before the answer was read.
-	written chan error
+	// upload writes a long request; nil if the request was written before the answer was read.
+	upload *upload
 }
 
 // Do sends a request and returns the answer when its header has arrived. When ctx ends,
@@ -150,18 +148,11 @@
 		_, err := a.conn.Write(append(head, r.Body...))
 		return errors.Wrap(err, "send request")
 	}
-	a.written = make(chan error, 1)
-	go a.runWrite(head, r.Body)
+	a.upload = newUpload()
+	go a.upload.run(a.conn.Conn, head, r.Body)
 	return nil
 }
 
-// runWrite writes a long request. It returns at the latest when the connection is closed.
-func (a *Answer) runWrite(head, body []byte) {
-	buffers := net.Buffers{head, body}
-	_, err := buffers.WriteTo(a.conn.Conn)
-	a.written <- err
-}
-
 // appendHead appends the request line and the header.
 func appendHead(b []byte, r *Request) []byte {
 	b = append(b, r.Method...)
@@ -247,10 +238,14 @@
 func (a *Answer) accept(response *http.Response) {
 	a.Status, a.Header, a.Length = response.StatusCode, response.Header, response.ContentLength
 	a.Body = response.Body
-	if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
+	a.Framing = framingOf(response)
+	switch {
+	case response.Body == http.NoBody:
+	case a.Framing == FramingChunks:
 		a.Body = &chunkedBody{reader: a.conn.reader.Reader}
+	case a.Framing == FramingConnection:
+		a.Body = &connectionBody{Reader: response.Body, upload: a.upload}
 	}
-	a.Framing = framingOf(response)
 	a.keepAlive, a.idleTimeout = !response.Close, keepAliveTimeout(response.Header)
 }
 
@@ -297,17 +292,9 @@
 	}
 	a.ended = true
 	a.OnTimeout(nil)
-	isWritten := true
-	if a.written != nil {
-		select {
-		case err := <-a.written:
-			isWritten = err == nil
-		default:
-			// The target answered before it received the whole body. The connection is
-			// closed so that the rest of the body is not taken for the next request.
-			isWritten = false
-		}
-	}
+	// The target may answer before it has received the whole body. The rest must not be taken for the next
+	// request.
+	isWritten := a.upload == nil || a.upload.isComplete()
 	if !a.stopWatch() || !a.keepAlive || !isWritten || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close() // the answer is complete
 		return
