Drain: durations of other requests bound no call that may run once

What callers saw: in a planned stop, in calm, calls of an unsafe route that came late in the grace period were passed on and cut at its end, though they may not be repeated.

Cause: a leaving instance compared a learned duration, the slow end of the latest 64 answers of the route, with the time that is left. A call that takes far longer than all before it fits that bound and not the time. For a call that may run once at most a refusal costs its caller a moment (503, 20 ms, other instances serve it), a cut its outcome.

Change: only the deadline of such a call, the shorter of the caller's and the route's timeout, bounds it. What may be repeated is bounded as before. Work says whether it may be repeated; its zero value is the strict one.

With sockets (TestLeavingInstanceCutsNoCallThatRunsOnce), before: status 502, the call had run, LeftEarly; now 503, not run, and another instance serves it; a call whose own deadline is near and a repeatable one are served.

TestFit, TestSlowValueIsRobust and TestRetainForgetsRoutes used work of the strict kind and expected the learned bound, which was the fault; they use repeatable work now, with cases added for a call that runs once.

--- a/cmd/entry/node/drain_test.go
+++ b/cmd/entry/node/drain_test.go
@@ -53,6 +53,53 @@
 	})
 }
 
+// Guards against requests that may run once at most and that a leaving instance takes and cuts at the end
+// of the grace period, since they take far longer than those before them.
+func TestLeavingInstanceCutsNoCallThatRunsOnce(t *testing.T) {
+	s := newSite(t)
+	const timeout = `"kind":"unsafe","timeout_ms":`
+	s.store.Put("op", "config", []byte(strings.Replace(fmt.Sprintf(siteConfiguration, 1), timeout+"2000", timeout+"6000", 1)))
+	i, other := s.start("n1"), s.start("n2")
+	for n := range 100 {
+		if got := i.call(t, "/once/x", fmt.Sprintf("learn%d", n)); got.status != 200 {
+			t.Fatalf("%+v", got)
+		}
+	}
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		i.drain() // 2.3 s are left for requests
+	}()
+	s.eventually(time.Second, "the instance leaves", func() bool { return strings.Contains(i.output.String(), "Event=DrainStarted") })
+	// Its own deadline lies within what is left.
+	if got := i.call(t, "/once/x", "short", "X-Deadline-Ms", "1000"); got.status != 200 || !got.close {
+		t.Errorf("%+v", got)
+	}
+	if got := i.call(t, "/repeatable/x", "repeatable"); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+	for _, tg := range s.targets[:2] {
+		tg.SetProcessingTime(3 * time.Second)
+	}
+	if got := i.call(t, "/once/x", "slow"); got.status != 503 || !got.close {
+		t.Errorf("%+v", got)
+	}
+	if got := other.call(t, "/once/x", "slow elsewhere"); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+	<-drained
+	for _, tg := range s.targets {
+		for _, run := range tg.Runs() {
+			if run.ID == "slow" {
+				t.Error("a request that was refused has run")
+			}
+		}
+	}
+	if strings.Contains(i.output.String(), "Event=LeftEarly") {
+		t.Error("requests were ended")
+	}
+}
+
 // Guards against requests whose connection is closed without an answer or a log line when the
 // grace period ends.
 func TestEndOfGraceAnswersRequests(t *testing.T) {
--- a/core/drain/durations_test.go
+++ b/core/drain/durations_test.go
@@ -29,7 +29,9 @@
 	stream := func(tokens int) Work {
 		return Work{Service: "models", Route: "stream", Kind: core.RouteStream, MaxTokens: tokens}
 	}
-	plain := Work{Service: "calls", Route: "plain"}
+	once := Work{Service: "calls", Route: "plain"}
+	plain := once
+	plain.IsRepeatable = true
 	const pace = 50 * time.Millisecond
 	tests := []struct {
 		name            string
@@ -47,6 +49,8 @@
 		{"pause beyond a near deadline", 40, pausing(stream(50), 1500*time.Millisecond), 4200 * time.Millisecond, 4 * time.Second, true},
 		{"plain request", 40, plain, 200 * time.Millisecond, time.Second, true},
 		{"plain request too late", 40, plain, 105 * time.Millisecond, time.Second, false},
+		{"call that runs once", 40, once, 990 * time.Millisecond, time.Second, false},
+		{"call that runs once, deadline is near", 40, once, time.Second, time.Second, true},
 		{"nothing known", 0, stream(4), 4 * time.Second, 5 * time.Second, false},
 		{"nothing known, deadline is near", 0, stream(4), 4 * time.Second, 3 * time.Second, true},
 		{"short history", minSamples - 1, stream(4), 4 * time.Second, 5 * time.Second, false},
@@ -71,7 +75,7 @@
 func TestSlowValueIsRobust(t *testing.T) {
 	d := NewDurations()
 	need := func() time.Duration {
-		return d.Fit(&Work{Service: "models", MaxTokens: 100}, time.Minute, time.Minute).Need
+		return d.Fit(&Work{Service: "models", MaxTokens: 100, IsRepeatable: true}, time.Minute, time.Minute).Need
 	}
 	learn(d, 40, 50*time.Millisecond)
 	usual := need()
@@ -134,7 +138,7 @@
 	if fit := d.Fit(&Work{Service: "models", MaxTokens: 1}, 0, time.Minute); !fit.Learned {
 		t.Error("forgot a service that exists")
 	}
-	if fit := d.Fit(&Work{Route: "plain"}, 0, time.Minute); !fit.Learned {
+	if fit := d.Fit(&Work{Route: "plain", IsRepeatable: true}, 0, time.Minute); !fit.Learned {
 		t.Error("forgot a route that exists")
 	}
 	d.Retain(nil, nil)
--- a/core/drain/fit.go
+++ b/core/drain/fit.go
@@ -11,6 +11,8 @@
 	Service core.Service
 	Route   string
 	Kind    core.RouteKind
+	// IsRepeatable is true if the request may run again after it may have run.
+	IsRepeatable bool
 	// MaxTokens is the limit on the length of a generated answer; 0 if nothing is generated or
 	// no limit is stated.
 	MaxTokens int
--- a/io/forward/leaving.go
+++ b/io/forward/leaving.go
@@ -101,7 +101,7 @@
 // fit compares the time that the request needs, if this attempt is sent now, with the time that
 // is left.
 func (r *activeRequest) fit(l *leaving, a *core.Attempt) drain.Fit {
-	w := drain.Work{Service: r.service, Route: r.route.Name, Kind: r.route.Kind}
+	w := drain.Work{Service: r.service, Route: r.route.Name, Kind: r.route.Kind, IsRepeatable: r.route.Repeatable()}
 	if r.req.Prompt != nil {
 		w.MaxTokens = r.req.Prompt.MaxOutput
 	}
