--- a/cmd/commands/soak.go
+++ b/cmd/commands/soak.go
@@ -149,8 +149,8 @@
 	if r.LimitPeak != "" {
 		fmt.Fprintf(c.terminal.out, "  limits: %s\n", r.LimitPeak)
 	}
-	if r.Endings > 0 {
-		fmt.Fprintf(c.terminal.out, "  endings: %d answers broken\n", r.Endings)
+	if len(r.Endings) > 0 {
+		fmt.Fprintf(c.terminal.out, "  endings: %v\n", r.Endings)
 	}
 	if len(r.Cuts) > 0 {
 		fmt.Fprintf(c.terminal.out, "  cuts: %s\n", strings.Join(r.Cuts, "; "))
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core/common/pause"
+	"gorseline/standin/platform"
 )
 
 // Options configure a soak.
@@ -155,8 +156,8 @@
 	LimitPeak string
 	// Cuts describes the times for which instances were cut off from all targets.
 	Cuts []string
-	// Endings is the number of answers that targets broke.
-	Endings int
+	// Endings holds the numbers of answers that targets broke, by the way.
+	Endings map[platform.RequestFault]int
 	// Keys counts the requests by their API keys; zero without organisations.
 	Keys KeyCounts
 	// Replaced lists the replacements of the earlier build with their times.
