Soak: the test of signals uses an address that accepts connections

TestOnlyServingInstancesAreSignalled failed once on a busy machine: "a process that serves got no signal". Its address was that of a proxy whose own target refuses, so that the proxy resets a connection right after it was accepted.

--- a/standin/platform/soak/instance_test.go
+++ b/standin/platform/soak/instance_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -57,7 +58,12 @@
 		t.Fatal("a process that doesn't serve got the signal")
 	case <-time.After(100 * time.Millisecond):
 	}
-	inst.callerAddress = storeProxy.address()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	inst.callerAddress = listener.Addr().String()
 	inst.signalServing(syscall.SIGKILL)
 	select {
 	case <-exited:
