Soak: calls that may run once and come late in the grace period

--planned had no calls that take longer than those before them, and counted an error in place of an answer as an answer. A loop now sends quick calls on an unsafe route to all instances, and slow ones to those that leave; a call that was sent after the signal and passed on to a sound target must get its outcome.

--- a/standin/platform/soak/callers.go
+++ b/standin/platform/soak/callers.go
@@ -85,8 +85,8 @@
 	return routeMix
 }
 
-// setEvents sets how many events the engines make and how fast.
-func (s *soak) setEvents() {
+// setPace sets how many events the engines make and how fast, and how long slow calls take.
+func (s *soak) setPace() {
 	interval := eventInterval
 	if s.options.Endings {
 		interval = endingEventInterval
@@ -94,6 +94,7 @@
 		return
 	}
 	for _, t := range s.testbed.targets {
+		t.SetSlowPath("/"+slowRoute+"/"+slowCall, slowTime)
 		t.SetEvents(maxLongEvents, interval)
 	}
 }
@@ -129,7 +130,7 @@
 // timeoutOf returns how long a caller waits for a response on a route. The ID of a request begins
 // with its route and can be given instead.
 func timeoutOf(route string) time.Duration {
-	if strings.HasPrefix(route, "long") {
+	if strings.HasPrefix(route, "long") || strings.HasPrefix(route, slowRoute) {
 		return longTimeout
 	}
 	return callerTimeout
--- a/standin/platform/soak/check.go
+++ b/standin/platform/soak/check.go
@@ -34,7 +34,7 @@
 	report := func(format string, args ...any) {
 		violations = append(violations, r.id+" at "+r.instance+": "+fmt.Sprintf(format, args...))
 	}
-	isOnce := r.route == "once" || r.route == "single" || r.route == "long-single"
+	isOnce := r.route == "once" || r.route == "single" || r.route == "long-single" || r.route == slowRoute
 	if isOnce && runs > 1 {
 		report("ran %d times", runs)
 	}
@@ -70,7 +70,7 @@
 
 // completeBody returns the body of a complete response to a request.
 func completeBody(r *result) string {
-	if r.route == "once" || r.route == "safe" {
+	if r.route == "once" || r.route == "safe" || r.route == slowRoute {
 		return "answer to " + r.id
 	}
 	var b strings.Builder
--- a/standin/platform/soak/lost.go
+++ b/standin/platform/soak/lost.go
@@ -61,7 +61,12 @@
 func (c *lossCheck) violations(results []result) []string {
 	var violations []string
 	for i := range results {
-		if r := &results[i]; c.isLost(r) {
+		r := &results[i]
+		if c.isOutcomeLost(r) {
+			violations = append(violations, fmt.Sprintf("%s at %s: ran, may run once, and got status %d in place of its outcome: %s",
+				r.id, r.instance, r.status, c.describe(r)))
+		}
+		if c.isLost(r) {
 			violations = append(violations, fmt.Sprintf("%s at %s: no complete answer after %v (%.80s): %s",
 				r.id, r.instance, r.finished.Sub(r.started).Round(time.Millisecond), r.err, c.describe(r)))
 		}
@@ -77,6 +82,19 @@
 		!c.isDisrupted(r) && !c.brokeOff(r) && !c.isStopExcused(r)
 }
 
+// isOutcomeLost reports whether a call that may run once at most was sent after the signal that stops its
+// instance, was passed on to a sound target and got an error in place of its answer. It could have been
+// refused.
+func (c *lossCheck) isOutcomeLost(r *result) bool {
+	if r.route != slowRoute || r.err != nil || r.status < 500 || len(c.runs[r.id]) == 0 {
+		return false
+	}
+	isLate := slices.ContainsFunc(c.stops[r.instance], func(stop time.Time) bool {
+		return r.started.After(stop) && r.finished.Before(stop.Add(c.grace+time.Second))
+	})
+	return isLate && r.finished.Sub(r.started) < timeoutOf(r.route)-deadlineMargin && !c.isDisrupted(r) && !c.brokeOff(r)
+}
+
 // isDisrupted reports whether there was an unplanned disruption during a request or shortly before.
 func (c *lossCheck) isDisrupted(r *result) bool {
 	return slices.ContainsFunc(c.disruptions, func(d interval) bool {
--- a/standin/platform/soak/lost_test.go
+++ b/standin/platform/soak/lost_test.go
@@ -65,3 +65,36 @@
 		}
 	}
 }
+
+// Guards against a check that misses a call that may run once and is cut with an error after the signal, or
+// that reports one which the instance couldn't refuse any more.
+func TestLostOutcomesAreFound(t *testing.T) {
+	start := time.Date(2026, 12, 6, 8, 0, 0, 0, time.UTC)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	for _, test := range []struct {
+		name, route string
+		sent, ended float64 // after the signal
+		status      int
+		fault       platform.RequestFault
+		hasNotRun   bool
+		isLost      bool
+	}{
+		{"sent after the signal and cut", slowRoute, 3, 7.3, 502, "", false, true},
+		{"sent before the signal", slowRoute, -1, 7.3, 502, "", false, false},
+		{"sent long after the signal", slowRoute, 20, 22, 502, "", false, false},
+		{"refused", slowRoute, 3, 3.1, 503, "", true, false},
+		{"served", slowRoute, 1, 6, 200, "", false, false},
+		{"repeatable", "safe", 3, 7.3, 502, "", false, false},
+		{"the target broke off", slowRoute, 3, 7.3, 502, platform.Reset, false, false},
+		{"the deadline passed", slowRoute, -2.8, 7.2, 504, "", false, false},
+	} {
+		check := newLossCheck(8*time.Second, map[string][]time.Time{"n": {start}, "other": {at(19)}}, nil, nil)
+		if !test.hasNotRun {
+			check.runs["id"] = []platform.Run{{ID: "id", StartedAt: at(test.sent), Fault: test.fault}}
+		}
+		r := result{id: "id", route: test.route, instance: "n", started: at(test.sent), finished: at(test.ended), status: test.status}
+		if got := check.violations([]result{r}); (len(got) == 1) != test.isLost {
+			t.Errorf("%s: %v", test.name, got)
+		}
+	}
+}
--- a/standin/platform/soak/planned.go
+++ b/standin/platform/soak/planned.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -17,6 +18,44 @@
 // longest streams take most of the grace period.
 const eventInterval = 50 * time.Millisecond
 
+// slowRoute is a route of calls that may run once at most, with a long timeout. Nearly all are quick.
+const slowRoute = "slow"
+
+// slowCall is the end of the path of calls that take far longer than those before them, slowTime how long
+// they take: most of the grace period.
+const (
+	slowCall = "slow"
+	slowTime = 5 * time.Second
+)
+
+// Load of calls on slowRoute.
+const (
+	// quickInterval is the time between two quick calls. Each instance has served some when it leaves.
+	quickInterval = 30 * time.Millisecond
+	// slowInterval is the time between two slow calls to instances that leave.
+	slowInterval = 250 * time.Millisecond
+)
+
+// runCalls sends quick calls to random instances, and slow ones to those that leave, until ctx ends. It returns
+// when all have ended.
+func (s *soak) runCalls(ctx context.Context, rng *rand.Rand) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	latest := time.Time{}
+	for i := 0; pause.For(ctx, quickInterval); i++ {
+		inst := s.randomInstance(rng)
+		id := fmt.Sprintf("%s-%d-%d", slowRoute, s.options.Seed, i)
+		a := attempt{route: slowRoute, id: id, stream: id, size: 10}
+		if _, isServing := inst.state(); !isServing {
+			if time.Since(latest) < slowInterval {
+				continue
+			}
+			a.path, latest = slowCall, time.Now()
+		}
+		calls.Go(func() { s.callers.record(s.callers.sendAttempt(context.WithoutCancel(ctx), inst, a)) })
+	}
+}
+
 // plannedFaults are kinds of planned work and of what sound targets do. None of them excuses a lost
 // request.
 var plannedFaults = []fault{
--- a/standin/platform/soak/soak.go
+++ b/standin/platform/soak/soak.go
@@ -249,6 +249,9 @@
 	if o.hasCrashes() {
 		callerLoops.Go(func() { s.runBadCaller(loadCtx) })
 	}
+	if o.Planned {
+		callerLoops.Go(func() { s.runCalls(loadCtx, rand.New(rand.NewPCG(o.Seed, 12))) })
+	}
 	if o.hasCrashes() || o.Announcements {
 		watcherLoops.Go(func() { s.runRestarts(loadCtx) })
 	}
@@ -352,7 +355,7 @@
 			return err
 		}
 	}
-	s.setEvents()
+	s.setPace()
 	s.prepareCrashes()
 	s.callers = newCallers(s.instances, s.options.routes())
 	s.callers.organisations = s.testbed.organisations
--- a/standin/platform/soak/testbed.go
+++ b/standin/platform/soak/testbed.go
@@ -152,6 +152,7 @@
 		{"stream", host, "/stream/", "stream", 2500, 300, "models", 2, true, true, 100, false},
 		{"single", host, "/single/", "stream", 2500, 300, "models", 1, true, false, 100, false},
 		{"long", host, "/long/", "stream", 12000, 300, "models", 2, true, true, 100, false},
+		{slowRoute, host, "/" + slowRoute + "/", "unsafe", 12000, 200, "calls", 1, false, false, 0, false},
 		{"long-single", host, "/long-single/", "stream", 12000, 300, "models", 1, true, false, 100, false},
 	}
 	for v := max(1, tb.version-1); v <= tb.version; v++ {
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -141,12 +141,15 @@
 	arrivals     []Arrival
 	prefills     int
 	// handles holds the handles of computed prompts that have not been released.
-	handles         map[string]bool
-	released        int
-	lastHandle      int
-	orders          []Order
-	orderCount      uint64
-	processingTime  time.Duration
+	handles        map[string]bool
+	released       int
+	lastHandle     int
+	orders         []Order
+	orderCount     uint64
+	processingTime time.Duration
+	// slowTime replaces processingTime for paths that end with slowPath; empty is none.
+	slowPath        string
+	slowTime        time.Duration
 	eventCount      int
 	eventInterval   time.Duration
 	conns           map[net.Conn]bool
@@ -250,6 +253,13 @@
 	t.processingTime = d
 }
 
+// SetSlowPath sets how long requests take whose path ends with a text.
+func (t *Target) SetSlowPath(end string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slowPath, t.slowTime = end, d
+}
+
 // SetEvents sets the number of events of a stream and the time between two of them.
 func (t *Target) SetEvents(count int, interval time.Duration) {
 	t.mu.Lock()
@@ -531,7 +541,7 @@
 		time.Sleep(SlowAnswer)
 	}
 	if r.Header.Get("X-Phase") == "prefill" {
-		time.Sleep(t.currentProcessingTime())
+		time.Sleep(t.processingTimeOf(r))
 		return t.respondPrefill(conn, fault)
 	}
 	if importFails {
@@ -542,7 +552,7 @@
 	}
 	run := t.recordRun(r, string(body), fault)
 	defer t.recordEnd(run)
-	time.Sleep(t.currentProcessingTime())
+	time.Sleep(t.processingTimeOf(r))
 	if t.crashesTarget(r) {
 		return t.crashUnder(conn, r)
 	}
@@ -566,9 +576,13 @@
 	return t.phase
 }
 
-func (t *Target) currentProcessingTime() time.Duration {
+// processingTimeOf returns how long the target takes for a request before its response starts.
+func (t *Target) processingTimeOf(r *http.Request) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.slowPath != "" && strings.HasSuffix(r.URL.Path, t.slowPath) {
+		return t.slowTime
+	}
 	return t.processingTime
 }
 
