--- a/io/target/earlyend_test.go
+++ b/io/target/earlyend_test.go
@@ -165,7 +165,9 @@
 				go func() { _, _ = http.ReadRequest(bufio.NewReader(server)) }()
 				return &failingConn{Conn: client, reads: []func([]byte) (int, error){
 					func(b []byte) (int, error) { return copy(b, unframedHead+"id: 0\ndata: a\n\n"), nil },
-					func([]byte) (int, error) { return 0, &net.OpError{Op: "read", Err: os.NewSyscallError("read", failure)} },
+					func([]byte) (int, error) {
+						return 0, &net.OpError{Op: "read", Err: os.NewSyscallError("read", failure)}
+					},
 				}}, nil
 			}
 			body, extensions, err := readAnswer(t.Context(), "target:1", 0, dial)
