Target: clients of net/http take no part of an answer for the whole either

Calls to plain services of the product's own interface and the clients of the platform have long requests. Change: Transport learns from the trace whether the whole request was written, and ends such a body in the same way as Pool. Result: before, of 10 answers each, 2 whose connection was reset during an upload of 6 MiB and 10 whose target ended its side during it were taken for whole (TestTransportTakesNoPartForAnswer); none now, under the race detector.

--- a/io/target/transport.go
+++ b/io/target/transport.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -156,6 +157,7 @@
 // Do sends req once, or possibly more often after connection errors if a allows retries.
 func (t *Transport) Do(a *Attempt, req *http.Request) (*http.Response, error) {
 	var current *conn
+	var sent atomic.Pointer[upload] // on the latest connection
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			c, ok := info.Conn.(*conn)
@@ -167,6 +169,12 @@
 			defer a.mu.Unlock()
 			a.conns = append(a.conns, c)
 			current = c
+			sent.Store(newUpload())
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if u := sent.Load(); u != nil {
+				u.finish(info.Err)
+			}
 		},
 		PutIdleConn: func(err error) {
 			a.mu.Lock()
@@ -186,7 +194,17 @@
 			req.Body = io.NopCloser(strings.NewReader(""))
 		}
 	}
-	return t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err == nil && framingOf(resp) == FramingConnection {
+		resp.Body = &closableBody{connectionBody: connectionBody{Reader: resp.Body, upload: sent.Load()}, Closer: resp.Body}
+	}
+	return resp, err
+}
+
+// closableBody is a connectionBody of a client of net/http.
+type closableBody struct {
+	connectionBody
+	io.Closer
 }
 
 // AbortUnsent reports whether it is certain that no byte of the request was or will be
--- a/io/target/upload.go
+++ b/io/target/upload.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,7 @@
 
 // upload is the write of a long request while its answer is read.
 type upload struct {
+	once sync.Once
 	done chan struct{}
 	// err is the result. It is set before done is closed.
 	err error
@@ -23,9 +25,17 @@
 
 // run writes the request. It returns at the latest when the connection is closed.
 func (u *upload) run(conn net.Conn, head, body []byte) {
-	defer close(u.done)
 	buffers := net.Buffers{head, body}
-	_, u.err = buffers.WriteTo(conn)
+	_, err := buffers.WriteTo(conn)
+	u.finish(err)
+}
+
+// finish records the result of the write. Further calls change nothing.
+func (u *upload) finish(err error) {
+	u.once.Do(func() {
+		u.err = err
+		close(u.done)
+	})
 }
 
 // isComplete reports whether the whole request has been written.
