Target: bytes that are no answer are refused before they count

Callers got answers of status 000, answers in whose head a name held a blank or a control byte, and bodies that were not the target's.

Cause: readFinal took every status under 200 for an interim answer, so that the body of an answer of status 000, 099 or 101 was read as the next head. http.ReadResponse folds lines, ignores Content-Length and Transfer-Encoding with a blank before the colon, lets names with blanks pass, takes chunks before a length and no chunks at all with HTTP/1.0. Whatever such a head stated (Server-Limit, Server-Leaving, not executed) was believed.

Change: headScanner checks each head line by line before it is parsed: status 100 to 599 with 100, 102 and 103 as the only interim ones, HTTP/1.x, names that are tokens, no folding, no control bytes, at most one way to state the end of the body, 64 KiB with the interim answers (up to 4 KiB more were read before). The attempt fails like one without an answer: a repeatable request is sent elsewhere, one that runs once is answered 502, and AttemptFailed names the line.

Measured: of the raw answers in TestOnlyAnswersAreTaken, 29 that are no answer were taken before, byte by byte and at once; none is now, and the well-formed ones still pass. TestMalformedAnswersAreNotPassedOn, through a whole forwarder: all 42 cases failed before.

--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -1,6 +1,8 @@
 package target
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -19,8 +21,6 @@
 	// maxEagerBody is the body size up to which a request is written before its answer
 	// is read. Writing a longer body could block while the target already answers.
 	maxEagerBody = 16 << 10
-	// maxHeader bounds the header of an answer, with the interim answers before it.
-	maxHeader = 64 << 10
 	// maxSkippedAnswers bounds the answers to earlier requests that are skipped.
 	maxSkippedAnswers = 2
 	// maxSkippedBody bounds the body of a skipped answer.
@@ -106,6 +106,7 @@
 	keepAlive   bool          // the target keeps the connection open
 	idleTimeout time.Duration // 0: the target states none
 	maxIdle     int           // as in the request
+	lengthBody  lengthBody    // the body if its framing is FramingLength
 	// upload writes a long request; nil if the request was written before the answer was read.
 	upload *upload
 }
@@ -197,11 +198,8 @@
 // receive reads the header of the answer that belongs to the request. It skips answers to
 // earlier requests on the connection.
 func (a *Answer) receive(r *Request) error {
-	request := &http.Request{Method: r.Method} // http.ReadResponse needs only the method
 	for skipped := 0; ; {
-		a.conn.reader.limit(maxHeader)
-		response, err := a.readFinal(request) //nolint:bodyclose // see readFinal
-		a.conn.reader.limit(-1)
+		response, err := a.readHeader(r.Method) //nolint:bodyclose // see readHeader
 		if err != nil {
 			return errors.Wrap(err, "read answer")
 		}
@@ -214,37 +212,90 @@
 			a.accept(response)
 			return nil
 		}
-		if skipped++; skipped > maxSkippedAnswers || response.ContentLength < 0 || response.Close {
+		if skipped++; skipped > maxSkippedAnswers || !canSkip(response) {
 			return errors.New("answer belongs to another request")
 		}
-		if _, err := io.CopyN(io.Discard, response.Body, min(response.ContentLength, maxSkippedBody)); err != nil {
+		if err := a.skipBody(response); err != nil {
 			return errors.Wrap(err, "skip an answer to another request")
 		}
 	}
 }
 
-// readFinal reads the header of an answer and of the interim answers before it, within the limit of
-// the reader.
-func (a *Answer) readFinal(request *http.Request) (*http.Response, error) {
+// readHeader reads and checks the interim answers and the header of the final answer to a request with
+// the given method.
+func (a *Answer) readHeader(method string) (*http.Response, error) {
+	// spilled holds the beginning of a header that doesn't fit in the read buffer.
+	var spilled []byte
+	reader, scanned := a.conn.reader.Reader, 0
+	var scanner headScanner
+	for {
+		if _, err := reader.Peek(scanned + 1); err != nil {
+			return nil, unexpectedEOF(err)
+		}
+		buffered, _ := reader.Peek(reader.Buffered()) // never fails for buffered bytes
+		n, err := scanner.scan(buffered[scanned:])
+		if err != nil {
+			return nil, err
+		}
+		scanned += n
+		if scanner.isDone {
+			break
+		}
+		if scanned == reader.Size() {
+			spilled = append(spilled, buffered...)
+			_, _ = reader.Discard(scanned) // never fails for buffered bytes
+			scanned = 0
+		}
+	}
+	if spilled != nil {
+		rest, _ := reader.Peek(scanned) // never fails for buffered bytes
+		spilled = append(spilled, rest...)
+		_, _ = reader.Discard(scanned) // never fails for buffered bytes
+		reader = bufio.NewReader(bytes.NewReader(spilled))
+	}
+	return parseHeader(reader, method)
+}
+
+// parseHeader parses the header of an answer and the interim answers before it, which were checked. Its
+// body isn't used.
+func parseHeader(reader *bufio.Reader, method string) (*http.Response, error) {
+	request := &http.Request{Method: method} // http.ReadResponse needs only the method
 	for {
 		//nolint:bodyclose // the body ends with its connection, which the answer closes
-		response, err := http.ReadResponse(a.conn.reader.Reader, request)
+		response, err := http.ReadResponse(reader, request)
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
 	}
 }
 
+// canSkip reports whether another answer may follow on the connection soon.
+func canSkip(response *http.Response) bool {
+	return !response.Close && response.ContentLength >= 0
+}
+
+// skipBody reads the body of an answer to another request, which has a length.
+func (a *Answer) skipBody(response *http.Response) error {
+	if response.Body == http.NoBody {
+		return nil
+	}
+	_, err := io.CopyN(io.Discard, a.conn.reader, min(response.ContentLength, maxSkippedBody))
+	return err
+}
+
 func (a *Answer) accept(response *http.Response) {
 	a.Status, a.Header, a.Length = response.StatusCode, response.Header, response.ContentLength
-	a.Body = response.Body
 	a.Framing = framingOf(response)
 	switch {
 	case response.Body == http.NoBody:
+		a.Body = http.NoBody
+	case a.Framing == FramingLength:
+		a.lengthBody = lengthBody{reader: a.conn.reader.Reader, left: response.ContentLength}
+		a.Body = &a.lengthBody
 	case a.Framing == FramingChunks:
 		a.Body = &chunkedBody{reader: a.conn.reader.Reader}
-	case a.Framing == FramingConnection:
-		a.Body = &connectionBody{Reader: response.Body, upload: a.upload}
+	default:
+		a.Body = &connectionBody{Reader: a.conn.reader.Reader, upload: a.upload}
 	}
 	a.keepAlive, a.idleTimeout = !response.Close, keepAliveTimeout(response.Header)
 }
--- a/io/target/reader.go
+++ b/io/target/reader.go
@@ -10,16 +10,15 @@
 	"github.com/pkg/errors"
 )
 
-// reader is a buffered reader with a limit on the bytes that it reads from the connection.
+// reader is a buffered reader of a connection.
 type reader struct {
 	*bufio.Reader
-	source *limitedReader
+	source *patientReader
 }
 
-type limitedReader struct {
+// patientReader reads from a connection.
+type patientReader struct {
 	net.Conn
-	// remaining is the number of bytes that may still be read; negative is unlimited.
-	remaining int64
 	// extend is called after a timeout, see Answer.OnTimeout; nil fails the read.
 	extend func() (time.Time, bool)
 	// failure is the error with which the connection has ended, or nil.
@@ -27,49 +26,35 @@
 }
 
 func newReader(conn net.Conn) *reader {
-	source := &limitedReader{Conn: conn, remaining: -1}
+	source := &patientReader{Conn: conn}
 	return &reader{bufio.NewReaderSize(source, readBufferSize), source}
 }
 
-// limit sets the number of bytes that may still be read; a negative number removes the
-// limit.
-func (r *reader) limit(n int64) { r.source.remaining = n }
-
-// Read reads from the connection within the limit. It fails once the limit is reached, and after the
-// connection has failed.
-func (l *limitedReader) Read(b []byte) (int, error) {
-	if l.remaining == 0 {
-		return 0, errors.New("answer header is too long")
-	}
-	if l.remaining > 0 && int64(len(b)) > l.remaining {
-		b = b[:l.remaining]
-	}
-	n, err := l.readConn(b)
-	for n == 0 && l.extend != nil && IsDeadline(err) {
-		deadline, ok := l.extend()
+// Read reads from the connection. It fails after the connection has failed.
+func (p *patientReader) Read(b []byte) (int, error) {
+	n, err := p.readConn(b)
+	for n == 0 && p.extend != nil && IsDeadline(err) {
+		deadline, ok := p.extend()
 		if !ok {
 			break
 		}
-		if err := l.SetReadDeadline(deadline); err != nil {
+		if err := p.SetReadDeadline(deadline); err != nil {
 			return 0, errors.Wrap(err, "extend the deadline")
 		}
-		n, err = l.readConn(b)
-	}
-	if l.remaining > 0 {
-		l.remaining -= int64(n)
+		n, err = p.readConn(b)
 	}
 	return n, err
 }
 
 // readConn reads from the connection. A socket reports a failure only once, and then the end of the
 // connection, so that the failure is kept.
-func (l *limitedReader) readConn(b []byte) (int, error) {
-	if l.failure != nil {
-		return 0, l.failure
+func (p *patientReader) readConn(b []byte) (int, error) {
+	if p.failure != nil {
+		return 0, p.failure
 	}
-	n, err := l.Conn.Read(b)
+	n, err := p.Conn.Read(b)
 	if err != nil && !IsDeadline(err) {
-		l.failure = err
+		p.failure = err
 	}
 	return n, err
 }
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -75,7 +75,10 @@
 }
 
 // respondPrefill computes a prompt and answers with the handle of its cached tokens.
-func (t *Target) respondPrefill(conn net.Conn, fault RequestFault) bool {
+func (t *Target) respondPrefill(conn net.Conn, r *http.Request, fault RequestFault) bool {
+	if isMalformed(fault) {
+		return t.sendMalformed(conn, r, fault)
+	}
 	switch fault {
 	case Hang:
 		return readUntilClosed(conn)
