Target: a long answer to an earlier request isn't skipped in part

A part of the body of an answer to an earlier request could be taken for the answer to the next request on the connection: of a body of more than 1 MiB only the first MiB was skipped, and the rest was read as a head. Such an answer now fails the attempt and ends its connection.

--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -271,7 +271,7 @@
 
 // canSkip reports whether another answer may follow on the connection soon.
 func canSkip(response *http.Response) bool {
-	return !response.Close && response.ContentLength >= 0
+	return !response.Close && response.ContentLength >= 0 && response.ContentLength <= maxSkippedBody
 }
 
 // skipBody reads the body of an answer to another request, which has a length.
@@ -279,7 +279,7 @@
 	if response.Body == http.NoBody {
 		return nil
 	}
-	_, err := io.CopyN(io.Discard, a.conn.reader, min(response.ContentLength, maxSkippedBody))
+	_, err := io.CopyN(io.Discard, a.conn.reader, response.ContentLength)
 	return err
 }
 
--- /dev/null
+++ b/io/target/leftover_test.go
@@ -0,0 +1,29 @@
+package target_test
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gorseline/io/target"
+)
+
+// Guards against a part of a long answer to an earlier request that is taken for the answer to a later
+// one on the connection.
+func TestBodyOfAnAnswerToAnotherRequestIsNoAnswer(t *testing.T) {
+	const skipped = 1 << 20 // bytes of a body that are skipped at most
+	hidden := "HTTP/1.1 200 OK\r\nX-Name: r\r\nContent-Length: 2\r\n\r\nok"
+	raw := "HTTP/1.1 200 OK\r\nX-Name: earlier\r\nContent-Length: " + strconv.Itoa(skipped+len(hidden)) + "\r\n\r\n" +
+		strings.Repeat("a", skipped) + hidden
+	address := serveRaw(t, raw)
+	answer, err := target.NewPool(target.PoolOptions{}).Do(t.Context(), &target.Request{
+		Address: address, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, Deadline: time.Now().Add(10 * time.Second),
+		Name: "r", NameIn: func(h http.Header) string { return h.Get("X-Name") },
+	})
+	if err == nil {
+		_ = answer.Close() // it is no answer
+		t.Errorf("got the answer %d %v", answer.Status, answer.Header)
+	}
+}
