Target: clients over net/http take only well-formed answers, too

The calls for duties and those of the engine client took answers of status 000 or 099, and answers in whose head a name held a blank or a line was folded, as answers: a duty could be counted as carried out, and an order as accepted. Their heads could have 10 MB.

Cause: both go through net/http, which is as lenient as http.ReadResponse.

Change: the connection of a Transport checks the head of the answer with headScanner as its bytes arrive and returns none of a malformed one to net/http. It knows the start of each request already.

--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -7,7 +7,7 @@
 )
 
 // conn is a connection that serves one request at a time. It tracks whether the current
-// request has written a byte.
+// request has written a byte, and checks the header of its answer before net/http reads it.
 type conn struct {
 	net.Conn
 	transport *Transport
@@ -19,6 +19,8 @@
 	idle     bool
 	deadline time.Time   // zero: no write deadline
 	guard    func() bool // nil: writes are always allowed
+	header   headScanner // of the answer to the current request
+	failure  error       // why the bytes read are no answer, or nil
 
 	closeOnce sync.Once
 }
@@ -30,6 +32,7 @@
 	defer c.mu.Unlock()
 	c.started, c.idle = false, false
 	c.deadline, c.guard = deadline, guard
+	c.header = headScanner{}
 	if !deadline.IsZero() {
 		// If this fails, so does the write.
 		_ = c.SetWriteDeadline(deadline)
@@ -61,6 +64,20 @@
 	return !started
 }
 
+// Read reads from the connection. It returns no byte of a malformed answer, and fails from then on.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure != nil {
+		return 0, c.failure
+	}
+	if _, c.failure = c.header.scan(b[:n]); c.failure != nil {
+		return 0, c.failure
+	}
+	return n, err
+}
+
 // Write writes b. The error is net.ErrClosed, and nothing is written, if the connection is
 // sealed, its write deadline has passed or its guard returns false.
 func (c *conn) Write(b []byte) (int, error) {
--- a/io/target/head_test.go
+++ b/io/target/head_test.go
@@ -158,6 +158,23 @@
 	return strconv.Itoa(answer.Status) + " " + string(body), err
 }
 
+func readWithTransport(t *testing.T, address string, dial target.DialFunc) (string, error) {
+	t.Helper()
+	transport := target.NewTransport(target.TransportOptions{Dial: dial})
+	defer transport.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := transport.Do(new(target.Attempt), req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return strconv.Itoa(resp.StatusCode) + " " + string(body), err
+}
+
 // Guards against bytes that are no answer and that callers get as one, and against answers that are
 // refused.
 func TestOnlyAnswersAreTaken(t *testing.T) {
@@ -168,7 +185,7 @@
 		}
 	}
 	dial := target.NewDialer().DialContext
-	clients := map[string]readWith{"Pool": readWithPool}
+	clients := map[string]readWith{"Pool": readWithPool, "Transport": readWithTransport}
 	for client, read := range clients {
 		for name, test := range headCases() {
 			t.Run(client+"/"+name, func(t *testing.T) {
--- a/io/target/transport.go
+++ b/io/target/transport.go
@@ -34,8 +34,8 @@
 // of memory that a stream may use.
 const bufferSize = 2 << 10
 
-// Transport is an HTTP transport to targets that tracks its connections. It is safe for
-// concurrent use.
+// Transport is an HTTP transport to targets that tracks its connections and takes only well-formed
+// answers. It is safe for concurrent use.
 type Transport struct {
 	http *http.Transport
 	dial DialFunc
@@ -62,12 +62,13 @@
 			defer cancel()
 			return t.open(ctx, network, address)
 		},
-		MaxIdleConnsPerHost: o.MaxIdlePerTarget,
-		IdleConnTimeout:     30 * time.Second,
-		ReadBufferSize:      bufferSize,
-		WriteBufferSize:     bufferSize / 2,
-		DisableCompression:  true,
-		DisableKeepAlives:   o.SingleUse,
+		MaxIdleConnsPerHost:    o.MaxIdlePerTarget,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: maxHeader,
+		ReadBufferSize:         bufferSize,
+		WriteBufferSize:        bufferSize / 2,
+		DisableCompression:     true,
+		DisableKeepAlives:      o.SingleUse,
 	}
 	return t
 }
