Target: bytes left from an earlier answer aren't the next answer

A Transport could take bytes after an answer for the answer to the next request on the connection: net/http closes an idle connection on which bytes come, but not one that a request takes at the same moment.

Change: the connection knows which bytes it has read since the request began. If net/http begins to read an answer and there are none, it reads bytes of an earlier exchange, and the request fails.

--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // conn is a connection that serves one request at a time. It tracks whether the current
@@ -20,7 +22,7 @@
 	deadline time.Time   // zero: no write deadline
 	guard    func() bool // nil: writes are always allowed
 	header   headScanner // of the answer to the current request
-	failure  error       // why the bytes read are no answer, or nil
+	failure  error       // why the bytes read are no answer to the current request, or nil
 
 	closeOnce sync.Once
 }
@@ -78,6 +80,23 @@
 	return n, err
 }
 
+// beginAnswer is called when net/http begins to read an answer. One that was read before its request
+// began is left from an earlier exchange.
+func (c *conn) beginAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.header.size == 0 && c.failure == nil {
+		c.failure = errors.New("answer belongs to another request")
+	}
+}
+
+// answerFailure returns why the bytes read are no answer to the current request, or nil.
+func (c *conn) answerFailure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failure
+}
+
 // Write writes b. The error is net.ErrClosed, and nothing is written, if the connection is
 // sealed, its write deadline has passed or its guard returns false.
 func (c *conn) Write(b []byte) (int, error) {
--- a/io/target/transport.go
+++ b/io/target/transport.go
@@ -169,6 +169,13 @@
 			a.conns = append(a.conns, c)
 			current = c
 		},
+		GotFirstResponseByte: func() {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			if current != nil {
+				current.beginAnswer()
+			}
+		},
 		PutIdleConn: func(err error) {
 			a.mu.Lock()
 			defer a.mu.Unlock()
@@ -187,7 +194,21 @@
 			req.Body = io.NopCloser(strings.NewReader(""))
 		}
 	}
-	return t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	c := current
+	a.mu.Unlock()
+	if c == nil {
+		return resp, nil
+	}
+	if err := c.answerFailure(); err != nil {
+		_ = resp.Body.Close() // it isn't the body of the answer
+		return nil, err
+	}
+	return resp, nil
 }
 
 // AbortUnsent reports whether it is certain that no byte of the request was or will be
