--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -4,10 +4,12 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // conn is a connection that serves one request at a time. It tracks whether the current
-// request has written a byte.
+// request has written a byte, and checks the header of its answer before net/http reads it.
 type conn struct {
 	net.Conn
 	transport *Transport
@@ -19,6 +21,8 @@
 	idle     bool
 	deadline time.Time   // zero: no write deadline
 	guard    func() bool // nil: writes are always allowed
+	header   headScanner // of the answer to the current request
+	failure  error       // why the bytes read are no answer to the current request, or nil
 
 	closeOnce sync.Once
 }
@@ -30,6 +34,7 @@
 	defer c.mu.Unlock()
 	c.started, c.idle = false, false
 	c.deadline, c.guard = deadline, guard
+	c.header = headScanner{}
 	if !deadline.IsZero() {
 		// If this fails, so does the write.
 		_ = c.SetWriteDeadline(deadline)
@@ -61,6 +66,37 @@
 	return !started
 }
 
+// Read reads from the connection. It returns no byte of a malformed answer, and fails from then on.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure != nil {
+		return 0, c.failure
+	}
+	if _, c.failure = c.header.scan(b[:n]); c.failure != nil {
+		return 0, c.failure
+	}
+	return n, err
+}
+
+// beginAnswer is called when net/http begins to read an answer. One that was read before its request
+// began is left from an earlier exchange.
+func (c *conn) beginAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.header.size == 0 && c.failure == nil {
+		c.failure = errors.New("answer belongs to another request")
+	}
+}
+
+// answerFailure returns why the bytes read are no answer to the current request, or nil.
+func (c *conn) answerFailure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failure
+}
+
 // Write writes b. The error is net.ErrClosed, and nothing is written, if the connection is
 // sealed, its write deadline has passed or its guard returns false.
 func (c *conn) Write(b []byte) (int, error) {
--- a/io/target/transport.go
+++ b/io/target/transport.go
@@ -11,7 +11,6 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -35,8 +34,8 @@
 // of memory that a stream may use.
 const bufferSize = 2 << 10
 
-// Transport is an HTTP transport to targets that tracks its connections. It is safe for
-// concurrent use.
+// Transport is an HTTP transport to targets that tracks its connections and takes only well-formed
+// answers. It is safe for concurrent use.
 type Transport struct {
 	http *http.Transport
 	dial DialFunc
@@ -63,12 +62,13 @@
 			defer cancel()
 			return t.open(ctx, network, address)
 		},
-		MaxIdleConnsPerHost: o.MaxIdlePerTarget,
-		IdleConnTimeout:     30 * time.Second,
-		ReadBufferSize:      bufferSize,
-		WriteBufferSize:     bufferSize / 2,
-		DisableCompression:  true,
-		DisableKeepAlives:   o.SingleUse,
+		MaxIdleConnsPerHost:    o.MaxIdlePerTarget,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: maxHeader,
+		ReadBufferSize:         bufferSize,
+		WriteBufferSize:        bufferSize / 2,
+		DisableCompression:     true,
+		DisableKeepAlives:      o.SingleUse,
 	}
 	return t
 }
@@ -128,8 +128,11 @@
 	writeDeadline time.Time
 	writeGuard    func() bool
 	allowRetry    bool
-	mu            sync.Mutex
-	conns         []*conn
+
+	mu    sync.Mutex
+	conns []*conn
+	// sent is the write of the request on the latest connection.
+	sent *upload
 }
 
 // AllowRetry allows the transport to send the request again on a new connection after a
@@ -156,9 +159,41 @@
 
 // Do sends req once, or possibly more often after connection errors if a allows retries.
 func (t *Transport) Do(a *Attempt, req *http.Request) (*http.Response, error) {
-	var current *conn
-	var sent atomic.Pointer[upload] // on the latest connection
-	trace := &httptrace.ClientTrace{
+	if !a.allowRetry {
+		preventRetry(req)
+	}
+	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), a.trace())))
+	if err != nil {
+		return nil, err
+	}
+	c, sent := a.latest()
+	if c == nil {
+		return resp, nil
+	}
+	if err := c.answerFailure(); err != nil {
+		_ = resp.Body.Close() // it isn't the body of the answer
+		return nil, err
+	}
+	if framingOf(resp) == FramingConnection {
+		resp.Body = &closableBody{connectionBody: connectionBody{Reader: resp.Body, upload: sent}, Closer: resp.Body}
+	}
+	return resp, nil
+}
+
+// preventRetry keeps net/http from sending a request again. After a connection error it retries a
+// request that has no body or one that it can rewind if the method is idempotent, such as GET, or the
+// request has an Idempotency-Key, even if the target may have run it. A body that can't be rewound
+// prevents this.
+func preventRetry(req *http.Request) {
+	req.GetBody = nil
+	if req.Body == nil || req.Body == http.NoBody {
+		req.Body = io.NopCloser(strings.NewReader(""))
+	}
+}
+
+// trace returns the hooks that tell the attempt its connections and what becomes of the request on them.
+func (a *Attempt) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			c, ok := info.Conn.(*conn)
 			if !ok {
@@ -168,37 +203,34 @@
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			a.conns = append(a.conns, c)
-			current = c
-			sent.Store(newUpload())
+			a.sent = newUpload()
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if u := sent.Load(); u != nil {
-				u.finish(info.Err)
+			if _, sent := a.latest(); sent != nil {
+				sent.finish(info.Err)
+			}
+		},
+		GotFirstResponseByte: func() {
+			if c, _ := a.latest(); c != nil {
+				c.beginAnswer()
 			}
 		},
 		PutIdleConn: func(err error) {
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			if err == nil && current != nil {
-				current.setIdle()
+			if c, _ := a.latest(); c != nil && err == nil {
+				c.setIdle()
 			}
 		},
 	}
-	if !a.allowRetry {
-		// After a connection error, net/http retries a request that has no body or one
-		// that it can rewind if the method is idempotent, such as GET, or the request
-		// has an Idempotency-Key, even if the target may have run it. A body that can't
-		// be rewound prevents this.
-		req.GetBody = nil
-		if req.Body == nil || req.Body == http.NoBody {
-			req.Body = io.NopCloser(strings.NewReader(""))
-		}
-	}
-	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err == nil && framingOf(resp) == FramingConnection {
-		resp.Body = &closableBody{connectionBody: connectionBody{Reader: resp.Body, upload: sent.Load()}, Closer: resp.Body}
+}
+
+// latest returns the latest connection and the write of the request on it, or nil.
+func (a *Attempt) latest() (*conn, *upload) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.conns) == 0 {
+		return nil, nil
 	}
-	return resp, err
+	return a.conns[len(a.conns)-1], a.sent
 }
 
 // closableBody is a connectionBody of a client of net/http.
