Forward: an answer that ends with its connection is relayed in that framing

Callers got answers without a length and chunks as answers in chunks, with a last one: an end that nobody had stated became a stated one. Callers of HTTP/1.0, to which every answer of unknown length ends with its connection, got the part of a broken stream as a whole one. Cause: the server's default framing is chunks, and a broken answer was aborted by a plain close, which marks it only where chunks or a length are missing. Change: an answer with FramingConnection goes to callers and to other instances with neither (Connection: close). While such an answer runs, the caller's connection is set to end with a reset, which a proper end takes back once everything is flushed: so a broken answer, EndRequests, a closed server and the end of the process all show as one. forward.ConnContext makes the connection known; servers set it. cutAnswer is the one way to abort.

--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -176,7 +176,7 @@
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
+		ErrorLog: nil, ConnContext: forward.ConnContext,
 	}
 }
 
--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -183,7 +183,7 @@
 var errAnswerTooLong = errors.New("answer is too long")
 
 // copyBody relays a long body, or one of unknown length, as it arrives. If that fails it
-// aborts the connection to the caller.
+// cuts the answer.
 func (r *activeRequest) copyBody(e *roster.Entry, answer *target.Answer) {
 	source := &errorReader{Reader: answer.Body}
 	body := io.Reader(source)
@@ -198,8 +198,9 @@
 		_ = answer.Close() // reading or writing has failed already
 		r.recordBroken(e, source.err)
 		r.recordEnd(core.OutcomeCut, ReasonAnswerBroken, answer.Status)
-		panic(http.ErrAbortHandler)
+		r.cutAnswer()
 	}
+	r.completeAnswer()
 	r.recordComplete(e, answer)
 	answer.Finish()
 	r.recordEnd(core.OutcomeDone, ReasonAnswered, answer.Status)
@@ -244,6 +245,9 @@
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // prevents the server from detecting one
 	}
+	if r.hasOpenEnd(answer) {
+		r.openEnd(header)
+	}
 	r.w.WriteHeader(answer.Status)
 }
 
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -291,6 +291,8 @@
 	connectFailures int
 	// framing is that of the relayed answer of the first target, or empty without one.
 	framing target.Framing
+	// isOpenEnded is set while nothing but the end of the caller's connection will mark that of its answer.
+	isOpenEnded bool
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
 	events        int
@@ -477,7 +479,7 @@
 func (r *activeRequest) fail(reason core.Reason) {
 	if r.in.Context().Err() != nil {
 		r.recordEnd(core.OutcomeUnknown, ReasonCallerLeft, 0)
-		panic(http.ErrAbortHandler)
+		r.cutAnswer()
 	}
 	if r.possibleRuns == 0 {
 		r.refuse(reason, r.retryAfter())
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -32,6 +32,7 @@
 		err := s.relayEvents(answer)
 		if err == nil {
 			s.markHeard(r.Clock.Now())
+			r.completeAnswer()
 			r.recordComplete(e, answer)
 			answer.Finish()
 			r.recordEnd(core.OutcomeDone, ReasonAnswered, answer.Status)
@@ -42,7 +43,7 @@
 			r.Quarantine.RecordStopped(r.runAt(e))
 			s.endAsk()
 			r.recordEnd(core.OutcomeUnknown, ReasonCallerLeft, 0)
-			panic(http.ErrAbortHandler)
+			r.cutAnswer()
 		}
 		if r.isOutOfTime() {
 			// The deadline of the request has passed, so the failed read isn't recorded as a
@@ -69,7 +70,7 @@
 		next, ok := s.continueElsewhere()
 		if !ok && r.in.Context().Err() != nil {
 			r.recordEnd(core.OutcomeUnknown, ReasonCallerLeft, 0)
-			panic(http.ErrAbortHandler)
+			r.cutAnswer()
 		}
 		if !ok {
 			if !s.started && r.mayRunAgain() {
@@ -111,7 +112,7 @@
 			switch {
 			case !errors.Is(err, io.EOF):
 				return err
-			case len(s.buffer) > 0, answer.Framing == target.FramingConnection && s.answerEvents == 0:
+			case len(s.buffer) > 0, isUnstated(answer) && s.answerEvents == 0:
 				return io.ErrUnexpectedEOF
 			}
 			return s.flush(answer)
@@ -219,13 +220,12 @@
 	return e, req.Chain, found
 }
 
-// abort ends a stream that can't be completed. If its header has been sent it aborts the
-// connection, so that the caller doesn't mistake the stream for a complete one.
+// abort ends a stream that can't be completed. If its header has been sent it cuts the answer.
 func (s *streamRelay) abort(status int, reason core.Reason) {
 	if !s.started {
 		s.fail(reason)
 		return
 	}
 	s.recordEnd(core.OutcomeCut, reason, status)
-	panic(http.ErrAbortHandler)
+	s.cutAnswer()
 }
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -296,10 +296,12 @@
 	})
 	f.forwarder.Configure(route.NewTable(configuration(1)))
 	f.server = httptest.NewUnstartedServer(f.forwarder)
-	f.server.Config.MaxHeaderBytes = 16 << 10
+	f.server.Config.MaxHeaderBytes, f.server.Config.ConnContext = 16<<10, forward.ConnContext
 	f.server.Start()
 	t.Cleanup(f.server.Close)
-	f.detours = httptest.NewServer(f.forwarder.DetourHandler(http.NotFoundHandler()))
+	f.detours = httptest.NewUnstartedServer(f.forwarder.DetourHandler(http.NotFoundHandler()))
+	f.detours.Config.ConnContext = forward.ConnContext
+	f.detours.Start()
 	t.Cleanup(f.detours.Close)
 	return f
 }
