Forward: the end of a killed target's connection is no end of its answer

Callers got a part of a stream as the whole one after the process of its engine had been killed between two events. Cause: the kernel ends the connections of a killed process properly, which is the end of an answer with neither a length nor chunks. Change: at such an end the instance opens a connection to the target (Pool.Probe, with the timeout of requests; it is kept idle for the next request, which needs one, since the answer's has ended). If the target takes none, the answer has broken: a stream goes on at another engine if it may, anything else is cut. RequestEnded names the evidence as End, and a broken body's cause as Error. An answer of another instance isn't asked about: that instance asks, and resets the connection of a broken answer.

--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -182,21 +182,13 @@
 
 var errAnswerTooLong = errors.New("answer is too long")
 
-// copyBody relays a long body, or one of unknown length, as it arrives. If that fails it
-// cuts the answer.
+// copyBody relays a long body, or one of unknown length, as it arrives. If that fails it cuts the answer.
 func (r *activeRequest) copyBody(e *roster.Entry, answer *target.Answer) {
 	source := &errorReader{Reader: answer.Body}
-	body := io.Reader(source)
-	if answer.Length < 0 {
-		body = io.LimitReader(body, maxUnstatedBody)
-	}
-	n, err := io.Copy(flushWriter{r.w}, body)
-	if err == nil && answer.Length < 0 && n == maxUnstatedBody {
-		err = errAnswerTooLong
-	}
-	if err != nil {
+	if err := r.copyWhole(e, answer, source); err != nil {
 		_ = answer.Close() // reading or writing has failed already
 		r.recordBroken(e, source.err)
+		r.brokenBy = err
 		r.recordEnd(core.OutcomeCut, ReasonAnswerBroken, answer.Status)
 		r.cutAnswer()
 	}
@@ -206,6 +198,24 @@
 	r.recordEnd(core.OutcomeDone, ReasonAnswered, answer.Status)
 }
 
+// copyWhole copies a body to the caller. It returns an error unless the body is known to be whole, and
+// keeps the error in source if it is the target's.
+func (r *activeRequest) copyWhole(e *roster.Entry, answer *target.Answer, source *errorReader) error {
+	body := io.Reader(source)
+	if answer.Length < 0 {
+		body = io.LimitReader(body, maxUnstatedBody)
+	}
+	n, err := io.Copy(flushWriter{r.w}, body)
+	switch {
+	case err != nil:
+		return err
+	case answer.Length < 0 && n == maxUnstatedBody:
+		return errAnswerTooLong
+	}
+	source.err = r.confirmEnd(e, answer)
+	return source.err
+}
+
 // errorReader keeps the error of a failed read, which io.Copy doesn't tell from that of a write.
 type errorReader struct {
 	io.Reader
--- a/io/forward/ending.go
+++ b/io/forward/ending.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 
+	"github.com/pkg/errors"
+
+	"gorseline/core/roster"
 	"gorseline/io/target"
 )
 
@@ -59,3 +63,31 @@
 // cutAnswer ends the request so that the caller can't take what it has got for a whole answer: the last
 // chunk or a part of its length is missing, or the connection is reset.
 func (r *activeRequest) cutAnswer() { panic(http.ErrAbortHandler) }
+
+// EndEvidence is what is known of a target at an end of its answer that it hasn't stated.
+type EndEvidence string
+
+// Evidence at an unstated end.
+const (
+	// EndConfirmed means that the target accepts connections.
+	EndConfirmed EndEvidence = "Confirmed"
+	// EndRefuted means that it doesn't, so that its process may have ended in the middle of the answer.
+	EndRefuted EndEvidence = "Refuted"
+)
+
+// confirmEnd returns an error if an answer has ended without its target stating that and the target
+// accepts no connections any more. e is nil if another instance has sent the request to its target: that
+// one asks, and resets the connection of an answer that has broken.
+func (r *activeRequest) confirmEnd(e *roster.Entry, answer *target.Answer) error {
+	if e == nil || !isUnstated(answer) {
+		return nil
+	}
+	err := r.Pool.Probe(r.ctx, e.Address, r.maxIdle())
+	r.recordConnection(e, err)
+	if err == nil {
+		r.endEvidence = EndConfirmed
+		return nil
+	}
+	r.endEvidence = EndRefuted
+	return errors.Wrapf(io.ErrUnexpectedEOF, "end of an answer whose target is gone (%v)", err)
+}
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -292,7 +292,10 @@
 	// framing is that of the relayed answer of the first target, or empty without one.
 	framing target.Framing
 	// isOpenEnded is set while nothing but the end of the caller's connection will mark that of its answer.
+	// endEvidence tells what was known of the target at an unstated end, brokenBy why a body was cut.
 	isOpenEnded bool
+	endEvidence EndEvidence
+	brokenBy    error
 	// events counts the relayed events of a stream. lastEventTime is the time from the
 	// arrival of the request to the last one.
 	events        int
@@ -526,6 +529,12 @@
 	if r.framing != "" {
 		fields["Framing"] = r.framing
 	}
+	if r.endEvidence != "" {
+		fields["End"] = r.endEvidence
+	}
+	if r.brokenBy != nil {
+		fields["Error"] = r.brokenBy.Error()
+	}
 	if r.prefillTime > 0 {
 		fields["PrefillMs"], fields["ImportMs"] = r.prefillTime.Milliseconds(), r.importTime.Milliseconds()
 	}
--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -115,6 +115,9 @@
 			case len(s.buffer) > 0, isUnstated(answer) && s.answerEvents == 0:
 				return io.ErrUnexpectedEOF
 			}
+			if err := s.confirmEnd(s.silence.engine, answer); err != nil {
+				return err
+			}
 			return s.flush(answer)
 		}
 		now := s.Clock.Now()
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -126,15 +126,34 @@
 		}
 		_ = c.Close() // the connection is not used again
 	}
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, false, err
+	}
+	conn.addName(name)
+	return conn, true, nil
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context, address string) (*pooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
 	raw, err := p.opts.Dial(ctx, "tcp", address)
 	if err != nil {
-		return nil, false, errors.Wrap(err, "connect to target")
+		return nil, errors.Wrap(err, "connect to target")
 	}
-	conn := &pooledConn{Conn: raw, reader: newReader(raw), address: address}
-	conn.addName(name)
-	return conn, true, nil
+	return &pooledConn{Conn: raw, reader: newReader(raw), address: address}, nil
+}
+
+// Probe opens a connection to an address and keeps it idle for the next request. The error tells that the
+// address accepts none. maxIdle is as in a Request.
+func (p *Pool) Probe(ctx context.Context, address string, maxIdle int) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.put(c, 0, maxIdle)
+	return nil
 }
 
 // take removes and returns the most recently used idle connection, which is the least
--- a/standin/platform/endofanswer_test.go
+++ b/standin/platform/endofanswer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -115,7 +116,7 @@
 // Guards against answers of which only a part has arrived and whose connection to the caller ends like
 // that of a whole one.
 func TestBrokenUnstatedAnswerEndsWithReset(t *testing.T) {
-	for _, fault := range []platform.RequestFault{platform.UnframedReset, platform.UnframedCut} {
+	for _, fault := range []platform.RequestFault{platform.UnframedReset, platform.UnframedKill, platform.UnframedCut} {
 		t.Run(string(fault), func(t *testing.T) {
 			eachWay(t, func(t *testing.T, f *fixture, tg *platform.Target, path string) {
 				tg.InjectFaults(fault)
@@ -170,3 +171,33 @@
 		})
 	}
 }
+
+// Guards against a stream whose engine was killed between two events and that isn't continued, or that
+// ends as complete.
+func TestStreamOfKilledEngineIsContinued(t *testing.T) {
+	f := newFixture(t, "prefill", "decode", "decode")
+	f.targets[1].SetDownTime(time.Minute)
+	f.targets[1].InjectFaults(platform.UnframedKill)
+	got := f.exchangeRaw("/resumable/x")
+	if got.body != completeStream() || got.err != nil {
+		t.Errorf("%+v", got)
+	}
+	if runs := f.runs("r1"); len(runs) != 2 {
+		t.Errorf("%d runs, want 2", len(runs))
+	}
+}
+
+// Guards against an end that counts on the evidence of a connection that isn't used: each new connection to
+// a target has a price.
+func TestProbeOfTargetIsUsedByNextRequest(t *testing.T) {
+	f := newFixture(t, "")
+	f.targets[0].InjectFaults(platform.Unframed)
+	for _, id := range []string{"r1", "r2"} {
+		if got := f.do(t.Context(), http.MethodPost, "/once/x", id, "b"); got.status != http.StatusOK || got.err != nil {
+			t.Fatalf("%+v", got)
+		}
+	}
+	if count := f.targets[0].ConnectionCount(); count != 2 {
+		t.Errorf("%d connections, want that of the first answer and that of the probe", count)
+	}
+}
