Forward: a stream is checked for a whole last event whoever relays it

Callers got streams that ended inside an event, or before their first one, as whole. Cause: only a 200 whose type begins with text/event-stream was relayed as events. Streams of another success, those whose type is written otherwise (Text/Event-Stream; charset=utf-8) and those that another instance relays were copied as plain bodies. Change: a stream is any success of that media type, by mime.ParseMediaType, also for continuations. A copied stream must end with a whole event, and one whose end isn't stated must have one.

--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"mime"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -184,7 +184,7 @@
 
 // copyBody relays a long body, or one of unknown length, as it arrives. If that fails it cuts the answer.
 func (r *activeRequest) copyBody(e *roster.Entry, answer *target.Answer) {
-	source := &errorReader{Reader: answer.Body}
+	source := &bodyReader{Reader: answer.Body}
 	if err := r.copyWhole(e, answer, source); err != nil {
 		_ = answer.Close() // reading or writing has failed already
 		r.recordBroken(e, source.err)
@@ -200,7 +200,7 @@
 
 // copyWhole copies a body to the caller. It returns an error unless the body is known to be whole, and
 // keeps the error in source if it is the target's.
-func (r *activeRequest) copyWhole(e *roster.Entry, answer *target.Answer, source *errorReader) error {
+func (r *activeRequest) copyWhole(e *roster.Entry, answer *target.Answer, source *bodyReader) error {
 	body := io.Reader(source)
 	if answer.Length < 0 {
 		body = io.LimitReader(body, maxUnstatedBody)
@@ -212,24 +212,10 @@
 	case answer.Length < 0 && n == maxUnstatedBody:
 		return errAnswerTooLong
 	}
-	source.err = r.confirmEnd(e, answer)
-	return source.err
-}
-
-// errorReader keeps the error of a failed read, which io.Copy doesn't tell from that of a write.
-type errorReader struct {
-	io.Reader
-	// err is nil unless a read has failed before the end.
-	err error
-}
-
-// Read reads from the embedded reader.
-func (r *errorReader) Read(b []byte) (int, error) {
-	n, err := r.Reader.Read(b)
-	if err != nil && !errors.Is(err, io.EOF) {
-		r.err = err
+	if source.err = source.checkEnd(answer); source.err == nil {
+		source.err = r.confirmEnd(e, answer)
 	}
-	return n, err
+	return source.err
 }
 
 // flushWriter flushes after each write.
@@ -262,7 +248,9 @@
 }
 
 func isEventStream(answer *target.Answer) bool {
-	return answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
+	mediaType, _, err := mime.ParseMediaType(answer.Header.Get("Content-Type"))
+	isKnown := err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)
+	return isKnown && mediaType == "text/event-stream" && answer.Status >= 200 && answer.Status < 300
 }
 
 func (r *activeRequest) logCall(d assign.CallDecision) {
--- a/io/forward/ending.go
+++ b/io/forward/ending.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -91,3 +92,39 @@
 	r.endEvidence = EndRefuted
 	return errors.Wrapf(io.ErrUnexpectedEOF, "end of an answer whose target is gone (%v)", err)
 }
+
+// bodyReader reads a body. It keeps the error of a failed read, which io.Copy doesn't tell from that of a
+// write, and the last bytes.
+type bodyReader struct {
+	io.Reader
+	// err is nil unless a read has failed before the end.
+	err  error
+	tail []byte
+}
+
+// maxTail is the length in bytes of the longest end of an event.
+const maxTail = len("\n\r\n")
+
+// Read reads from the embedded reader.
+func (r *bodyReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	r.tail = append(r.tail, b[max(0, n-maxTail):n]...)
+	r.tail = r.tail[max(0, len(r.tail)-maxTail):]
+	return n, err
+}
+
+// checkEnd returns an error if the body has ended although it can't be whole: a stream in the middle of an
+// event, or before the first one without its target stating the end.
+func (r *bodyReader) checkEnd(answer *target.Answer) error {
+	isBetween := bytes.HasSuffix(r.tail, []byte("\n\n")) || bytes.HasSuffix(r.tail, []byte("\n\r\n"))
+	switch {
+	case !isEventStream(answer) || isBetween:
+		return nil
+	case len(r.tail) == 0 && !isUnstated(answer):
+		return nil
+	}
+	return errors.Wrap(io.ErrUnexpectedEOF, "stream ended inside an event")
+}
--- a/standin/platform/endofanswer_test.go
+++ b/standin/platform/endofanswer_test.go
@@ -201,3 +201,48 @@
 		t.Errorf("%d connections, want that of the first answer and that of the probe", count)
 	}
 }
+
+// Guards against streams that end inside an event and look complete because their media type is written
+// otherwise, their status is another success, or another instance relays them.
+func TestStreamThatEndsInsideEventIsBroken(t *testing.T) {
+	heads := []struct {
+		status    int
+		mediaType string
+	}{
+		{200, "text/event-stream"}, {200, "Text/Event-Stream; charset=utf-8"}, {206, "text/event-stream"}, {201, " text/event-stream ;x"},
+	}
+	for _, head := range heads {
+		for _, fault := range []platform.RequestFault{platform.CutEvent, platform.UnframedCut, platform.UnframedEmpty, ""} {
+			for _, isDetour := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d-%.4s-%s-%v", head.status, head.mediaType, fault, isDetour), func(t *testing.T) {
+					t.Parallel()
+					f, generator, _ := newEndFixture(t, isDetour)
+					generator.SetStreamHead(head.status, head.mediaType)
+					generator.InjectFaults(fault)
+					got := f.sendPrompt(t.Context(), "/single/x")
+					isWhole := got.status == head.status && got.err == nil
+					if isWhole != (fault == "") || isWhole && got.body != completeStream() {
+						t.Errorf("%+v", got)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a stream that ends inside an event and looks complete because an instance of an earlier
+// version has relayed it so.
+func TestStreamOfOtherInstanceIsChecked(t *testing.T) {
+	for body, want := range map[string]bool{"id: 0\ndata: a\n\n": true, "id: 0\r\ndata: a\r\n\r\n": true, "id: 0\ndata: a\n\nid: 1\n": false} {
+		other := newFixture(t, "decode")
+		other.detours.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Gorseline-Detour", "other")
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, body)
+			_ = http.NewResponseController(w).Flush() // the stream has no length then
+		})
+		if got := newCutFixture(t, other).sendPrompt(t.Context(), "/single/x"); (got.err == nil) != want {
+			t.Errorf("%q: %+v", body, got)
+		}
+	}
+}
