Forward: events whose numbers go back are not relayed

Cause: the IDs of events were relayed, and kept for Last-Event-ID, but not compared. Change: an event whose ID isn't greater than the last relayed one isn't relayed, if both are decimal numbers; the answer counts as broken, so that a stream that may be resumed goes on at another engine. This holds for the first engine, for one that goes on, and for the first event of a request that resumes its caller's stream.

--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,9 @@
 // nothing was relayed and the request may run again.
 func (r *activeRequest) relayStream(e *roster.Entry, answer *target.Answer) (done bool) {
 	s := &streamRelay{activeRequest: r}
+	if r.isContinuation() {
+		s.orderID = r.req.ResumeAfter
+	}
 	for {
 		s.watchSilence(e, answer)
 		s.answerEvents = 0
@@ -91,6 +95,8 @@
 	callerDisconnected bool
 	// lastID is the ID of the last relayed event that had one.
 	lastID string
+	// orderID is the ID that the next event must follow: lastID, or that of the caller's last event.
+	orderID string
 	// answerEvents counts the events of the present engine.
 	answerEvents int
 	// buffer holds the event that is being read or written.
@@ -120,6 +126,9 @@
 			}
 			return s.flush(answer)
 		}
+		if !follows(s.orderID, id) {
+			return s.breakOrder(answer, id)
+		}
 		now := s.Clock.Now()
 		s.markHeard(now)
 		s.recordBegun(now)
@@ -131,7 +140,7 @@
 			return err
 		}
 		if id != "" {
-			s.lastID = id
+			s.lastID, s.orderID = id, id
 		}
 		s.events, s.lastEventTime = s.events+1, now.Sub(s.arrived)
 		s.answerEvents++
@@ -144,6 +153,24 @@
 	}
 }
 
+// breakOrder returns the error of an event that doesn't follow the last one. Those before it are sent.
+func (s *streamRelay) breakOrder(answer *target.Answer, id string) error {
+	if s.answerEvents > 0 {
+		if err := s.flush(answer); err != nil {
+			return err
+		}
+	}
+	return errors.Errorf("event %.20q doesn't follow %.20q", id, s.orderID)
+}
+
+// follows reports whether an event may come after another one: the IDs of a stream's events rise. Those
+// that are no decimal numbers aren't compared.
+func follows(last, id string) bool {
+	before, errBefore := strconv.ParseUint(last, 10, 64)
+	number, err := strconv.ParseUint(id, 10, 64)
+	return errBefore != nil || err != nil || number > before
+}
+
 // hasEvent reports whether a complete event is buffered, which can be read without waiting. Its end
 // is an empty line.
 func hasEvent(reader *bufio.Reader) bool {
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -163,7 +163,7 @@
 		if i == 3 && fault == StepBack {
 			event = t.event(1, id)
 		}
-		if i == 2 && fault == CutStream {
+		if i == 2 && fault == CutStream || i == 1 && fault == CutEarly {
 			_, _ = fmt.Fprintf(conn, "%x\r\n%s", len(event), event[:8])
 			return resetOnClose(conn)
 		}
--- a/standin/platform/streamfault.go
+++ b/standin/platform/streamfault.go
@@ -25,6 +25,8 @@
 	EmptyStream RequestFault = "EmptyStream"
 	// CutEnd sends all events and resets the connection before the end of the stream.
 	CutEnd RequestFault = "CutEnd"
+	// CutEarly sends one event and a part of the next one, then resets the connection.
+	CutEarly RequestFault = "CutEarly"
 	// CutEvent ends a stream properly in the middle of event 2.
 	CutEvent RequestFault = "CutEvent"
 	// NotFound answers 404 with a text, OtherType 200 with a text that is no event stream.
