--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"gorseline/core"
@@ -121,10 +122,7 @@
 			case len(s.buffer) > 0, isUnstated(answer) && s.answerEvents == 0:
 				return io.ErrUnexpectedEOF
 			}
-			if err := s.confirmEnd(s.silence.engine, answer); err != nil {
-				return err
-			}
-			return s.flush(answer)
+			return s.endStream(answer)
 		}
 		if !follows(s.orderID, id) {
 			return s.breakOrder(answer, id)
@@ -153,6 +151,20 @@
 	}
 }
 
+// endStream ends a stream that has ended between two events. An engine that is asked to go on after the
+// last event of a whole stream states the end of an empty one.
+func (s *streamRelay) endStream(answer *target.Answer) error {
+	if err := s.confirmEnd(s.silence.engine, answer); err != nil {
+		return err
+	}
+	if s.events > 0 && s.answerEvents == 0 {
+		s.Log.WithFields(log.Fields{
+			"Request": s.req.ID, "Target": s.silence.engine.ID, "Service": s.service, "After": s.lastID,
+		}).Warn("ContinuationEmpty")
+	}
+	return s.flush(answer)
+}
+
 // breakOrder returns the error of an event that doesn't follow the last one. Those before it are sent.
 func (s *streamRelay) breakOrder(answer *target.Answer, id string) error {
 	if s.answerEvents > 0 {
