--- a/io/digest/snapshot.go
+++ b/io/digest/snapshot.go
@@ -139,9 +139,9 @@
 }()
 
 // snapshotClient fetches snapshots from peers.
-var snapshotClient = &http.Client{Transport: &http.Transport{
-	DialContext: target.NewDialer().DialContext, DisableKeepAlives: true, DisableCompression: true,
-}}
+var snapshotClient = &http.Client{Transport: target.NewTransport(target.TransportOptions{
+	Dial: target.NewDialer().DialContext, DialTimeout: -1, SingleUse: true, BufferSize: target.LargeBuffer,
+})}
 
 func fetchSnapshot[T any](ctx context.Context, peer, path string) (value T, err error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
--- a/io/instancelist/client.go
+++ b/io/instancelist/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/io/target"
 )
 
 // Path is the path of the list. GET returns a JSON array of core.ListedInstance.
@@ -22,7 +23,7 @@
 type ClientOptions struct {
 	// URL is the base URL of the platform's service.
 	URL string
-	// HTTP replaces http.DefaultClient.
+	// HTTP is the HTTP client; the default uses target.Default.
 	HTTP *http.Client
 }
 
@@ -34,7 +35,7 @@
 // NewClient returns a client.
 func NewClient(o ClientOptions) *Client {
 	if o.HTTP == nil {
-		o.HTTP = http.DefaultClient
+		o.HTTP = &http.Client{Transport: target.Default}
 	}
 	return &Client{o}
 }
--- a/io/object/client.go
+++ b/io/object/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/io/target"
 )
 
 // DefaultTimeout bounds one call. Event chunks and recorded answers are below 1 MB.
@@ -31,8 +32,12 @@
 
 var _ core.ObjectStore = (*Client)(nil)
 
-// NewClient returns a client of the store at base, such as "http://10.0.0.9:9000".
+// NewClient returns a client of the store at base, such as "http://10.0.0.9:9000". The transport
+// is target.Default if it is nil.
 func NewClient(base string, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = target.Default
+	}
 	return &Client{strings.TrimSuffix(base, "/"), &http.Client{Transport: transport, Timeout: DefaultTimeout}}
 }
 
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gorseline/core"
+	"gorseline/io/target"
 )
 
 // Client calls the operators' API of one instance.
@@ -20,8 +21,11 @@
 const callTimeout = 15 * time.Second
 
 // NewClient returns a client of the instance at base, such as
-// "http://10.0.0.9:7001".
+// "http://10.0.0.9:7001". The transport is target.Default if it is nil.
 func NewClient(base string, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = target.Default
+	}
 	return &Client{strings.TrimSuffix(base, "/"), &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
--- a/io/table/client.go
+++ b/io/table/client.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/io/target"
 )
 
 // ClientOptions configure a Client.
@@ -45,9 +46,9 @@
 		opts.Timeout = DefaultTimeout
 	}
 	if opts.HTTP == nil {
-		opts.HTTP = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second,
-		}}
+		opts.HTTP = &http.Client{Transport: target.NewTransport(target.TransportOptions{
+			DialTimeout: -1, MaxIdlePerTarget: 8, IdleTimeout: 30 * time.Second, BufferSize: target.LargeBuffer,
+		})}
 	}
 	opts.URL = strings.TrimSuffix(opts.URL, "/")
 	return &Client{opts: opts}
--- a/io/target/head_test.go
+++ b/io/target/head_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"crypto/x509"
+	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -201,3 +205,23 @@
 		}
 	}
 }
+
+// Guards against a TLS handshake that is taken for a malformed answer.
+func TestHandshakeIsNoAnswer(t *testing.T) {
+	server := httptest.NewTLSServer(http.NotFoundHandler())
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	defer server.Close()
+	transport := target.NewTransport(target.TransportOptions{})
+	defer transport.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := transport.RoundTrip(req)
+	if err == nil {
+		_ = resp.Body.Close() // the certificate must have been refused
+	}
+	if unknown := (x509.UnknownAuthorityError{}); !errors.As(err, &unknown) {
+		t.Errorf("got %v, want an unknown authority", err)
+	}
+}
--- a/io/target/transport.go
+++ b/io/target/transport.go
@@ -21,12 +21,19 @@
 type TransportOptions struct {
 	// Dial opens connections; nil uses TCP.
 	Dial DialFunc
-	// DialTimeout bounds one dial; the default is 2 s.
+	// DialTimeout bounds one dial; the default is 2 s. A negative one leaves the bound to the context.
 	DialTimeout time.Duration
+	// IdleTimeout bounds the time that an idle connection is kept; the default is 30 s.
+	IdleTimeout time.Duration
+	// BufferSize is the size of a connection's read buffer in bytes; the default is small, for many open
+	// streams. The write buffer has half of it.
+	BufferSize int
 	// MaxIdlePerTarget bounds the idle connections per target; the default is 16.
 	MaxIdlePerTarget int
 	// SingleUse opens a new connection for each request.
 	SingleUse bool
+	// UsesProxy sends requests through the proxy that the environment names, if it does.
+	UsesProxy bool
 }
 
 // bufferSize is the size of a connection's read buffer, in bytes; the write buffer has
@@ -44,6 +51,22 @@
 	conns map[string]map[*conn]struct{} // by address
 }
 
+// Default is the transport of clients that state none. Its settings are those of http.DefaultTransport,
+// without compression.
+var Default = NewTransport(TransportOptions{
+	Dial:             (&net.Dialer{Timeout: 30 * time.Second, KeepAlive: 30 * time.Second}).DialContext,
+	DialTimeout:      -1,
+	MaxIdlePerTarget: http.DefaultMaxIdleConnsPerHost,
+	IdleTimeout:      90 * time.Second,
+	BufferSize:       LargeBuffer,
+	UsesProxy:        true,
+})
+
+// LargeBuffer is a BufferSize in bytes for clients with few connections.
+const LargeBuffer = 8 << 10
+
+var _ http.RoundTripper = (*Transport)(nil)
+
 // NewTransport returns a transport without connections.
 func NewTransport(o TransportOptions) *Transport {
 	t := &Transport{dial: o.Dial, conns: map[string]map[*conn]struct{}{}}
@@ -56,20 +79,32 @@
 	if o.MaxIdlePerTarget == 0 {
 		o.MaxIdlePerTarget = 16
 	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = 30 * time.Second
+	}
+	if o.BufferSize == 0 {
+		o.BufferSize = bufferSize
+	}
 	t.http = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
-			defer cancel()
+			if o.DialTimeout > 0 {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, o.DialTimeout)
+				defer cancel()
+			}
 			return t.open(ctx, network, address)
 		},
 		MaxIdleConnsPerHost:    o.MaxIdlePerTarget,
-		IdleConnTimeout:        30 * time.Second,
+		IdleConnTimeout:        o.IdleTimeout,
 		MaxResponseHeaderBytes: maxHeader,
-		ReadBufferSize:         bufferSize,
-		WriteBufferSize:        bufferSize / 2,
+		ReadBufferSize:         o.BufferSize,
+		WriteBufferSize:        o.BufferSize / 2,
 		DisableCompression:     true,
 		DisableKeepAlives:      o.SingleUse,
 	}
+	if o.UsesProxy {
+		t.http.Proxy = http.ProxyFromEnvironment
+	}
 	return t
 }
 
@@ -78,7 +113,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, transport: t, address: address}
+	// What is read before the first request isn't the header of an answer, such as a TLS handshake.
+	c := &conn{Conn: raw, transport: t, address: address, header: headScanner{isDone: true}}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conns[address] == nil {
@@ -114,7 +150,7 @@
 }
 
 // Close closes the idle connections.
-func (t *Transport) Close() { t.http.CloseIdleConnections() }
+func (t *Transport) Close() { t.CloseIdleConnections() }
 
 // Connections returns the number of open connections to an address.
 func (t *Transport) Connections(address string) int {
@@ -211,6 +247,15 @@
 	return resp, nil
 }
 
+// RoundTrip sends req like a transport of net/http, which may send an idempotent request again after a
+// connection error.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	return t.Do(new(Attempt).AllowRetry(), req)
+}
+
+// CloseIdleConnections closes the idle connections. An http.Client calls it by this name.
+func (t *Transport) CloseIdleConnections() { t.http.CloseIdleConnections() }
+
 // AbortUnsent reports whether it is certain that no byte of the request was or will be
 // sent. To make sure, it closes the connections of the attempt that have written nothing.
 func (a *Attempt) AbortUnsent() bool {
