Clients: a body beyond its bound is an error

Cause: each client read through io.LimitReader, which ends like a whole body.

Change: target.ReadBody returns ErrBodyTooLong instead. An engine's error answer of more than 4 KiB no longer states that nothing was run.

--- a/io/clients_test.go
+++ b/io/clients_test.go
@@ -119,3 +119,21 @@
 		})
 	}
 }
+
+// Guards against a body that exceeds its bound and is taken for whole.
+func TestClientsTakeNoBodyBeyondItsBound(t *testing.T) {
+	for name, c := range clientCalls() {
+		if c.limit == 0 {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			fits := c.body + strings.Repeat(" ", c.limit-len(c.body))
+			if err := c.call(t.Context(), serveRaw(t, raw(c.lines, fits))); err != nil {
+				t.Errorf("a body within the bound gives %v", err)
+			}
+			if err := c.call(t.Context(), serveRaw(t, raw(c.lines, fits+" "))); err == nil {
+				t.Error("a body beyond the bound is taken for whole")
+			}
+		})
+	}
+}
--- a/io/digest/fetch_test.go
+++ b/io/digest/fetch_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"compress/gzip"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"gorseline/core"
+	"gorseline/io/target"
 )
 
 // servePeer answers the request of each connection with a compressed snapshot, with the given lines in the
@@ -70,6 +72,19 @@
 	return data
 }
 
+// Guards against a snapshot that exceeds its bound once it is uncompressed, and of which the beginning is
+// taken for the whole.
+func TestSnapshotBeyondItsBoundIsAnError(t *testing.T) {
+	whole := snapshotOfSize(t, maxSnapshotSize)
+	if _, err := fetchSnapshot[TargetList](t.Context(), servePeer(t, "", whole), pathTargets); err != nil {
+		t.Errorf("a snapshot within the bound gives %v", err)
+	}
+	longer := append(whole, make([]byte, 16<<20)...)
+	if _, err := fetchSnapshot[TargetList](t.Context(), servePeer(t, "", longer), pathTargets); !errors.Is(err, target.ErrBodyTooLong) {
+		t.Errorf("a snapshot beyond the bound gives %v", err)
+	}
+}
+
 // Guards against a malformed answer of a peer that is taken for a snapshot.
 func TestMalformedAnswersAreNoSnapshots(t *testing.T) {
 	snapshot := snapshotOfSize(t, 1<<10)
--- a/io/digest/snapshot.go
+++ b/io/digest/snapshot.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/gzip"
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -162,7 +161,7 @@
 	if err != nil {
 		return value, errors.Wrap(err, "read snapshot")
 	}
-	data, err := io.ReadAll(io.LimitReader(compressed, maxSnapshotSize))
+	data, err := target.ReadBody(compressed, maxSnapshotSize)
 	if err != nil {
 		return value, errors.Wrap(err, "read snapshot")
 	}
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -19,6 +19,12 @@
 	"gorseline/io/target"
 )
 
+// Limits of the body of an answer that is no stream, in bytes.
+const (
+	maxAnswer      = 1 << 20
+	maxErrorAnswer = 4 << 10
+)
+
 // Options configures a client. Zero fields get defaults.
 type Options struct {
 	Connections target.TransportOptions
@@ -145,10 +151,11 @@
 	if result == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(result); err != nil {
-		return errors.Wrap(err, "decode answer")
+	data, err := target.ReadBody(resp.Body, maxAnswer)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
 	}
-	return nil
+	return errors.Wrap(json.Unmarshal(data, result), "decode answer")
 }
 
 func (c *Client) do(ctx context.Context, t *target.Transport, attempt *target.Attempt, method, address, path string, body []byte) (*http.Response, error) {
@@ -196,8 +203,10 @@
 			Message string `json:"message"`
 		} `json:"error"`
 	}
-	// Without a decodable body the error contains only the status.
-	_ = json.NewDecoder(io.LimitReader(resp.Body, 4<<10)).Decode(&body)
+	// Without a whole and decodable body the error contains only the status.
+	if data, err := target.ReadBody(resp.Body, maxErrorAnswer); err == nil {
+		_ = json.Unmarshal(data, &body)
+	}
 	kind := body.Error.Type
 	switch {
 	case kind == "unknown_stream":
--- a/io/instancelist/client.go
+++ b/io/instancelist/client.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -56,7 +55,10 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(core.ErrUnavailable, "instance list: status %d", response.StatusCode)
 	}
+	data, err := target.ReadBody(response.Body, maxBody)
+	if err != nil {
+		return nil, errors.Wrap(err, "instance list")
+	}
 	var list []core.ListedInstance
-	err = json.NewDecoder(io.LimitReader(response.Body, maxBody)).Decode(&list)
-	return list, errors.Wrap(err, "instance list")
+	return list, errors.Wrap(json.Unmarshal(data, &list), "instance list")
 }
--- a/io/object/client.go
+++ b/io/object/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -78,7 +77,7 @@
 		return nil, errors.Wrap(err, "call object store")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxObject))
+	data, err := target.ReadBody(resp.Body, maxObject)
 	switch {
 	case err != nil:
 		return nil, errors.Wrap(err, "read object")
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -47,13 +46,10 @@
 		return c.failedResult(ctx, address, &attempt, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	body, err := target.ReadBody(resp.Body, maxAnswer)
 	if err != nil {
 		return core.ServiceResult{Outcome: core.OutcomeUnknown, Err: errors.Wrap(err, "read answer")}
 	}
-	if len(body) > maxAnswer {
-		return core.ServiceResult{Outcome: core.OutcomeUnknown, Err: errors.New("answer exceeds 8 MB")}
-	}
 	return core.ServiceResult{Outcome: core.OutcomeDone, Answer: core.ServiceAnswer{
 		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body,
 	}}
--- a/io/table/client.go
+++ b/io/table/client.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -115,7 +114,7 @@
 		return !connected.Load(), errors.Wrap(err, "table: call")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes))
+	data, err := target.ReadBody(resp.Body, MaxBodyBytes)
 	if err != nil {
 		return false, errors.Wrap(err, "table: read answer")
 	}
