Peer: the head of a reply is bounded

A client of a peer kept up to 10 MB of the head of a reply, the default of net/http. The bound is 64 KiB now, as for targets. What is an answer is checked by HTTP/2 here (names, one framing), and a reply needs the status 200.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -30,6 +30,9 @@
 // has about 2 MB.
 const maxMessageSize = 16 << 20
 
+// maxHeaderSize is the largest header of a reply in bytes, uncompressed. Replies have a few short fields.
+const maxHeaderSize = 64 << 10
+
 // Transport makes calls to other instances. A call returns by the deadline of its context.
 // An error means that there is no reply.
 type Transport interface {
@@ -99,7 +102,8 @@
 	protocols.SetUnencryptedHTTP2(c.options.TLS == nil)
 	protocols.SetHTTP2(c.options.TLS != nil)
 	return &http.Transport{
-		Protocols: &protocols, TLSClientConfig: c.options.TLS, DialContext: c.options.Dial, IdleConnTimeout: c.options.IdleTimeout, DisableCompression: true,
+		Protocols: &protocols, TLSClientConfig: c.options.TLS, DialContext: c.options.Dial, IdleConnTimeout: c.options.IdleTimeout,
+		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderSize,
 	}
 }
 
