--- a/io/digest/snapshot.go
+++ b/io/digest/snapshot.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/gzip"
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -139,9 +138,9 @@
 }()
 
 // snapshotClient fetches snapshots from peers.
-var snapshotClient = &http.Client{Transport: &http.Transport{
-	DialContext: target.NewDialer().DialContext, DisableKeepAlives: true, DisableCompression: true,
-}}
+var snapshotClient = &http.Client{Transport: target.NewTransport(target.TransportOptions{
+	Dial: target.NewDialer().DialContext, DialTimeout: -1, SingleUse: true, BufferSize: target.LargeBuffer,
+})}
 
 func fetchSnapshot[T any](ctx context.Context, peer, path string) (value T, err error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
@@ -162,7 +161,7 @@
 	if err != nil {
 		return value, errors.Wrap(err, "read snapshot")
 	}
-	data, err := io.ReadAll(io.LimitReader(compressed, maxSnapshotSize))
+	data, err := target.ReadBody(compressed, maxSnapshotSize)
 	if err != nil {
 		return value, errors.Wrap(err, "read snapshot")
 	}
