Forward: a continuation must name its request on a connection that had others

Callers could get an event of another request in their stream, which then ended as complete. Cause: an answer without an ID on a reused connection was taken for a continuation. It may be the late one to an earlier request, which the engine writes where the next one is expected. Change: such an answer is no continuation; its connection is closed. Engines state the ID, so that nothing else changes. Result: TestLeftoverIsNoContinuation/unnamed failed before (events 0 and 1 of r1, then 7 of r0, ended as whole) and passes now; the late answer that names its request was skipped before too. Open: the first answer to a request is still taken without an ID on a reused connection if it isn't a refusal.

--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -43,7 +43,8 @@
 	if result != sendAnswered {
 		return
 	}
-	if !isEventStream(answer) {
+	// An answer that names no request may be the late one to an earlier request on the connection.
+	if !answer.IsProven || !isEventStream(answer) {
 		_ = answer.Close() // not a continuation of the stream
 		return
 	}
--- a/standin/platform/streamfault.go
+++ b/standin/platform/streamfault.go
@@ -114,3 +114,20 @@
 	}
 	return false
 }
+
+// SetLeftover sets bytes that the target sends before its answer to the next request on a connection that
+// had others, like a late answer to one of those.
+func (t *Target) SetLeftover(answer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leftover = answer
+}
+
+// takeLeftover returns the bytes and removes them.
+func (t *Target) takeLeftover() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answer := t.leftover
+	t.leftover = ""
+	return answer
+}
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -152,6 +152,7 @@
 	// streamStatus and streamType are those of SetStreamHead.
 	streamStatus    int
 	streamType      string
+	leftover        string
 	conns           map[net.Conn]bool
 	connectionCount int
 	// cacheList is the body of the answer to a request for the cached parts.
@@ -435,11 +436,14 @@
 	}()
 	reader := bufio.NewReader(conn)
 	repeated := ""
-	for {
+	for served := 0; ; served++ {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		if served > 0 {
+			_, _ = io.WriteString(conn, t.takeLeftover()) // as below
+		}
 		if repeated != "" {
 			// The write fails if the connection ends, which the next one finds too.
 			_, _ = io.WriteString(conn, repeated)
