--- a/standin/platform/endofanswer_test.go
+++ b/standin/platform/endofanswer_test.go
@@ -1,10 +1,14 @@
 package platform_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -155,23 +159,65 @@
 			f, generator, _ := newEndFixture(t, false)
 			generator.InjectFaults(platform.UnframedHold)
 			conn := f.dialRaw("/single/x", "HTTP/1.1")
-			var got []byte
-			for !strings.Contains(string(got), "piece 1") {
-				part := make([]byte, 1<<10)
-				n, err := conn.Read(part)
-				if err != nil {
-					t.Fatal(err)
-				}
-				got = append(got, part[:n]...)
-			}
+			readEvents(t, conn, "piece 1")
 			end(f)
 			if rest := readRaw(conn); !errors.Is(rest.err, syscall.ECONNRESET) {
-				t.Errorf("got %q, then %+v", got, rest)
+				t.Errorf("%+v", rest)
 			}
 		})
 	}
 }
 
+// readEvents reads from a connection until an event has arrived.
+func readEvents(t *testing.T, conn net.Conn, event string) {
+	t.Helper()
+	var got []byte
+	for part := make([]byte, 1<<10); !strings.Contains(string(got), event); {
+		n, err := conn.Read(part)
+		if err != nil {
+			t.Fatalf("%v after %q", err, got)
+		}
+		got = append(got, part[:n]...)
+	}
+}
+
+// killedInstance names the variable with which a test starts its own binary as an instance that it kills.
+const killedInstance = "GORSELINE_KILLED_INSTANCE"
+
+// Guards against a stream that ends like a whole one because the process of the instance is killed.
+func TestStreamOfKilledInstanceIsReset(t *testing.T) {
+	if os.Getenv(killedInstance) != "" {
+		f, generator, _ := newEndFixture(t, false)
+		generator.InjectFaults(platform.UnframedHold)
+		fmt.Println(f.server.URL)
+		time.Sleep(time.Minute) // the process is killed before
+		return
+	}
+	command := exec.CommandContext(t.Context(), os.Args[0], "-test.run", "^"+t.Name()+"$")
+	command.Env = append(os.Environ(), killedInstance+"=1")
+	output, err := command.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	url, err := bufio.NewReader(output).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{t: t, server: &httptest.Server{URL: strings.TrimSpace(url)}}
+	conn := f.dialRaw("/single/x", "HTTP/1.1")
+	readEvents(t, conn, "piece 1")
+	if err := command.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if rest := readRaw(conn); !errors.Is(rest.err, syscall.ECONNRESET) {
+		t.Errorf("%+v", rest)
+	}
+	_ = command.Wait() // it was killed
+}
+
 // Guards against a stream whose engine was killed between two events and that isn't continued, or that
 // ends as complete.
 func TestStreamOfKilledEngineIsContinued(t *testing.T) {
