--- a/io/forward/stream.go
+++ b/io/forward/stream.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"gorseline/core"
@@ -26,12 +28,16 @@
 // nothing was relayed and the request may run again.
 func (r *activeRequest) relayStream(e *roster.Entry, answer *target.Answer) (done bool) {
 	s := &streamRelay{activeRequest: r}
+	if r.isContinuation() {
+		s.orderID = r.req.ResumeAfter
+	}
 	for {
 		s.watchSilence(e, answer)
 		s.answerEvents = 0
 		err := s.relayEvents(answer)
 		if err == nil {
 			s.markHeard(r.Clock.Now())
+			r.completeAnswer()
 			r.recordComplete(e, answer)
 			answer.Finish()
 			r.recordEnd(core.OutcomeDone, ReasonAnswered, answer.Status)
@@ -42,7 +48,7 @@
 			r.Quarantine.RecordStopped(r.runAt(e))
 			s.endAsk()
 			r.recordEnd(core.OutcomeUnknown, ReasonCallerLeft, 0)
-			panic(http.ErrAbortHandler)
+			r.cutAnswer()
 		}
 		if r.isOutOfTime() {
 			// The deadline of the request has passed, so the failed read isn't recorded as a
@@ -69,7 +75,7 @@
 		next, ok := s.continueElsewhere()
 		if !ok && r.in.Context().Err() != nil {
 			r.recordEnd(core.OutcomeUnknown, ReasonCallerLeft, 0)
-			panic(http.ErrAbortHandler)
+			r.cutAnswer()
 		}
 		if !ok {
 			if !s.started && r.mayRunAgain() {
@@ -90,6 +96,8 @@
 	callerDisconnected bool
 	// lastID is the ID of the last relayed event that had one.
 	lastID string
+	// orderID is the ID that the next event must follow: lastID, or that of the caller's last event.
+	orderID string
 	// answerEvents counts the events of the present engine.
 	answerEvents int
 	// buffer holds the event that is being read or written.
@@ -111,10 +119,13 @@
 			switch {
 			case !errors.Is(err, io.EOF):
 				return err
-			case len(s.buffer) > 0, answer.Framing == target.FramingConnection && s.answerEvents == 0:
+			case len(s.buffer) > 0, isUnstated(answer) && s.answerEvents == 0:
 				return io.ErrUnexpectedEOF
 			}
-			return s.flush(answer)
+			return s.endStream(answer)
+		}
+		if !follows(s.orderID, id) {
+			return s.breakOrder(answer, id)
 		}
 		now := s.Clock.Now()
 		s.markHeard(now)
@@ -127,7 +138,7 @@
 			return err
 		}
 		if id != "" {
-			s.lastID = id
+			s.lastID, s.orderID = id, id
 		}
 		s.events, s.lastEventTime = s.events+1, now.Sub(s.arrived)
 		s.answerEvents++
@@ -140,6 +151,38 @@
 	}
 }
 
+// endStream ends a stream that has ended between two events. An engine that is asked to go on after the
+// last event of a whole stream states the end of an empty one.
+func (s *streamRelay) endStream(answer *target.Answer) error {
+	if err := s.confirmEnd(s.silence.engine, answer); err != nil {
+		return err
+	}
+	if s.events > 0 && s.answerEvents == 0 {
+		s.Log.WithFields(log.Fields{
+			"Request": s.req.ID, "Target": s.silence.engine.ID, "Service": s.service, "After": s.lastID,
+		}).Warn("ContinuationEmpty")
+	}
+	return s.flush(answer)
+}
+
+// breakOrder returns the error of an event that doesn't follow the last one. Those before it are sent.
+func (s *streamRelay) breakOrder(answer *target.Answer, id string) error {
+	if s.answerEvents > 0 {
+		if err := s.flush(answer); err != nil {
+			return err
+		}
+	}
+	return errors.Errorf("event %.20q doesn't follow %.20q", id, s.orderID)
+}
+
+// follows reports whether an event may come after another one: the IDs of a stream's events rise. Those
+// that are no decimal numbers aren't compared.
+func follows(last, id string) bool {
+	before, errBefore := strconv.ParseUint(last, 10, 64)
+	number, err := strconv.ParseUint(id, 10, 64)
+	return errBefore != nil || err != nil || number > before
+}
+
 // hasEvent reports whether a complete event is buffered, which can be read without waiting. Its end
 // is an empty line.
 func hasEvent(reader *bufio.Reader) bool {
@@ -219,13 +262,12 @@
 	return e, req.Chain, found
 }
 
-// abort ends a stream that can't be completed. If its header has been sent it aborts the
-// connection, so that the caller doesn't mistake the stream for a complete one.
+// abort ends a stream that can't be completed. If its header has been sent it cuts the answer.
 func (s *streamRelay) abort(status int, reason core.Reason) {
 	if !s.started {
 		s.fail(reason)
 		return
 	}
 	s.recordEnd(core.OutcomeCut, reason, status)
-	panic(http.ErrAbortHandler)
+	s.cutAnswer()
 }
--- a/io/instancelist/client.go
+++ b/io/instancelist/client.go
@@ -4,12 +4,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/io/target"
 )
 
 // Path is the path of the list. GET returns a JSON array of core.ListedInstance.
@@ -22,7 +22,7 @@
 type ClientOptions struct {
 	// URL is the base URL of the platform's service.
 	URL string
-	// HTTP replaces http.DefaultClient.
+	// HTTP is the HTTP client; the default uses target.Default.
 	HTTP *http.Client
 }
 
@@ -34,7 +34,7 @@
 // NewClient returns a client.
 func NewClient(o ClientOptions) *Client {
 	if o.HTTP == nil {
-		o.HTTP = http.DefaultClient
+		o.HTTP = &http.Client{Transport: target.Default}
 	}
 	return &Client{o}
 }
@@ -55,7 +55,10 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(core.ErrUnavailable, "instance list: status %d", response.StatusCode)
 	}
+	data, err := target.ReadBody(response.Body, maxBody)
+	if err != nil {
+		return nil, errors.Wrap(err, "instance list")
+	}
 	var list []core.ListedInstance
-	err = json.NewDecoder(io.LimitReader(response.Body, maxBody)).Decode(&list)
-	return list, errors.Wrap(err, "instance list")
+	return list, errors.Wrap(json.Unmarshal(data, &list), "instance list")
 }
--- a/io/object/client.go
+++ b/io/object/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/io/target"
 )
 
 // DefaultTimeout bounds one call. Event chunks and recorded answers are below 1 MB.
@@ -31,8 +31,12 @@
 
 var _ core.ObjectStore = (*Client)(nil)
 
-// NewClient returns a client of the store at base, such as "http://10.0.0.9:9000".
+// NewClient returns a client of the store at base, such as "http://10.0.0.9:9000". The transport
+// is target.Default if it is nil.
 func NewClient(base string, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = target.Default
+	}
 	return &Client{strings.TrimSuffix(base, "/"), &http.Client{Transport: transport, Timeout: DefaultTimeout}}
 }
 
@@ -73,7 +77,7 @@
 		return nil, errors.Wrap(err, "call object store")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxObject))
+	data, err := target.ReadBody(resp.Body, maxObject)
 	switch {
 	case err != nil:
 		return nil, errors.Wrap(err, "read object")
--- a/io/table/client.go
+++ b/io/table/client.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -18,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"gorseline/core"
+	"gorseline/io/target"
 )
 
 // ClientOptions configure a Client.
@@ -45,9 +45,9 @@
 		opts.Timeout = DefaultTimeout
 	}
 	if opts.HTTP == nil {
-		opts.HTTP = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second,
-		}}
+		opts.HTTP = &http.Client{Transport: target.NewTransport(target.TransportOptions{
+			DialTimeout: -1, MaxIdlePerTarget: 8, IdleTimeout: 30 * time.Second, BufferSize: target.LargeBuffer,
+		})}
 	}
 	opts.URL = strings.TrimSuffix(opts.URL, "/")
 	return &Client{opts: opts}
@@ -114,7 +114,7 @@
 		return !connected.Load(), errors.Wrap(err, "table: call")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes))
+	data, err := target.ReadBody(resp.Body, MaxBodyBytes)
 	if err != nil {
 		return false, errors.Wrap(err, "table: read answer")
 	}
--- a/io/target/transport.go
+++ b/io/target/transport.go
@@ -21,12 +21,19 @@
 type TransportOptions struct {
 	// Dial opens connections; nil uses TCP.
 	Dial DialFunc
-	// DialTimeout bounds one dial; the default is 2 s.
+	// DialTimeout bounds one dial; the default is 2 s. A negative one leaves the bound to the context.
 	DialTimeout time.Duration
+	// IdleTimeout bounds the time that an idle connection is kept; the default is 30 s.
+	IdleTimeout time.Duration
+	// BufferSize is the size of a connection's read buffer in bytes; the default is small, for many open
+	// streams. The write buffer has half of it.
+	BufferSize int
 	// MaxIdlePerTarget bounds the idle connections per target; the default is 16.
 	MaxIdlePerTarget int
 	// SingleUse opens a new connection for each request.
 	SingleUse bool
+	// UsesProxy sends requests through the proxy that the environment names, if it does.
+	UsesProxy bool
 }
 
 // bufferSize is the size of a connection's read buffer, in bytes; the write buffer has
@@ -34,8 +41,8 @@
 // of memory that a stream may use.
 const bufferSize = 2 << 10
 
-// Transport is an HTTP transport to targets that tracks its connections. It is safe for
-// concurrent use.
+// Transport is an HTTP transport to targets that tracks its connections and takes only well-formed
+// answers. It is safe for concurrent use.
 type Transport struct {
 	http *http.Transport
 	dial DialFunc
@@ -44,6 +51,22 @@
 	conns map[string]map[*conn]struct{} // by address
 }
 
+// Default is the transport of clients that state none. Its settings are those of http.DefaultTransport,
+// without compression.
+var Default = NewTransport(TransportOptions{
+	Dial:             (&net.Dialer{Timeout: 30 * time.Second, KeepAlive: 30 * time.Second}).DialContext,
+	DialTimeout:      -1,
+	MaxIdlePerTarget: http.DefaultMaxIdleConnsPerHost,
+	IdleTimeout:      90 * time.Second,
+	BufferSize:       LargeBuffer,
+	UsesProxy:        true,
+})
+
+// LargeBuffer is a BufferSize in bytes for clients with few connections.
+const LargeBuffer = 8 << 10
+
+var _ http.RoundTripper = (*Transport)(nil)
+
 // NewTransport returns a transport without connections.
 func NewTransport(o TransportOptions) *Transport {
 	t := &Transport{dial: o.Dial, conns: map[string]map[*conn]struct{}{}}
@@ -56,18 +79,31 @@
 	if o.MaxIdlePerTarget == 0 {
 		o.MaxIdlePerTarget = 16
 	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = 30 * time.Second
+	}
+	if o.BufferSize == 0 {
+		o.BufferSize = bufferSize
+	}
 	t.http = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
-			defer cancel()
+			if o.DialTimeout > 0 {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, o.DialTimeout)
+				defer cancel()
+			}
 			return t.open(ctx, network, address)
 		},
-		MaxIdleConnsPerHost: o.MaxIdlePerTarget,
-		IdleConnTimeout:     30 * time.Second,
-		ReadBufferSize:      bufferSize,
-		WriteBufferSize:     bufferSize / 2,
-		DisableCompression:  true,
-		DisableKeepAlives:   o.SingleUse,
+		MaxIdleConnsPerHost:    o.MaxIdlePerTarget,
+		IdleConnTimeout:        o.IdleTimeout,
+		MaxResponseHeaderBytes: maxHeader,
+		ReadBufferSize:         o.BufferSize,
+		WriteBufferSize:        o.BufferSize / 2,
+		DisableCompression:     true,
+		DisableKeepAlives:      o.SingleUse,
+	}
+	if o.UsesProxy {
+		t.http.Proxy = http.ProxyFromEnvironment
 	}
 	return t
 }
@@ -77,7 +113,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, transport: t, address: address}
+	// What is read before the first request isn't the header of an answer, such as a TLS handshake.
+	c := &conn{Conn: raw, transport: t, address: address, header: headScanner{isDone: true}}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conns[address] == nil {
@@ -113,7 +150,7 @@
 }
 
 // Close closes the idle connections.
-func (t *Transport) Close() { t.http.CloseIdleConnections() }
+func (t *Transport) Close() { t.CloseIdleConnections() }
 
 // Connections returns the number of open connections to an address.
 func (t *Transport) Connections(address string) int {
@@ -127,8 +164,11 @@
 	writeDeadline time.Time
 	writeGuard    func() bool
 	allowRetry    bool
-	mu            sync.Mutex
-	conns         []*conn
+
+	mu    sync.Mutex
+	conns []*conn
+	// sent is the write of the request on the latest connection.
+	sent *upload
 }
 
 // AllowRetry allows the transport to send the request again on a new connection after a
@@ -155,8 +195,41 @@
 
 // Do sends req once, or possibly more often after connection errors if a allows retries.
 func (t *Transport) Do(a *Attempt, req *http.Request) (*http.Response, error) {
-	var current *conn
-	trace := &httptrace.ClientTrace{
+	if !a.allowRetry {
+		preventRetry(req)
+	}
+	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), a.trace())))
+	if err != nil {
+		return nil, err
+	}
+	c, sent := a.latest()
+	if c == nil {
+		return resp, nil
+	}
+	if err := c.answerFailure(); err != nil {
+		_ = resp.Body.Close() // it isn't the body of the answer
+		return nil, err
+	}
+	if framingOf(resp) == FramingConnection {
+		resp.Body = &closableBody{connectionBody: connectionBody{Reader: resp.Body, upload: sent}, Closer: resp.Body}
+	}
+	return resp, nil
+}
+
+// preventRetry keeps net/http from sending a request again. After a connection error it retries a
+// request that has no body or one that it can rewind if the method is idempotent, such as GET, or the
+// request has an Idempotency-Key, even if the target may have run it. A body that can't be rewound
+// prevents this.
+func preventRetry(req *http.Request) {
+	req.GetBody = nil
+	if req.Body == nil || req.Body == http.NoBody {
+		req.Body = io.NopCloser(strings.NewReader(""))
+	}
+}
+
+// trace returns the hooks that tell the attempt its connections and what becomes of the request on them.
+func (a *Attempt) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			c, ok := info.Conn.(*conn)
 			if !ok {
@@ -166,29 +239,51 @@
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			a.conns = append(a.conns, c)
-			current = c
+			a.sent = newUpload()
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if _, sent := a.latest(); sent != nil {
+				sent.finish(info.Err)
+			}
+		},
+		GotFirstResponseByte: func() {
+			if c, _ := a.latest(); c != nil {
+				c.beginAnswer()
+			}
 		},
 		PutIdleConn: func(err error) {
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			if err == nil && current != nil {
-				current.setIdle()
+			if c, _ := a.latest(); c != nil && err == nil {
+				c.setIdle()
 			}
 		},
 	}
-	if !a.allowRetry {
-		// After a connection error, net/http retries a request that has no body or one
-		// that it can rewind if the method is idempotent, such as GET, or the request
-		// has an Idempotency-Key, even if the target may have run it. A body that can't
-		// be rewound prevents this.
-		req.GetBody = nil
-		if req.Body == nil || req.Body == http.NoBody {
-			req.Body = io.NopCloser(strings.NewReader(""))
-		}
+}
+
+// latest returns the latest connection and the write of the request on it, or nil.
+func (a *Attempt) latest() (*conn, *upload) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.conns) == 0 {
+		return nil, nil
 	}
-	return t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	return a.conns[len(a.conns)-1], a.sent
 }
 
+// closableBody is a connectionBody of a client of net/http.
+type closableBody struct {
+	connectionBody
+	io.Closer
+}
+
+// RoundTrip sends req like a transport of net/http, which may send an idempotent request again after a
+// connection error.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	return t.Do(new(Attempt).AllowRetry(), req)
+}
+
+// CloseIdleConnections closes the idle connections. An http.Client calls it by this name.
+func (t *Transport) CloseIdleConnections() { t.http.CloseIdleConnections() }
+
 // AbortUnsent reports whether it is certain that no byte of the request was or will be
 // sent. To make sure, it closes the connections of the attempt that have written nothing.
 func (a *Attempt) AbortUnsent() bool {
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -65,6 +65,16 @@
 	EndlessRefusal  RequestFault = "EndlessRefusal"
 	DrippingBody    RequestFault = "DrippingBody"
 	DrippingRefusal RequestFault = "DrippingRefusal"
+	// BadStatus, BadInterim, BadName, BadLength, BadChunks and FoldedLine run the request and send bytes that
+	// look like an answer and are none: a status below 100, a final status below 200, a name with a blank,
+	// a blank before the colon of the length or of the transfer encoding, and a line that continues the one
+	// before.
+	BadStatus  RequestFault = "BadStatus"
+	BadInterim RequestFault = "BadInterim"
+	BadName    RequestFault = "BadName"
+	BadLength  RequestFault = "BadLength"
+	BadChunks  RequestFault = "BadChunks"
+	FoldedLine RequestFault = "FoldedLine"
 	// CrashedUnder marks the runs that a crash of the target has ended; it can't be injected.
 	CrashedUnder RequestFault = "CrashedUnder"
 	// Repeat refuses the request like Shed, and writes the refusal once more before the answer to the next
@@ -148,10 +158,14 @@
 	orderCount     uint64
 	processingTime time.Duration
 	// slowTime replaces processingTime for paths that end with slowPath; empty is none.
-	slowPath        string
-	slowTime        time.Duration
-	eventCount      int
-	eventInterval   time.Duration
+	slowPath      string
+	slowTime      time.Duration
+	eventCount    int
+	eventInterval time.Duration
+	// streamStatus and streamType are those of SetStreamHead.
+	streamStatus    int
+	streamType      string
+	leftover        string
 	conns           map[net.Conn]bool
 	connectionCount int
 	// cacheList is the body of the answer to a request for the cached parts.
@@ -442,11 +456,14 @@
 	}()
 	reader := bufio.NewReader(conn)
 	repeated := ""
-	for {
+	for served := 0; ; served++ {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		if served > 0 {
+			_, _ = io.WriteString(conn, t.takeLeftover()) // as below
+		}
 		if repeated != "" {
 			// The write fails if the connection ends, which the next one finds too.
 			_, _ = io.WriteString(conn, repeated)
@@ -542,7 +559,7 @@
 	}
 	if r.Header.Get("X-Phase") == "prefill" {
 		time.Sleep(t.processingTimeOf(r))
-		return t.respondPrefill(conn, fault)
+		return t.respondPrefill(conn, r, fault)
 	}
 	if importFails {
 		return writeResponse(conn, 503, echo+"X-Not-Executed: 1\r\n", "")
