Forward: an answer must name its request on a connection that had others

Callers could get the late answer to an earlier request, also of another caller, as theirs. Cause: targets name the request in their answers, and an answer that named another one was skipped; but one without an ID was taken on a used connection unless it was a refusal or a continuation. Change: send takes an unnamed answer only on a new connection; the attempt fails otherwise, and may have run. Pool keeps no connection whose answer was unnamed, so that targets that name no request are served on new connections. The stand-in names the request of a prompt, too. Result: TestUnnamedAnswerOnUsedConnectionIsNotTaken got the late body with 200 before, on a route that runs once and on a repeatable one; the former is answered 502 now, the latter by another target. TestConnectionOfUnnamedAnswerIsNotUsedAgain guards targets that name none.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -61,9 +61,9 @@
 	if answer.IsNewConnection {
 		r.recordConnection(e, nil)
 	}
-	if !answer.IsProven && r.Dialect.ClassifyAnswer(answer.Status, answer.Header) != gio.AnswerRan {
+	if !answer.IsProven {
 		_ = answer.Close() // what else comes on it belongs to no known request
-		return nil, r.sendFailed(e, &a, began, errUnprovenRefusal)
+		return nil, r.sendFailed(e, &a, began, errUnnamedAnswer)
 	}
 	r.observeLimit(e, began, answer.Header)
 	r.observeLeaving(e, answer.Header)
@@ -75,9 +75,9 @@
 	return r.classify(e, &a, answer)
 }
 
-// errUnprovenRefusal reports a refusal without an ID on a connection that had other requests. It may be
-// the repetition of an earlier one, so that the request may run.
-var errUnprovenRefusal = errors.New("refusal may belong to another request")
+// errUnnamedAnswer reports an answer without an ID on a connection that had other requests. It may be that to an
+// earlier one, or its repetition, so that the request may run.
+var errUnnamedAnswer = errors.New("answer may belong to another request")
 
 // extendWait returns the function that decides how much longer than limit to wait for a target. A
 // target is waited for if it is an engine that completes prompts, or if the request can't be sent
--- a/io/forward/continuation.go
+++ b/io/forward/continuation.go
@@ -43,8 +43,7 @@
 	if result != sendAnswered {
 		return
 	}
-	// An answer that names no request may be the late one to an earlier request on the connection.
-	if !answer.IsProven || !isEventStream(answer) {
+	if !isEventStream(answer) {
 		_ = answer.Close() // not a continuation of the stream
 		return
 	}
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -210,6 +210,8 @@
 		if name == "" || name == r.Name {
 			a.IsProven = a.IsNewConnection || name != ""
 			a.accept(response)
+			// On a connection of unnamed answers the next one couldn't be told from a late one.
+			a.keepAlive = a.keepAlive && (r.NameIn == nil || name != "")
 			return nil
 		}
 		if skipped++; skipped > maxSkippedAnswers || !canSkip(response) {
--- a/standin/platform/responses.go
+++ b/standin/platform/responses.go
@@ -17,7 +17,7 @@
 // open, as do the other methods and functions that answer a request.
 func (t *Target) respondPlain(conn net.Conn, r *http.Request, fault RequestFault) bool {
 	id := r.Header.Get("X-Request-Id")
-	header := "X-Request-Id: " + id + "\r\nX-Upstream-Stamp: " + t.id + "." + id + "\r\nX-Server-Load: 1,0,8\r\nKeep-Alive: timeout=5\r\n" + t.stateHeader()
+	header := t.nameHeader(r) + "X-Upstream-Stamp: " + t.id + "." + id + "\r\nX-Server-Load: 1,0,8\r\nKeep-Alive: timeout=5\r\n" + t.stateHeader()
 	body := "answer to " + id
 	switch fault {
 	case Fail:
@@ -90,7 +90,7 @@
 	case Reset:
 		return resetOnClose(conn)
 	case Fail:
-		return writeResponse(conn, 500, "", "failed")
+		return writeResponse(conn, 500, t.nameHeader(r), "failed")
 	}
 	t.mu.Lock()
 	t.lastHandle++
@@ -99,7 +99,24 @@
 	t.handles[handle] = true
 	t.mu.Unlock()
 	body := fmt.Sprintf(`{"handle":%q,"tokens":100,"version":1}`, handle)
-	return writeResponse(conn, 200, t.stateHeader()+"Content-Type: application/json\r\n", body)
+	return writeResponse(conn, 200, t.nameHeader(r)+t.stateHeader()+"Content-Type: application/json\r\n", body)
+}
+
+// SetUnnamed sets whether answers leave out the ID of their request.
+func (t *Target) SetUnnamed(isUnnamed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isUnnamed = isUnnamed
+}
+
+// nameHeader returns the line of the header that names the request of an answer, or "".
+func (t *Target) nameHeader(r *http.Request) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isUnnamed {
+		return ""
+	}
+	return "X-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n"
 }
 
 // events returns the number of events of a stream and the time between two of them. The request
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -160,9 +160,11 @@
 	eventCount     int
 	eventInterval  time.Duration
 	// streamStatus and streamType are those of SetStreamHead.
-	streamStatus    int
-	streamType      string
-	leftover        string
+	streamStatus int
+	streamType   string
+	leftover     string
+	// isUnnamed is set if answers leave out the ID of their request.
+	isUnnamed       bool
 	conns           map[net.Conn]bool
 	connectionCount int
 	// cacheList is the body of the answer to a request for the cached parts.
