--- a/standin/platform/soak/faults.go
+++ b/standin/platform/soak/faults.go
@@ -93,6 +93,7 @@
 		kinds := []platform.RequestFault{
 			platform.Shed, platform.Fail, platform.Reset, platform.Torn, platform.Extra, platform.Unframed, platform.Early,
 			platform.Noise, platform.CutStream, platform.Stall, platform.Hang,
+			platform.BadStatus, platform.BadInterim, platform.BadName, platform.BadLength, platform.BadChunks, platform.FoldedLine,
 		}
 		t := s.testbed.targets[rng.IntN(len(s.testbed.targets))]
 		for range 1 + rng.IntN(8) {
