--- a/io/digest/fetch_test.go
+++ b/io/digest/fetch_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -79,7 +80,7 @@
 	if _, err := fetchSnapshot[TargetList](t.Context(), servePeer(t, "", whole), pathTargets); err != nil {
 		t.Errorf("a snapshot within the bound gives %v", err)
 	}
-	longer := append(whole, make([]byte, 16<<20)...)
+	longer := slices.Concat(whole, make([]byte, 16<<20))
 	if _, err := fetchSnapshot[TargetList](t.Context(), servePeer(t, "", longer), pathTargets); !errors.Is(err, target.ErrBodyTooLong) {
 		t.Errorf("a snapshot beyond the bound gives %v", err)
 	}
