--- a/io/target/parsed_test.go
+++ b/io/target/parsed_test.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		reader := bufio.NewReader(bytes.NewReader(head))
-		response, err := parseHeader(reader, http.MethodGet)
+		response, err := parseHeader(reader, http.MethodGet) //nolint:bodyclose // the body is not used
 		if err != nil {
 			continue // the parser may be stricter
 		}
