Target: bytes that are no answer don't count as a target that was lost

A target that wrote bytes other than an answer, without the end of a line, and closed the connection counted as one that was lost under its request, which is evidence that the request crashes targets; of such bytes without end 64 KiB were read.

Cause: a line was only checked once its end had come, so that the end of the connection was the error.

Change: the beginning of a status line is checked as it arrives. A part of an answer, such as "HTTP/1.1 20", is a loss as before.

Measured: the three cases of other bytes in TestEndAfterOtherBytesIsNoLossOfAnAnswer gave unexpected EOF before.

--- a/io/target/head.go
+++ b/io/target/head.go
@@ -55,7 +55,7 @@
 			part = s.line
 		}
 		if end == 0 {
-			return n, nil
+			return n, s.scanPart(part)
 		}
 		part = bytes.TrimSuffix(part[:len(part)-1], []byte("\r"))
 		if err := s.scanLine(part); err != nil {
@@ -79,10 +79,21 @@
 	}
 }
 
+// protocol is the beginning of each status line.
+const protocol = "HTTP/1."
+
+// scanPart checks the beginning of a line whose end may never arrive.
+func (s *headScanner) scanPart(line []byte) error {
+	if !s.isStarted && string(line[:min(len(line), len(protocol))]) != protocol[:min(len(line), len(protocol))] {
+		return malformed("status line", line)
+	}
+	return nil
+}
+
 // scanStatus checks a status line. HTTP/1.0 and the minor versions from 1.1 on have the same syntax.
 func (s *headScanner) scanStatus(line []byte) error {
 	const version, code = len("HTTP/1.1"), len("HTTP/1.1 200")
-	isStatusLine := len(line) >= code && bytes.HasPrefix(line, []byte("HTTP/1.")) && isDigit(line[version-1]) && line[version] == ' ' &&
+	isStatusLine := len(line) >= code && bytes.HasPrefix(line, []byte(protocol)) && isDigit(line[version-1]) && line[version] == ' ' &&
 		isDigit(line[version+1]) && isDigit(line[version+2]) && isDigit(line[version+3]) &&
 		(len(line) == code || line[code] == ' ') && isText(line[code:])
 	if !isStatusLine {
--- a/io/target/head_test.go
+++ b/io/target/head_test.go
@@ -225,3 +225,14 @@
 		t.Errorf("got %v, want an unknown authority", err)
 	}
 }
+
+// Guards against bytes that are no answer and whose end is taken for a target that was lost while it
+// answered.
+func TestEndAfterOtherBytesIsNoLossOfAnAnswer(t *testing.T) {
+	for raw, isCut := range map[string]bool{"HTTP": true, "HTTP/1.1 20": true, final[:20]: true, "HTML": false, "\x00": false, "no answer": false} {
+		_, err := readWithPool(t, serveRaw(t, raw), nil)
+		if err == nil || errors.Is(err, io.ErrUnexpectedEOF) != isCut {
+			t.Errorf("%q gives %v", raw, err)
+		}
+	}
+}
