Drain: durations of other streams bound no stream that may run once

A limit of tokens bounds the length of an answer, not the time to its first event. Change: nothing that may run once at most is bounded by the durations of others, only by its deadline. The bound without outliers that such streams had is gone with it. Result: TestStreamWithSlowPromptThatRunsOnceIsNotCut got 502 after one run before; it is refused now, not run. Tests of the learned bound that used such streams use resumable ones; TestLeavingInstanceRefusesLongStream still demands that a short stream that runs once is served, with a deadline within the time that is left, and TestLeavingInstanceRefusesStreamThatRunsOnce that one without is refused.

--- a/core/drain/durations.go
+++ b/core/drain/durations.go
@@ -13,8 +13,8 @@
 	windowSize = 64
 	// minSamples is the number of samples below which a duration counts as unknown.
 	minSamples = 8
-	// outlierDivisor determines how many of the largest samples are left out for work that may be
-	// repeated: one in outlierDivisor, so that a single stalled answer doesn't set the bound for long.
+	// outlierDivisor determines how many of the largest samples are left out: one in
+	// outlierDivisor, so that a single stalled answer doesn't set the bound for long.
 	outlierDivisor = 32
 	// minPauses is the number of pauses between events that one sample of the time per event
 	// covers. Shorter streams are taken together, since a single long pause says little about
@@ -36,19 +36,15 @@
 	w.count++
 }
 
-// slow returns the largest recent sample, without outliers if isTolerant is true. It returns false if
-// there are too few.
-func (w *window) slow(isTolerant bool) (time.Duration, bool) {
+// slow returns the largest recent sample without outliers, or false if there are too few.
+func (w *window) slow() (time.Duration, bool) {
 	n := min(w.count, windowSize)
 	if n < minSamples {
 		return 0, false
 	}
 	sorted := w.samples
 	slices.Sort(sorted[:n])
-	if isTolerant {
-		return sorted[n-1-n/outlierDivisor], true
-	}
-	return sorted[n-1], true
+	return sorted[n-1-n/outlierDivisor], true
 }
 
 // streamDurations are the samples of the streams of one service.
@@ -125,18 +121,21 @@
 // bound returns an upper bound of the duration of a request, or false if it isn't known. Streams
 // of a route say nothing about the length of another one without a limit. The durations of other
 // requests are no bound for one that may run once at most: it may take far longer, and its outcome is lost
-// if it is cut. The stated length of a generated answer is one.
+// if it is cut.
 func (d *Durations) bound(w *Work) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !w.IsRepeatable {
+		return 0, false
+	}
 	if w.MaxTokens > 0 {
 		return d.streamBound(w)
 	}
 	samples, ok := d.routes[w.Route]
-	if !ok || w.Kind == core.RouteStream || !w.IsRepeatable {
+	if !ok || w.Kind == core.RouteStream {
 		return 0, false
 	}
-	return samples.slow(true)
+	return samples.slow()
 }
 
 // streamBound bounds a generated answer. An event has at least one token.
@@ -145,8 +144,8 @@
 	if !ok {
 		return 0, false
 	}
-	first, firstKnown := s.first.slow(w.IsRepeatable)
-	perEvent, perEventKnown := s.perEvent.slow(w.IsRepeatable)
+	first, firstKnown := s.first.slow()
+	perEvent, perEventKnown := s.perEvent.slow()
 	// The division keeps the product from overflowing.
 	if perEvent > 0 && time.Duration(w.MaxTokens) > maxBound/perEvent {
 		return maxBound, firstKnown && perEventKnown
