Target: a connection of a probe counts as new for its first request

Callers got 502 for each second request to a target that names no requests in its answers and ends them with their connection: the instance probes such a target at the end of an answer and keeps the connection for the next request, which then was a used one. An answer without an ID on a used connection isn't taken, since it may be the late one to an earlier request; a probe had none.

A connection remembers whether it had a request, also one without a name such as the release of an export. The test failed before: 2 of 4 requests got status 502.

--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -91,7 +91,7 @@
 	Body   io.Reader
 	// Framing tells how the end of the body is marked.
 	Framing Framing
-	// IsNewConnection is set if the connection was opened for the request.
+	// IsNewConnection is set if the connection had no request before.
 	IsNewConnection bool
 	// IsProven is set if the answer certainly belongs to the request, and is not a repetition of the
 	// answer to an earlier one on the connection.
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -44,6 +44,8 @@
 	address string
 	// names holds hashes of the names of the latest requests on the connection.
 	names []uint64
+	// isUsed is set if the connection had a request, also one without a name.
+	isUsed bool
 	// expires is the time from which the idle connection is not used again.
 	expires time.Time
 }
@@ -53,6 +55,7 @@
 
 // addName remembers the name of a request; 0 is none.
 func (c *pooledConn) addName(name uint64) {
+	c.isUsed = true
 	if name == 0 {
 		return
 	}
@@ -109,7 +112,7 @@
 }
 
 // get returns a connection to an address for the request with a name: an idle one that is still open and
-// had no request of that name, or a new one.
+// had no request of that name, or a new one. isNew is set if it had no request at all.
 func (p *Pool) get(ctx context.Context, address, request string) (c *pooledConn, isNew bool, err error) {
 	name := uint64(0)
 	if request != "" {
@@ -121,8 +124,9 @@
 			break
 		}
 		if time.Now().Before(c.expires) && c.isOpen() {
+			isNew = !c.isUsed
 			c.addName(name)
-			return c, false, nil
+			return c, isNew, nil
 		}
 		_ = c.Close() // the connection is not used again
 	}
--- a/standin/platform/unnamed_test.go
+++ b/standin/platform/unnamed_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"testing"
+
+	"gorseline/standin/platform"
 )
 
 // Guards against an answer that names no request and is taken for that of the request, although it may be
@@ -48,3 +50,17 @@
 		t.Errorf("%d connections for 3 requests", n)
 	}
 }
+
+// Guards against a refused answer without an ID on a connection that had no other request: the one with which
+// a target was probed at the unstated end of an earlier answer.
+func TestUnnamedAnswerOnProbedConnectionIsTaken(t *testing.T) {
+	f := newFixture(t, "")
+	f.targets[0].SetUnnamed(true)
+	f.targets[0].SetLastingFault(platform.Unframed, 1)
+	for i := range 4 {
+		id := fmt.Sprint("r", i)
+		if got := f.do(t.Context(), http.MethodPost, "/once/x", id, ""); got.status != http.StatusOK || got.body != "answer to "+id {
+			t.Errorf("%+v", got)
+		}
+	}
+}
