Target: an end before the target has got the request is no end of an answer

An answer without length and chunks counted as whole when its connection ended and the kernel had taken the request. The kernel takes a request long before it has arrived: one of up to 16 KiB wasn't checked at all, and a longer one counted as sent once it fitted into the send buffer. A target that ends its connection in the middle of the request answers with a reset to what arrives later, which nobody reads.

The end of a connection acknowledges all that arrived before it, so the kernel knows at the end whether something is missing (TIOCOUTQ). If so, the read fails with an unexpected end, for all framings and for clients of net/http too. Connections that are no sockets aren't checked.

--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -77,6 +77,9 @@
 	if _, c.failure = c.header.scan(b[:n]); c.failure != nil {
 		return 0, c.failure
 	}
+	if isBody := c.header.isDone && c.header.size > 0; isBody {
+		err = checkEnd(c.Conn, err)
+	}
 	return n, err
 }
 
--- a/io/target/reader.go
+++ b/io/target/reader.go
@@ -53,6 +53,7 @@
 		return 0, p.failure
 	}
 	n, err := p.Conn.Read(b)
+	err = checkEnd(p.Conn, err)
 	if err != nil && !IsDeadline(err) {
 		p.failure = err
 	}
--- a/io/target/upload.go
+++ b/io/target/upload.go
@@ -4,9 +4,11 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // settleTime bounds the wait for the end of an upload whose target has ended its side of the
@@ -79,3 +81,31 @@
 	}
 	return n, io.EOF
 }
+
+// errHalfSent reports a connection that its target has ended before it had got the request.
+var errHalfSent = errors.Wrap(io.ErrUnexpectedEOF, "connection ended before the request had arrived")
+
+// checkEnd returns err, or errHalfSent if err is the end of a connection whose target hasn't got all that was
+// sent. The kernel takes a request long before it has arrived, and the reset that follows comes after the end.
+func checkEnd(conn net.Conn, err error) error {
+	if errors.Is(err, io.EOF) && hasUnacknowledged(conn) {
+		return errHalfSent
+	}
+	return err
+}
+
+// hasUnacknowledged reports whether the peer of a socket hasn't acknowledged all bytes that were written. The
+// end of a connection acknowledges all that arrived before it.
+func hasUnacknowledged(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	count := 0
+	failure := raw.Control(func(fd uintptr) { count, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	return failure == nil && err == nil && count > 0
+}
