--- a/io/target/halfread_test.go
+++ b/io/target/halfread_test.go
@@ -31,6 +31,7 @@
 			if err != nil {
 				return nil, err
 			}
+			t.Cleanup(func() { _ = resp.Body.Close() })
 			return resp.Body, nil
 		},
 	}
