Forward: a budget bounds the memory of all bodies

What callers saw: an instance ended by its memory, and with it the requests of all others. Unfinished bodies of many callers, or sound ones that wait for slow targets, were each read into a buffer that doubles, and nothing bounded their sum.

Cause: the limit of a body bounds one request only. Announced lengths over the limit were read up to it before the refusal.

Change: core/intake decides how many bytes all bodies may hold, from the memory limit in the settings; it knows no network. A body is read into segments that are reserved before they are allocated, as bytes arrive, so that chunks of 8 bytes cost no more than others. When memory is short, unfinished requests of which hardly anything arrived for a second make room, the largest first; if there is none, the request that needs memory is refused. Both get 503 with Retry-After and the reason MemoryShort; they have reached no target. A request that has arrived as a whole is never cut. The last sixteenth is for small bodies. A length over the limit is refused with 413 before the body arrives. The rest of a refused body is read and dropped for at most a second, so that callers get the answer and those that send nothing don't keep the connection. Bodies from other instances count as well. Gauges: IntakeBytes, IntakeLimit, IntakeCut, IntakeRefused.

The new tests of core/intake and of bodies in standin/platform pass, the latter with the race detector.

--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -16,6 +16,7 @@
 	"gorseline/core/assign"
 	"gorseline/core/catchup"
 	"gorseline/core/common/random"
+	"gorseline/core/intake"
 	"gorseline/core/load"
 	"gorseline/core/membership"
 	"gorseline/core/reach"
@@ -60,6 +61,7 @@
 			func(r *random.Source) *reach.Detours { return reach.NewDetours(settings.DataCentre, r) },
 			newAssigner,
 			newBudgets,
+			newIntake,
 			newDial,
 			func(dial target.DialFunc) *target.Pool { return target.NewPool(target.PoolOptions{Dial: dial}) },
 			catchup.New,
@@ -178,14 +180,14 @@
 	id identity, pool *target.Pool, a *assign.Assigner, loads *load.Tracker, r *roster.Roster, h *retry.Health,
 	budgets *retry.Shares, clock core.ClockProvider, digests *digest.Node, i *instruments, l log.Interface,
 	limits *targetlimit.Limits, paths *reach.Paths, detours *reach.Detours, settings platform.Settings, updater *stateUpdater,
-	pauses *retry.Pauses, currency *catchup.Currency, usage *usageDuty,
+	pauses *retry.Pauses, currency *catchup.Currency, usage *usageDuty, budget *intake.Budget,
 ) *forward.Forwarder {
 	return forward.New(forward.Options{
 		Dialect: platform.Dialect{}, Pool: pool, Assigner: a, Loads: loads, Roster: r, Health: h, Budgets: budgets,
 		Clock: clock, Publisher: digests, Observer: i, Log: l, Sender: id.sender, MaxBodyBytes: defaultMaxBodyBytes,
 		StreamStarts: digests, StreamVersions: digests, Quarantine: digests,
 		Limits: limits, LimitPublisher: digests, Paths: paths, Peers: digests, Detours: detours, Instance: settings.Instance,
-		Leavings: updater, Pauses: pauses, Currency: currency, Usage: usage,
+		Leavings: updater, Pauses: pauses, Currency: currency, Usage: usage, Intake: budget,
 	})
 }
 
--- a/cmd/entry/node/node.go
+++ b/cmd/entry/node/node.go
@@ -30,10 +30,6 @@
 	CheckOnly           bool          `long:"check" description:"Check the settings and exit"`
 }
 
-// memoryLimitShare is the soft memory limit of the Go runtime as a share of the memory that
-// the platform allows.
-const memoryLimitShare = 0.7
-
 // Run runs an instance until SIGTERM or SIGINT, then drains and stops it. With CheckOnly it
 // only checks the settings.
 func Run(options Options, output io.Writer) error {
@@ -48,8 +44,8 @@
 	if options.CheckOnly {
 		return nil
 	}
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
+	if limit := softMemoryLimit(settings); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	app, n, err := assemble(options, settings, output)
 	if err != nil {
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -19,6 +19,7 @@
 	"gorseline/core"
 	"gorseline/core/catchup"
 	"gorseline/core/common/pause"
+	"gorseline/core/intake"
 	"gorseline/core/reach"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
@@ -86,6 +87,7 @@
 	Tracker     *catchup.Tracker
 	Currency    *catchup.Currency
 	Usage       *usageDuty
+	Intake      *intake.Budget
 }
 
 func newNode(lc fx.Lifecycle, p nodeParams) (*node, error) {
@@ -152,6 +154,7 @@
 	i.registerGauge("ServicesUnreached", func() int64 { return int64(len(p.Paths.Lost())) })
 	registerStreamGauges(i, n.digests)
 	registerQuarantineGauges(i, n.digests)
+	registerIntakeGauges(i, p.Intake)
 	i.registerGauge("TargetsLimited", func() int64 { return int64(n.limits.Count()) })
 	i.registerGauge("LeasesHeld", func() int64 { return int64(len(r.leases.Leases())) })
 	i.registerGauge("Ready", func() int64 {
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -102,6 +102,8 @@
 	Sender uint32
 	// MaxBodyBytes bounds the body of a request if the configuration doesn't.
 	MaxBodyBytes int64
+	// Intake bounds the memory that the bodies of all requests hold together.
+	Intake core.IntakeBudget
 }
 
 // Forwarder is the HTTP handler for the requests of callers.
@@ -188,6 +190,7 @@
 const (
 	ReasonMalformed          core.Reason = "Malformed"
 	ReasonBodyTooLarge       core.Reason = "BodyTooLarge"
+	ReasonMemoryShort        core.Reason = "MemoryShort"
 	ReasonNoConfiguration    core.Reason = "NoConfiguration"
 	ReasonNoRoute            core.Reason = "NoRoute"
 	ReasonTargetsRefused     core.Reason = "TargetsRefused"
@@ -221,6 +224,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	r := &activeRequest{Forwarder: f, w: w, in: in, detour: detour, arrived: f.Clock.Now()}
+	defer r.releaseBody()
 	r.serve()
 }
 
@@ -240,6 +244,8 @@
 	route    *core.Route
 	service  core.Service
 	body     []byte
+	// hold is the memory that the body takes; nil without one.
+	hold core.IntakeHold
 	// verdict is the outcome of the check of the API key.
 	verdict apikey.Verdict
 	// hasBegun is set once the request is counted as begun by a target.
@@ -368,7 +374,7 @@
 	}
 	r.deadline = r.arrived.Add(timeout)
 	r.refusedBefore = r.wasRefusedBefore()
-	return r.readBody()
+	return r.takeBody()
 }
 
 // refusedBeforeShare is the fraction of the longest caller timeout below which a caller is
@@ -388,40 +394,6 @@
 	return float64(r.req.CallerTimeout) < refusedBeforeShare*float64(longest)
 }
 
-// readBody reads the body of the request. It returns false if it has answered the request
-// with an error.
-func (r *activeRequest) readBody() bool {
-	if r.in.Body == nil || r.in.Body == http.NoBody {
-		return true
-	}
-	limit := r.table.Configuration().MaxBodyBytes
-	if limit <= 0 {
-		limit = r.MaxBodyBytes
-	}
-	control := http.NewResponseController(r.w)
-	// If deadlines are not supported, the read still ends with the context of the request.
-	_ = control.SetReadDeadline(time.Now().Add(r.remaining()))
-	stopWatch := context.AfterFunc(r.stopped, func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := readAll(http.MaxBytesReader(r.w, r.in.Body, limit), r.in.ContentLength)
-	stopWatch()
-	_ = control.SetReadDeadline(time.Time{})
-	if err == nil {
-		r.body = body
-		return true
-	}
-	if r.stopped.Err() != nil {
-		r.refuse(ReasonStopped, drain.RetryAfter)
-		return false
-	}
-	if isTooLarge(err) {
-		r.reject(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "body is larger than the limit")
-		return false
-	}
-	r.w.Header().Set("Connection", "close")
-	r.reject(http.StatusBadRequest, ReasonMalformed, "body can't be read: "+err.Error())
-	return false
-}
-
 // remaining returns the time until the deadline.
 func (r *activeRequest) remaining() time.Duration { return r.deadline.Sub(r.Clock.Now()) }
 
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -18,6 +18,7 @@
 	"gorseline/core"
 	"gorseline/core/assign"
 	"gorseline/core/common/random"
+	"gorseline/core/intake"
 	"gorseline/core/load"
 	"gorseline/core/quarantine"
 	"gorseline/core/reach"
@@ -293,6 +294,7 @@
 		Leavings: leavingRecorder{f.roster}, Pauses: pauses, Currency: &f.currency, Usage: &f.usage,
 		Paths: f.paths, Peers: f.peers, Detours: reach.NewDetours("here", source), Instance: "n",
 		Log: &log.Logger{Handler: f.logs, Level: log.InfoLevel}, Sender: 1, MaxBodyBytes: 1 << 20,
+		Intake: intake.NewBudget(64<<20, clock),
 	})
 	f.forwarder.Configure(route.NewTable(configuration(1)))
 	f.server = httptest.NewUnstartedServer(f.forwarder)
