Entry: callers' connections leave descriptors for targets and the store

What callers saw: nothing bounded the connections of callers. With as many as the machine has descriptors, an instance could open none to its targets, to other instances and to the store.

Change: connections are counted, once without and twice with a request in progress, against the descriptors in the settings (limits.max_fds, without what the platform keeps for files), of which an eighth and 16 are left out. When there is no room, the connection that has waited longest for its first request is closed, then the longest idle one; a request in progress never is. If there is none, a new connection is closed and an unfinished slow body is refused. Gauges: CallerSockets, CallerSocketsLimit, ConnectionsEvicted, ConnectionsRefused. Without max_fds there is no bound, as before. A value of 200 or less is an invalid setting.

--- a/cmd/entry/node/memory.go
+++ b/cmd/entry/node/memory.go
@@ -42,3 +42,20 @@
 	i.registerGauge("IntakeCut", func() int64 { return b.Stats().Cut })
 	i.registerGauge("IntakeRefused", func() int64 { return b.Stats().Refused })
 }
+
+// registerConnectionGauges registers the gauges of callers' connections.
+func registerConnectionGauges(i *instruments, c *connections) {
+	i.registerGauge("CallerSockets", func() int64 {
+		sockets, _, _ := c.stats()
+		return int64(sockets)
+	})
+	i.registerGauge("CallerSocketsLimit", func() int64 { return int64(c.limit) })
+	i.registerGauge("ConnectionsEvicted", func() int64 {
+		_, evicted, _ := c.stats()
+		return evicted
+	})
+	i.registerGauge("ConnectionsRefused", func() int64 {
+		_, _, refused := c.stats()
+		return refused
+	})
+}
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -54,7 +54,7 @@
 	callerServer *http.Server
 	// peerServer serves snapshots, and the requests of instances that reach no target.
 	peerServer *http.Server
-	callers    newConnections
+	callers    connections
 	servers    []*http.Server
 	registry   metrics.Registry
 	// metricsAddress is empty if no metrics are served.
@@ -99,6 +99,7 @@
 	n.registerGauges(&p)
 	lifecycle.Register(lc, n)
 	n.callerServer = newServer(p.Forwarder)
+	n.callers.limit, n.callers.budget = callerSockets(p.Settings.MaxSockets), p.Intake
 	n.callers.watch(n.callerServer)
 	if err := n.serve(lc, p.Settings.CallerAddress, n.callerServer); err != nil {
 		return nil, err
@@ -155,6 +156,7 @@
 	registerStreamGauges(i, n.digests)
 	registerQuarantineGauges(i, n.digests)
 	registerIntakeGauges(i, p.Intake)
+	registerConnectionGauges(i, &n.callers)
 	i.registerGauge("TargetsLimited", func() int64 { return int64(n.limits.Count()) })
 	i.registerGauge("LeasesHeld", func() int64 { return int64(len(r.leases.Leases())) })
 	i.registerGauge("Ready", func() int64 {
--- a/core/intake/budget.go
+++ b/core/intake/budget.go
@@ -76,24 +76,41 @@
 func (b *Budget) makeRoom(h *hold, lacks int64) bool {
 	for b.leaving < lacks {
 		victim := b.largestSlow(h)
-		if victim == nil {
+		if victim == nil || victim.bytes == 0 {
 			return false
 		}
-		delete(b.holds, victim)
-		victim.isCut = true
-		b.leaving += victim.bytes
-		b.cut++
-		victim.cut()
+		b.cutHold(victim)
 	}
 	return true
 }
 
+// cutHold ends an unfinished request. The lock must be held.
+func (b *Budget) cutHold(h *hold) {
+	delete(b.holds, h)
+	h.isCut = true
+	b.leaving += h.bytes
+	b.cut++
+	h.cut()
+}
+
+// CutSlow cuts the slow request that holds most, to free its connection. It returns false if no request is slow.
+func (b *Budget) CutSlow() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	victim := b.largestSlow(nil)
+	if victim == nil {
+		return false
+	}
+	b.cutHold(victim)
+	return true
+}
+
 // largestSlow returns the slow request that holds most, or nil. The lock must be held.
 func (b *Budget) largestSlow(except *hold) *hold {
 	var largest *hold
 	now := b.clock.Now()
 	for h := range b.holds {
-		if h != except && h.bytes > 0 && (largest == nil || h.bytes > largest.bytes) && h.progress.IsSlow(now) {
+		if h != except && (largest == nil || h.bytes > largest.bytes) && h.progress.IsSlow(now) {
 			largest = h
 		}
 	}
