Entry: headers and connections of callers count in the memory budget

What callers saw: many unfinished heads held more memory than the machine has, although each was within the limit of one head.

Cause: the server bounds one head (64 KiB), nothing bounded their sum.

Change: the listener for callers counts each open connection with 16 KiB, and a head from its fifth kilobyte on with twice its bytes (its lines are joined in a buffer that grows) until its request ends. While it is read, a head makes room as an unfinished body does; without memory its connection is closed. Connections without requests may use half of the budget, which also bounds their number where the settings have no descriptors.

--- a/cmd/entry/node/connections.go
+++ b/cmd/entry/node/connections.go
@@ -21,22 +21,25 @@
 	// spareShare is the share of the sockets that callers never get: idle connections to targets, other instances, and callers
 	// that ask the directory.
 	spareShare = 1.0 / 8
+	// connectionShare is the share of the memory for callers' requests that connections without requests may use.
+	connectionShare = 0.5
 )
 
-// callerSockets returns the number of sockets for callers and for the targets of their requests, or 0 if the settings have
-// no limit.
-func callerSockets(limit int) int {
-	if limit <= 0 {
-		return 0
+// callerSockets returns the number of sockets for callers and for the targets of their requests, from the number of sockets of
+// the machine, which is 0 without a limit, and the memory for callers' requests in bytes.
+func callerSockets(sockets int, memory int64) int {
+	byMemory := int(connectionShare * float64(memory) / connectionMemory)
+	if sockets <= 0 {
+		return max(1, byMemory)
 	}
-	return max(1, limit-fixedSockets-int(spareShare*float64(limit)))
+	return max(1, min(byMemory, sockets-fixedSockets-int(spareShare*float64(sockets))))
 }
 
 // connections bounds the connections of callers. A connection without a request in progress takes one socket, others
 // take two, because a request needs a connection to a target. When there is no room, the connection that waits longest for a first
 // request makes it, then the one that is idle for longest. If all have requests in progress, a new one is closed.
 type connections struct {
-	// limit is the number of sockets, or 0 without a limit.
+	// limit is the number of sockets; 0 means no limit.
 	limit  int
 	budget *intake.Budget
 
@@ -66,6 +69,9 @@
 }
 
 func (c *connections) onState(conn net.Conn, state http.ConnState) {
+	if counted, ok := conn.(*callerConn); ok {
+		counted.onState(state)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateNew {
--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -99,7 +99,7 @@
 	n.registerGauges(&p)
 	lifecycle.Register(lc, n)
 	n.callerServer = newServer(p.Forwarder)
-	n.callers.limit, n.callers.budget = callerSockets(p.Settings.MaxSockets), p.Intake
+	n.callers.limit, n.callers.budget = callerSockets(p.Settings.MaxSockets, p.Intake.Stats().Limit), p.Intake
 	n.callers.watch(n.callerServer)
 	if err := n.serve(lc, p.Settings.CallerAddress, n.callerServer); err != nil {
 		return nil, err
@@ -192,6 +192,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
+	if s == n.callerServer {
+		listener = callerListener{listener, n.callers.budget}
+	}
 	n.servers = append(n.servers, s)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/core/intake/budget.go
+++ b/core/intake/budget.go
@@ -138,6 +138,7 @@
 	bytes    int64
 	progress Progress
 	isCut    bool
+	isClosed bool
 }
 
 // Reserve adds bytes.
@@ -166,7 +167,7 @@
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h.isCut {
+	if h.isCut || h.isClosed {
 		return false, nil
 	}
 	lacks := bytes - b.room(h.bytes+bytes)
@@ -218,6 +219,7 @@
 func (h *hold) Close() {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
+	h.isClosed = true
 	delete(h.budget.holds, h)
 	h.budget.giveBack(h, h.bytes)
 }
