--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -152,6 +152,7 @@
 	"Attempts":         "the stream can't be continued on another engine: the attempts of its route are used up",
 	"CallerLeft":       "the caller closed its connection first",
 	"Malformed":        "rejected: the request is malformed",
+	"MemoryShort":      "refused before it was sent: the bodies held here reach the memory that is for them (IntakeBytes)",
 	"BodyTooLarge":     "rejected: the body is larger than the configuration allows",
 	"KeyMissing":       "rejected: it has no API key, and its route isn't public",
 	"KeyMalformed":     "rejected: its credentials are not one bearer key",
