--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -19,6 +19,7 @@
 	"gorseline/core"
 	"gorseline/core/catchup"
 	"gorseline/core/common/pause"
+	"gorseline/core/intake"
 	"gorseline/core/reach"
 	"gorseline/core/retry"
 	"gorseline/core/roster"
@@ -53,7 +54,7 @@
 	callerServer *http.Server
 	// peerServer serves snapshots, and the requests of instances that reach no target.
 	peerServer *http.Server
-	callers    newConnections
+	callers    connections
 	servers    []*http.Server
 	registry   metrics.Registry
 	// metricsAddress is empty if no metrics are served.
@@ -86,6 +87,7 @@
 	Tracker     *catchup.Tracker
 	Currency    *catchup.Currency
 	Usage       *usageDuty
+	Intake      *intake.Budget
 }
 
 func newNode(lc fx.Lifecycle, p nodeParams) (*node, error) {
@@ -97,6 +99,7 @@
 	n.registerGauges(&p)
 	lifecycle.Register(lc, n)
 	n.callerServer = newServer(p.Forwarder)
+	n.callers.limit, n.callers.budget = callerSockets(p.Settings.MaxSockets, p.Intake.Stats().Limit), p.Intake
 	n.callers.watch(n.callerServer)
 	if err := n.serve(lc, p.Settings.CallerAddress, n.callerServer); err != nil {
 		return nil, err
@@ -152,6 +155,8 @@
 	i.registerGauge("ServicesUnreached", func() int64 { return int64(len(p.Paths.Lost())) })
 	registerStreamGauges(i, n.digests)
 	registerQuarantineGauges(i, n.digests)
+	registerIntakeGauges(i, p.Intake)
+	registerConnectionGauges(i, &n.callers)
 	i.registerGauge("TargetsLimited", func() int64 { return int64(n.limits.Count()) })
 	i.registerGauge("LeasesHeld", func() int64 { return int64(len(r.leases.Leases())) })
 	i.registerGauge("Ready", func() int64 {
@@ -187,6 +192,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
+	if s == n.callerServer {
+		listener = callerListener{listener, n.callers.budget}
+	}
 	n.servers = append(n.servers, s)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -102,6 +102,10 @@
 	Sender uint32
 	// MaxBodyBytes bounds the body of a request if the configuration doesn't.
 	MaxBodyBytes int64
+	// Intake bounds the memory that the bodies of all requests hold together.
+	Intake core.IntakeBudget
+	// WriteGrace is how long after the deadline of its request an answer may still be written.
+	WriteGrace time.Duration
 }
 
 // Forwarder is the HTTP handler for the requests of callers.
@@ -188,6 +192,7 @@
 const (
 	ReasonMalformed          core.Reason = "Malformed"
 	ReasonBodyTooLarge       core.Reason = "BodyTooLarge"
+	ReasonMemoryShort        core.Reason = "MemoryShort"
 	ReasonNoConfiguration    core.Reason = "NoConfiguration"
 	ReasonNoRoute            core.Reason = "NoRoute"
 	ReasonTargetsRefused     core.Reason = "TargetsRefused"
@@ -221,6 +226,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	r := &activeRequest{Forwarder: f, w: w, in: in, detour: detour, arrived: f.Clock.Now()}
+	defer r.releaseBody()
+	r.limitWrite() // the previous request of the connection has left a deadline
 	r.serve()
 }
 
@@ -240,6 +247,8 @@
 	route    *core.Route
 	service  core.Service
 	body     []byte
+	// hold is the memory that the body takes; nil without one.
+	hold core.IntakeHold
 	// verdict is the outcome of the check of the API key.
 	verdict apikey.Verdict
 	// hasBegun is set once the request is counted as begun by a target.
@@ -310,6 +319,7 @@
 	if !r.accept() {
 		return
 	}
+	r.limitWrite()
 	r.accepted = r.Clock.Now()
 	if !r.allowArrival() {
 		return
@@ -373,7 +383,7 @@
 	}
 	r.deadline = r.arrived.Add(timeout)
 	r.refusedBefore = r.wasRefusedBefore()
-	return r.readBody()
+	return r.takeBody()
 }
 
 // refusedBeforeShare is the fraction of the longest caller timeout below which a caller is
@@ -393,40 +403,6 @@
 	return float64(r.req.CallerTimeout) < refusedBeforeShare*float64(longest)
 }
 
-// readBody reads the body of the request. It returns false if it has answered the request
-// with an error.
-func (r *activeRequest) readBody() bool {
-	if r.in.Body == nil || r.in.Body == http.NoBody {
-		return true
-	}
-	limit := r.table.Configuration().MaxBodyBytes
-	if limit <= 0 {
-		limit = r.MaxBodyBytes
-	}
-	control := http.NewResponseController(r.w)
-	// If deadlines are not supported, the read still ends with the context of the request.
-	_ = control.SetReadDeadline(time.Now().Add(r.remaining()))
-	stopWatch := context.AfterFunc(r.stopped, func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := readAll(http.MaxBytesReader(r.w, r.in.Body, limit), r.in.ContentLength)
-	stopWatch()
-	_ = control.SetReadDeadline(time.Time{})
-	if err == nil {
-		r.body = body
-		return true
-	}
-	if r.stopped.Err() != nil {
-		r.refuse(ReasonStopped, drain.RetryAfter)
-		return false
-	}
-	if isTooLarge(err) {
-		r.reject(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "body is larger than the limit")
-		return false
-	}
-	r.w.Header().Set("Connection", "close")
-	r.reject(http.StatusBadRequest, ReasonMalformed, "body can't be read: "+err.Error())
-	return false
-}
-
 // remaining returns the time until the deadline.
 func (r *activeRequest) remaining() time.Duration { return r.deadline.Sub(r.Clock.Now()) }
 
@@ -456,6 +432,7 @@
 
 // reject answers with a client error and a message.
 func (r *activeRequest) reject(status int, reason core.Reason, message string) {
+	r.limitWrite()
 	header := r.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(message)))
@@ -468,6 +445,7 @@
 // refuse answers that the request has not run and will not run, and that the caller may
 // retry after the given time.
 func (r *activeRequest) refuse(reason core.Reason, after time.Duration) {
+	r.limitWrite()
 	header := r.w.Header()
 	seconds := max(after, time.Millisecond).Seconds()
 	header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
