Forward: a target that isn't reached at an unstated end has not crashed

An answer without length and chunks whose target accepted no connection within 120 ms was cut, which is meant, and its request was recorded as lost with its target, which isn't: a lost packet or a full queue of the listener was evidence that the request crashes targets, and requests are quarantined on such evidence. A dial that times out now leaves the end Unknown and the evidence as it is. A refused connection is still evidence.

--- a/io/forward/ending.go
+++ b/io/forward/ending.go
@@ -74,6 +74,8 @@
 	EndConfirmed EndEvidence = "Confirmed"
 	// EndRefuted means that it doesn't, so that its process may have ended in the middle of the answer.
 	EndRefuted EndEvidence = "Refuted"
+	// EndUnknown means that it wasn't reached in time, which says nothing about its process.
+	EndUnknown EndEvidence = "Unknown"
 )
 
 // confirmEnd returns an error if an answer has ended without its target stating that and the target
@@ -89,6 +91,10 @@
 		r.endEvidence = EndConfirmed
 		return nil
 	}
+	if target.IsDeadline(err) {
+		r.endEvidence = EndUnknown
+		return errors.Wrap(err, "end of an answer whose target isn't reached")
+	}
 	r.endEvidence = EndRefuted
 	return errors.Wrapf(io.ErrUnexpectedEOF, "end of an answer whose target is gone (%v)", err)
 }
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -150,6 +150,8 @@
 	mu sync.Mutex
 	// survived holds the traits of the latest request that a target survived.
 	survived []core.Trait
+	// losses counts the runs that count as lost with their target.
+	losses int
 }
 
 func newLocalQuarantine(clock core.ClockProvider) *localQuarantine {
@@ -178,6 +180,9 @@
 
 // RecordLost decides with the evidence of the one instance.
 func (q *localQuarantine) RecordLost(lost *core.TargetRun) {
+	q.mu.Lock()
+	q.losses++
+	q.mu.Unlock()
 	now := q.clock.Now()
 	loss := q.suspects.NewLoss(now, lost)
 	for _, l := range append([]quarantine.Loss{loss}, q.suspects.LossesAfterEnd(now)...) {
