Target: the trailer of a body has only fields

Callers could lose the next answer, whose head was taken for the end of the one before. Cause: after the last chunk every line up to an empty one was taken for the trailer. Change: its lines are checked like those of a header. Result: TestTrailerHasOnlyFields took five malformed trailers before, such as a status line, and takes none now.

--- a/io/target/chunked.go
+++ b/io/target/chunked.go
@@ -85,6 +85,9 @@
 		if len(line) == 0 {
 			return io.EOF
 		}
+		if !isField(line) {
+			return errMalformedChunk
+		}
 	}
 	return errMalformedChunk
 }
--- a/io/target/chunked_test.go
+++ b/io/target/chunked_test.go
@@ -73,3 +73,17 @@
 		_, _ = client.Close(), server.Close()
 	}
 }
+
+// Guards against bytes of the next answer that are taken for the trailer and are lost with it.
+func TestTrailerHasOnlyFields(t *testing.T) {
+	for trailer, isTrailer := range map[string]bool{
+		"": true, "A: b\r\n": true, "A:\r\nB: c\r\n": true,
+		"HTTP/1.1 200 OK\r\n": false, "A : b\r\n": false, " a\r\n": false, "A: b\x00\r\n": false, "a\r\n": false,
+	} {
+		text := "2\r\nok\r\n0\r\n" + trailer + "\r\n"
+		_, err := io.ReadAll(&chunkedBody{reader: bufio.NewReaderSize(strings.NewReader(text), readBufferSize)})
+		if (err == nil) != isTrailer {
+			t.Errorf("%q: %v", trailer, err)
+		}
+	}
+}
--- a/io/target/head.go
+++ b/io/target/head.go
@@ -111,10 +111,10 @@
 
 // scanField checks a line with a name and a value. A line that continues the one before has no name.
 func (s *headScanner) scanField(line []byte) error {
-	name, value, hasValue := bytes.Cut(line, []byte(":"))
-	if !hasValue || !isToken(name) || !isText(value) {
+	if !isField(line) {
 		return malformed("header line", line)
 	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch {
 	case len(name) == len(contentLength) && bytes.EqualFold(name, []byte(contentLength)):
 		return s.scanLength(value)
@@ -178,6 +178,12 @@
 	return true
 }
 
+// isField reports whether a line has a name and a value.
+func isField(line []byte) bool {
+	name, value, hasValue := bytes.Cut(line, []byte(":"))
+	return hasValue && isToken(name) && isText(value)
+}
+
 // isToken reports whether b is a token as in RFC 9110, section 5.6.2.
 func isToken(b []byte) bool {
 	for _, c := range b {
