Entry: a body that no handler reads doesn't keep its connection

What callers saw: a caller that announces a body, stops short of it and is rejected before the body is read (no route, an unknown key, another server than that for requests) got no answer and kept its connection for as long as it stayed. Enough of them take all connections that callers may have.

Cause: net/http waits for the rest of such a body, and the servers had a time for the header only.

Change: all servers have a read timeout of 10 s.

--- a/cmd/entry/node/servers.go
+++ b/cmd/entry/node/servers.go
@@ -171,6 +171,9 @@
 	// headerTimeout bounds the time to read the header of a request. The operators'
 	// configurations allow callers 3 s.
 	headerTimeout = 10 * time.Second
+	// readTimeout bounds the time to read a request whose handler sets no other time for its body: the server waits for what
+	// a handler leaves unread.
+	readTimeout = headerTimeout
 	// idleTimeout is longer than callers keep idle connections, so that no request is sent
 	// on a connection that the server is closing.
 	idleTimeout = 60 * time.Second
@@ -180,7 +183,7 @@
 
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: nil,
 	}
 }
