Forward: a body must make progress within the timeout of its route

What callers saw: nothing in routes of a few seconds; in one with a long timeout, a body that stops or comes in drops kept its request, its memory and its connection for the whole timeout.

Change: core/intake decides by when more of a body must arrive. The timeout of the route bounds the whole as before. The deadline of a request that has been cut or stopped isn't lifted.

Measured: with the limits lowered, the test with real sockets gets 408 for a stopped body and for one in drops; without them it fails in both (400 at the end of the route's timeout).

--- a/cmd/commands/explain.go
+++ b/cmd/commands/explain.go
@@ -153,6 +153,7 @@
 	"CallerLeft":       "the caller closed its connection first",
 	"Malformed":        "rejected: the request is malformed",
 	"MemoryShort":      "refused before it was sent: the bodies held here reach the memory that is for them (IntakeBytes)",
+	"BodyTooSlow":      "rejected: the body arrived more slowly than --body-stall or --body-rate allow",
 	"BodyTooLarge":     "rejected: the body is larger than the configuration allows",
 	"KeyMissing":       "rejected: it has no API key, and its route isn't public",
 	"KeyMalformed":     "rejected: its credentials are not one bearer key",
--- a/cmd/entry/node/module.go
+++ b/cmd/entry/node/module.go
@@ -189,6 +189,7 @@
 		Limits: limits, LimitPublisher: digests, Paths: paths, Peers: digests, Detours: detours, Instance: settings.Instance,
 		Leavings: updater, Pauses: pauses, Currency: currency, Usage: usage, Intake: budget,
 		WriteGrace: options.WriteGrace,
+		BodyPace:   intake.Pace{Stall: options.BodyStall, Rate: options.BodyRate, Start: options.BodyStart},
 	})
 }
 
--- a/cmd/entry/node/node.go
+++ b/cmd/entry/node/node.go
@@ -28,10 +28,24 @@
 	AnswerTTL           time.Duration `long:"answer-keep" env:"GORSELINE_ANSWER_KEEP" default:"1s" description:"How long callers may cache an answer of the directory"`
 	RosterInterval      time.Duration `long:"roster-interval" env:"GORSELINE_ROSTER_INTERVAL" default:"100ms" description:"Minimum time between two reads of the registry of targets"`
 	InitialPrefillShare float64       `long:"start-share" env:"GORSELINE_START_SHARE" default:"0.64" description:"Share of engines that run prefills until the demand is known"`
+	BodyStall           time.Duration `long:"body-stall" env:"GORSELINE_BODY_STALL" default:"30s" description:"Longest time in which nothing of a body arrives, within the timeout of its route; callers that are idle for less are never met. 0 has no limit"`
+	BodyRate            int64         `long:"body-rate" env:"GORSELINE_BODY_RATE" default:"1024" description:"Mean rate in bytes a second that a body must keep after --body-start; slower than any link. 0 has no limit"`
+	BodyStart           time.Duration `long:"body-start" env:"GORSELINE_BODY_START" default:"30s" description:"Time after which --body-rate applies; most bodies have arrived by then"`
 	WriteGrace          time.Duration `long:"write-grace" env:"GORSELINE_WRITE_GRACE" default:"10s" description:"Time after the deadline of a request in which a caller must have read its answer; a caller that reads nothing is disconnected then"`
 	CheckOnly           bool          `long:"check" description:"Check the settings and exit"`
 }
 
+// validate checks the limits of callers.
+func (o *Options) validate() error {
+	if o.WriteGrace <= 0 {
+		return &core.InvalidValueError{Path: "write-grace", Value: o.WriteGrace.String(), Accepted: []string{"a time above 0"}}
+	}
+	if o.BodyStall < 0 || o.BodyStart < 0 || o.BodyRate < 0 {
+		return &core.InvalidValueError{Path: "body-stall, body-start, body-rate", Value: "negative", Accepted: []string{"0 or more"}}
+	}
+	return nil
+}
+
 // Run runs an instance until SIGTERM or SIGINT, then drains and stops it. With CheckOnly it
 // only checks the settings.
 func Run(options Options, output io.Writer) error {
@@ -43,8 +57,8 @@
 	if err != nil {
 		return err
 	}
-	if options.WriteGrace <= 0 {
-		return &core.InvalidValueError{Path: "write-grace", Value: options.WriteGrace.String(), Accepted: []string{"a time above 0"}}
+	if err := options.validate(); err != nil {
+		return err
 	}
 	if options.CheckOnly {
 		return nil
--- a/core/intake.go
+++ b/core/intake.go
@@ -16,6 +16,8 @@
 	Release(bytes int64)
 	// RecordArrival notes bytes that have arrived from the caller.
 	RecordArrival(bytes int64)
+	// IsCut reports whether the hold has been cut.
+	IsCut() bool
 	// Finish notes that the request has arrived as a whole. It isn't cut from then on. It returns false if it has been cut.
 	Finish() bool
 	// Close gives all bytes back.
--- a/core/intake/budget.go
+++ b/core/intake/budget.go
@@ -207,6 +207,13 @@
 	h.progress = h.progress.WithArrival(now, bytes)
 }
 
+// IsCut reports whether the hold has been cut.
+func (h *hold) IsCut() bool {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.isCut
+}
+
 // Finish ends the time in which the hold may be cut.
 func (h *hold) Finish() bool {
 	h.budget.mu.Lock()
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -17,6 +17,7 @@
 	"gorseline/core/apikey"
 	"gorseline/core/assign"
 	"gorseline/core/drain"
+	"gorseline/core/intake"
 	"gorseline/core/load"
 	"gorseline/core/reach"
 	"gorseline/core/retry"
@@ -104,6 +105,8 @@
 	MaxBodyBytes int64
 	// Intake bounds the memory that the bodies of all requests hold together.
 	Intake core.IntakeBudget
+	// BodyPace is the least progress that a body must make.
+	BodyPace intake.Pace
 	// WriteGrace is how long after the deadline of its request an answer may still be written.
 	WriteGrace time.Duration
 }
@@ -193,6 +196,7 @@
 	ReasonMalformed          core.Reason = "Malformed"
 	ReasonBodyTooLarge       core.Reason = "BodyTooLarge"
 	ReasonMemoryShort        core.Reason = "MemoryShort"
+	ReasonBodyTooSlow        core.Reason = "BodyTooSlow"
 	ReasonNoConfiguration    core.Reason = "NoConfiguration"
 	ReasonNoRoute            core.Reason = "NoRoute"
 	ReasonTargetsRefused     core.Reason = "TargetsRefused"
--- a/io/forward/intake.go
+++ b/io/forward/intake.go
@@ -46,12 +46,11 @@
 		r.rejectBody(control, &http.MaxBytesError{Limit: limit})
 		return false
 	}
-	// If deadlines are not supported, the read still ends with the context of the request.
 	stopRead := func() { _ = control.SetReadDeadline(time.Now()) }
-	_ = control.SetReadDeadline(time.Now().Add(r.remaining()))
 	stopWatch := context.AfterFunc(r.stopped, stopRead)
 	r.hold = r.Intake.NewHold(stopRead)
-	body, err := readBody(http.MaxBytesReader(r.w, r.in.Body, limit), r.in.ContentLength, r.hold)
+	source := &pacedBody{Reader: http.MaxBytesReader(r.w, r.in.Body, limit), r: r, control: control, began: r.Clock.Now()}
+	body, err := readBody(source, r.in.ContentLength, r.hold)
 	stopWatch()
 	if !r.hold.Finish() {
 		err = errMemoryShort
@@ -88,6 +87,8 @@
 		r.refuse(ReasonMemoryShort, memoryRetryAfter)
 	case isTooLarge(err):
 		r.reject(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "body is larger than the limit")
+	case errors.Is(err, errBodyTooSlow):
+		r.reject(http.StatusRequestTimeout, ReasonBodyTooSlow, err.Error())
 	default:
 		r.reject(http.StatusBadRequest, ReasonMalformed, "body can't be read: "+err.Error())
 	}
--- a/standin/platform/intake_test.go
+++ b/standin/platform/intake_test.go
@@ -211,3 +211,50 @@
 	}
 	return answer.StatusCode
 }
+
+// Guards against bodies that stop or come in drops and keep their requests as long as the route allows.
+func TestSlowBodiesAreEnded(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		pace intake.Pace
+		drop string
+	}{
+		{"stopped", intake.Pace{Stall: 500 * time.Millisecond}, ""},
+		{"in drops", intake.Pace{Rate: 1000, Start: 500 * time.Millisecond}, "x"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, "")
+			f.forwarder.BodyPace = test.pace
+			conn, err := net.Dial("tcp4", f.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }() // the server has closed it
+			if _, err := io.WriteString(conn, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: slow\r\nContent-Length: 1000\r\n\r\nx"); err != nil {
+				t.Fatal(err)
+			}
+			go runDrops(conn, test.drop)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = answer.Body.Close() // only the status matters
+			if answer.StatusCode != http.StatusRequestTimeout || !answer.Close {
+				t.Errorf("status %d, closes %v", answer.StatusCode, answer.Close)
+			}
+			if len(f.targets[0].Arrivals()) > 0 {
+				t.Error("it has reached a target")
+			}
+		})
+	}
+}
+
+// runDrops sends a drop of a body again and again until the connection ends.
+func runDrops(conn net.Conn, drop string) {
+	for drop != "" {
+		if _, err := io.WriteString(conn, drop); err != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
