--- a/standin/platform/soak/testbed.go
+++ b/standin/platform/soak/testbed.go
@@ -63,6 +63,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "start target")
 		}
+		t.SetMaxRecordedBody(maxRecordedBody)
 		p, err := newProxy(t.Address())
 		if err != nil {
 			return nil, errors.Wrap(err, "start proxy")
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -166,6 +166,8 @@
 	streamStatus int
 	streamType   string
 	leftover     string
+	// maxRecordedBody is the length of the longest body that runs keep; 0 keeps all.
+	maxRecordedBody int
 	// isUnnamed is set if answers leave out the ID of their request.
 	isUnnamed       bool
 	conns           map[net.Conn]bool
@@ -618,18 +620,21 @@
 	})
 }
 
-// maxRecordedBody is the length of the longest body that is kept, in bytes, so that the runs of a soak fit
-// into memory.
-const maxRecordedBody = 128 << 10
+// SetMaxRecordedBody sets the length in bytes of the longest body that the runs keep; 0 keeps all. Longer ones
+// are left out.
+func (t *Target) SetMaxRecordedBody(length int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.maxRecordedBody = length
+}
 
-// recordRun appends a request to the runs and returns its index. A body longer than maxRecordedBody is left
-// out.
+// recordRun appends a request to the runs and returns its index.
 func (t *Target) recordRun(r *http.Request, body string, fault RequestFault) int {
-	if len(body) > maxRecordedBody {
-		body = ""
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.maxRecordedBody > 0 && len(body) > t.maxRecordedBody {
+		body = ""
+	}
 	t.runs = append(t.runs, Run{
 		ID: r.Header.Get("X-Request-Id"), Method: r.Method, Path: r.RequestURI, Body: body, Header: r.Header,
 		StartedAt: time.Now(), Fault: fault,
