--- a/standin/platform/soak/testbed.go
+++ b/standin/platform/soak/testbed.go
@@ -42,6 +42,10 @@
 	ready []readyChange
 }
 
+// maxRecordedBody is the length in bytes of the longest body that targets record, so that the records of a run
+// fit into memory.
+const maxRecordedBody = 128 << 10
+
 // targetPhases are the phases of the targets by index; empty is a plain target.
 var targetPhases = []string{"", "", "", "", "decode", "decode", "decode", "decode", "decode", "prefill"}
 
