Tests: log lines are read after the releases that go on after a request

Closing the server waits for the requests of callers, and not for the releases after them. Change: closeServer waits for both; all tests that read log lines use it.

--- a/standin/platform/brokenstream_test.go
+++ b/standin/platform/brokenstream_test.go
@@ -203,7 +203,7 @@
 
 // hasLogged reports whether a log line with this event was written. It waits for the requests.
 func (f *fixture) hasLogged(event string) bool {
-	f.server.Close()
+	f.closeServer()
 	for _, e := range f.logs.Entries {
 		if e.Message == event {
 			return true
--- a/standin/platform/churn_test.go
+++ b/standin/platform/churn_test.go
@@ -251,7 +251,7 @@
 					c.change()
 				}
 			}
-			f.server.Close() // waits for the handlers, which may still write to the log
+			f.closeServer() // waits for the handlers, which may still write to the log
 			if text := errorLog.text.String(); text != "" {
 				t.Errorf("the server logged: %s", text)
 			}
--- a/standin/platform/endless_test.go
+++ b/standin/platform/endless_test.go
@@ -83,7 +83,7 @@
 				tg = f.targets[1]
 			}
 			// The caller may take longer to read what is buffered.
-			f.server.Close() // waits for the request, which writes the last log line
+			f.closeServer() // waits for the request, which writes the last log line
 			arrived := tg.Arrivals()[0].At
 			for len(tg.EndlessEnds()) == 0 && time.Since(arrived) < routeTimeout+time.Second {
 				time.Sleep(10 * time.Millisecond) // the target notices the end at its next write
--- a/standin/platform/fixture_test.go
+++ b/standin/platform/fixture_test.go
@@ -108,6 +108,13 @@
 // RecordLeaving marks a target as leaving.
 func (l leavingRecorder) RecordLeaving(id core.TargetID, started int64) { l.MarkLeaving(id, started) }
 
+// closeServer waits for the requests of callers and for the releases that go on after them, both of which may still
+// write log lines.
+func (f *fixture) closeServer() {
+	f.server.Close()
+	f.forwarder.WaitForReleases(context.Background())
+}
+
 // peerList holds the other instances of a fixture.
 type peerList struct {
 	mu       sync.Mutex
--- a/standin/platform/leaving_test.go
+++ b/standin/platform/leaving_test.go
@@ -58,7 +58,7 @@
 	if runs := f.runs(id); len(runs) != 0 {
 		f.t.Errorf("%s ran %d times", id, len(runs))
 	}
-	f.server.Close() // waits for the requests, which may still write log lines
+	f.closeServer() // waits for the requests, which may still write log lines
 	decided, ended := false, false
 	for _, e := range f.logs.Entries {
 		if e.Fields["Request"] != core.RequestID(id) {
@@ -216,7 +216,7 @@
 	if got := f.sendStream("r1", "/resumable/x", 40); got.status != http.StatusOK || got.err != nil {
 		t.Errorf("response %+v", got)
 	}
-	f.server.Close()
+	f.closeServer()
 	obstacles := 0
 	for _, e := range f.logs.Entries {
 		if e.Fields["Request"] != core.RequestID("r1") {
--- a/standin/platform/malformed_test.go
+++ b/standin/platform/malformed_test.go
@@ -72,7 +72,7 @@
 						t.Errorf("%s is taken for leaving", e.ID)
 					}
 				}
-				f.server.Close() // waits for the last log line
+				f.closeServer() // waits for the last log line
 				for i, tg := range f.targets {
 					if isFaulty := i == test.target || test.target < 0; isFaulty && len(tg.Arrivals()) > 0 && !f.hasLoggedMalformed(tg.ID()) {
 						t.Errorf("no log line names the malformed answer of %s", tg.ID())
--- a/standin/platform/silence_test.go
+++ b/standin/platform/silence_test.go
@@ -301,7 +301,7 @@
 	f := newFixture(t, "prefill", "decode")
 	f.targets[1].InjectFaults(platform.Pause)
 	f.sendPrompt(t.Context(), "/resumable/x")
-	f.server.Close()
+	f.closeServer()
 	var steps []string
 	for _, e := range f.logs.Entries {
 		if e.Message == "EngineSilent" {
@@ -341,7 +341,7 @@
 	if got := f.sendPrompt(t.Context(), "/resumable/x"); got.status != http.StatusOK || got.err != nil {
 		t.Fatalf("response %+v", got)
 	}
-	f.server.Close()
+	f.closeServer()
 	ended := 0
 	for _, e := range f.logs.Entries {
 		if e.Message != "RequestEnded" {
--- a/standin/platform/stream_test.go
+++ b/standin/platform/stream_test.go
@@ -47,7 +47,7 @@
 		f.targets[0].InjectFaults(platform.Fail)
 		f.sendPrompt(t.Context(), "/resumable/x")
 	}
-	f.server.Close() // waits for the requests, which may still write log lines
+	f.closeServer() // waits for the requests, which may still write log lines
 	for _, e := range f.logs.Entries {
 		if e.Message == "TargetAvoided" && e.Fields["Target"] == core.TargetID("i-a") && e.Fields["Reason"] == core.Reason("Failures") {
 			return
--- a/standin/platform/version_test.go
+++ b/standin/platform/version_test.go
@@ -319,7 +319,7 @@
 	f.sendAttempt("r2", "Last-Event-Id", "1", "Resumes", "r1")
 	f.sendAttempt("r3", "Last-Event-Id", "1", "Resumes", "old")
 	f.sendAttempt("r4", "Last-Event-Id", "1", "Resumes", "unknown")
-	f.server.Close() // waits for the requests, which may still write log lines
+	f.closeServer() // waits for the requests, which may still write log lines
 	want := map[forward.ContinuationResult]int{
 		forward.ContinuationRelayed: 1, forward.ContinuationNoEngine: 1, forward.ContinuationVersionUnknown: 1,
 	}
