Forward: the write deadline and the type of an answer are worked out once

Cause: the deadline of writing an answer was set up to four times a request, with a special case for requests without a route, and the media type of the answer to a call was parsed twice. Change: limitWrite takes the time that is left. It is called at the start of a request, whose connection has the deadline of an earlier one, and once the request's own deadline is known, before its body is read; that covers each refusal and answer after it. attemptCall asks once whether the answer is a stream.

--- a/io/forward/call.go
+++ b/io/forward/call.go
@@ -73,7 +73,8 @@
 	}
 	failed := answer.Status >= http.StatusInternalServerError
 	r.recordAnswer(e, failed)
-	if !isEventStream(answer) {
+	isStream := isEventStream(answer)
+	if !isStream {
 		r.recordBegun(r.sentAt)
 	}
 	if next, ok := r.nextTarget(failed); ok {
@@ -83,7 +84,7 @@
 		r.logCall(next)
 		return r.attemptCall(next)
 	}
-	if isEventStream(answer) {
+	if isStream {
 		return r.relayStream(e, answer)
 	}
 	return r.relayAnswer(e, answer)
--- a/io/forward/forwarder.go
+++ b/io/forward/forwarder.go
@@ -231,7 +231,7 @@
 	}
 	r := &activeRequest{Forwarder: f, w: w, in: in, detour: detour, arrived: f.Clock.Now()}
 	defer r.releaseBody()
-	r.limitWrite() // the previous request of the connection has left a deadline
+	r.limitWrite(0) // the previous request of the connection has left a deadline
 	r.serve()
 }
 
@@ -323,7 +323,6 @@
 	if !r.accept() {
 		return
 	}
-	r.limitWrite()
 	r.accepted = r.Clock.Now()
 	if !r.allowArrival() {
 		return
@@ -386,6 +385,7 @@
 		timeout = req.CallerTimeout
 	}
 	r.deadline = r.arrived.Add(timeout)
+	r.limitWrite(r.remaining())
 	r.refusedBefore = r.wasRefusedBefore()
 	return r.takeBody()
 }
@@ -436,7 +436,6 @@
 
 // reject answers with a client error and a message.
 func (r *activeRequest) reject(status int, reason core.Reason, message string) {
-	r.limitWrite()
 	header := r.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(message)))
@@ -449,7 +448,6 @@
 // refuse answers that the request has not run and will not run, and that the caller may
 // retry after the given time.
 func (r *activeRequest) refuse(reason core.Reason, after time.Duration) {
-	r.limitWrite()
 	header := r.w.Header()
 	seconds := max(after, time.Millisecond).Seconds()
 	header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
--- a/io/forward/intake.go
+++ b/io/forward/intake.go
@@ -21,14 +21,10 @@
 )
 
 // limitWrite bounds the time of the answer: callers that don't read it would keep the request for ever. It may take as long as
-// the request and WriteGrace.
-func (r *activeRequest) limitWrite() {
-	left := r.WriteGrace
-	if r.route != nil {
-		left += max(0, r.remaining())
-	}
+// the request, of which a time is left, and WriteGrace.
+func (r *activeRequest) limitWrite(left time.Duration) {
 	// If deadlines are not supported, the write ends with the connection.
-	_ = http.NewResponseController(r.w).SetWriteDeadline(time.Now().Add(left))
+	_ = http.NewResponseController(r.w).SetWriteDeadline(time.Now().Add(max(0, left) + r.WriteGrace))
 }
 
 // takeBody reads the body of the request. It returns false if it has answered the request
